--- /dev/null
+++ b/timer/manual.go
@@ -0,0 +1,109 @@
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// Manual is a Service for tests. Its time moves only by Advance.
+type Manual struct {
+	mu      sync.Mutex
+	now     time.Time
+	next    uint64
+	waiting map[uint64]*entry
+}
+
+var _ Service = (*Manual)(nil)
+
+type entry struct {
+	id       uint64
+	due      time.Time
+	interval time.Duration
+	fn       func(now time.Time)
+}
+
+// NewManual returns a Manual service that starts at the given time.
+func NewManual(start time.Time) *Manual {
+	return &Manual{now: start, waiting: make(map[uint64]*entry)}
+}
+
+// Now returns the time set by the last Advance.
+func (m *Manual) Now() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Every implements Service.
+func (m *Manual) Every(interval time.Duration, fn func(now time.Time)) Subscription {
+	return m.add(interval, interval, fn)
+}
+
+// After implements Service.
+func (m *Manual) After(delay time.Duration, fn func(now time.Time)) Subscription {
+	return m.add(delay, 0, fn)
+}
+
+// Advance moves the time forward and runs the callbacks that fall due, in order of their due times. Callbacks run
+// on the goroutine of the caller.
+func (m *Manual) Advance(d time.Duration) {
+	m.mu.Lock()
+	end := m.now.Add(d)
+	m.mu.Unlock()
+
+	for {
+		fn, now := m.takeDue(end)
+		if fn == nil {
+			return
+		}
+		fn(now)
+	}
+}
+
+func (m *Manual) add(delay, interval time.Duration, fn func(now time.Time)) Subscription {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.next++
+	m.waiting[m.next] = &entry{id: m.next, due: m.now.Add(delay), interval: interval, fn: fn}
+	return manualSubscription{service: m, id: m.next}
+}
+
+func (m *Manual) takeDue(end time.Time) (func(now time.Time), time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	var first *entry
+	for _, e := range m.waiting {
+		if e.due.After(end) {
+			continue
+		}
+		if first == nil || e.due.Before(first.due) || (e.due.Equal(first.due) && e.id < first.id) {
+			first = e
+		}
+	}
+	if first == nil {
+		m.now = end
+		return nil, end
+	}
+
+	if first.due.After(m.now) {
+		m.now = first.due
+	}
+	if first.interval > 0 {
+		first.due = first.due.Add(first.interval)
+	} else {
+		delete(m.waiting, first.id)
+	}
+	return first.fn, m.now
+}
+
+type manualSubscription struct {
+	service *Manual
+	id      uint64
+}
+
+func (s manualSubscription) Stop() {
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	delete(s.service.waiting, s.id)
+}
