--- /dev/null
+++ b/catalogue/diff.go
@@ -0,0 +1,115 @@
+package catalogue
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pistachiolead/pistachiolead/document"
+)
+
+// Change is one difference between two catalogues.
+type Change struct {
+	kind string
+	name string
+	text string
+}
+
+// Kind returns "pool", "team" or "entry".
+func (c Change) Kind() string { return c.kind }
+
+// Name returns the name of the part that differs.
+func (c Change) Name() string { return c.name }
+
+// String returns the change as a text such as "entry proofs: class interactive -> urgent".
+func (c Change) String() string { return fmt.Sprintf("%s %s: %s", c.kind, c.name, c.text) }
+
+// Diff returns the changes from a to b: pools, then teams, then entries, each in order of the names.
+func Diff(a, b *Catalogue) []Change {
+	changes := diffParts(nil, "pool", poolParts(a), poolParts(b))
+	changes = diffParts(changes, "team", teamParts(a), teamParts(b))
+	return diffParts(changes, "entry", entryParts(a), entryParts(b))
+}
+
+// part is one pool, team or entry as pairs of a field's name and its value.
+type part struct {
+	name   string
+	fields [][2]string
+}
+
+func poolParts(c *Catalogue) []part {
+	parts := make([]part, 0, len(c.pools))
+	for _, p := range c.pools {
+		parts = append(parts, part{p.name, [][2]string{
+			{"spare", strconv.FormatBool(p.spare)}, {"budget", strconv.Itoa(p.budget)},
+		}})
+	}
+	return parts
+}
+
+func teamParts(c *Catalogue) []part {
+	parts := make([]part, 0, len(c.teams))
+	for _, t := range c.teams {
+		parts = append(parts, part{t.name, [][2]string{
+			{"share", strconv.Itoa(t.share)}, {"limit", strconv.Itoa(t.limit)},
+		}})
+	}
+	return parts
+}
+
+func entryParts(c *Catalogue) []part {
+	parts := make([]part, 0, len(c.entries))
+	for _, e := range c.entries {
+		parts = append(parts, part{e.name, e.fields()})
+	}
+	return parts
+}
+
+func (e Entry) fields() [][2]string {
+	s := documentOfShape(e.shape)
+	return [][2]string{
+		{"owner", e.owner},
+		{"class", e.class.String()},
+		{"pool", e.pool},
+		{"processors", strconv.Itoa(s.Processors)},
+		{"memory", s.Memory},
+		{"accelerators", strconv.Itoa(s.Accelerators)},
+		{"slots", strconv.Itoa(s.Slots)},
+		{"teams", "[" + strings.Join(e.teams, " ") + "]"},
+		{"open", strconv.FormatBool(e.open)},
+		{"idempotent", strconv.FormatBool(e.idempotent)},
+		{"checkpoint", strconv.FormatBool(e.checkpoint)},
+		{"max-running", strconv.Itoa(e.maxRunning)},
+		{"max-deadline", document.FormatDuration(e.maxDeadline)},
+		{"max-payload", document.FormatSize(int64(e.maxPayload))},
+		{"success-ratio", strconv.FormatFloat(e.objective.successRatio, 'g', -1, 64)},
+		{"start-delay", document.FormatDuration(e.objective.startDelay)},
+	}
+}
+
+// diffParts walks two sorted lists in step.
+func diffParts(changes []Change, kind string, a, b []part) []Change {
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || (len(a) > 0 && a[0].name < b[0].name):
+			changes = append(changes, Change{kind, a[0].name, "removed"})
+			a = a[1:]
+		case len(a) == 0 || b[0].name < a[0].name:
+			changes = append(changes, Change{kind, b[0].name, "added"})
+			b = b[1:]
+		default:
+			changes = diffFields(changes, kind, a[0], b[0])
+			a, b = a[1:], b[1:]
+		}
+	}
+	return changes
+}
+
+func diffFields(changes []Change, kind string, a, b part) []Change {
+	for i, f := range a.fields {
+		if v := b.fields[i][1]; v != f[1] {
+			changes = append(changes, Change{kind, a.name, fmt.Sprintf("%s %s -> %s", f[0], f[1], v)})
+		}
+	}
+	return changes
+}
