--- /dev/null
+++ b/membership/event.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// Event is an input of State.Handle: Listed, HeartbeatEnded, Heard, MemberRows, Tick or Drained.
+type Event interface{ event() }
+
+// Listed is the content of the VM list, read successfully.
+type Listed struct{ vms []platform.VM }
+
+// NewListed returns a Listed event.
+func NewListed(vms []platform.VM) Listed { return Listed{vms: vms} }
+
+// VMs returns the VMs of the list.
+func (e Listed) VMs() []platform.VM { return e.vms }
+
+// HeartbeatEnded is the result of a SendHeartbeat effect. An answer of an entry VM with another id than peer, which
+// can have taken over the address, isn't ok.
+type HeartbeatEnded struct {
+	peer string
+	ok   bool
+	sent time.Time
+}
+
+// NewHeartbeatEnded returns a HeartbeatEnded event for a heartbeat sent at sent.
+func NewHeartbeatEnded(peer string, ok bool, sent time.Time) HeartbeatEnded {
+	return HeartbeatEnded{peer: peer, ok: ok, sent: sent}
+}
+
+// Peer returns the id of the peer.
+func (e HeartbeatEnded) Peer() string { return e.peer }
+
+// OK reports whether the peer answered.
+func (e HeartbeatEnded) OK() bool { return e.ok }
+
+// Sent returns when the heartbeat was sent.
+func (e HeartbeatEnded) Sent() time.Time { return e.sent }
+
+// Heard says that a peer sent this entry VM a heartbeat.
+type Heard struct{ peer string }
+
+// NewHeard returns a Heard event.
+func NewHeard(peer string) Heard { return Heard{peer: peer} }
+
+// Peer returns the id of the peer.
+func (e Heard) Peer() string { return e.peer }
+
+// MemberRows lists the rows member/<id> of a table read.
+type MemberRows struct{ ids []string }
+
+// NewMemberRows returns a MemberRows event.
+func NewMemberRows(ids []string) MemberRows { return MemberRows{ids: ids} }
+
+// IDs returns the ids of the entry VMs that have a row.
+func (e MemberRows) IDs() []string { return e.ids }
+
+// Tick says that time has passed. It is due several times a second.
+type Tick struct{}
+
+// NewTick returns a Tick event.
+func NewTick() Tick { return Tick{} }
+
+// Drained says that this entry VM is about to stop and neither starts work nor commits configuration any more.
+type Drained struct{}
+
+// NewDrained returns a Drained event.
+func NewDrained() Drained { return Drained{} }
+
+func (Listed) event()         {}
+func (HeartbeatEnded) event() {}
+func (Heard) event()          {}
+func (MemberRows) event()     {}
+func (Tick) event()           {}
+func (Drained) event()        {}
--- /dev/null
+++ b/ownership/effect.go
@@ -0,0 +1,105 @@
+package ownership
+
+import "github.com/pistachiolead/pistachiolead/platform"
+
+// Effect is an output of State.Handle: Acquire, Report, Release, Gained, Lost or Reported.
+type Effect interface{ effect() }
+
+// Acquire asks for BackendServer.Acquire, to be answered by AcquireEnded.
+type Acquire struct{ server string }
+
+// NewAcquire returns an Acquire effect.
+func NewAcquire(server string) Acquire { return Acquire{server: server} }
+
+// Server returns the id of the backend server.
+func (e Acquire) Server() string { return e.server }
+
+// Report asks for BackendServer.Report, to be answered by ReportEnded.
+type Report struct {
+	server string
+	epoch  uint64
+}
+
+// NewReport returns a Report effect.
+func NewReport(server string, epoch uint64) Report { return Report{server: server, epoch: epoch} }
+
+// Server returns the id of the backend server.
+func (e Report) Server() string { return e.server }
+
+// Epoch returns the epoch of the lease to renew.
+func (e Report) Epoch() uint64 { return e.epoch }
+
+// Release asks for BackendServer.Release, to be answered by ReleaseEnded.
+type Release struct {
+	server string
+	epoch  uint64
+}
+
+// NewRelease returns a Release effect.
+func NewRelease(server string, epoch uint64) Release { return Release{server: server, epoch: epoch} }
+
+// Server returns the id of the backend server.
+func (e Release) Server() string { return e.server }
+
+// Epoch returns the epoch of the lease to end.
+func (e Release) Epoch() uint64 { return e.epoch }
+
+// Gained says that this entry VM owns a server, and which tasks it adopts there.
+type Gained struct {
+	server string
+	epoch  uint64
+	tasks  []platform.TaskStatus
+}
+
+// NewGained returns a Gained effect.
+func NewGained(server string, epoch uint64, tasks []platform.TaskStatus) Gained {
+	return Gained{server: server, epoch: epoch, tasks: tasks}
+}
+
+// Server returns the id of the backend server.
+func (e Gained) Server() string { return e.server }
+
+// Epoch returns the epoch of the lease.
+func (e Gained) Epoch() uint64 { return e.epoch }
+
+// Tasks returns the tasks that the server runs or keeps answers of.
+func (e Gained) Tasks() []platform.TaskStatus { return e.tasks }
+
+// Lost says that this entry VM no longer owns a server. Every Gained is followed by one Lost, also before a Release.
+type Lost struct {
+	server string
+	epoch  uint64
+}
+
+// NewLost returns a Lost effect.
+func NewLost(server string, epoch uint64) Lost { return Lost{server: server, epoch: epoch} }
+
+// Server returns the id of the backend server.
+func (e Lost) Server() string { return e.server }
+
+// Epoch returns the epoch of the lost lease.
+func (e Lost) Epoch() uint64 { return e.epoch }
+
+// Reported passes on the report of an owned server.
+type Reported struct {
+	server string
+	report platform.Report
+}
+
+// NewReported returns a Reported effect.
+func NewReported(server string, report platform.Report) Reported {
+	return Reported{server: server, report: report}
+}
+
+// Server returns the id of the backend server.
+func (e Reported) Server() string { return e.server }
+
+// Report returns what the server runs and how busy it is.
+func (e Reported) Report() platform.Report { return e.report }
+
+func (Acquire) effect()  {}
+func (Report) effect()   {}
+func (Release) effect()  {}
+func (Gained) effect()   {}
+func (Lost) effect()     {}
+func (Reported) effect() {}
--- /dev/null
+++ b/ownership/event.go
@@ -0,0 +1,117 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// Event is an input of State.Handle: ServersListed, MembersChanged, AcquireEnded, ReportEnded, ReleaseEnded, Tick or
+// Drained.
+type Event interface{ event() }
+
+// ServersListed lists the backend servers of the own availability zone that exist, leaving ones included.
+type ServersListed struct{ servers []platform.VM }
+
+// NewServersListed returns a ServersListed event.
+func NewServersListed(servers []platform.VM) ServersListed { return ServersListed{servers: servers} }
+
+// Servers returns the backend servers.
+func (e ServersListed) Servers() []platform.VM { return e.servers }
+
+// MembersChanged lists the live entry VMs of the own availability zone that may own servers. This entry VM is one of
+// them unless it is leaving.
+type MembersChanged struct{ members []string }
+
+// NewMembersChanged returns a MembersChanged event.
+func NewMembersChanged(members []string) MembersChanged { return MembersChanged{members: members} }
+
+// Members returns the ids of the entry VMs.
+func (e MembersChanged) Members() []string { return e.members }
+
+// AcquireEnded is the result of an Acquire effect.
+type AcquireEnded struct {
+	server  string
+	sent    time.Time
+	outcome platform.AcquireOutcome
+}
+
+// NewAcquireEnded returns an AcquireEnded event for a request that was sent no earlier than sent.
+func NewAcquireEnded(server string, sent time.Time, outcome platform.AcquireOutcome) AcquireEnded {
+	return AcquireEnded{server: server, sent: sent, outcome: outcome}
+}
+
+// Server returns the id of the backend server.
+func (e AcquireEnded) Server() string { return e.server }
+
+// Sent returns the time from which a granted lease counts.
+func (e AcquireEnded) Sent() time.Time { return e.sent }
+
+// Outcome returns the backend server's answer.
+func (e AcquireEnded) Outcome() platform.AcquireOutcome { return e.outcome }
+
+// ReportEnded is the result of a Report effect.
+type ReportEnded struct {
+	server  string
+	epoch   uint64
+	sent    time.Time
+	outcome platform.ReportOutcome
+}
+
+// NewReportEnded returns a ReportEnded event for a request that was sent no earlier than sent.
+func NewReportEnded(server string, epoch uint64, sent time.Time, outcome platform.ReportOutcome) ReportEnded {
+	return ReportEnded{server: server, epoch: epoch, sent: sent, outcome: outcome}
+}
+
+// Server returns the id of the backend server.
+func (e ReportEnded) Server() string { return e.server }
+
+// Epoch returns the epoch that the request carried.
+func (e ReportEnded) Epoch() uint64 { return e.epoch }
+
+// Sent returns the time from which the renewed lease counts.
+func (e ReportEnded) Sent() time.Time { return e.sent }
+
+// Outcome returns the backend server's answer.
+func (e ReportEnded) Outcome() platform.ReportOutcome { return e.outcome }
+
+// ReleaseEnded is the result of a Release effect.
+type ReleaseEnded struct {
+	server  string
+	epoch   uint64
+	outcome platform.ReleaseOutcome
+}
+
+// NewReleaseEnded returns a ReleaseEnded event.
+func NewReleaseEnded(server string, epoch uint64, outcome platform.ReleaseOutcome) ReleaseEnded {
+	return ReleaseEnded{server: server, epoch: epoch, outcome: outcome}
+}
+
+// Server returns the id of the backend server.
+func (e ReleaseEnded) Server() string { return e.server }
+
+// Epoch returns the epoch that the request carried.
+func (e ReleaseEnded) Epoch() uint64 { return e.epoch }
+
+// Outcome returns the backend server's answer.
+func (e ReleaseEnded) Outcome() platform.ReleaseOutcome { return e.outcome }
+
+// Tick says that time has passed. It is due every TickInterval.
+type Tick struct{}
+
+// NewTick returns a Tick event.
+func NewTick() Tick { return Tick{} }
+
+// Drained says that this entry VM is about to stop: it releases all servers and acquires no more.
+type Drained struct{}
+
+// NewDrained returns a Drained event.
+func NewDrained() Drained { return Drained{} }
+
+func (ServersListed) event()  {}
+func (MembersChanged) event() {}
+func (AcquireEnded) event()   {}
+func (ReportEnded) event()    {}
+func (ReleaseEnded) event()   {}
+func (Tick) event()           {}
+func (Drained) event()        {}
