--- /dev/null
+++ b/queue/request.go
@@ -0,0 +1,52 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// Request is a call or job that waits for a start.
+type Request struct {
+	id       string
+	pool     string
+	entry    string
+	team     string
+	class    Class
+	shape    platform.Shape
+	arrived  time.Time
+	deadline time.Time
+}
+
+// NewRequest returns a request. A zero deadline never passes.
+func NewRequest(id, pool, entry, team string, class Class, shape platform.Shape, arrived, deadline time.Time) Request {
+	return Request{
+		id: id, pool: pool, entry: entry, team: team, class: class, shape: shape, arrived: arrived, deadline: deadline,
+	}
+}
+
+// ID returns the request id.
+func (r Request) ID() string { return r.id }
+
+// Pool returns the pool that the request must run in.
+func (r Request) Pool() string { return r.pool }
+
+// Entry returns the name of the catalogue entry.
+func (r Request) Entry() string { return r.entry }
+
+// Team returns the team that the request runs for.
+func (r Request) Team() string { return r.team }
+
+// Class returns the urgency.
+func (r Request) Class() Class { return r.class }
+
+// Shape returns the declared size.
+func (r Request) Shape() platform.Shape { return r.shape }
+
+// Arrived returns when the request was accepted.
+func (r Request) Arrived() time.Time { return r.arrived }
+
+// Deadline returns when the caller stops waiting, zero if never.
+func (r Request) Deadline() time.Time { return r.deadline }
+
+func (r Request) expired(now time.Time) bool { return !r.deadline.IsZero() && !now.Before(r.deadline) }
--- /dev/null
+++ b/queue/shares.go
@@ -0,0 +1,127 @@
+package queue
+
+import (
+	"math"
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// Shares computes the dominant share of each team: the largest of its shares of processors, memory, accelerators and
+// slots, divided by its weight. The zero value is ready for use.
+type Shares struct {
+	// Memory is the time constant with which past use counts towards a team's rank, so that a team that was short
+	// during a burst of others catches up. 0 ranks by present use only.
+	Memory time.Duration
+
+	capacity platform.Shape
+	teams    map[string]*usage
+	updated  time.Time
+}
+
+type usage struct {
+	weight float64
+	local  platform.Shape
+	remote platform.Shape
+	past   float64 // decayed mean of the dominant share
+}
+
+// SetTeam sets the weight of a team. Teams have weight 1 unless it is set; weights of 0 or less count as 1.
+func (s *Shares) SetTeam(name string, weight float64) {
+	if weight <= 0 {
+		weight = 1
+	}
+	s.team(name).weight = weight
+}
+
+// SetCapacity sets the capacity that shares are computed from.
+func (s *Shares) SetCapacity(c platform.Shape) { s.capacity = c }
+
+// Started adds a running task.
+func (s *Shares) Started(team string, shape platform.Shape) {
+	u := s.team(team)
+	u.local = u.local.Plus(shape)
+}
+
+// Ended removes a running task.
+func (s *Shares) Ended(team string, shape platform.Shape) {
+	u := s.team(team)
+	u.local = u.local.Minus(shape)
+}
+
+// Remote sets what other entry VMs run for a team.
+func (s *Shares) Remote(team string, shape platform.Shape) { s.team(team).remote = shape }
+
+// Dominant returns the dominant share of a team divided by its weight.
+func (s *Shares) Dominant(team string) float64 {
+	u, ok := s.teams[team]
+	if !ok {
+		return 0
+	}
+	return s.dominant(u)
+}
+
+// Weight returns the weight of a team.
+func (s *Shares) Weight(team string) float64 {
+	u, ok := s.teams[team]
+	if !ok {
+		return 1
+	}
+	return u.weight
+}
+
+// Advance adds the time since the last call to the memory of past use.
+func (s *Shares) Advance(now time.Time) {
+	passed := now.Sub(s.updated)
+	s.updated = now
+	if s.Memory <= 0 || passed <= 0 {
+		return
+	}
+	keep := math.Exp(-passed.Seconds() / s.Memory.Seconds())
+	for _, u := range s.teams {
+		u.past = u.past*keep + s.dominant(u)*(1-keep)
+	}
+}
+
+// rank returns the value that teams are ordered by, lowest first.
+func (s *Shares) rank(team string) float64 {
+	u, ok := s.teams[team]
+	if !ok {
+		return 0
+	}
+	if s.Memory <= 0 {
+		return s.dominant(u)
+	}
+	return s.dominant(u) + u.past
+}
+
+func (s *Shares) dominant(u *usage) float64 {
+	used := u.local.Plus(u.remote)
+	share := max(
+		ratio(used.Processors(), s.capacity.Processors()),
+		ratio(used.MemoryMiB(), s.capacity.MemoryMiB()),
+		ratio(used.Accelerators(), s.capacity.Accelerators()),
+		ratio(used.Slots(), s.capacity.Slots()),
+	)
+	return share / u.weight
+}
+
+func (s *Shares) team(name string) *usage {
+	u, ok := s.teams[name]
+	if ok {
+		return u
+	}
+	if s.teams == nil {
+		s.teams = make(map[string]*usage)
+	}
+	u = &usage{weight: 1}
+	s.teams[name] = u
+	return u
+}
+
+func ratio(used, capacity int) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return float64(used) / float64(capacity)
+}
--- /dev/null
+++ b/retry/backoff.go
@@ -0,0 +1,22 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff computes the delay before a retry: exponential with full jitter, so that callers that failed together don't
+// return together.
+type Backoff struct {
+	// Random is the source of the jitter. It must be set before use.
+	Random *rand.Rand
+}
+
+// Delay returns the delay before the given retry, counted from 1. It lies between 20 ms and 1 s.
+func (b *Backoff) Delay(retry int) time.Duration {
+	ceiling := minBackoff
+	for range retry {
+		ceiling = min(2*ceiling, maxBackoff)
+	}
+	return minBackoff + time.Duration(b.Random.Int64N(int64(ceiling-minBackoff)+1))
+}
