--- /dev/null
+++ b/commit/metrics.go
@@ -0,0 +1,43 @@
+package commit
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+type metrics struct {
+	attempts    tally.Counter
+	committed   tally.Counter
+	conflicts   tally.Counter
+	unavailable tally.Counter
+	unknown     tally.Counter
+	refused     tally.Counter
+	queued      tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	s := scope.SubScope("commit")
+	return metrics{
+		attempts:    s.Counter("attempts"),
+		committed:   s.Counter("committed"),
+		conflicts:   s.Counter("conflicts"),
+		unavailable: s.Counter("unavailable"),
+		unknown:     s.Counter("unknown"),
+		refused:     s.Counter("refused"),
+		queued:      s.Gauge("queued"),
+	}
+}
+
+func (m metrics) count(o platform.CommitOutcome) {
+	switch o.(type) {
+	case platform.Committed:
+		m.committed.Inc(1)
+	case platform.Conflict:
+		m.conflicts.Inc(1)
+	case platform.Unavailable:
+		m.unavailable.Inc(1)
+	case platform.Unknown:
+		m.unknown.Inc(1)
+	}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiolead/pistachiolead/peer/peerwire"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+// Client sends messages to one peer. It is safe for concurrent use; heartbeats are sent one at a time.
+type Client struct {
+	// Address is host:port of the peer.
+	Address string
+	// HTTP defaults to a client that connects directly, without the proxy of the environment.
+	HTTP *http.Client
+	// Secret is the peer's secret, see Server.
+	Secret string
+	// Timer defaults to the system's.
+	Timer timer.Service
+
+	once sync.Once
+	rpc  peerwire.Peer
+
+	heartbeat sync.Mutex
+	encoder   DigestEncoder
+	decoder   DigestDecoder
+	// confirmed is the sequence number of the last digest that the peer says it decoded.
+	confirmed uint64
+}
+
+// Heartbeat sends a digest and returns the peer's.
+func (c *Client) Heartbeat(ctx context.Context, d Digest) HeartbeatOutcome {
+	c.init()
+	c.heartbeat.Lock()
+	defer c.heartbeat.Unlock()
+
+	reply, err := c.exchange(ctx, d)
+	var refused twirp.Error
+	if errors.As(err, &refused) && refused.Code() == twirp.FailedPrecondition {
+		// The peer has lost the base of the delta, or has heard a later digest.
+		last, _ := strconv.ParseUint(refused.Meta(metaSequence), 10, 64)
+		c.encoder.Reset(last)
+		reply, err = c.exchange(ctx, d)
+	}
+	if err != nil {
+		return heartbeatFailure(err)
+	}
+
+	c.confirmed = 0
+	if reply.GetHeardIncarnation() == d.Incarnation() {
+		c.confirmed = reply.GetHeard()
+	}
+	whole, ok := c.decoder.Decode(reply)
+	if !ok {
+		return NewUnknown("the base of the reply is missing")
+	}
+	return NewHeard(whole)
+}
+
+// Forward sends a request. The peer's answer may still have to be checked, see Answered.Whole.
+func (c *Client) Forward(ctx context.Context, r Request) ForwardOutcome {
+	c.init()
+	if r.hops >= MaxHops {
+		return NewNotRun(codeHops, "the request was forwarded already", 0)
+	}
+	if r.remaining < 0 {
+		return NewNotRun(codeDeadline, "the deadline has passed", 0)
+	}
+	r.hops++
+	w := requestToWire(r)
+	if proto.Size(w) > MaxMessageBytes {
+		return NewNotRun(codeTooLarge, "the payload is too large to forward", 0)
+	}
+	reply, err := c.rpc.Forward(ctx, w)
+	if err != nil {
+		if undelivered(err) {
+			return NewUnreachable(err.Error())
+		}
+		return NewUnknown(err.Error())
+	}
+	return replyFromWire(r, reply)
+}
+
+// Apply pushes a change.
+func (c *Client) Apply(ctx context.Context, change Change) ApplyOutcome {
+	c.init()
+	w := changeToWire(change)
+	if proto.Size(w) > MaxMessageBytes {
+		return NewUnreachable("the change is too large to push")
+	}
+	ack, err := c.rpc.Apply(ctx, w)
+	if err != nil {
+		if undelivered(err) {
+			return NewUnreachable(err.Error())
+		}
+		return NewUnknown(err.Error())
+	}
+	return NewAcknowledged(ack.GetVersion())
+}
+
+// Relay returns the platform's table as the peer reaches it.
+func (c *Client) Relay() platform.Table {
+	c.init()
+	return relay{client: c}
+}
+
+func (c *Client) exchange(ctx context.Context, d Digest) (*peerwire.Digest, error) {
+	w := c.encoder.Encode(d, c.confirmed, c.Timer.Now())
+	w.Heard, w.HeardIncarnation = c.decoder.Heard()
+	return c.rpc.Heartbeat(ctx, w)
+}
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		if c.Timer == nil {
+			c.Timer = timer.System{}
+		}
+		if c.HTTP == nil {
+			c.HTTP = &http.Client{Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				MaxIdleConnsPerHost: idleConnections,
+				IdleConnTimeout:     idleTimeout,
+			}}
+		}
+		h := *c.HTTP
+		h.Transport = transport{next: h.Transport, secret: c.Secret}
+		c.rpc = peerwire.NewPeerProtobufClient("http://"+c.Address, &h)
+	})
+}
+
+func heartbeatFailure(err error) HeartbeatOutcome {
+	if undelivered(err) {
+		return NewUnreachable(err.Error())
+	}
+	return NewUnknown(err.Error())
+}
+
+// undelivered reports whether the request certainly didn't reach the peer's handler: no connection was made, or the
+// peer refused it before reading it. Any other error may have come after delivery.
+func undelivered(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	var refused twirp.Error
+	if !errors.As(err, &refused) {
+		return false
+	}
+	return refused.Code() == twirp.Unauthenticated || refused.Code() == twirp.BadRoute
+}
+
+// transport adds the secret and bounds the reply.
+type transport struct {
+	next   http.RoundTripper
+	secret string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	next := t.next
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	if t.secret != "" {
+		r = r.Clone(r.Context())
+		r.Header.Set(SecretHeader, t.secret)
+	}
+	reply, err := next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	// MaxBytesReader fails past the limit. A reply that is merely cut off could decode as a shorter one.
+	reply.Body = http.MaxBytesReader(nil, reply.Body, MaxMessageBytes)
+	return reply, nil
+}
--- /dev/null
+++ b/peer/relay.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiolead/pistachiolead/peer/peerwire"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// relay is the platform's table as a peer reaches it.
+type relay struct{ client *Client }
+
+var _ platform.Table = relay{}
+
+// Commit implements platform.Table.
+func (r relay) Commit(ctx context.Context, t platform.Transaction) platform.CommitOutcome {
+	w := transactionToWire(t)
+	if proto.Size(w) > MaxMessageBytes {
+		return platform.NewUnavailable("the transaction is too large to relay")
+	}
+	reply, err := r.client.rpc.Commit(ctx, w)
+	if err != nil {
+		if undelivered(err) {
+			return platform.NewUnavailable(err.Error())
+		}
+		return platform.NewUnknown(err.Error())
+	}
+	return commitFromWire(reply)
+}
+
+// Scan implements platform.Table.
+func (r relay) Scan(ctx context.Context, prefix string, since uint64) platform.ScanOutcome {
+	reply, err := r.client.rpc.Scan(ctx, &peerwire.ScanRequest{Prefix: prefix, Since: since})
+	if err != nil {
+		return platform.NewUnavailable(err.Error())
+	}
+	return scanFromWire(reply)
+}
--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/peer/peerwire"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+func requestToWire(r Request) *peerwire.ForwardRequest {
+	return &peerwire.ForwardRequest{
+		Id: r.id, Attempt: int64(r.attempt), Entry: r.entry, Team: r.team, KeyId: r.keyID, Payload: r.payload,
+		RemainingMicroseconds: r.remaining.Microseconds(), Kind: peerwire.Kind(r.kind), Hops: int32(r.hops),
+	}
+}
+
+func requestFromWire(w *peerwire.ForwardRequest) Request {
+	r := NewRequest(w.GetId(), int(w.GetAttempt()), Kind(w.GetKind()), w.GetEntry(), w.GetTeam(), w.GetKeyId(),
+		w.GetPayload(), time.Duration(w.GetRemainingMicroseconds())*time.Microsecond)
+	r.hops = int(w.GetHops())
+	return r
+}
+
+func replyToWire(r Request, o ForwardOutcome) *peerwire.ForwardReply {
+	w := &peerwire.ForwardReply{Id: r.id, Attempt: int64(r.attempt)}
+	switch o := o.(type) {
+	case Answered:
+		w.Outcome = &peerwire.ForwardReply_Answered{Answered: &peerwire.Answered{
+			Ok: o.ok, Output: o.output, Length: int64(o.length), Checksum: o.checksum,
+		}}
+	case NotRun:
+		w.Outcome = &peerwire.ForwardReply_NotRun{NotRun: &peerwire.NotRun{
+			Code: o.code, Message: o.message, RetryAfterMilliseconds: o.retryAfter.Milliseconds(),
+		}}
+	case Unknown:
+		w.Outcome = unknownReply(o.reason)
+	case Unreachable:
+		w.Outcome = unknownReply(o.reason)
+	default:
+		w.Outcome = unknownReply("no outcome")
+	}
+	return w
+}
+
+func unknownReply(reason string) *peerwire.ForwardReply_Unknown {
+	return &peerwire.ForwardReply_Unknown{Unknown: &peerwire.Unknown{Reason: reason}}
+}
+
+func replyFromWire(r Request, w *peerwire.ForwardReply) ForwardOutcome {
+	if w.GetId() != r.id || w.GetAttempt() != int64(r.attempt) {
+		return NewUnknown("reply to another request")
+	}
+	switch o := w.GetOutcome().(type) {
+	case *peerwire.ForwardReply_Answered:
+		a := o.Answered
+		return NewAnswered(a.GetOk(), a.GetOutput(), int(a.GetLength()), a.GetChecksum())
+	case *peerwire.ForwardReply_NotRun:
+		n := o.NotRun
+		return NewNotRun(n.GetCode(), n.GetMessage(), time.Duration(n.GetRetryAfterMilliseconds())*time.Millisecond)
+	case *peerwire.ForwardReply_Unknown:
+		return NewUnknown(o.Unknown.GetReason())
+	default:
+		return NewUnknown("reply without outcome")
+	}
+}
+
+func changeToWire(c Change) *peerwire.Change {
+	switch c := c.(type) {
+	case Configuration:
+		return &peerwire.Change{Change: &peerwire.Change_Configuration{Configuration: &peerwire.Configuration{
+			Version: c.version, Rows: rowsToWire(c.rows),
+		}}}
+	case TakeOut:
+		return &peerwire.Change{Change: &peerwire.Change_TakeOut{TakeOut: &peerwire.TakeOut{Zone: c.zone, Vm: c.vm}}}
+	case Revocation:
+		return &peerwire.Change{Change: &peerwire.Change_Revocation{Revocation: &peerwire.Revocation{KeyId: c.keyID}}}
+	default:
+		panic("unknown type of change")
+	}
+}
+
+func changeFromWire(w *peerwire.Change) (Change, bool) {
+	switch c := w.GetChange().(type) {
+	case *peerwire.Change_Configuration:
+		return NewConfiguration(c.Configuration.GetVersion(), rowsFromWire(c.Configuration.GetRows())), true
+	case *peerwire.Change_TakeOut:
+		return TakeOut{zone: c.TakeOut.GetZone(), vm: c.TakeOut.GetVm()}, true
+	case *peerwire.Change_Revocation:
+		return NewRevocation(c.Revocation.GetKeyId()), true
+	default:
+		return nil, false
+	}
+}
+
+func rowToWire(r platform.Row) *peerwire.Row {
+	return &peerwire.Row{Key: r.Key(), Value: r.Value(), Version: r.Version(), Deleted: r.Deleted()}
+}
+
+func rowFromWire(w *peerwire.Row) platform.Row {
+	if w.GetDeleted() {
+		return platform.NewDeletedRow(w.GetKey(), w.GetVersion())
+	}
+	return platform.NewRow(w.GetKey(), w.GetValue(), w.GetVersion())
+}
+
+func rowsToWire(rows []platform.Row) []*peerwire.Row {
+	w := make([]*peerwire.Row, 0, len(rows))
+	for _, r := range rows {
+		w = append(w, rowToWire(r))
+	}
+	return w
+}
+
+func rowsFromWire(w []*peerwire.Row) []platform.Row {
+	rows := make([]platform.Row, 0, len(w))
+	for _, r := range w {
+		rows = append(rows, rowFromWire(r))
+	}
+	return rows
+}
+
+func transactionToWire(t platform.Transaction) *peerwire.CommitRequest {
+	w := &peerwire.CommitRequest{}
+	for _, c := range t.Conditions() {
+		w.Conditions = append(w.Conditions, &peerwire.Condition{Key: c.Key(), Version: c.Version()})
+	}
+	for _, p := range t.Writes() {
+		w.Writes = append(w.Writes, &peerwire.Write{Key: p.Key(), Value: p.Value(), Delete: p.Delete()})
+	}
+	return w
+}
+
+func transactionFromWire(w *peerwire.CommitRequest) platform.Transaction {
+	var conditions []platform.Condition
+	for _, c := range w.GetConditions() {
+		conditions = append(conditions, platform.NewCondition(c.GetKey(), c.GetVersion()))
+	}
+	var writes []platform.Write
+	for _, p := range w.GetWrites() {
+		if p.GetDelete() {
+			writes = append(writes, platform.NewDelete(p.GetKey()))
+			continue
+		}
+		writes = append(writes, platform.NewPut(p.GetKey(), p.GetValue()))
+	}
+	return platform.NewTransaction(conditions, writes)
+}
+
+func commitToWire(o platform.CommitOutcome) *peerwire.CommitReply {
+	switch o := o.(type) {
+	case platform.Committed:
+		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Committed{
+			Committed: &peerwire.Committed{Version: o.Version()},
+		}}
+	case platform.Conflict:
+		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Conflict{
+			Conflict: &peerwire.Conflict{Row: rowToWire(o.Row())},
+		}}
+	case platform.Unavailable:
+		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Unavailable{
+			Unavailable: &peerwire.Unavailable{Reason: o.Reason()},
+		}}
+	case platform.Unknown:
+		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Unknown{
+			Unknown: &peerwire.Unknown{Reason: o.Reason()},
+		}}
+	default:
+		panic("unknown type of commit outcome")
+	}
+}
+
+func commitFromWire(w *peerwire.CommitReply) platform.CommitOutcome {
+	switch o := w.GetOutcome().(type) {
+	case *peerwire.CommitReply_Committed:
+		return platform.NewCommitted(o.Committed.GetVersion())
+	case *peerwire.CommitReply_Conflict:
+		return platform.NewConflict(rowFromWire(o.Conflict.GetRow()))
+	case *peerwire.CommitReply_Unavailable:
+		return platform.NewUnavailable(o.Unavailable.GetReason())
+	case *peerwire.CommitReply_Unknown:
+		return platform.NewUnknown(o.Unknown.GetReason())
+	default:
+		return platform.NewUnknown("reply without outcome")
+	}
+}
+
+func scanToWire(o platform.ScanOutcome) *peerwire.ScanReply {
+	switch o := o.(type) {
+	case platform.Rows:
+		return &peerwire.ScanReply{Outcome: &peerwire.ScanReply_Rows{
+			Rows: &peerwire.Rows{Rows: rowsToWire(o.Rows()), Version: o.Version()},
+		}}
+	case platform.Unavailable:
+		return unavailableScan(o.Reason())
+	default:
+		panic("unknown type of scan outcome")
+	}
+}
+
+func unavailableScan(reason string) *peerwire.ScanReply {
+	return &peerwire.ScanReply{Outcome: &peerwire.ScanReply_Unavailable{
+		Unavailable: &peerwire.Unavailable{Reason: reason},
+	}}
+}
+
+func scanFromWire(w *peerwire.ScanReply) platform.ScanOutcome {
+	switch o := w.GetOutcome().(type) {
+	case *peerwire.ScanReply_Rows:
+		return platform.NewRows(rowsFromWire(o.Rows.GetRows()), o.Rows.GetVersion())
+	case *peerwire.ScanReply_Unavailable:
+		return platform.NewUnavailable(o.Unavailable.GetReason())
+	default:
+		return platform.NewUnavailable("reply without outcome")
+	}
+}
