--- /dev/null
+++ b/api/admin.go
@@ -0,0 +1,305 @@
+package api
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+	"github.com/pistachiolead/pistachiolead/dispatch"
+)
+
+// changeState is the answer to a configuration change.
+type changeState struct {
+	Version    uint64   `json:"version,omitempty"`
+	State      string   `json:"state"`
+	Stored     bool     `json:"stored"`
+	Awaited    []string `json:"awaited,omitempty"`
+	LatestMS   int64    `json:"in-force-within-ms,omitempty"`
+	Key        *keyInfo `json:"key,omitempty"`
+	Secret     string   `json:"secret,omitempty"`
+	Difference []string `json:"difference,omitempty"`
+}
+
+const (
+	stateInForce = "in-force"
+	statePending = "pending"
+	stateDryRun  = "dry-run"
+	stateOut     = "out"
+	stateIn      = "in"
+)
+
+type catalogueBody struct {
+	BaseVersion uint64 `json:"base-version"`
+	Document    string `json:"document"`
+	DryRun      bool   `json:"dry-run,omitempty"`
+}
+
+type catalogueInfo struct {
+	Version  uint64 `json:"version"`
+	By       string `json:"by"`
+	When     string `json:"when"`
+	What     string `json:"what"`
+	Document string `json:"document"`
+}
+
+type keyBody struct {
+	Team      string `json:"team"`
+	Role      string `json:"role"`
+	ExpiresMS int64  `json:"expires-in-ms,omitempty"`
+}
+
+type keyInfo struct {
+	ID        string `json:"id"`
+	Team      string `json:"team"`
+	Role      string `json:"role"`
+	Granted   string `json:"granted"`
+	GrantedBy string `json:"granted-by"`
+	Expires   string `json:"expires,omitempty"`
+	Revoked   bool   `json:"revoked"`
+}
+
+type zoneBody struct {
+	State string `json:"state"`
+	Force bool   `json:"force,omitempty"`
+}
+
+type vmBody struct {
+	State  string `json:"state,omitempty"`
+	Pool   string `json:"pool,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	Force  bool   `json:"force,omitempty"`
+}
+
+// admin authorizes an administrator and returns the name that changes are recorded under.
+func (s *Server) admin(c *fasthttp.RequestCtx) (string, bool) {
+	secret := string(c.Request.Header.Peek(KeyHeader))
+	switch a := catalogue.AuthorizeAdmin(s.VM.Configuration(), secret, s.VM.Now()).(type) {
+	case catalogue.Allowed:
+		return author(a.Key()), true
+	case catalogue.Denied:
+		denied(c, a)
+	}
+	return "", false
+}
+
+func author(k catalogue.Key) string {
+	if k.Team() == "" {
+		return "key " + k.ID()
+	}
+	return fmt.Sprintf("key %s of %s", k.ID(), k.Team())
+}
+
+func (s *Server) getCatalogue(c *fasthttp.RequestCtx) {
+	secret := string(c.Request.Header.Peek(KeyHeader))
+	if d, ok := catalogue.Authenticate(s.VM.Configuration(), secret, s.VM.Now()).(catalogue.Denied); ok {
+		denied(c, d)
+		return
+	}
+	config := s.VM.Configuration()
+	r := config.Change()
+	writeJSON(c, http.StatusOK, catalogueInfo{
+		Version: config.Version(), By: r.By(), When: timeText(r.When()), What: r.What(),
+		Document: string(config.Catalogue().YAML()),
+	})
+}
+
+func (s *Server) putCatalogue(c *fasthttp.RequestCtx) {
+	var body catalogueBody
+	if err := decodeStrictly(c.PostBody(), &body); err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	next, err := catalogue.Parse([]byte(body.Document), "catalogue")
+	if err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	secret := string(c.Request.Header.Peek(KeyHeader))
+	config := s.VM.Configuration()
+	switch a := catalogue.AuthorizeCatalogue(config, secret, next, s.VM.Now()).(type) {
+	case catalogue.Denied:
+		denied(c, a)
+	case catalogue.Allowed:
+		st := changeState{Version: config.Version(), State: stateDryRun, Difference: differences(config.Catalogue(), next)}
+		if body.DryRun {
+			writeJSON(c, http.StatusOK, st)
+			return
+		}
+		s.change(c, dispatch.NewCatalogueChange(next, body.BaseVersion), author(a.Key()), st)
+	}
+}
+
+func differences(a, b *catalogue.Catalogue) []string {
+	var lines []string
+	for _, d := range catalogue.Diff(a, b) {
+		lines = append(lines, d.String())
+	}
+	return lines
+}
+
+func (s *Server) listKeys(c *fasthttp.RequestCtx) {
+	if _, ok := s.admin(c); !ok {
+		return
+	}
+	keys := []keyInfo{}
+	for _, k := range s.VM.Configuration().Keys() {
+		keys = append(keys, keyInfoOf(k))
+	}
+	writeJSON(c, http.StatusOK, struct {
+		Keys []keyInfo `json:"keys"`
+	}{keys})
+}
+
+func keyInfoOf(k catalogue.Key) keyInfo {
+	return keyInfo{
+		ID: k.ID(), Team: k.Team(), Role: k.Role().String(), Granted: timeText(k.Granted()), GrantedBy: k.GrantedBy(),
+		Expires: timeText(k.Expires()), Revoked: k.Revoked(),
+	}
+}
+
+func timeText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format(time.RFC3339)
+}
+
+func (s *Server) grantKey(c *fasthttp.RequestCtx) {
+	by, ok := s.admin(c)
+	if !ok {
+		return
+	}
+	var body keyBody
+	if err := decodeStrictly(c.PostBody(), &body); err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	role, err := catalogue.ParseRole(body.Role)
+	if err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	if body.ExpiresMS < 0 || body.ExpiresMS > longestKeyLife.Milliseconds() {
+		invalid(c, fmt.Sprintf(`the field "expires-in-ms" is %d; it takes 0 to %d`, body.ExpiresMS, longestKeyLife.Milliseconds()))
+		return
+	}
+	expires := time.Time{}
+	if body.ExpiresMS > 0 {
+		expires = s.VM.Now().Add(time.Duration(body.ExpiresMS) * time.Millisecond)
+	}
+	key, secret, err := catalogue.NewKey(body.Team, role, by, s.VM.Now(), expires, s.Random)
+	if err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	info := keyInfoOf(key)
+	s.change(c, dispatch.NewKeyGrant(key), by, changeState{Key: &info, Secret: secret})
+}
+
+func (s *Server) revokeKey(c *fasthttp.RequestCtx) {
+	by, ok := s.admin(c)
+	if !ok {
+		return
+	}
+	id, _ := c.UserValue("id").(string)
+	if _, known := s.VM.Configuration().Key(id); !known {
+		writeProblem(c, problem{Code: string(catalogue.CodeUnknownKey), Message: fmt.Sprintf("there is no key %q", id), Outcome: outcomeNotRun})
+		return
+	}
+	s.change(c, dispatch.NewKeyRevocation(id), by, changeState{})
+}
+
+func (s *Server) putZone(c *fasthttp.RequestCtx) {
+	by, ok := s.admin(c)
+	if !ok {
+		return
+	}
+	var body zoneBody
+	if err := decodeStrictly(c.PostBody(), &body); err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	out, ok := outOf(body.State)
+	if !ok || body.State == "" {
+		invalid(c, fmt.Sprintf(`the field "state" is %q; it takes "out" or "in"`, body.State))
+		return
+	}
+	name, _ := c.UserValue("name").(string)
+	s.change(c, dispatch.NewZoneChange(name, out, body.Force), by, changeState{})
+}
+
+func (s *Server) putVM(c *fasthttp.RequestCtx) {
+	by, ok := s.admin(c)
+	if !ok {
+		return
+	}
+	var body vmBody
+	if err := decodeStrictly(c.PostBody(), &body); err != nil {
+		invalid(c, err.Error())
+		return
+	}
+	id, _ := c.UserValue("id").(string)
+	out, ok := outOf(body.State)
+	if !ok || (body.State == "" && body.Pool == "") {
+		invalid(c, fmt.Sprintf(`the field "state" is %q; it takes "out" or "in", and may be left out if "pool" is given`, body.State))
+		return
+	}
+	if body.State == "" {
+		out = s.VM.Configuration().VM(id).Out()
+	}
+	s.change(c, dispatch.NewVMChange(id, out, body.Pool, body.Reason, body.Force), by, changeState{})
+}
+
+func outOf(state string) (out, ok bool) {
+	switch state {
+	case stateOut:
+		return true, true
+	case stateIn, "":
+		return false, true
+	default:
+		return false, false
+	}
+}
+
+// change makes a change and answers with how far it has come.
+func (s *Server) change(c *fasthttp.RequestCtx, ch dispatch.Change, by string, st changeState) {
+	ctx, cancel := context.WithTimeout(c, changeTimeout)
+	defer cancel()
+	s.writeChange(c, s.VM.Change(ctx, ch, by), st)
+}
+
+func (s *Server) writeChange(c *fasthttp.RequestCtx, o dispatch.Outcome, st changeState) {
+	ch, ok := o.(dispatch.Changed)
+	if !ok {
+		writeProblem(c, problemOf("", o))
+		return
+	}
+	st.Version, st.Stored, st.Awaited, st.State = ch.Version(), ch.Stored(), ch.Awaited(), statePending
+	status := http.StatusAccepted
+	if ch.InForce() {
+		st.State, status = stateInForce, http.StatusOK
+	} else if !ch.Latest().IsZero() {
+		st.LatestMS = millis(max(ch.Latest().Sub(s.VM.Now()), 0))
+	}
+	writeJSON(c, status, st)
+}
+
+func (s *Server) getChange(c *fasthttp.RequestCtx) {
+	if _, ok := s.admin(c); !ok {
+		return
+	}
+	text, _ := c.UserValue("version").(string)
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		invalid(c, fmt.Sprintf("%q is no configuration version", text))
+		return
+	}
+	ctx, cancel := context.WithTimeout(c, changeTimeout)
+	defer cancel()
+	s.writeChange(c, s.VM.ChangeStatus(ctx, version), changeState{})
+}
--- /dev/null
+++ b/api/problem.go
@@ -0,0 +1,109 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+	"github.com/pistachiolead/pistachiolead/dispatch"
+)
+
+// Whether the work of a request ran.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeRan     = "ran"
+	outcomeUnknown = "unknown"
+)
+
+// problem is the one form of errors.
+type problem struct {
+	Code         string `json:"code"`
+	Message      string `json:"message"`
+	Outcome      string `json:"outcome"`
+	RequestID    string `json:"request-id,omitempty"`
+	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
+}
+
+// statusOf maps codes to HTTP status codes. Other codes are 409 if a retry makes no sense, and 503 otherwise.
+var statusOf = map[string]int{
+	codeInvalidRequest:                   http.StatusBadRequest,
+	codeBodyTooLarge:                     http.StatusRequestEntityTooLarge,
+	codeNotFound:                         http.StatusNotFound,
+	codeMethodNotAllowed:                 http.StatusMethodNotAllowed,
+	string(catalogue.CodeUnknownKey):     http.StatusUnauthorized,
+	string(catalogue.CodeRevokedKey):     http.StatusForbidden,
+	string(catalogue.CodeExpiredKey):     http.StatusForbidden,
+	string(catalogue.CodeTeamNotAllowed): http.StatusForbidden,
+	string(catalogue.CodeRoleNotAllowed): http.StatusForbidden,
+	string(catalogue.CodeUnknownEntry):   http.StatusNotFound,
+	dispatch.CodeUnknownRequest:          http.StatusNotFound,
+	dispatch.CodeUnknownVersion:          http.StatusNotFound,
+	dispatch.CodeInvalid:                 http.StatusUnprocessableEntity,
+	dispatch.CodeNeverFits:               http.StatusUnprocessableEntity,
+	codeTaskFailed:                       http.StatusUnprocessableEntity,
+	dispatch.CodeDeadlinePassed:          http.StatusGatewayTimeout,
+	dispatch.CodeLostContact:             http.StatusBadGateway,
+}
+
+// Codes of this package.
+const (
+	codeInvalidRequest   = "invalid-request"
+	codeBodyTooLarge     = "body-too-large"
+	codeNotFound         = "not-found"
+	codeMethodNotAllowed = "method-not-allowed"
+	codeTaskFailed       = "task-failed"
+)
+
+func writeProblem(c *fasthttp.RequestCtx, p problem) {
+	status, ok := statusOf[p.Code]
+	if !ok {
+		status = http.StatusConflict
+		if p.RetryAfterMS > 0 {
+			status = http.StatusServiceUnavailable
+		}
+	}
+	writeJSON(c, status, p)
+}
+
+func writeJSON(c *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // wire types of this package always encode
+	}
+	c.SetStatusCode(status)
+	c.SetContentType(contentJSON)
+	c.SetBody(append(data, '\n'))
+}
+
+func invalid(c *fasthttp.RequestCtx, message string) {
+	writeProblem(c, problem{Code: codeInvalidRequest, Message: message, Outcome: outcomeNotRun})
+}
+
+func denied(c *fasthttp.RequestCtx, d catalogue.Denied) {
+	writeProblem(c, problem{Code: string(d.Code()), Message: d.Sentence(), Outcome: outcomeNotRun})
+}
+
+// problemOf returns the error form of an outcome without an answer.
+func problemOf(id string, o dispatch.Outcome) problem {
+	switch o := o.(type) {
+	case dispatch.NotRun:
+		return problem{
+			Code: o.Code(), Message: o.Message(), Outcome: outcomeNotRun, RequestID: id, RetryAfterMS: millis(o.RetryAfter()),
+		}
+	case dispatch.Unresolved:
+		return problem{Code: o.Code(), Message: o.Message(), Outcome: outcomeUnknown, RequestID: id}
+	case dispatch.Rejected:
+		return problem{
+			Code: o.Code(), Message: o.Message(), Outcome: outcomeNotRun, RequestID: id, RetryAfterMS: millis(o.RetryAfter()),
+		}
+	case dispatch.Answered:
+		return problem{Code: codeTaskFailed, Message: string(o.Output()), Outcome: outcomeRan, RequestID: id}
+	default:
+		return problem{Code: "internal", Message: "unexpected outcome", Outcome: outcomeUnknown, RequestID: id}
+	}
+}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/api/work.go
@@ -0,0 +1,323 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+	"github.com/pistachiolead/pistachiolead/dispatch"
+)
+
+// workRequest is the body of a call or a job.
+type workRequest struct {
+	Entry      string          `json:"entry"`
+	RequestID  string          `json:"request-id,omitempty"`
+	DeadlineMS int64           `json:"deadline-ms,omitempty"`
+	Payload    json.RawMessage `json:"payload,omitempty"`
+}
+
+// jobAccepted is the answer to an accepted job.
+type jobAccepted struct {
+	RequestID string `json:"request-id"`
+	State     string `json:"state"`
+}
+
+// jobState is the state of a job.
+type jobState struct {
+	RequestID string          `json:"request-id"`
+	Entry     string          `json:"entry"`
+	State     string          `json:"state"`
+	Output    json.RawMessage `json:"output,omitempty"`
+	Problem   *problem        `json:"problem,omitempty"`
+}
+
+const (
+	jobAcceptedState = "accepted"
+	jobDoneState     = "done"
+	jobFailedState   = "failed"
+	jobNotRunState   = "not-run"
+	jobUnknownState  = "unknown"
+)
+
+func (s *Server) call(c *fasthttp.RequestCtx) {
+	r, caller, ok := s.readWork(c, dispatch.KindCall)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(c, r.Deadline().Add(callSlack))
+	defer cancel()
+	o := s.VM.Submit(ctx, r)
+	id := caller.local(r.ID())
+	c.Response.Header.Set(RequestHeader, id)
+	if a, answered := o.(dispatch.Answered); answered && a.OK() {
+		c.SetContentType(contentJSON)
+		c.SetBody(a.Output())
+		return
+	}
+	writeProblem(c, problemOf(id, o))
+}
+
+func (s *Server) submitJob(c *fasthttp.RequestCtx) {
+	r, caller, ok := s.readWork(c, dispatch.KindJob)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c, changeTimeout)
+	defer cancel()
+	o := s.VM.Submit(ctx, r)
+	id := caller.local(r.ID())
+	if _, accepted := o.(dispatch.Accepted); accepted {
+		writeJSON(c, http.StatusAccepted, jobAccepted{RequestID: id, State: jobAcceptedState})
+		return
+	}
+	writeProblem(c, problemOf(id, o))
+}
+
+// readWork reads and authorizes a call or a job.
+func (s *Server) readWork(c *fasthttp.RequestCtx, kind dispatch.Kind) (dispatch.Request, caller, bool) {
+	var body workRequest
+	if err := decodeStrictly(c.PostBody(), &body); err != nil {
+		invalid(c, err.Error())
+		return dispatch.Request{}, caller{}, false
+	}
+	if message := body.check(); message != "" {
+		invalid(c, message)
+		return dispatch.Request{}, caller{}, false
+	}
+	now := s.VM.Now()
+	secret := string(c.Request.Header.Peek(KeyHeader))
+	switch a := catalogue.Authorize(s.VM.Configuration(), secret, body.Entry, now).(type) {
+	case catalogue.Allowed:
+		return s.request(c, kind, body, a, now)
+	case catalogue.Denied:
+		denied(c, a)
+	}
+	return dispatch.Request{}, caller{}, false
+}
+
+func (s *Server) request(
+	c *fasthttp.RequestCtx, kind dispatch.Kind, body workRequest, a catalogue.Allowed, now time.Time,
+) (dispatch.Request, caller, bool) {
+	if len(body.Payload) > a.Entry().MaxPayload() {
+		writeProblem(c, problem{
+			Code: codeBodyTooLarge, Outcome: outcomeNotRun,
+			Message: fmt.Sprintf("the payload has %d bytes, the entry allows %d", len(body.Payload), a.Entry().MaxPayload()),
+		})
+		return dispatch.Request{}, caller{}, false
+	}
+	deadline, message := body.deadline(kind, a.Entry(), now)
+	if message != "" {
+		invalid(c, message)
+		return dispatch.Request{}, caller{}, false
+	}
+	who := caller{team: a.Key().Team(), key: a.Key()}
+	id, named := body.RequestID, body.RequestID != ""
+	if !named {
+		id = uuid.NewString()
+	}
+	payload := bytes.Clone(body.Payload)
+	return dispatch.NewRequest(who.global(id), kind, body.Entry, who.team, a.Key().ID(), payload, deadline, 0, named), who, true
+}
+
+func (w workRequest) check() string {
+	switch {
+	case w.Entry == "":
+		return `the field "entry" is missing`
+	case w.RequestID != "" && !validID(w.RequestID):
+		return fmt.Sprintf(`the field "request-id" is %q; it takes 1 to %d letters, digits, "-" and "_"`, w.RequestID, maxIDLength)
+	case w.DeadlineMS < 0 || w.DeadlineMS > maxDeadline.Milliseconds():
+		return fmt.Sprintf(`the field "deadline-ms" is %d; it takes 0 to %d`, w.DeadlineMS, maxDeadline.Milliseconds())
+	default:
+		return ""
+	}
+}
+
+// deadline returns when the caller stops waiting. A job has none unless the caller sets one.
+func (w workRequest) deadline(kind dispatch.Kind, e catalogue.Entry, now time.Time) (time.Time, string) {
+	d := time.Duration(w.DeadlineMS) * time.Millisecond
+	if d > e.MaxDeadline() {
+		return time.Time{}, fmt.Sprintf(`the field "deadline-ms" is %d; the entry allows %d`, w.DeadlineMS, e.MaxDeadline().Milliseconds())
+	}
+	if d == 0 && kind == dispatch.KindJob {
+		return time.Time{}, ""
+	}
+	if d == 0 {
+		d = min(dispatch.DefaultDeadline, e.MaxDeadline())
+	}
+	return now.Add(d), ""
+}
+
+func validID(id string) bool {
+	if len(id) == 0 || len(id) > maxIDLength {
+		return false
+	}
+	return strings.IndexFunc(id, func(r rune) bool {
+		letter := (r >= 'a' && r <= 'z') || (r >= 'A' && r <= 'Z')
+		return !letter && (r < '0' || r > '9') && r != '-' && r != '_'
+	}) < 0
+}
+
+// caller is the holder of a key. Request ids are unique within a team, so that teams can't see each other's.
+type caller struct {
+	team string
+	key  catalogue.Key
+}
+
+func (w caller) global(id string) string { return w.team + "." + id }
+
+func (w caller) local(id string) string { return strings.TrimPrefix(id, w.team+".") }
+
+// caller authenticates the sender of a query about a request.
+func (s *Server) caller(c *fasthttp.RequestCtx) (caller, string, bool) {
+	id, _ := c.UserValue("id").(string)
+	secret := string(c.Request.Header.Peek(KeyHeader))
+	switch a := catalogue.Authenticate(s.VM.Configuration(), secret, s.VM.Now()).(type) {
+	case catalogue.Allowed:
+		if !validID(id) {
+			invalid(c, fmt.Sprintf("%q is no request id", id))
+			return caller{}, "", false
+		}
+		return caller{team: a.Key().Team(), key: a.Key()}, id, true
+	case catalogue.Denied:
+		denied(c, a)
+	}
+	return caller{}, "", false
+}
+
+func (s *Server) getJob(c *fasthttp.RequestCtx) {
+	who, id, ok := s.caller(c)
+	if !ok {
+		return
+	}
+	wait, ok := s.waitOf(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c, wait+callSlack)
+	defer cancel()
+	job, found, readable := s.VM.Job(ctx, who.global(id), s.VM.Now().Add(wait))
+	switch {
+	case !readable:
+		writeProblem(c, problem{
+			Code: dispatch.CodeStoreUnavailable, Message: "the job can't be read now", Outcome: outcomeUnknown,
+			RequestID: id, RetryAfterMS: time.Second.Milliseconds(),
+		})
+	case !found:
+		writeProblem(c, problem{Code: dispatch.CodeUnknownRequest, Message: "there is no such job", Outcome: outcomeUnknown, RequestID: id})
+	default:
+		writeJSON(c, http.StatusOK, jobStateOf(id, job))
+	}
+}
+
+func jobStateOf(id string, job dispatch.JobStatus) jobState {
+	st := jobState{RequestID: id, Entry: job.Entry(), State: jobAcceptedState}
+	if !job.Finished() {
+		return st
+	}
+	if a, ok := job.Outcome().(dispatch.Answered); ok && a.OK() {
+		st.State, st.Output = jobDoneState, jsonOf(a.Output())
+		return st
+	}
+	p := problemOf(id, job.Outcome())
+	st.Problem = &p
+	switch p.Outcome {
+	case outcomeRan:
+		st.State = jobFailedState
+	case outcomeNotRun:
+		st.State = jobNotRunState
+	default:
+		st.State = jobUnknownState
+	}
+	return st
+}
+
+// jsonOf returns an output as JSON. One that isn't JSON becomes a string.
+func jsonOf(output []byte) json.RawMessage {
+	if json.Valid(output) {
+		return output
+	}
+	data, err := json.Marshal(string(output))
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	return data
+}
+
+func (s *Server) getRequest(c *fasthttp.RequestCtx) {
+	who, id, ok := s.caller(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c, changeTimeout)
+	defer cancel()
+	o, found, readable := s.VM.Request(ctx, who.global(id))
+	if found {
+		if a, answered := o.(dispatch.Answered); answered && a.OK() {
+			writeJSON(c, http.StatusOK, jobState{RequestID: id, State: jobDoneState, Output: jsonOf(a.Output())})
+			return
+		}
+		p := problemOf(id, o)
+		writeJSON(c, http.StatusOK, jobState{RequestID: id, State: p.Outcome, Problem: &p})
+		return
+	}
+	if !readable {
+		writeProblem(c, problem{
+			Code: dispatch.CodeStoreUnavailable, Message: "the request can't be looked up now", Outcome: outcomeUnknown,
+			RequestID: id, RetryAfterMS: time.Second.Milliseconds(),
+		})
+		return
+	}
+	s.getJob(c)
+}
+
+func (s *Server) cancel(c *fasthttp.RequestCtx) {
+	who, id, ok := s.caller(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c, changeTimeout)
+	defer cancel()
+	switch o := s.VM.Cancel(ctx, who.global(id)).(type) {
+	case dispatch.NotRun, dispatch.Unresolved:
+		p := problemOf(id, o)
+		writeJSON(c, http.StatusOK, jobState{RequestID: id, State: p.Outcome, Problem: &p})
+	default:
+		writeProblem(c, problemOf(id, o))
+	}
+}
+
+// waitOf reads the query parameter wait-ms.
+func (s *Server) waitOf(c *fasthttp.RequestCtx) (time.Duration, bool) {
+	text := string(c.QueryArgs().Peek("wait-ms"))
+	if text == "" {
+		return 0, true
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 || ms > s.WaitLimit.Milliseconds() {
+		invalid(c, fmt.Sprintf("wait-ms is %q; it takes 0 to %d", text, s.WaitLimit.Milliseconds()))
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// decodeStrictly decodes one JSON object and refuses unknown fields and trailing data.
+func decodeStrictly(data []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return fmt.Errorf("the body isn't valid: %w", err)
+	}
+	if d.More() {
+		return fmt.Errorf("the body has data after its JSON object")
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/constants.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+)
+
+const (
+	// configInterval is the time between two reads of the configuration and the member rows.
+	configInterval = 500 * time.Millisecond
+	// sliceInterval is the time between two reads of the slice rows, and between two rebalancing plans.
+	sliceInterval = time.Second
+	// jobInterval is the time between two delta reads of the rows of unfinished jobs.
+	jobInterval = time.Second
+	// listInterval is the time between two reads of the VM list.
+	listInterval = time.Second
+	// readTimeout is how long a table read may take before it counts as lost.
+	readTimeout = 3 * time.Second
+	// taskLease is how long a backend server keeps a task that nobody renews (design.md, 5.3).
+	taskLease = 20 * time.Second
+	// taskLeaseGuard is added to taskLease before a task on a lost backend server counts as ended.
+	taskLeaseGuard = 2 * time.Second
+	// rejoinDelay is the pause before a Run whose reply was lost is sent again.
+	rejoinDelay = 200 * time.Millisecond
+	// retryAfterBusy is the time to retry after that is told when a queue is full or a state is passing.
+	retryAfterBusy = time.Second
+	// inlineOutputLimit is the size in bytes up to which an output is kept in its row, not in the object store.
+	inlineOutputLimit = 4 << 10
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 5
+	// maxPicks bounds the starts decided in one step, so that one event can't occupy the control goroutine.
+	maxPicks = 256
+	// abandonedJobDelay is how long a job's holder must be absent from the members before another adopts it.
+	abandonedJobDelay = 10 * time.Second
+	// changeWait is how long an operator waits for a change to be in force before it is told as pending.
+	changeWait = 3 * time.Second
+	// recordRetryDelay is the pause before a result that could not be stored is stored again.
+	recordRetryDelay = time.Second
+	// drainRetryDelay is the pause before a job that could not be handed over is handed over again.
+	drainRetryDelay = 200 * time.Millisecond
+	// drainSettle is how long a stopping entry VM stays reachable, so that the load balancer notices.
+	drainSettle = 500 * time.Millisecond
+	// digestLifetime is how long a peer's digest is used. Heartbeats come once a second.
+	digestLifetime = 3 * time.Second
+	// avoidPeerTime is how long a peer that refused work or lost contact gets none.
+	avoidPeerTime = 500 * time.Millisecond
+	// maxMovesPerTick bounds the waiting requests that one tick hands to other entry VMs.
+	maxMovesPerTick = 20
+	// earlyRetryDelay is the pause before a take-out or revocation that could not be stored is tried again.
+	earlyRetryDelay = time.Second
+)
+
+const (
+	// TickInterval is how often the owner of a State must send a Tick.
+	TickInterval = 100 * time.Millisecond
+	// DefaultDeadline applies to a call without a deadline.
+	DefaultDeadline = 30 * time.Second
+)
+
+// Prefixes of row and object keys.
+const (
+	configPrefix = catalogue.Prefix
+	versionKey   = catalogue.VersionKey
+	memberPrefix = "member/"
+	slicePrefix  = "slice/"
+	jobPrefix    = "job/"
+	donePrefix   = "done/"
+	inputPrefix  = "input/"
+	outputPrefix = "output/"
+)
--- /dev/null
+++ b/dispatch/drain.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/membership"
+	"github.com/pistachiolead/pistachiolead/ownership"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// drainState is how far a planned stop has come.
+type drainState struct {
+	started  bool
+	since    time.Time
+	released bool
+	done     bool
+}
+
+// startDrain begins a planned stop: nothing new is taken, waiting work is handed over, running work is finished.
+func (s *State) startDrain() {
+	if s.drain.started {
+		return
+	}
+	s.drain.started, s.drain.since = true, s.now
+	s.members(membership.NewDrained())
+	for _, id := range slices.Sorted(maps.Keys(s.works)) {
+		w, ok := s.works[id]
+		if ok && (w.phase == phaseQueued || w.phase == phaseBackingOff) {
+			s.drainWaiting(w)
+		}
+	}
+}
+
+// drainWaiting hands over work that hasn't started.
+func (s *State) drainWaiting(w *work) {
+	s.Queue.Cancel(w.id())
+	if !w.isCall() {
+		s.releaseJob(w)
+		return
+	}
+	if to := s.peerWithRoom(w.pool); to != "" && w.request.hops == 0 {
+		s.forward(w, to)
+		return
+	}
+	w.phase = phaseRefusing
+	s.refuse(w, NewNotRun(CodeDraining, "this entry VM is stopping", retryAfterBusy))
+}
+
+// releaseJob gives up a job, so that another entry VM adopts it at once.
+func (s *State) releaseJob(w *work) {
+	row, ok := s.jobs[w.id()]
+	if !ok || row.busy {
+		s.later(w, drainRetryDelay, func() { s.releaseJob(w) })
+		return
+	}
+	f := row.fields
+	f.Holder = ""
+	if w.phase == phaseRunning {
+		f.State, f.Server, f.Attempt = jobRunning, w.server, w.attempt
+	}
+	row.busy = true
+	s.writeJob(row, f, func(ok bool) {
+		if s.works[w.id()] != w {
+			return
+		}
+		if !ok {
+			s.later(w, drainRetryDelay, func() { s.releaseJob(w) })
+			return
+		}
+		s.forget(w)
+	})
+	w.phase = phaseRecording
+}
+
+// checkDrain moves a planned stop forward: calls are finished first, then running jobs are left to the next owners of
+// their backend servers, then the leases are released.
+func (s *State) checkDrain() {
+	d := &s.drain
+	if !d.started || d.done {
+		return
+	}
+	calls, jobs := s.held()
+	if calls > 0 {
+		return
+	}
+	for _, w := range jobs {
+		if w.phase == phaseRunning {
+			s.releaseJob(w)
+		}
+	}
+	if len(jobs) > 0 || len(s.commits) > 0 {
+		return
+	}
+	if !d.released {
+		d.released = true
+		s.owners(ownership.NewDrained())
+		return
+	}
+	if len(s.Owners.Owned()) == 0 && s.now.Sub(d.since) >= drainSettle {
+		d.done = true
+		s.returnSlices()
+		s.emit(Drained{})
+	}
+}
+
+func (s *State) held() (calls int, jobs []*work) {
+	for _, id := range slices.Sorted(maps.Keys(s.works)) {
+		w := s.works[id]
+		if w.isCall() {
+			calls++
+			continue
+		}
+		jobs = append(jobs, w)
+	}
+	return calls, jobs
+}
+
+// returnSlices deletes the member row, so that the others needn't wait for this entry VM.
+func (s *State) returnSlices() {
+	if version, ok := s.reads.memberVersions[s.Self]; ok {
+		s.commit(platform.NewTransaction(
+			[]platform.Condition{platform.NewCondition(memberPrefix+s.Self, version)},
+			[]platform.Write{platform.NewDelete(memberPrefix + s.Self)},
+		), UrgencyHigh, s.now.Add(readTimeout), func(platform.CommitOutcome) {})
+	}
+}
--- /dev/null
+++ b/dispatch/event.go
@@ -0,0 +1,319 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+	"github.com/pistachiolead/pistachiolead/peer"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// Event is something that happened: one of the types of this file.
+type Event interface{ event() }
+
+// Submitted says that a caller, or another entry VM, submitted a request.
+type Submitted struct {
+	ticket  uint64
+	request Request
+}
+
+// NewSubmitted returns a Submitted event. The outcome is replied to the ticket.
+func NewSubmitted(ticket uint64, r Request) Submitted { return Submitted{ticket: ticket, request: r} }
+
+// Cancelled says that nobody waits for the answer of a request any more, or that its team cancelled it.
+type Cancelled struct {
+	ticket uint64
+	id     string
+	gone   bool
+}
+
+// NewCancelled returns a Cancelled event of a team. The outcome is replied to the ticket.
+func NewCancelled(ticket uint64, id string) Cancelled { return Cancelled{ticket: ticket, id: id} }
+
+// NewCallerGone returns a Cancelled event for a caller that closed its connection.
+func NewCallerGone(id string) Cancelled { return Cancelled{id: id, gone: true} }
+
+// RunEnded says that a Run effect came back.
+type RunEnded struct {
+	server  string
+	epoch   uint64
+	id      string
+	attempt int
+	outcome platform.RunOutcome
+}
+
+// NewRunEnded returns a RunEnded event.
+func NewRunEnded(server string, epoch uint64, id string, attempt int, o platform.RunOutcome) RunEnded {
+	return RunEnded{server: server, epoch: epoch, id: id, attempt: attempt, outcome: o}
+}
+
+// CloseEnded says that a Close effect came back.
+type CloseEnded struct {
+	server  string
+	id      string
+	attempt int
+	outcome platform.CloseOutcome
+}
+
+// NewCloseEnded returns a CloseEnded event.
+func NewCloseEnded(server, id string, attempt int, o platform.CloseOutcome) CloseEnded {
+	return CloseEnded{server: server, id: id, attempt: attempt, outcome: o}
+}
+
+// SignalEnded says that a Signal effect came back.
+type SignalEnded struct {
+	server  string
+	id      string
+	attempt int
+	outcome platform.SignalOutcome
+}
+
+// NewSignalEnded returns a SignalEnded event.
+func NewSignalEnded(server, id string, attempt int, o platform.SignalOutcome) SignalEnded {
+	return SignalEnded{server: server, id: id, attempt: attempt, outcome: o}
+}
+
+// AcquireEnded says that an Acquire effect came back.
+type AcquireEnded struct {
+	server  string
+	sent    time.Time
+	outcome platform.AcquireOutcome
+}
+
+// NewAcquireEnded returns an AcquireEnded event. Sent is the time right before the request was sent.
+func NewAcquireEnded(server string, sent time.Time, o platform.AcquireOutcome) AcquireEnded {
+	return AcquireEnded{server: server, sent: sent, outcome: o}
+}
+
+// ReportEnded says that a Report effect came back.
+type ReportEnded struct {
+	server  string
+	epoch   uint64
+	sent    time.Time
+	outcome platform.ReportOutcome
+}
+
+// NewReportEnded returns a ReportEnded event. Sent is the time right before the request was sent.
+func NewReportEnded(server string, epoch uint64, sent time.Time, o platform.ReportOutcome) ReportEnded {
+	return ReportEnded{server: server, epoch: epoch, sent: sent, outcome: o}
+}
+
+// ReleaseEnded says that a Release effect came back.
+type ReleaseEnded struct {
+	server  string
+	epoch   uint64
+	outcome platform.ReleaseOutcome
+}
+
+// NewReleaseEnded returns a ReleaseEnded event.
+func NewReleaseEnded(server string, epoch uint64, o platform.ReleaseOutcome) ReleaseEnded {
+	return ReleaseEnded{server: server, epoch: epoch, outcome: o}
+}
+
+// CommitEnded says that a Commit effect came back.
+type CommitEnded struct {
+	ticket  uint64
+	outcome platform.CommitOutcome
+}
+
+// NewCommitEnded returns a CommitEnded event.
+func NewCommitEnded(ticket uint64, o platform.CommitOutcome) CommitEnded {
+	return CommitEnded{ticket: ticket, outcome: o}
+}
+
+// ScanEnded says that a Scan effect came back.
+type ScanEnded struct {
+	ticket  uint64
+	prefix  string
+	sent    time.Time
+	outcome platform.ScanOutcome
+}
+
+// NewScanEnded returns a ScanEnded event. Sent is the time right before the request was sent.
+func NewScanEnded(ticket uint64, prefix string, sent time.Time, o platform.ScanOutcome) ScanEnded {
+	return ScanEnded{ticket: ticket, prefix: prefix, sent: sent, outcome: o}
+}
+
+// PutEnded says that a Put effect came back.
+type PutEnded struct {
+	ticket  uint64
+	outcome platform.PutOutcome
+}
+
+// NewPutEnded returns a PutEnded event.
+func NewPutEnded(ticket uint64, o platform.PutOutcome) PutEnded {
+	return PutEnded{ticket: ticket, outcome: o}
+}
+
+// Listed says that a List effect came back.
+type Listed struct{ outcome platform.ListOutcome }
+
+// NewListed returns a Listed event.
+func NewListed(o platform.ListOutcome) Listed { return Listed{outcome: o} }
+
+// HeartbeatEnded says that a heartbeat to another entry VM was answered or failed.
+type HeartbeatEnded struct {
+	peer   string
+	sent   time.Time
+	ok     bool
+	digest peer.Digest
+}
+
+// NewHeartbeatEnded returns a HeartbeatEnded event. The digest is valid if ok.
+func NewHeartbeatEnded(id string, sent time.Time, ok bool, d peer.Digest) HeartbeatEnded {
+	return HeartbeatEnded{peer: id, sent: sent, ok: ok, digest: d}
+}
+
+// HeartbeatHeard says that another entry VM sent a heartbeat.
+type HeartbeatHeard struct {
+	ticket uint64
+	digest peer.Digest
+}
+
+// NewHeartbeatHeard returns a HeartbeatHeard event. A Greet effect with the ticket follows.
+func NewHeartbeatHeard(ticket uint64, d peer.Digest) HeartbeatHeard {
+	return HeartbeatHeard{ticket: ticket, digest: d}
+}
+
+// ForwardEnded says that a Forward effect came back.
+type ForwardEnded struct {
+	peer    string
+	id      string
+	outcome peer.ForwardOutcome
+}
+
+// NewForwardEnded returns a ForwardEnded event.
+func NewForwardEnded(to, id string, o peer.ForwardOutcome) ForwardEnded {
+	return ForwardEnded{peer: to, id: id, outcome: o}
+}
+
+// Pushed says that another entry VM pushed a configuration change.
+type Pushed struct {
+	ticket uint64
+	change peer.Change
+}
+
+// NewPushed returns a Pushed event. The version held afterwards is replied to the ticket.
+func NewPushed(ticket uint64, c peer.Change) Pushed { return Pushed{ticket: ticket, change: c} }
+
+// PushEnded says that another entry VM answered a push with the version it holds.
+type PushEnded struct {
+	peer    string
+	version uint64
+	ok      bool
+}
+
+// NewPushEnded returns a PushEnded event.
+func NewPushEnded(id string, version uint64, ok bool) PushEnded {
+	return PushEnded{peer: id, version: version, ok: ok}
+}
+
+// ChangeRequested says that an operator asked for a configuration change.
+type ChangeRequested struct {
+	ticket uint64
+	change Change
+	author string
+}
+
+// NewChangeRequested returns a ChangeRequested event. The outcome is replied to the ticket.
+func NewChangeRequested(ticket uint64, c Change, author string) ChangeRequested {
+	return ChangeRequested{ticket: ticket, change: c, author: author}
+}
+
+// ChangeQueried asks how far a configuration version has come.
+type ChangeQueried struct {
+	ticket  uint64
+	version uint64
+}
+
+// NewChangeQueried returns a ChangeQueried event.
+func NewChangeQueried(ticket, version uint64) ChangeQueried {
+	return ChangeQueried{ticket: ticket, version: version}
+}
+
+// Tick says that TickInterval has passed.
+type Tick struct{}
+
+// Draining says that the entry VM is to stop: it takes no new work and hands over what it holds.
+type Draining struct{}
+
+// Change is a configuration change that an operator asks for: CatalogueChange, KeyGrant, KeyRevocation, ZoneChange or
+// VMChange.
+type Change interface{ change() }
+
+// CatalogueChange replaces the catalogue.
+type CatalogueChange struct {
+	catalogue *catalogue.Catalogue
+	base      uint64
+}
+
+// NewCatalogueChange returns a change that is refused unless the configuration version is base.
+func NewCatalogueChange(c *catalogue.Catalogue, base uint64) CatalogueChange {
+	return CatalogueChange{catalogue: c, base: base}
+}
+
+// KeyGrant adds a key.
+type KeyGrant struct{ key catalogue.Key }
+
+// NewKeyGrant returns a KeyGrant.
+func NewKeyGrant(k catalogue.Key) KeyGrant { return KeyGrant{key: k} }
+
+// KeyRevocation revokes a key.
+type KeyRevocation struct{ id string }
+
+// NewKeyRevocation returns a KeyRevocation.
+func NewKeyRevocation(id string) KeyRevocation { return KeyRevocation{id: id} }
+
+// ZoneChange takes an availability zone out or brings it back.
+type ZoneChange struct {
+	zone  string
+	out   bool
+	force bool
+}
+
+// NewZoneChange returns a ZoneChange. Force overrides the availability budgets.
+func NewZoneChange(zone string, out, force bool) ZoneChange {
+	return ZoneChange{zone: zone, out: out, force: force}
+}
+
+// VMChange takes a VM out, brings it back or moves it to another pool.
+type VMChange struct {
+	vm     string
+	out    bool
+	pool   string
+	reason string
+	force  bool
+}
+
+// NewVMChange returns a VMChange. An empty pool keeps the VM in its pool. Force overrides the availability budget.
+func NewVMChange(vm string, out bool, pool, reason string, force bool) VMChange {
+	return VMChange{vm: vm, out: out, pool: pool, reason: reason, force: force}
+}
+
+func (CatalogueChange) change() {}
+func (KeyGrant) change()        {}
+func (KeyRevocation) change()   {}
+func (ZoneChange) change()      {}
+func (VMChange) change()        {}
+
+func (Submitted) event()       {}
+func (Cancelled) event()       {}
+func (RunEnded) event()        {}
+func (CloseEnded) event()      {}
+func (SignalEnded) event()     {}
+func (AcquireEnded) event()    {}
+func (ReportEnded) event()     {}
+func (ReleaseEnded) event()    {}
+func (CommitEnded) event()     {}
+func (ScanEnded) event()       {}
+func (PutEnded) event()        {}
+func (Listed) event()          {}
+func (HeartbeatEnded) event()  {}
+func (HeartbeatHeard) event()  {}
+func (ForwardEnded) event()    {}
+func (Pushed) event()          {}
+func (PushEnded) event()       {}
+func (ChangeRequested) event() {}
+func (ChangeQueried) event()   {}
+func (Tick) event()            {}
+func (Draining) event()        {}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,466 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/pistachiolead/pistachiolead/ownership"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// storeJob writes the row of a new job. The job is accepted once the row is in the table.
+func (s *State) storeJob(w *work) {
+	w.phase = phaseStoring
+	r := w.request
+	f := jobFields{
+		Entry: r.entry, Team: r.team, Key: r.key, Hash: payloadHash(r.payload), Submitted: s.now.UnixMilli(),
+		Holder: s.holderFor(w), State: jobWaiting, Attempt: 1,
+	}
+	t := platform.NewTransaction(
+		[]platform.Condition{platform.NewCondition(JobKey(r.id), 0), platform.NewCondition(DoneKey(r.id), 0)},
+		[]platform.Write{platform.NewPut(JobKey(r.id), f.encode()), platform.NewPut(inputKey(r.id), r.payload)},
+	)
+	s.commit(t, UrgencyLow, r.deadline, func(o platform.CommitOutcome) { s.jobStored(w, f, o) })
+}
+
+func (s *State) jobStored(w *work, f jobFields, o platform.CommitOutcome) {
+	switch o := o.(type) {
+	case platform.Committed:
+		s.count("jobs_accepted")
+		s.reply(w.ticket, NewAccepted(w.id()))
+		w.ticket = 0
+		s.rememberJob(&jobRow{id: w.id(), version: o.Version(), fields: f})
+		if f.Holder != s.Self {
+			s.forget(w)
+			return
+		}
+		s.enqueueHere(w)
+	case platform.Conflict:
+		s.jobExists(w, o.Row())
+	case platform.Unavailable:
+		s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the job could not be stored", retryAfterBusy))
+	case platform.Unknown:
+		s.finishUnresolved(w, CodeStoreUnavailable, "whether the job was stored isn't known yet")
+	}
+}
+
+// jobExists answers a repeated submission. The same job is accepted again, another one under the same id isn't.
+func (s *State) jobExists(w *work, row platform.Row) {
+	s.forget(w)
+	var same struct {
+		Entry string `json:"entry"`
+		Team  string `json:"team"`
+		Hash  uint64 `json:"payload-hash"`
+	}
+	r := w.request
+	if err := json.Unmarshal(row.Value(), &same); err == nil &&
+		same.Entry == r.entry && same.Team == r.team && same.Hash == payloadHash(r.payload) {
+		s.reply(w.ticket, NewAccepted(w.id()))
+		return
+	}
+	s.reply(w.ticket, NewRejected(CodeMismatch, "this request id was used for another job", 0))
+}
+
+// holderFor returns the entry VM that is to run a new job: this one, unless only others have room.
+func (s *State) holderFor(w *work) string {
+	if s.hasRoomHere(w.pool) {
+		return s.Self
+	}
+	if p := s.peerWithRoom(w.pool); p != "" {
+		return p
+	}
+	if s.Chooser.Capacity(w.pool).Slots() > 0 {
+		return s.Self
+	}
+	if p := s.peerWithCapacity(w.pool); p != "" {
+		return p
+	}
+	return s.Self
+}
+
+// handOverJob makes another entry VM the holder of a waiting job.
+func (s *State) handOverJob(w *work, to string) {
+	row, ok := s.jobs[w.id()]
+	s.forget(w)
+	if !ok || row.busy {
+		return
+	}
+	s.peers[to].forwarded[w.pool]++
+	f := row.fields
+	f.Holder = to
+	row.busy = true
+	s.writeJob(row, f, func(bool) {})
+}
+
+func (s *State) rememberJob(row *jobRow) {
+	if old, ok := s.jobs[row.id]; ok {
+		if old.version > row.version {
+			return
+		}
+		row.busy = old.busy
+		if old.fields.Holder == row.fields.Holder {
+			row.holderLostAt = old.holderLostAt
+		}
+	}
+	s.jobs[row.id] = row
+}
+
+// jobsScanned takes over the changed rows of unfinished jobs.
+func (s *State) jobsScanned(rows []platform.Row) {
+	for _, row := range rows {
+		id := row.Key()[len(jobPrefix):]
+		if row.Deleted() {
+			s.jobRemoved(id, row.Version())
+			continue
+		}
+		f, err := decodeJob(row.Value())
+		if err != nil {
+			s.count("job_row_invalid")
+			continue
+		}
+		s.rememberJob(&jobRow{id: id, version: row.Version(), fields: f})
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		s.considerJob(s.jobs[id])
+	}
+}
+
+func (s *State) jobRemoved(id string, version uint64) {
+	row, ok := s.jobs[id]
+	if !ok || row.version > version {
+		return
+	}
+	delete(s.jobs, id)
+	w, held := s.works[id]
+	if !held || w.isCall() || w.phase == phaseRecording || w.phase == phaseStoring {
+		return
+	}
+	// Another holder finished the job: what runs here isn't wanted any more.
+	s.orphan(w)
+	s.forget(w)
+}
+
+// considerJob takes over a job that this entry VM holds but doesn't work on, or that has no holder any more.
+func (s *State) considerJob(row *jobRow) {
+	if row.busy || s.drain.started {
+		return
+	}
+	if w, held := s.works[row.id]; held {
+		s.checkHolder(w, row)
+		return
+	}
+	if row.fields.Holder == s.Self {
+		s.resumeJob(row)
+		return
+	}
+	if s.holderPresent(row) || !s.shouldAdopt(row) {
+		return
+	}
+	s.adoptJob(row)
+}
+
+// checkHolder gives up work whose row names another holder.
+func (s *State) checkHolder(w *work, row *jobRow) {
+	if w.isCall() || w.phase == phaseStoring {
+		return
+	}
+	if row.fields.Holder == s.Self {
+		if row.fields.Cancelled && !w.cancelled {
+			s.cancel(Cancelled{id: w.id()})
+		}
+		return
+	}
+	s.orphan(w)
+	s.forget(w)
+}
+
+// holderPresent reports whether the holder of a job is a live member, or has been missing for too short a time.
+func (s *State) holderPresent(row *jobRow) bool {
+	if row.fields.Holder == "" {
+		return false
+	}
+	if s.isLive(row.fields.Holder) {
+		row.holderLostAt = zeroTime
+		return true
+	}
+	if _, here := s.found[row.id]; here {
+		return false
+	}
+	if row.holderLostAt.IsZero() {
+		row.holderLostAt = s.now
+	}
+	return s.now.Sub(row.holderLostAt) < abandonedJobDelay
+}
+
+// shouldAdopt decides which entry VM adopts a job without a holder. One that may be running belongs to the owner of
+// its backend server, who alone can find out; any other is spread over the members.
+func (s *State) shouldAdopt(row *jobRow) bool {
+	if _, here := s.found[row.id]; here {
+		return true
+	}
+	if row.fields.Server == "" {
+		return ownership.Preferred(row.id, s.Members.Live()) == s.Self
+	}
+	if _, owned := s.Owners.Epoch(row.fields.Server); owned {
+		return true
+	}
+	_, exists := s.vms[row.fields.Server]
+	return s.listed && !exists && ownership.Preferred(row.id, s.Members.Live()) == s.Self
+}
+
+// adoptJob makes this entry VM the holder by a conditional write.
+func (s *State) adoptJob(row *jobRow) {
+	f := row.fields
+	f.Holder = s.Self
+	row.busy = true
+	s.writeJob(row, f, func(ok bool) {
+		if ok {
+			s.count("jobs_adopted")
+			s.considerJob(s.jobs[row.id])
+		}
+	})
+}
+
+// writeJob changes the row of a job, conditional on the version known here.
+func (s *State) writeJob(row *jobRow, f jobFields, done func(ok bool)) {
+	t := platform.NewTransaction(
+		[]platform.Condition{platform.NewCondition(JobKey(row.id), row.version)},
+		[]platform.Write{platform.NewPut(JobKey(row.id), f.encode())},
+	)
+	s.commit(t, UrgencyHigh, s.now.Add(taskLease), func(o platform.CommitOutcome) {
+		if current, ok := s.jobs[row.id]; ok {
+			current.busy = false
+		}
+		c, ok := o.(platform.Committed)
+		if ok {
+			s.rememberJob(&jobRow{id: row.id, version: c.Version(), fields: f})
+		}
+		done(ok)
+	})
+}
+
+// resumeJob reads the input of a job that this entry VM holds and queues it, or finds out about its last attempt.
+func (s *State) resumeJob(row *jobRow) {
+	row.busy = true
+	key := inputKey(row.id)
+	s.scan(key, 0, func(e ScanEnded) {
+		current, ok := s.jobs[row.id]
+		if !ok {
+			return
+		}
+		current.busy = false
+		rows, ok := e.outcome.(platform.Rows)
+		if !ok || current.version != row.version || len(rows.Rows()) == 0 || s.drain.started {
+			return
+		}
+		s.restoreJob(current, rows.Rows()[0].Value())
+	})
+}
+
+func (s *State) restoreJob(row *jobRow, payload []byte) {
+	f := row.fields
+	r := NewRequest(row.id, KindJob, f.Entry, f.Team, f.Key, payload, zeroTime, 0, true)
+	entry, ok := s.config.Catalogue().Entry(f.Entry)
+	w := newWork(r, 0, entry, s.now)
+	w.attempt = max(1, f.Attempt)
+	s.works[row.id] = w
+	if !ok {
+		s.refuse(w, NewNotRun(CodeUnknownEntry, "the entry was removed", 0))
+		return
+	}
+	k, here := s.found[row.id]
+	if f.Server == "" && !here {
+		s.enqueueHere(w)
+		return
+	}
+	w.server = f.Server
+	if here {
+		w.server, w.attempt = k.server, k.attempt
+		delete(s.found, row.id)
+	}
+	w.started = true
+	s.resolve(w)
+}
+
+// resolve finds out whether the attempt that the row names has started.
+func (s *State) resolve(w *work) {
+	epoch, owned := s.Owners.Epoch(w.server)
+	if !owned {
+		if _, exists := s.vms[w.server]; s.listed && !exists {
+			s.serverGone(w)
+			return
+		}
+		s.forget(w)
+		return
+	}
+	w.phase, w.epoch = phaseResolving, epoch
+	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
+}
+
+// serverGone settles work whose backend server no longer exists: its tasks have ended without an answer.
+func (s *State) serverGone(w *work) {
+	if w.idempotent {
+		s.retry(w)
+		return
+	}
+	s.recordJob(w, jobResult{
+		state: doneUnknown, code: CodeLostContact, message: "the backend server was lost while the job may have run",
+	})
+}
+
+// resolved handles the answer to a Close that asked about the attempt of a work.
+func (s *State) resolved(w *work, o platform.CloseOutcome) {
+	switch o := o.(type) {
+	case platform.NeverStarted:
+		w.started = false
+		w.attempt++
+		s.requeue(w)
+	case platform.StillRunning:
+		s.join(w)
+	case platform.Answer:
+		if whole(o, w.id(), w.attempt) {
+			s.settle(w, o)
+			return
+		}
+		s.join(w)
+	default:
+		s.forget(w) // considered again with the next scan
+	}
+}
+
+// join waits for an attempt that runs already.
+func (s *State) join(w *work) {
+	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
+	r, ok := s.runs[k]
+	if !ok {
+		task := platform.NewTask(w.id(), w.attempt, w.request.entry, w.request.team, w.shape, nil)
+		s.adopt(w.server, platform.NewTaskStatus(task, false))
+		r = s.runs[k]
+	}
+	r.orphan, r.adopted = false, true
+	w.phase, w.resends = phaseRunning, 1
+	s.send(w, false)
+}
+
+// adoptJobs looks at the jobs that ran on a backend server that was gained.
+func (s *State) adoptJobs(server string) {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		row := s.jobs[id]
+		if k, here := s.found[id]; row.fields.Server == server || (here && k.server == server) {
+			s.considerJob(row)
+		}
+	}
+}
+
+// claimJob records that a non-idempotent job is about to start on a backend server.
+func (s *State) claimJob(w *work) {
+	row, ok := s.jobs[w.id()]
+	if !ok || row.busy {
+		s.unreserve(w)
+		s.requeue(w)
+		return
+	}
+	f := row.fields
+	f.State, f.Server, f.Attempt, f.Holder = jobClaimed, w.server, w.attempt, s.Self
+	row.busy = true
+	s.writeJob(row, f, func(ok bool) {
+		if s.works[w.id()] != w {
+			s.unreserve(w)
+			return
+		}
+		if !ok {
+			s.unreserve(w)
+			s.forget(w) // considered again with the next scan
+			return
+		}
+		s.startClaimed(w)
+	})
+}
+
+// jobLost handles a job whose attempt can't be followed from here. Its row names the backend server, whose next owner
+// adopts it.
+func (s *State) jobLost(w *work) {
+	s.count("jobs_lost_contact")
+	row, ok := s.jobs[w.id()]
+	if !ok {
+		s.forget(w)
+		return
+	}
+	server, attempt := w.server, w.attempt
+	s.forget(w)
+	if row.fields.Server != "" || row.busy {
+		return
+	}
+	f := row.fields
+	f.State, f.Server, f.Attempt = jobRunning, server, attempt
+	row.busy = true
+	s.writeJob(row, f, func(bool) {})
+}
+
+// recordJob stores how a job ended: first the output, whole, then the row that makes it visible.
+func (s *State) recordJob(w *work, result jobResult) {
+	w.phase = phaseRecording
+	if len(result.output) <= inlineOutputLimit {
+		s.finishJob(w, result, "")
+		return
+	}
+	name := outputPrefix + w.id()
+	s.put(name, result.output, func(o platform.PutOutcome) {
+		if s.works[w.id()] != w {
+			return
+		}
+		if _, ok := o.(platform.Stored); !ok {
+			s.later(w, recordRetryDelay, func() { s.recordJob(w, result) })
+			return
+		}
+		s.finishJob(w, result, name)
+	})
+}
+
+func (s *State) finishJob(w *work, result jobResult, object string) {
+	row, ok := s.jobs[w.id()]
+	if !ok {
+		s.forget(w)
+		return
+	}
+	f := doneFields{
+		Entry: row.fields.Entry, Team: row.fields.Team, Hash: row.fields.Hash, Finished: s.now.UnixMilli(),
+		State: result.state, OK: result.ok, Object: object, Code: result.code, Message: result.message,
+		Attempts: w.attempt,
+	}
+	if object == "" {
+		f.Output = result.output
+	}
+	t := platform.NewTransaction(
+		[]platform.Condition{platform.NewCondition(JobKey(w.id()), row.version)},
+		[]platform.Write{
+			platform.NewDelete(JobKey(w.id())), platform.NewDelete(inputKey(w.id())),
+			platform.NewPut(DoneKey(w.id()), f.encode()),
+		},
+	)
+	row.busy = true
+	s.commit(t, UrgencyLow, zeroTime, func(o platform.CommitOutcome) {
+		s.jobRecorded(w, result, o)
+	})
+}
+
+func (s *State) jobRecorded(w *work, result jobResult, o platform.CommitOutcome) {
+	if row, ok := s.jobs[w.id()]; ok {
+		row.busy = false
+	}
+	if s.works[w.id()] != w {
+		return
+	}
+	switch o.(type) {
+	case platform.Committed:
+		s.count("jobs_finished")
+		delete(s.jobs, w.id())
+		s.forget(w)
+	case platform.Conflict:
+		s.count("jobs_taken_over")
+		s.forget(w)
+	default:
+		s.later(w, recordRetryDelay, func() { s.recordJob(w, result) })
+	}
+}
--- /dev/null
+++ b/dispatch/result.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiolead/pistachiolead/claim"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// runEnded handles the end of a Run. The attempt's slot is freed only when the attempt has provably ended.
+func (s *State) runEnded(e RunEnded) {
+	k := runKey{server: e.server, id: e.id, attempt: e.attempt}
+	w := s.works[e.id]
+	if w != nil && (w.phase != phaseRunning || w.server != e.server || w.attempt != e.attempt) {
+		w = nil
+	}
+	switch o := e.outcome.(type) {
+	case platform.Answer:
+		if !whole(o, e.id, e.attempt) {
+			s.count("answers_dropped")
+			s.runUnknown(k, w)
+			return
+		}
+		s.end(k)
+		s.answered(w, e, o)
+	case platform.Refused, platform.StaleEpoch, platform.Unavailable:
+		s.runNotStarted(k, w)
+	case platform.Unknown:
+		s.runUnknown(k, w)
+	}
+}
+
+// whole reports whether an answer is complete and belongs to the attempt.
+func whole(a platform.Answer, id string, attempt int) bool {
+	return a.ID() == id && a.Attempt() == attempt && a.Length() == len(a.Output()) &&
+		a.Checksum() == xxhash.Sum64(a.Output())
+}
+
+func (s *State) answered(w *work, e RunEnded, a platform.Answer) {
+	s.Chooser.Observe(e.server, s.entryOf(w, e), a.OK(), s.now)
+	if w == nil {
+		return
+	}
+	if a.OK() {
+		s.Retries.Succeeded()
+	}
+	if !a.OK() && w.idempotent && !w.cancelled && s.mayRetry(w) {
+		s.count("retries_after_failure")
+		s.retry(w)
+		return
+	}
+	s.settle(w, a)
+}
+
+// entryOf returns the catalogue entry of a finished run.
+func (s *State) entryOf(w *work, e RunEnded) string {
+	if w != nil {
+		return w.request.entry
+	}
+	if r, ok := s.runs[runKey{server: e.server, id: e.id, attempt: e.attempt}]; ok {
+		return r.entry
+	}
+	return ""
+}
+
+// settle hands the answer to whoever waits for it and records it where that is owed.
+func (s *State) settle(w *work, a platform.Answer) {
+	if !w.isCall() {
+		s.recordJob(w, jobResult{state: doneAnswered, ok: a.OK(), output: a.Output()})
+		return
+	}
+	if !w.idempotent {
+		s.recordClaim(w, a)
+	}
+	s.finishAnswered(w, a.OK(), a.Output())
+}
+
+// recordClaim stores the answer of a non-idempotent call, so that a repeated request gets it. Nobody waits for it.
+func (s *State) recordClaim(w *work, a platform.Answer) {
+	c := w.claim.Finished(a.OK(), a.Output(), s.now)
+	s.commit(claim.Write(c, w.claimVersion), UrgencyLow, s.now.Add(taskLease), func(o platform.CommitOutcome) {
+		if _, ok := o.(platform.Committed); !ok {
+			s.count("claim_results_not_stored")
+		}
+	})
+}
+
+// runNotStarted handles a Run that the backend server certainly didn't start. A joined attempt may still be running
+// there, so it is looked up again.
+func (s *State) runNotStarted(k runKey, w *work) {
+	r, ok := s.runs[k]
+	if !ok {
+		return
+	}
+	if w == nil || w.resends > 0 || r.adopted {
+		s.runUnknown(k, w)
+		return
+	}
+	s.end(k)
+	s.count("runs_not_started")
+	w.started = w.attempt > 1
+	s.requeue(w)
+}
+
+// runUnknown handles a Run whose outcome isn't known: the attempt may be running, may have ended, or may yet start.
+func (s *State) runUnknown(k runKey, w *work) {
+	r, ok := s.runs[k]
+	if !ok {
+		return
+	}
+	if w == nil {
+		r.orphan = true
+		s.closeRun(r)
+		return
+	}
+	epoch, held := s.Owners.Epoch(k.server)
+	if held && !w.cancelled && !w.expired(s.now) {
+		// The repeated Run joins the attempt if it started, starts it if it didn't, and returns a stored answer.
+		w.epoch = epoch
+		w.resends++
+		r.sent = s.now
+		s.send(w, true)
+		return
+	}
+	s.orphan(w)
+	s.abandonAttempt(w)
+}
+
+// abandonAttempt decides what happens to work whose attempt can't be followed any more.
+func (s *State) abandonAttempt(w *work) {
+	switch {
+	case w.cancelled:
+		s.finishUnresolved(w, CodeCancelled, "the request was running when it was cancelled")
+	case w.idempotent && s.mayRetry(w):
+		s.count("retries_after_loss")
+		s.retry(w)
+	case !w.isCall():
+		s.jobLost(w)
+	default:
+		s.finishUnresolved(w, CodeLostContact, "contact with the backend server was lost")
+	}
+}
+
+// mayRetry takes one retry out of the budget.
+func (s *State) mayRetry(w *work) bool {
+	if w.attempt >= maxAttempts && w.isCall() {
+		return false
+	}
+	if w.isCall() {
+		return !w.expired(s.now) && s.Retries.Take()
+	}
+	return w.attempt < maxAttempts*maxAttempts
+}
+
+// retry prepares the next attempt after a back-off.
+func (s *State) retry(w *work) {
+	w.attempt++
+	w.server, w.epoch, w.resends = "", 0, 0
+	w.phase = phaseBackingOff
+	w.wake = s.now.Add(s.Backoff.Delay(w.attempt - 1))
+	s.lookAt(w.id(), w.wake)
+}
+
+// orphan detaches the running attempt from its work. Its slot stays counted until it has provably ended.
+func (s *State) orphan(w *work) {
+	r, ok := s.runs[runKey{server: w.server, id: w.id(), attempt: w.attempt}]
+	if !ok {
+		return
+	}
+	r.orphan = true
+	s.closeRun(r)
+}
+
+// closeRun makes sure that an attempt ends: one that hasn't started never will.
+func (s *State) closeRun(r *run) {
+	epoch, held := s.Owners.Epoch(r.key.server)
+	if r.closing || !held {
+		return
+	}
+	r.closing = true
+	s.emit(Close{server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt})
+}
+
+func (s *State) closeEnded(e CloseEnded) {
+	k := runKey{server: e.server, id: e.id, attempt: e.attempt}
+	w, held := s.works[e.id]
+	if held && w.phase == phaseResolving && w.server == e.server && w.attempt == e.attempt {
+		s.resolved(w, e.outcome)
+	}
+	r, ok := s.runs[k]
+	if !ok {
+		return
+	}
+	r.closing = false
+	if !r.orphan {
+		return
+	}
+	switch e.outcome.(type) {
+	case platform.NeverStarted, platform.Answer:
+		s.end(k)
+	case platform.StillRunning:
+		s.stopRun(r)
+	}
+}
+
+// stopRun tells the backend server to stop an attempt that nobody waits for, if the work may be repeated.
+func (s *State) stopRun(r *run) {
+	epoch, held := s.Owners.Epoch(r.key.server)
+	entry, known := s.config.Catalogue().Entry(r.entry)
+	if !held || r.signalled || !known || !entry.Idempotent() {
+		return
+	}
+	r.signalled = true
+	s.emit(Signal{
+		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: platform.SignalStop,
+	})
+}
+
+func (s *State) stopCancelled(w *work) {
+	if r, ok := s.runs[runKey{server: w.server, id: w.id(), attempt: w.attempt}]; ok {
+		s.stopRun(r)
+	}
+}
--- /dev/null
+++ b/dispatch/start.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"github.com/pistachiolead/pistachiolead/claim"
+	"github.com/pistachiolead/pistachiolead/placement"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/queue"
+)
+
+// startWork starts as much waiting work as limits, slices, leases and room allow.
+func (s *State) startWork() {
+	if !s.mayStartHere() {
+		return
+	}
+	picks := 0
+	for _, pool := range s.Queue.Pools() {
+		for picks < maxPicks && s.pickOne(pool) {
+			picks++
+		}
+	}
+}
+
+// mayStartHere reports whether this entry VM may start anything: its configuration is current and its availability
+// zone is in service.
+func (s *State) mayStartHere() bool {
+	return s.Grant.Fresh(s.now) && !s.config.Zone(s.Zone).Out()
+}
+
+func (s *State) pickOne(pool string) bool {
+	if s.Chooser.FreeSlots(pool) == 0 {
+		return false
+	}
+	_, ok := s.Queue.Pick(pool, s.now, func(q queue.Request) bool { return s.tryStart(q) })
+	return ok
+}
+
+// tryStart starts a request if it can. It returns true if the request must leave the queue.
+func (s *State) tryStart(q queue.Request) bool {
+	w, ok := s.works[q.ID()]
+	if !ok || w.phase != phaseQueued {
+		return true
+	}
+	if refusal := s.forbidden(w); refusal != nil {
+		w.phase = phaseRefusing
+		s.refuse(w, *refusal)
+		return true
+	}
+	if !s.reserve(w) {
+		return false
+	}
+	if w.idempotent {
+		s.run(w)
+		return true
+	}
+	s.claimStart(w)
+	return true
+}
+
+// forbidden returns why the configuration no longer allows the request, nil if it does.
+func (s *State) forbidden(w *work) *NotRun {
+	refuse := func(code, message string) *NotRun {
+		n := NewNotRun(code, message, 0)
+		return &n
+	}
+	entry, ok := s.config.Catalogue().Entry(w.request.entry)
+	if !ok {
+		return refuse(CodeUnknownEntry, "the entry was removed")
+	}
+	if !entry.Admits(w.request.team) {
+		return refuse(CodeTeamNotAllowed, "the team may no longer use the entry")
+	}
+	key, ok := s.config.Key(w.request.key)
+	if !ok || key.Revoked() {
+		return refuse(CodeRevokedKey, "the key was revoked")
+	}
+	return nil
+}
+
+// reserve takes a slot of the team's slice and a place on a backend server.
+func (s *State) reserve(w *work) bool {
+	if s.Ledger.Room(w.request.team) <= 0 {
+		return false
+	}
+	server, o := s.Chooser.Choose(w.pool, w.request.entry, w.shape, queueClass(w.class), s.now)
+	if _, ok := o.(placement.Chosen); !ok {
+		return false
+	}
+	epoch, ok := s.Owners.MayStart(server, s.now)
+	if !ok || !s.Ledger.TryStart(w.request.team) {
+		return false
+	}
+	w.server, w.epoch = server, epoch
+	s.Chooser.Reserve(w.server, taskKey(w.id(), w.attempt), w.shape)
+	return true
+}
+
+// unreserve gives back what reserve took for an attempt that was never sent.
+func (s *State) unreserve(w *work) {
+	s.Chooser.Free(w.server, taskKey(w.id(), w.attempt))
+	s.Ledger.Ended(w.request.team)
+}
+
+// run sends the attempt to its backend server.
+func (s *State) run(w *work) {
+	w.phase, w.started = phaseRunning, true
+	s.begin(w)
+	s.count("started")
+	s.send(w, false)
+}
+
+// send emits the Run. A repeated Run joins the attempt already running.
+func (s *State) send(w *work, again bool) {
+	r := Run{
+		server: w.server, epoch: w.epoch, deadline: w.request.deadline,
+		task: platform.NewTask(w.id(), w.attempt, w.request.entry, w.request.team, w.shape, w.request.payload),
+	}
+	if again {
+		r.delay = rejoinDelay
+	}
+	s.emit(r)
+}
+
+// claimStart records that a non-idempotent request is about to start. It starts once the record is in the table and
+// everything that allowed the start still does.
+func (s *State) claimStart(w *work) {
+	w.phase = phaseClaiming
+	if !w.isCall() {
+		s.claimJob(w)
+		return
+	}
+	next := claim.Next(w.claim, w.claimVersion, w.id(), w.request.team, w.request.entry, w.request.payload,
+		s.Self, w.server, w.attempt, s.now)
+	t := claim.Write(next, w.claimVersion)
+	s.commit(t, UrgencyHigh, w.request.deadline, func(o platform.CommitOutcome) { s.claimed(w, next, o) })
+}
+
+func (s *State) claimed(w *work, next claim.Claim, o platform.CommitOutcome) {
+	if s.works[w.id()] != w {
+		s.unreserve(w)
+		return
+	}
+	switch o := o.(type) {
+	case platform.Committed:
+		w.claim, w.claimVersion = next, o.Version()
+		s.startClaimed(w)
+	case platform.Conflict:
+		s.unreserve(w)
+		s.claimLost(w, o.Row())
+	case platform.Unavailable:
+		s.unreserve(w)
+		s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the request could not be recorded", retryAfterBusy))
+	case platform.Unknown:
+		// The claim may be in the table, but nothing was sent and nothing will be sent under it.
+		s.unreserve(w)
+		s.finishUnresolved(w, CodeStoreUnavailable, "whether the request can be repeated isn't known yet")
+	}
+}
+
+// claimLost decides about a request whose claim another entry VM wrote first.
+func (s *State) claimLost(w *work, row platform.Row) {
+	c, err := claim.Decode(row.Value())
+	if err != nil || row.Deleted() || row.Version() == 0 {
+		s.finishUnresolved(w, CodeInProgress, "the record of this request changed")
+		return
+	}
+	switch d := claim.Decide(c, w.request.team, w.request.entry, w.request.payload).(type) {
+	case claim.AlreadyDone:
+		s.finishAnswered(w, d.Claim().OK(), d.Claim().Output())
+	case claim.MayRetry:
+		// Another entry VM told a later submission that this request didn't run, so it must not run here.
+		s.finishRefused(w, NewNotRun(CodeSuperseded, "the request was refused by another entry VM", 0))
+	default:
+		s.finishUnresolved(w, CodeInProgress, "a request with this id has been started")
+	}
+}
+
+// startClaimed starts an attempt whose claim is in the table.
+func (s *State) startClaimed(w *work) {
+	if refusal := s.forbidden(w); refusal != nil {
+		s.unreserve(w)
+		w.phase = phaseRefusing
+		s.refuse(w, *refusal)
+		return
+	}
+	if w.cancelled {
+		s.unreserve(w)
+		w.phase = phaseRefusing
+		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
+		return
+	}
+	epoch, ok := s.Owners.MayStart(w.server, s.now)
+	if !ok || epoch != w.epoch || !s.mayStartHere() {
+		s.unreserve(w)
+		s.requeue(w)
+		return
+	}
+	s.run(w)
+}
+
+// requeue puts work back whose attempt was certainly not started.
+func (s *State) requeue(w *work) {
+	w.server, w.epoch, w.resends = "", 0, 0
+	if w.isCall() && w.expired(s.now) {
+		w.phase = phaseRefusing
+		s.refuse(w, NewNotRun(CodeDeadlinePassed, "the deadline passed before the request started", 0))
+		return
+	}
+	w.phase = phaseQueued
+	s.Queue.Readmit(s.queueRequest(w), s.now)
+}
--- /dev/null
+++ b/entry/effects.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/commit"
+	"github.com/pistachiolead/pistachiolead/dispatch"
+	"github.com/pistachiolead/pistachiolead/peer"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// carryOut does what the control state decided. It never blocks the control goroutine.
+func (v *VM) carryOut(effects []dispatch.Effect) {
+	for _, f := range effects {
+		switch f := f.(type) {
+		case dispatch.Run:
+			v.run(f)
+		case dispatch.Close:
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+				o := b.Close(ctx, f.Epoch(), f.ID(), f.Attempt())
+				v.mail.post(dispatch.NewCloseEnded(f.Server(), f.ID(), f.Attempt(), o))
+			})
+		case dispatch.Signal:
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+				o := b.Signal(ctx, f.Epoch(), f.ID(), f.Attempt(), f.Signal())
+				v.mail.post(dispatch.NewSignalEnded(f.Server(), f.ID(), f.Attempt(), o))
+			})
+		case dispatch.Acquire:
+			sent := v.Timer.Now()
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+				v.mail.post(dispatch.NewAcquireEnded(f.Server(), sent, b.Acquire(ctx, v.ID, v.Zone)))
+			})
+		case dispatch.Report:
+			sent := v.Timer.Now()
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+				v.mail.post(dispatch.NewReportEnded(f.Server(), f.Epoch(), sent, b.Report(ctx, f.Epoch())))
+			})
+		case dispatch.Release:
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+				v.mail.post(dispatch.NewReleaseEnded(f.Server(), f.Epoch(), b.Release(ctx, f.Epoch())))
+			})
+		case dispatch.Commit:
+			v.commit(f)
+		case dispatch.Scan:
+			v.scan(f)
+		case dispatch.Put:
+			v.async(putTimeout, func(ctx context.Context) {
+				v.mail.post(dispatch.NewPutEnded(f.Ticket(), v.Objects.Put(ctx, f.Name(), f.Data())))
+			})
+		case dispatch.List:
+			v.async(listTimeout, v.list)
+		case dispatch.Heartbeat:
+			v.heartbeat(f)
+		case dispatch.Forward:
+			v.forward(f)
+		case dispatch.Push:
+			v.push(f)
+		case dispatch.Reply:
+			v.tickets.resolve(f.Ticket(), reply{outcome: f.Outcome()})
+		case dispatch.Greet:
+			v.tickets.resolve(f.Ticket(), reply{digest: f.Digest()})
+		case dispatch.Publish:
+			v.configuration.Store(f.Configuration())
+			klog.InfoS("Configuration in use", "vm", v.ID, "version", f.Configuration().Version())
+		case dispatch.Drained:
+			klog.InfoS("Drained", "vm", v.ID)
+			close(v.drained)
+		}
+	}
+}
+
+// async runs fn in a goroutine of the VM's group.
+func (v *VM) async(timeout time.Duration, fn func(ctx context.Context)) {
+	v.tasks.Go(func() error {
+		ctx, cancel := context.WithTimeout(v.ctx, timeout)
+		defer cancel()
+		fn(ctx)
+		return nil
+	})
+}
+
+// onServer runs fn with the client of a backend server.
+func (v *VM) onServer(id string, timeout time.Duration, fn func(ctx context.Context, b platform.BackendServer)) {
+	b := v.backend(id)
+	v.async(timeout, func(ctx context.Context) { fn(ctx, b) })
+}
+
+func (v *VM) run(f dispatch.Run) {
+	b := v.backend(f.Server())
+	timeout := runTimeout
+	if !f.Deadline().IsZero() {
+		timeout = f.Delay() + f.Deadline().Sub(v.Timer.Now())
+	}
+	send := func() {
+		v.async(timeout, func(ctx context.Context) {
+			o := b.Run(ctx, f.Epoch(), f.Task())
+			v.mail.post(dispatch.NewRunEnded(f.Server(), f.Epoch(), f.Task().ID(), f.Task().Attempt(), o))
+		})
+	}
+	if f.Delay() == 0 {
+		send()
+		return
+	}
+	v.Timer.After(f.Delay(), func(time.Time) { send() })
+}
+
+func (v *VM) commit(f dispatch.Commit) {
+	var options []commit.Option
+	if f.Urgency() == dispatch.UrgencyHigh {
+		options = append(options, commit.Urgent{})
+	}
+	if !f.Deadline().IsZero() {
+		options = append(options, commit.NewDeadline(f.Deadline()))
+	}
+	v.committer.Submit(f.Transaction(), func(o platform.CommitOutcome) {
+		v.mail.post(dispatch.NewCommitEnded(f.Ticket(), o))
+	}, options...)
+}
+
+func (v *VM) scan(f dispatch.Scan) {
+	sent := v.Timer.Now()
+	v.async(scanTimeout, func(ctx context.Context) {
+		v.mail.post(dispatch.NewScanEnded(f.Ticket(), f.Prefix(), sent, v.table.Scan(ctx, f.Prefix(), f.Since())))
+	})
+}
+
+// list reads the VM list and connects the backend servers in it.
+func (v *VM) list(ctx context.Context) {
+	o := v.List.List(ctx)
+	if vms, ok := o.(platform.VMs); ok {
+		for _, m := range vms.VMs() {
+			if m.Role() != platform.RoleBackend {
+				continue
+			}
+			if s, ok := v.servers.Load(m.ID()); !ok || s.(server).address != m.Address() {
+				v.servers.Store(m.ID(), server{address: m.Address(), client: v.Connect(m)})
+			}
+		}
+	}
+	v.mail.post(dispatch.NewListed(o))
+}
+
+// backend returns the client of a backend server.
+func (v *VM) backend(id string) platform.BackendServer {
+	s, ok := v.servers.Load(id)
+	if !ok {
+		return disconnected{}
+	}
+	return s.(server).client
+}
+
+// client returns the client of another entry VM at its present address.
+func (v *VM) client(id, address string) *peer.Client {
+	if c, ok := v.peers.Load(id); ok && c.(*peer.Client).Address == address {
+		return c.(*peer.Client)
+	}
+	c := &peer.Client{Address: address, Secret: v.PeerSecret, Timer: v.Timer}
+	v.peers.Store(id, c)
+	return c
+}
+
+func (v *VM) heartbeat(f dispatch.Heartbeat) {
+	sent := v.Timer.Now()
+	c := v.client(f.Peer(), f.Address())
+	v.async(heartbeatTimeout, func(ctx context.Context) {
+		heard, ok := c.Heartbeat(ctx, f.Digest()).(peer.Heard)
+		ok = ok && heard.Digest().Member() == f.Peer()
+		v.table.set(f.Peer(), ok && heard.Digest().TableReachable(), c.Relay())
+		v.mail.post(dispatch.NewHeartbeatEnded(f.Peer(), sent, ok, heard.Digest()))
+	})
+}
+
+func (v *VM) forward(f dispatch.Forward) {
+	c := v.client(f.Peer(), f.Address())
+	r := f.Request()
+	remaining := r.Deadline().Sub(v.Timer.Now())
+	v.async(remaining, func(ctx context.Context) {
+		o := c.Forward(ctx, peer.NewRequest(
+			r.ID(), f.Attempt(), peer.KindCall, r.Entry(), r.Team(), r.Key(), r.Payload(), remaining,
+		))
+		v.mail.post(dispatch.NewForwardEnded(f.Peer(), r.ID(), o))
+	})
+}
+
+func (v *VM) push(f dispatch.Push) {
+	c := v.client(f.Peer(), f.Address())
+	v.async(pushTimeout, func(ctx context.Context) {
+		ack, ok := c.Apply(ctx, f.Change()).(peer.Acknowledged)
+		v.mail.post(dispatch.NewPushEnded(f.Peer(), ack.Version(), ok))
+	})
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -18,6 +18,8 @@
 	running        map[string]platform.Shape
 	wanted         map[string]int
 	oldest         map[string]time.Duration
+	uncovered      int
+	recognized     bool
 }
 
 // NewDigest returns a digest without values by pool, team and class. Member is the id of the entry VM, incarnation
@@ -61,6 +63,26 @@
 	return d
 }
 
+// WithUncovered returns the digest with the number of tasks that the member runs beyond its slices because it adopted
+// them from another entry VM.
+func (d Digest) WithUncovered(n int) Digest {
+	d.uncovered = n
+	return d
+}
+
+// WithRecognized returns the digest, as a reply to a heartbeat, with whether the sender of the heartbeat is a member by
+// the last table read of the replying member.
+func (d Digest) WithRecognized(recognized bool) Digest {
+	d.recognized = recognized
+	return d
+}
+
+// Uncovered returns the number of tasks that the member runs beyond its slices because it adopted them.
+func (d Digest) Uncovered() int { return d.uncovered }
+
+// Recognized reports whether the member that replied knows the receiver as a member.
+func (d Digest) Recognized() bool { return d.recognized }
+
 // Member returns the id of the entry VM that the digest describes.
 func (d Digest) Member() string { return d.member }
 
--- a/peer/digest_codec.go
+++ b/peer/digest_codec.go
@@ -23,6 +23,7 @@
 	w := &peerwire.Digest{
 		Member: d.member, Incarnation: d.incarnation, Sequence: e.sequence + 1, Base: e.sequence,
 		ConfigurationVersion: d.version, TableReachable: d.tableReachable,
+		Uncovered: int64(d.uncovered), Recognized: d.recognized,
 	}
 	if heard != e.sequence || e.sequence == 0 || d.incarnation != base.incarnation || d.member != base.member ||
 		!now.Before(e.wholeAt) {
@@ -74,7 +75,8 @@
 		base = Digest{}
 	}
 	r := NewDigest(w.GetMember(), w.GetIncarnation(), w.GetConfigurationVersion(), w.GetTableReachable()).
-		WithFreeSlots(base.free).WithRunning(base.running).WithWanted(base.wanted).WithOldestWait(base.oldest)
+		WithFreeSlots(base.free).WithRunning(base.running).WithWanted(base.wanted).WithOldestWait(base.oldest).
+		WithUncovered(int(w.GetUncovered())).WithRecognized(w.GetRecognized())
 	for _, p := range w.GetPools() {
 		setCount(r.free, p.GetName(), int(p.GetFreeSlots()))
 	}
