--- a/queue/queue.go
+++ b/queue/queue.go
@@ -105,7 +105,7 @@
 	for len(order) > 0 {
 		c := order[0]
 		if it := c.item(); try(it.request) {
-			p.rate.starts++
+			p.rate.started(it.request.arrived, now)
 			q.remove(it)
 			return it.request, true
 		}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,255 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/queue"
+)
+
+var start = time.Unix(1000, 0)
+
+func slots(n int) platform.Shape { return platform.NewShape(n, n, 0, n) }
+
+// model is the plain set of waiting requests that the queue must agree with.
+type model struct {
+	queue   queue.Queue
+	waiting map[string]queue.Request
+	now     time.Time
+	serial  int
+}
+
+func (m *model) request(r *rapid.T) queue.Request {
+	m.serial++
+	id := fmt.Sprint(m.serial)
+	if rapid.IntRange(0, 9).Draw(r, "repeat id") == 0 {
+		id = fmt.Sprint(rapid.IntRange(1, m.serial).Draw(r, "id"))
+	}
+	arrived := m.now.Add(-time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 700, 1300}).Draw(r, "age")) * time.Second)
+	deadline := time.Time{}
+	if rapid.Bool().Draw(r, "has deadline") {
+		deadline = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(r, "deadline")) * time.Second)
+	}
+	return queue.NewRequest(id,
+		rapid.SampledFrom([]string{"p", "q"}).Draw(r, "pool"), "e",
+		rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "team"),
+		queue.Class(rapid.IntRange(0, 2).Draw(r, "class")), slots(rapid.IntRange(1, 3).Draw(r, "slots")), arrived, deadline)
+}
+
+// expected returns the code of the refusal that the rules require, empty if the request must be queued.
+func (m *model) expected(n queue.Request) string {
+	_, duplicate := m.waiting[n.ID()]
+	wait := m.queue.ExpectedWait(n, m.now)
+	bound := map[queue.Class]time.Duration{queue.Urgent: 1900 * time.Millisecond, queue.Interactive: 10 * time.Second}
+	late := !n.Deadline().IsZero() && m.now.Add(wait).After(n.Deadline())
+	switch {
+	case !n.Deadline().IsZero() && !m.now.Before(n.Deadline()):
+		return queue.CodeDeadlinePassed
+	case duplicate:
+		return queue.CodeDuplicateID
+	case m.backlog(n.Team()) >= m.queue.Bound:
+		return queue.CodeQueueFull
+	case late || (n.Class() != queue.Archive && wait > bound[n.Class()]):
+		return queue.CodeTooBusy
+	default:
+		return ""
+	}
+}
+
+func (m *model) backlog(team string) int {
+	n := 0
+	for _, w := range m.waiting {
+		if w.Team() == team {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) push(r *rapid.T) {
+	m.expire(r)
+	n := m.request(r)
+	code := m.expected(n)
+	switch o := m.queue.Push(n, m.now).(type) {
+	case queue.Queued:
+		assert.Equal(r, code, "")
+		m.waiting[n.ID()] = n
+	case queue.Refused:
+		assert.Equal(r, o.Code(), code)
+		busy := code == queue.CodeQueueFull || code == queue.CodeTooBusy
+		assert.Equal(r, o.RetryAfter() > 0, busy)
+	}
+}
+
+func (m *model) readmit(r *rapid.T) {
+	m.expire(r)
+	n := m.request(r)
+	m.queue.Readmit(n, m.now)
+	if _, ok := m.waiting[n.ID()]; !ok {
+		m.waiting[n.ID()] = n
+	}
+}
+
+func (m *model) expire(r *rapid.T) {
+	for _, e := range m.queue.Expire(m.now) {
+		assert.Equal(r, m.waiting[e.ID()], e)
+		delete(m.waiting, e.ID())
+		assert.Assert(r, !e.Deadline().IsZero() && !m.now.Before(e.Deadline()))
+	}
+	for _, w := range m.waiting {
+		assert.Assert(r, w.Deadline().IsZero() || m.now.Before(w.Deadline()))
+	}
+}
+
+// before reports whether the rules put a ahead of b.
+func (m *model) before(a, b queue.Request) bool {
+	if x, y := m.aged(a), m.aged(b); x != y {
+		return x < y
+	}
+	if x, y := m.queue.Shares.Dominant(a.Team()), m.queue.Shares.Dominant(b.Team()); x != y {
+		return x < y
+	}
+	return a.Arrived().Before(b.Arrived())
+}
+
+func (m *model) aged(n queue.Request) int {
+	steps := int(m.now.Sub(n.Arrived()) / (10 * time.Minute))
+	if n.Class() != queue.Archive {
+		return int(n.Class())
+	}
+	return max(int(queue.Archive)-steps, 0)
+}
+
+// pick checks that the offers are live, in order, complete and never repeated. Requests that fit return to be offered
+// once for each team, class and shape.
+func (m *model) pick(r *rapid.T, pool string, most int) bool {
+	m.expire(r)
+	type kind struct {
+		team  string
+		class queue.Class
+		shape platform.Shape
+	}
+	offered := make(map[kind]bool)
+	var last *queue.Request
+	picked, ok := m.queue.Pick(pool, m.now, func(n queue.Request) bool {
+		assert.Equal(r, m.waiting[n.ID()], n)
+		assert.Equal(r, n.Pool(), pool)
+		k := kind{n.Team(), n.Class(), n.Shape()}
+		assert.Assert(r, !offered[k])
+		offered[k] = true
+		assert.Assert(r, last == nil || !m.before(n, *last))
+		for _, w := range m.waiting {
+			better := w.Pool() == pool && m.before(w, n)
+			assert.Assert(r, !better || last != nil, "%v was passed over", w)
+		}
+		last = &n
+		return n.Shape().Slots() <= most
+	})
+	if ok {
+		assert.Equal(r, picked, *last)
+		delete(m.waiting, picked.ID())
+		m.queue.Shares.Started(picked.Team(), picked.Shape())
+		return true
+	}
+	lanes := make(map[kind]bool)
+	for k := range offered {
+		lanes[kind{team: k.team, class: k.class}] = true
+	}
+	for _, w := range m.waiting {
+		assert.Assert(r, w.Pool() != pool || lanes[kind{team: w.Team(), class: w.Class()}], "%v was not offered", w)
+	}
+	return false
+}
+
+// Guards against lost, repeated, cancelled or expired requests being offered, and against offers out of order or requests
+// accepted beyond the bounds.
+func TestQueueAgreesWithModel(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		m := &model{waiting: make(map[string]queue.Request), now: start}
+		m.queue.Bound = 8
+		m.queue.Shares.SetCapacity(slots(40))
+		m.queue.Shares.SetTeam("b", 2)
+		r.Repeat(map[string]func(*rapid.T){
+			"push":    m.push,
+			"push 2":  m.push,
+			"readmit": m.readmit,
+			"expire":  m.expire,
+			"pick": func(r *rapid.T) {
+				m.pick(r, rapid.SampledFrom([]string{"p", "q"}).Draw(r, "pool"), rapid.IntRange(0, 3).Draw(r, "most"))
+			},
+			"cancel": func(r *rapid.T) {
+				m.expire(r)
+				id := fmt.Sprint(rapid.IntRange(0, m.serial).Draw(r, "id"))
+				_, waits := m.waiting[id]
+				assert.Equal(r, m.queue.Cancel(id), waits)
+				delete(m.waiting, id)
+			},
+			"pass time": func(r *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(r, "ms")) * time.Millisecond)
+			},
+			"": func(r *rapid.T) {
+				assert.Equal(r, m.queue.Len(), len(m.waiting))
+				for _, t := range []string{"a", "b", "c"} {
+					assert.Equal(r, m.queue.Backlog(t), m.backlog(t))
+				}
+			},
+		})
+		for _, p := range m.queue.Pools() {
+			for m.pick(r, p, 3) {
+			}
+		}
+		m.expire(r)
+		assert.Equal(r, len(m.waiting), 0)
+	})
+}
+
+// Guards against a request that doesn't fit blocking other shapes of its team.
+func TestPickLooksPastRequestThatDoesNotFit(t *testing.T) {
+	var q queue.Queue
+	for i, n := range []int{8, 8, 8, 1} {
+		q.Push(queue.NewRequest(fmt.Sprint(i), "p", "e", "a", queue.Archive, slots(n), start, time.Time{}), start)
+	}
+	got, ok := q.Pick("p", start, func(r queue.Request) bool { return r.Shape().Slots() == 1 })
+	assert.Assert(t, ok)
+	assert.Equal(t, got.ID(), "3")
+}
+
+// Guards against refusals in the first moments of a burst after an idle time, and against admission beyond the bounds at
+// a known start rate.
+func TestAdmissionUsesRateWhileWorkWaits(t *testing.T) {
+	var q queue.Queue
+	now, serial := start, 0
+	push := func(team string, c queue.Class) queue.PushOutcome {
+		serial++
+		return q.Push(queue.NewRequest(fmt.Sprint(serial), "p", "e", team, c, slots(1), now, time.Time{}), now)
+	}
+	all := func(queue.Request) bool { return true }
+	for range 60 { // one request a second, started at once
+		push("a", queue.Interactive)
+		q.Pick("p", now, all)
+		now = now.Add(time.Second)
+	}
+	for range 100 { // a burst, started at 10 a second
+		assert.Equal(t, push("a", queue.Interactive), queue.PushOutcome(queue.Queued{}))
+	}
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		q.Pick("p", now, all)
+		push("a", queue.Archive)
+	}
+	admitted := 50
+	for ; ; admitted++ {
+		if o, ok := push("a", queue.Interactive).(queue.Refused); ok {
+			assert.Equal(t, o.Code(), queue.CodeTooBusy)
+			break
+		}
+	}
+	assert.Assert(t, admitted > 90 && admitted < 111, "%d requests are expected to wait 10 s", admitted)
+	assert.Equal(t, push("b", queue.Interactive), queue.PushOutcome(queue.Queued{})) // its share comes first
+	assert.Equal(t, push("a", queue.Urgent), queue.PushOutcome(queue.Queued{}))
+}
--- a/queue/startrate.go
+++ b/queue/startrate.go
@@ -24,6 +24,13 @@
 	s.seconds = s.seconds*keep + rateMemory.Seconds()*(1-keep)
 }
 
+// started counts a start. Requests that didn't wait took no part in the time that counts, and would raise the rate.
+func (s *startRate) started(arrived, now time.Time) {
+	if arrived.Before(now) {
+		s.starts++
+	}
+}
+
 // wait returns how long it takes to start n requests, 0 as long as the rate is unknown.
 func (s *startRate) wait(n int) time.Duration {
 	if s.seconds < minRateTime.Seconds() || n <= 0 {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -11,9 +11,10 @@
 type Ledger struct {
 	// Holder is the id of this entry VM.
 	Holder string
-	// Gone reports that a holder can start nothing more and that none of its tasks is left uncovered: the VM list
-	// shows that it has left, the task lease has passed since, and no live holder has tasks adopted from it that its
-	// own slice doesn't cover yet. It may be nil.
+	// Gone reports that a holder's slice covers nothing any more, so that it may be returned: the VM list shows that
+	// the holder has left; the task lease has passed since the last of all missing holders left, so that every task
+	// of theirs has ended or was adopted; and no holder that is left reports Uncovered tasks of any team. It may be
+	// nil.
 	Gone func(holder string) bool
 	// Wanted reports that other holders are short of slots for a team. It may be nil.
 	Wanted func(team string) bool
@@ -29,7 +30,8 @@
 
 	running int // started, adopted and lost tasks that are not known to have ended
 	lost    int // the part of running on servers that another holder has taken over
-	settled int // the part of Slices.MovedFrom that lost tasks have been counted off for
+	ended   int // tasks ever given to Settle
+	settled int // the part of ended and Slices.MovedFrom that lost tasks have been counted off for
 
 	inherit map[string]int // slots ever asked for by Inherit, by former holder; Slices.Moved has those received
 
@@ -51,18 +53,20 @@
 	a.settle(l.Holder)
 }
 
-// Applied records that the team's change was committed at the given table version.
-func (l *Ledger) Applied(team string, version uint64) {
-	a := l.account(team)
-	if a.pending == nil || version <= a.version {
-		return
+// Applied records that a change was committed at the given table version.
+func (l *Ledger) Applied(c Change, version uint64) {
+	if l.underWay(c) {
+		l.SetSlices(c.team, c.slices, version)
 	}
-	l.SetSlices(team, a.pending.slices, version)
 }
 
-// Failed records that the team's change certainly had no effect and never will: it conflicted or wasn't sent. It must
-// not be called when the outcome is unknown.
-func (l *Ledger) Failed(team string) { l.account(team).pending = nil }
+// Failed records that a change certainly had no effect and never will: it conflicted or wasn't sent. It must not be called
+// when the outcome is unknown. The late outcome of an earlier change doesn't affect the one that is under way.
+func (l *Ledger) Failed(c Change) {
+	if l.underWay(c) {
+		l.account(c.team).pending = nil
+	}
+}
 
 // TryStart counts one more running task of the team if the slice that is certainly held covers it.
 func (l *Ledger) TryStart(team string) bool {
@@ -109,6 +113,24 @@
 	a.settle(l.Holder)
 }
 
+// Settle counts off n lost tasks that had ended before the new owner took their server over, and so are in no move. The
+// new owner's digest shows this: it took the server over directly from this holder, owes this holder nothing (Owed) and
+// has a row version that this ledger has reached.
+func (l *Ledger) Settle(team string, n int) {
+	a := l.account(team)
+	a.ended += n
+	a.settle(l.Holder)
+}
+
+// Owed returns the slots that Inherit asked for from a former holder and that were not moved yet.
+func (l *Ledger) Owed(team, from string) int {
+	a := l.account(team)
+	return a.inherit[from] - a.slices.Moved(from, l.Holder)
+}
+
+// Version returns the version of the team's row that this ledger knows.
+func (l *Ledger) Version(team string) uint64 { return l.account(team).version }
+
 // Running returns the tasks counted for the team at this holder.
 func (l *Ledger) Running(team string) int { return l.account(team).running }
 
@@ -137,6 +159,11 @@
 	return min(a.slices.Of(l.Holder), a.pending.slices.Of(l.Holder))
 }
 
+func (l *Ledger) underWay(c Change) bool {
+	p := l.account(c.team).pending
+	return p != nil && p.version == c.version && p.slices.Equal(c.slices)
+}
+
 func (l *Ledger) account(team string) *account {
 	a, ok := l.teams[team]
 	if ok {
@@ -150,9 +177,10 @@
 	return a
 }
 
-// settle counts off lost tasks whose slots have been moved to their new owner.
+// settle counts off lost tasks that have ended or whose slots have been moved to their new owner. A move can be seen
+// before Lost is called for its server; the sums are right in any order.
 func (a *account) settle(holder string) {
-	n := min(a.lost, a.slices.MovedFrom(holder)-a.settled)
+	n := min(a.lost, a.slices.MovedFrom(holder)+a.ended-a.settled)
 	if n <= 0 {
 		return
 	}
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -7,7 +7,7 @@
 )
 
 // Plan returns the changes of rows that this holder wants, at most one for each team and none while one is under way.
-// The caller commits each one on its condition and reports Applied, Failed, or nothing while the outcome is unknown.
+// The caller commits each one on its condition and reports Applied or Failed, or nothing while the outcome is unknown.
 // The backlog is the number of waiting requests for each team.
 func (l *Ledger) Plan(backlog map[string]int, now time.Time) []Change {
 	var changes []Change
--- /dev/null
+++ b/quota/plan_test.go
@@ -0,0 +1,133 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/quota"
+)
+
+var start = time.Unix(1000, 0)
+
+// planned returns the only change that the ledger wants.
+func planned(t *testing.T, l *quota.Ledger, backlog int, now time.Time) quota.Change {
+	t.Helper()
+	changes := l.Plan(map[string]int{team: backlog}, now)
+	assert.Equal(t, len(changes), 1)
+	return changes[0]
+}
+
+// Guards against the late outcome of a superseded change clearing the one under way, which let a holder spend slots that
+// it was giving back.
+func TestLateOutcomeLeavesNewerChange(t *testing.T) {
+	l := quota.Ledger{Holder: "a"}
+	l.SetLimit(team, 10)
+	first := planned(t, &l, 2, start)
+	l.SetSlices(team, quota.Slices{}.With("a", 8), 5) // the row has moved on while the reply to first is missing
+	assert.Equal(t, len(l.Plan(nil, start)), 0)
+	second := planned(t, &l, 0, start.Add(3*time.Second))
+	assert.Equal(t, second.Slices().Of("a"), 1)
+
+	l.Failed(first)
+	l.Applied(first, 6)
+	assert.Equal(t, l.Room(team), 1)
+	l.Failed(second)
+	assert.Equal(t, l.Room(team), 8)
+}
+
+// Guards against slots that stay with holders that don't need them, and against giving back slots that are in use.
+func TestUnusedSlotsAreGivenBack(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		limit, running, lapsed int
+		backlog                int
+		wanted                 bool
+		want                   int
+	}{
+		{"unused for less than 3 s", 40, 8, 2, 0, false, 20},
+		{"unused for 3 s, a quarter stays", 40, 8, 3, 0, false, 10},
+		{"at least one stays", 40, 0, 3, 0, false, 1},
+		{"waiting work keeps its slots", 40, 8, 3, 6, false, 16},
+		{"others are short", 40, 8, 0, 0, true, 8},
+		{"limit lowered", 12, 8, 0, 0, false, 12},
+		{"limit lowered below what runs", 5, 8, 0, 9, false, 8},
+	} {
+		l := quota.Ledger{Holder: "a", Wanted: func(string) bool { return c.wanted }}
+		l.SetLimit(team, 40)
+		l.SetSlices(team, quota.Slices{}.With("a", 20), 1)
+		for range c.running {
+			assert.Assert(t, l.TryStart(team), c.name)
+		}
+		l.SetLimit(team, c.limit)
+		slices := quota.Slices{}.With("a", 20)
+		for s := range c.lapsed + 1 {
+			for _, p := range l.Plan(map[string]int{team: c.backlog}, start.Add(time.Duration(s)*time.Second)) {
+				slices = p.Slices()
+				l.Failed(p)
+			}
+		}
+		assert.Equal(t, slices.Of("a"), c.want, c.name)
+		assert.Equal(t, l.Room(team), max(min(20, c.limit)-c.running, 0), c.name)
+	}
+}
+
+// Guards against rows that lose slots or records on the way through the table, and against unchecked input.
+func TestRowsSurviveEncoding(t *testing.T) {
+	s := quota.Slices{}.With("a", 3).With("b", 4).Move("a", "b", 2).Move("b", "c", 9)
+	got, err := quota.DecodeSlices(s.Encode())
+	assert.NilError(t, err)
+	assert.Assert(t, got.Equal(s))
+	assert.Equal(t, string(s.Encode()), `{"slots":{"a":1,"c":6},"moved":{"a":{"b":2},"b":{"c":6}}}`)
+	assert.Equal(t, s.Without("a").Sum(), 6)
+	for _, bad := range []string{"{", `{"slots":{"a":-1}}`, `{"slots":["a"]}`} {
+		_, err := quota.DecodeSlices([]byte(bad))
+		assert.ErrorContains(t, err, "decode slices")
+	}
+}
+
+// Guards against planned and unplanned absences exceeding a pool's budget, and against operators overwriting each other.
+func TestBudgetCountsAllAbsences(t *testing.T) {
+	b := quota.Budget{}
+	for _, c := range []struct {
+		vm        string
+		unplanned int
+		want      quota.TakeOutOutcome
+	}{
+		{"vm-2", 2, quota.OverBudget{}},
+		{"vm-2", 1, quota.TakenOut{}},
+		{"vm-2", 0, quota.AlreadyOut{}},
+		{"vm-1", 1, quota.OverBudget{}},
+		{"vm-1", 0, quota.TakenOut{}},
+		{"vm-3", 0, quota.OverBudget{}},
+	} {
+		next, outcome := b.TakeOut(c.vm, "ana", c.unplanned, 2, start)
+		var err error
+		b, err = quota.DecodeBudget(next.Encode())
+		assert.NilError(t, err)
+		switch o := outcome.(type) {
+		case quota.OverBudget:
+			assert.Assert(t, o.Planned()+o.Unplanned()+1 > o.Limit())
+		case quota.AlreadyOut:
+			assert.Equal(t, o.Absence().Author(), "ana")
+			assert.Assert(t, o.Absence().Since().Equal(start))
+		}
+		assert.Equal(t, kind(outcome), kind(c.want), c.vm)
+	}
+	b, _ = b.Force("vm-3", "ben", start)
+	b = b.Return("vm-2").Return("vm-9")
+	assert.Equal(t, len(b.Absences()), 2)
+	assert.Equal(t, b.Absences()[1].VM(), "vm-3")
+}
+
+func kind(o quota.TakeOutOutcome) string {
+	switch o.(type) {
+	case quota.TakenOut:
+		return "taken out"
+	case quota.AlreadyOut:
+		return "already out"
+	default:
+		return "over budget"
+	}
+}
