Test placement against a model and compare servers by median

Cause: tests of failing servers showed that a broken entry on all servers, or a failing rack of a third of the pool, hid a failing server from the 3x rule when peers were averaged.

Change: the failure rate of peers is the median over servers, and entries that fail so often that no server can be out of proportion are left out.

Conclusion: rotation takes failing servers out beside a broken entry, up to a quarter.

--- /dev/null
+++ b/placement/chooser_test.go
@@ -0,0 +1,245 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/placement"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/queue"
+)
+
+var start = time.Unix(1000, 0)
+
+type task struct {
+	server string
+	shape  platform.Shape
+	traits placement.Traits
+}
+
+// model is what the chooser was told, in plain maps.
+type model struct {
+	chooser placement.Chooser
+	servers map[string]placement.Server
+	tasks   map[string]task
+	now     time.Time
+	serial  int
+}
+
+func (m *model) free(server string) platform.Shape {
+	free := m.servers[server].Shape()
+	for _, t := range m.tasks {
+		if t.server == server {
+			free = free.Minus(t.shape)
+		}
+	}
+	return free
+}
+
+// candidates returns the servers of a pool that may be given work.
+func (m *model) candidates(pool string) []string {
+	var ids []string
+	for id, s := range m.servers {
+		if s.Pool() == pool && s.Usable() && s.Zone() == "z1" && !slices.Contains(m.chooser.OutOfRotation(pool), id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (m *model) totals(pool string) (free, capacity int) {
+	for _, id := range m.candidates(pool) {
+		free += max(m.free(id).Slots(), 0)
+		capacity += m.servers[id].Shape().Slots()
+	}
+	return free, capacity
+}
+
+func drawShape(r *rapid.T) platform.Shape {
+	return platform.NewShape(rapid.IntRange(1, 9).Draw(r, "processors"), 1, rapid.SampledFrom([]int{0, 0, 1}).Draw(r, "acc"),
+		rapid.IntRange(1, 3).Draw(r, "slots"))
+}
+
+func drawPool(r *rapid.T) string { return rapid.SampledFrom([]string{"p", "q"}).Draw(r, "pool") }
+
+func drawServer(r *rapid.T) string { return fmt.Sprint("s", rapid.IntRange(0, 11).Draw(r, "server")) }
+
+func (m *model) setServer(r *rapid.T) {
+	id := drawServer(r)
+	zone := rapid.SampledFrom([]string{"z1", "z1", "z1", "z2"}).Draw(r, "zone")
+	rack := rapid.SampledFrom([]string{"r1", "r2"}).Draw(r, "rack")
+	shape := platform.NewShape(8, 8, rapid.SampledFrom([]int{0, 0, 2}).Draw(r, "acc"), 8)
+	s := placement.NewServer(id, zone, rack, drawPool(r), shape, rapid.IntRange(0, 5).Draw(r, "usable") > 0)
+	m.chooser.SetServer(s)
+	m.servers[id] = s
+}
+
+func (m *model) remove(r *rapid.T) {
+	id := drawServer(r)
+	m.chooser.Remove(id)
+	delete(m.servers, id)
+	for k, t := range m.tasks {
+		if t.server == id {
+			delete(m.tasks, k)
+		}
+	}
+}
+
+func (m *model) choose(r *rapid.T) {
+	pool, shape, class := drawPool(r), drawShape(r), queue.Class(rapid.IntRange(0, 2).Draw(r, "class"))
+	entry := rapid.SampledFrom([]string{"e", "f"}).Draw(r, "entry")
+	free, capacity := m.totals(pool)
+	reserved := 0
+	if capacity >= 8 {
+		reserved = max(capacity/16, 1)
+	}
+	blocked := class != queue.Urgent && free-shape.Slots() < reserved
+	fits := false
+	for _, id := range m.candidates(pool) {
+		fits = fits || shape.Fits(m.free(id))
+	}
+	out := m.chooser.OutOfRotation(pool)
+
+	id, outcome := m.chooser.Choose(pool, entry, shape, class, m.now)
+	switch outcome.(type) {
+	case placement.NeverFits:
+		for _, s := range m.servers {
+			assert.Assert(r, s.Pool() != pool || !shape.Fits(s.Shape()))
+		}
+	case placement.NoRoom:
+		assert.Assert(r, blocked || !fits)
+	case placement.Chosen:
+		s := m.servers[id]
+		probe := slices.Contains(out, id)
+		assert.Assert(r, s.Pool() == pool && s.Zone() == "z1" && s.Usable() && !blocked)
+		assert.Assert(r, shape.Fits(m.free(id)), "over capacity")
+		assert.Assert(r, !probe || class != queue.Urgent)
+		m.avoidsAccelerators(r, id, shape, probe)
+		m.reserve(r, id, shape, class)
+	}
+}
+
+func (m *model) avoidsAccelerators(r *rapid.T, chosen string, shape platform.Shape, probe bool) {
+	if probe || shape.Accelerators() > 0 || m.servers[chosen].Shape().Accelerators() == 0 {
+		return
+	}
+	for _, id := range m.candidates(m.servers[chosen].Pool()) {
+		other := m.servers[id].Shape().Accelerators() == 0 && shape.Fits(m.free(id))
+		assert.Assert(r, !other, "%s has room without accelerators", id)
+	}
+}
+
+func (m *model) reserve(r *rapid.T, server string, shape platform.Shape, class queue.Class) {
+	m.serial++
+	k := fmt.Sprint("t", m.serial)
+	t := placement.NewTraits(class, rapid.Bool().Draw(r, "idempotent"), rapid.Bool().Draw(r, "checkpointable"), m.now)
+	m.chooser.Reserve(server, k, shape)
+	m.chooser.Describe(server, k, t)
+	m.tasks[k] = task{server: server, shape: shape, traits: t}
+}
+
+func (m *model) end(r *rapid.T) {
+	k := fmt.Sprint("t", rapid.IntRange(0, m.serial).Draw(r, "task"))
+	m.chooser.Free(m.tasks[k].server, k)
+	delete(m.tasks, k)
+}
+
+func (m *model) observe(r *rapid.T) {
+	s := drawServer(r)
+	entry := rapid.SampledFrom([]string{"e", "f"}).Draw(r, "entry")
+	for range rapid.IntRange(1, 20).Draw(r, "times") {
+		m.chooser.Observe(s, entry, rapid.IntRange(0, 2).Draw(r, "ok") > 0 && s != "s1" && s != "s2" && s != "s3", m.now)
+	}
+}
+
+// victims checks that a plan makes room, has no part that isn't needed, and interrupts only what may be interrupted.
+func (m *model) victims(r *rapid.T) {
+	pool, shape := drawPool(r), drawShape(r)
+	class := queue.Class(rapid.IntRange(0, 1).Draw(r, "class"))
+	plan, ok := m.chooser.Victims(pool, shape, class)
+	if !ok {
+		for _, id := range m.candidates(pool) {
+			free := m.free(id)
+			for _, t := range m.tasks {
+				if t.server == id && t.traits.Class() > class {
+					free = free.Plus(gain(t, strongest(t)))
+				}
+			}
+			assert.Assert(r, !shape.Fits(free), "%s could make room", id)
+		}
+		return
+	}
+	assert.Assert(r, slices.Contains(m.candidates(pool), plan.Server()))
+	free := m.free(plan.Server())
+	for _, v := range plan.Victims() {
+		t := m.tasks[v.Key()]
+		assert.Equal(r, t.server, plan.Server())
+		assert.Assert(r, t.traits.Class() > class)
+		assert.Assert(r, v.Signal() != platform.SignalStop || t.traits.Idempotent())
+		assert.Assert(r, v.Signal() != platform.SignalCheckpoint || t.traits.Checkpointable())
+		free = free.Plus(gain(t, v.Signal()))
+	}
+	assert.Assert(r, shape.Fits(free))
+	for _, v := range plan.Victims() {
+		assert.Assert(r, !shape.Fits(free.Minus(gain(m.tasks[v.Key()], v.Signal()))), "%s need not be interrupted", v.Key())
+	}
+}
+
+func strongest(t task) platform.Signal {
+	if t.traits.Checkpointable() || t.traits.Idempotent() {
+		return platform.SignalStop
+	}
+	return platform.SignalThrottle
+}
+
+func gain(t task, s platform.Signal) platform.Shape {
+	if s == platform.SignalThrottle {
+		return platform.NewShape(t.shape.Processors()/2, 0, 0, 0)
+	}
+	return t.shape
+}
+
+// Guards against work beyond a server's capacity or outside of its pool and zone, a reserve that other work uses up,
+// interruptions that aren't allowed or not needed, and more than a quarter of a pool out of rotation.
+func TestChooserAgreesWithModel(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		m := &model{servers: make(map[string]placement.Server), tasks: make(map[string]task), now: start}
+		m.chooser.Zone = "z1"
+		for range 12 {
+			m.setServer(r)
+		}
+		r.Repeat(map[string]func(*rapid.T){
+			"set server": m.setServer,
+			"remove":     m.remove,
+			"choose":     m.choose,
+			"choose 2":   m.choose,
+			"choose 3":   m.choose,
+			"end":        m.end,
+			"observe":    m.observe,
+			"victims":    m.victims,
+			"pass time": func(r *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(r, "ms")) * time.Millisecond)
+			},
+			"": func(r *rapid.T) {
+				for _, p := range []string{"p", "q"} {
+					free, capacity := m.totals(p)
+					assert.Equal(r, m.chooser.FreeSlots(p), free)
+					assert.Equal(r, m.chooser.Capacity(p).Slots(), capacity)
+					n := 0
+					for _, s := range m.servers {
+						if s.Pool() == p {
+							n++
+						}
+					}
+					assert.Assert(r, 4*len(m.chooser.OutOfRotation(p)) <= n)
+				}
+			},
+		})
+	})
+}
--- a/placement/history.go
+++ b/placement/history.go
@@ -38,19 +38,19 @@
 }
 
 // failing reports whether the failure rate is high and out of proportion to that of the peers on the same entries.
-// Entries that no peer has run are left out, so that a broken entry isn't blamed on the only server that ran it.
-func (h history) failing(peers map[string]counts) bool {
+// Entries that no peer has run are left out, so that a broken entry isn't blamed on the only server that ran it, and so
+// are entries that fail so often that no server could be out of proportion.
+func (h history) failing(peers map[string]float64) bool {
 	failed, total, expected := 0, 0, 0.0
 	entries := h.byEntry()
 	for _, e := range slices.Sorted(maps.Keys(entries)) {
-		p := peers[e]
-		if p.total == 0 {
+		rate, ok := peers[e]
+		if !ok || rate*maxFailureRatio >= 1 {
 			continue
 		}
-		c := entries[e]
-		failed += c.failed
-		total += c.total
-		expected += float64(c.total) * float64(p.failed) / float64(p.total)
+		failed += entries[e].failed
+		total += entries[e].total
+		expected += rate * float64(entries[e].total)
 	}
 	if total < minOutcomes {
 		return false
--- a/placement/rotation.go
+++ b/placement/rotation.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -38,23 +39,24 @@
 	return out
 }
 
-// peers returns the results of all other servers of the pool.
-func (c *Chooser) peers(st *state) map[string]counts {
-	sum := make(map[string]counts)
+// peers returns the failure rate of each entry on the other servers of the pool. It is the median over the servers: a
+// mean would hide failing servers from each other when a rack of them fails together.
+func (c *Chooser) peers(st *state) map[string]float64 {
+	rates := make(map[string][]float64)
 	for _, o := range c.pools[st.server.pool] {
 		if o == st {
 			continue
 		}
-		for _, r := range o.history {
-			n := sum[r.entry]
-			n.total++
-			if !r.ok {
-				n.failed++
-			}
-			sum[r.entry] = n
+		for e, n := range o.history.byEntry() {
+			rates[e] = append(rates[e], float64(n.failed)/float64(n.total))
 		}
 	}
-	return sum
+	medians := make(map[string]float64, len(rates))
+	for e, r := range rates {
+		slices.Sort(r)
+		medians[e] = r[len(r)/2]
+	}
+	return medians
 }
 
 func (c *Chooser) mayTakeOut(pool string) bool {
@@ -93,7 +95,7 @@
 		if !st.out || !c.usable(st) || now.Sub(st.probed) < probeInterval || !shape.Fits(st.free()) {
 			continue
 		}
-		if n := c.peers(st)[entry]; float64(n.failed) > maxFailureRate*float64(n.total) {
+		if c.peers(st)[entry] > maxFailureRate {
 			continue
 		}
 		return st
--- /dev/null
+++ b/placement/rotation_test.go
@@ -0,0 +1,98 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/placement"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/queue"
+)
+
+func pool(n int) *placement.Chooser {
+	c := &placement.Chooser{}
+	for i := range n {
+		c.SetServer(placement.NewServer(fmt.Sprint("s", i), "z", fmt.Sprint("r", i/4), "p", platform.NewShape(8, 8, 0, 8), true))
+	}
+	return c
+}
+
+// Guards against a broken entry taking servers out of rotation, and against servers that fail everything staying in.
+func TestFailingServersLeaveRotation(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failing int  // servers that fail every task
+		broken  bool // entry "e" fails everywhere
+		first   bool // only the failing servers have run anything
+		want    int
+	}{
+		{"healthy", 0, false, false, 0},
+		{"broken entry", 0, true, false, 0},
+		{"broken entry on few servers", 2, true, true, 0},
+		{"failing server", 1, false, false, 1},
+		{"failing server and broken entry", 1, true, false, 1},
+		{"more failing servers than may leave", 5, false, false, 3},
+	} {
+		chooser := pool(12)
+		for i := range 20 * 12 {
+			s := i % 12
+			if c.first && s >= c.failing {
+				continue
+			}
+			entry := []string{"e", "f"}[i/12%2]
+			if c.first {
+				entry = "e"
+			}
+			ok := s >= c.failing && (!c.broken || entry != "e")
+			chooser.Observe(fmt.Sprint("s", s), entry, ok, start)
+		}
+		assert.Equal(t, len(chooser.OutOfRotation("p")), c.want, c.name)
+	}
+}
+
+// Guards against a repaired server staying out, and against more than one probe in 10 s.
+func TestProbeBringsServerBack(t *testing.T) {
+	c := pool(8)
+	for i := range 20 * 8 {
+		c.Observe(fmt.Sprint("s", i%8), "e", i%8 != 3, start)
+	}
+	assert.DeepEqual(t, c.OutOfRotation("p"), []string{"s3"})
+	choose := func(class queue.Class, after time.Duration) string {
+		server, _ := c.Choose("p", "e", platform.NewShape(1, 1, 0, 1), class, start.Add(after))
+		return server
+	}
+	assert.Assert(t, choose(queue.Archive, 9*time.Second) != "s3")
+	assert.Assert(t, choose(queue.Urgent, 10*time.Second) != "s3")
+	assert.Equal(t, choose(queue.Archive, 10*time.Second), "s3")
+	assert.Assert(t, choose(queue.Archive, 19*time.Second) != "s3")
+	c.Observe("s3", "e", false, start.Add(19*time.Second))
+	assert.Equal(t, choose(queue.Archive, 20*time.Second), "s3")
+	c.Observe("s3", "e", true, start.Add(21*time.Second))
+	assert.Equal(t, len(c.OutOfRotation("p")), 0)
+}
+
+// Guards against estimates that follow declared values off by 10x, or that don't follow a change of the real values.
+func TestEstimatorLearnsRealValues(t *testing.T) {
+	var e placement.Estimator
+	random := rand.New(rand.NewPCG(1, 1))
+	assert.Equal(t, e.Quantile("e", 0.5, 30), 30.0)
+	now := start
+	for _, median := range []float64{3, 0.3, 12} {
+		for range 400 {
+			now = now.Add(10 * time.Second)
+			e.Observe("e", median*math.Exp(random.NormFloat64()/2), now)
+		}
+		for q, factor := range map[float64]float64{0.5: 1, 0.9: math.Exp(1.2816 / 2)} {
+			got, want := e.Quantile("e", q, 30), median*factor
+			assert.Assert(t, got > want/1.5 && got < want*1.5, "quantile %v is %v, want about %v", q, got, want)
+		}
+	}
+	assert.Assert(t, e.EndsWithin("e", 0, time.Minute, time.Hour))
+	assert.Assert(t, !e.EndsWithin("e", 0, 5*time.Second, time.Second))
+	assert.Assert(t, e.Remaining("e", 0, 0.5, 0) > e.Remaining("e", 10*time.Second, 0.5, 0))
+}
