--- a/commit/model_test.go
+++ b/commit/model_test.go
@@ -72,11 +72,13 @@
 
 // simulation runs a State against a model table. All choices come from pick, which returns a number below n.
 type simulation struct {
-	pick      func(n int) int
-	table     *model
-	state     *commit.State
-	now       time.Time
-	outage    bool
+	pick   func(n int) int
+	table  *model
+	state  *commit.State
+	now    time.Time
+	outage bool
+	// strangers lets another process write the committer's own row, as one of the same name would.
+	strangers bool
 	sent      *platform.Transaction
 	sentAt    time.Time
 	delayed   []platform.Transaction
@@ -100,6 +102,7 @@
 
 func (s *simulation) run(steps int) string {
 	s.table.reversed = s.pick(2) == 1
+	s.strangers = s.pick(3) == 0
 	for i := 0; i < steps && s.fault == ""; i++ {
 		switch s.pick(9) {
 		case 0, 1:
@@ -114,6 +117,9 @@
 			s.outage = s.pick(4) == 0
 		case 6:
 			k := fmt.Sprintf("k%d", s.pick(4))
+			if s.strangers && s.pick(3) == 0 {
+				k = "commit/vm"
+			}
 			s.table.commit(platform.NewTransaction(nil, []platform.Write{platform.NewPut(k, nil)}))
 		default:
 			s.exchange()
@@ -179,6 +185,12 @@
 	if step, ok := s.state.Next(s.now, fmt.Sprint("token", s.tokens)).(commit.Send); ok {
 		t := step.Transaction()
 		s.sent, s.sentAt = &t, s.now
+		for _, w := range t.Writes() {
+			var id uint64
+			if n, _ := fmt.Sscanf(w.Key(), "mark/%d", &id); n == 1 && s.told[id] != nil {
+				s.fault = fmt.Sprintf("%d is sent after its submitter was answered", id)
+			}
+		}
 	}
 }
 
@@ -234,6 +246,9 @@
 		case platform.Conflict:
 			s.checkConflict(d.ID(), o)
 		case platform.Unavailable, platform.Unknown:
+			if _, unknown := o.(platform.Unknown); unknown && s.strangers {
+				continue
+			}
 			if at, ok := s.deadlines[d.ID()]; !ok || s.now.Before(at) {
 				s.fault = fmt.Sprintf("%d was given up before its deadline", d.ID())
 			}
