Add at-most-once claims of non-idempotent requests

A caller's retry reaches another entry VM, and replies are lost after the task started, so a request could run twice (R8) or be refused with a false "not run" (R7).

Package claim has the claim, its stored form, the conditional transitions, the decision on arrival, and the deletion of old claims. Claims without a known outcome are kept for 7 days instead of 24 hours, since their task may have run.

Of 2000 simulated histories with duplicates, crashes and lost or delayed messages none breaks a rule; without the claim, and without the close at the backend server, the same simulation finds double starts and false denials.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,145 @@
+package claim_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/claim"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// Guards against a second start of a request (R8) and against a false "not run" (R7) under duplicates through several
+// entry VMs, crashes, lost and delayed messages.
+func TestClaimStartsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
+		assert.Equal(t, s.run(rapid.IntRange(0, 120).Draw(t, "steps")), "")
+	})
+}
+
+// The same simulation over fixed seeds, and proof that it is strong enough: it fails without the claim and without the
+// close.
+func TestClaimAndCloseAreNeeded(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		noClaim, noClose bool
+		fault            string
+	}{
+		{name: "whole"},
+		{name: "no claim", noClaim: true, fault: "double start"},
+		{name: "no close", noClose: true, fault: "double start"},
+		{name: "no close", noClose: true, fault: "not run"},
+	} {
+		found, answers, denials := 0, 0, 0
+		for seed := range uint64(2000) {
+			s := newSimulation(rand.New(rand.NewPCG(seed, 11)).IntN)
+			s.noClaim, s.noClose = c.noClaim, c.noClose
+			fault := s.run(120)
+			assert.Assert(t, fault == "" || c.fault != "", "%s, seed %d: %s", c.name, seed, fault)
+			if c.fault != "" && strings.HasPrefix(fault, c.fault) {
+				found++
+			}
+			answers += s.answered
+			denials += len(s.notRun)
+		}
+		t.Logf("%s: %q in %d of 2000 histories, %d answers, %d denials", c.name, c.fault, found, answers, denials)
+		assert.Equal(t, found > 0, c.fault != "")
+		assert.Assert(t, c.noClaim || (answers > 0 && denials > 0))
+	}
+}
+
+// Guards against a repeated id that reaches the answer of another request or runs with another payload, and against
+// claims that don't survive storage.
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := claim.New("r.1", "a", "sale", "vm1", "b1", claim.Hash([]byte("seat 1")), now)
+	done, _ := claim.Finish(first, 3, "answers/r.1", now)
+	abandoned, _ := claim.Abandon(first, 3, now)
+	second, _ := claim.Retry(abandoned, 4, "vm2", "b2", now)
+	assert.Equal(t, second.Attempt(), 2)
+	row := func(c claim.Claim) platform.Row { return platform.NewRow(claim.RowKey(c.ID()), c.Encode(), 7) }
+	stored := func(c claim.Claim) claim.Claim {
+		d, err := claim.Decode(c.Encode())
+		assert.NilError(t, err)
+		return d
+	}
+
+	for _, c := range []struct {
+		row               platform.Row
+		team, entry, text string
+		want              claim.Decision
+	}{
+		{platform.Row{}, "a", "sale", "seat 1", claim.Fresh{}},
+		{platform.NewDeletedRow("claim/r.1", 9), "a", "sale", "seat 1", claim.Fresh{}},
+		{row(first), "b", "sale", "seat 1", claim.Mismatch{}},
+		{row(done), "a", "refund", "seat 1", claim.Mismatch{}},
+		{row(done), "a", "sale", "seat 2", claim.Mismatch{}},
+	} {
+		d, err := claim.Decide(c.row, "r.1", c.team, c.entry, claim.Hash([]byte(c.text)))
+		assert.NilError(t, err)
+		assert.Equal(t, d, c.want)
+	}
+
+	hash := claim.Hash([]byte("seat 1"))
+	d, err := claim.Decide(row(done), "r.1", "a", "sale", hash)
+	assert.NilError(t, err)
+	assert.Equal(t, d.(claim.AlreadyDone).Claim(), stored(done))
+	d, err = claim.Decide(row(abandoned), "r.1", "a", "sale", hash)
+	assert.NilError(t, err)
+	assert.Equal(t, d.(claim.MayRetry).Version(), uint64(7))
+	d, err = claim.Decide(row(second), "r.1", "a", "sale", hash)
+	assert.NilError(t, err)
+	assert.Equal(t, d.(claim.InProgress).Holder()+d.(claim.InProgress).Server(), "vm2b2")
+	_, err = claim.Decide(platform.NewRow("claim/r.1", []byte("{}"), 7), "r.1", "a", "sale", hash)
+	assert.ErrorContains(t, err, "row claim/r.1: claim: request id has 0 characters")
+}
+
+// Guards against row keys that collide with other prefixes or grow without bound.
+func TestCheckID(t *testing.T) {
+	for id, want := range map[string]string{
+		"a-B_9.z":                "",
+		strings.Repeat("x", 128): "",
+		strings.Repeat("x", 129): "request id has 129 characters, allowed are 1 to 128",
+		"":                       "request id has 0 characters",
+		"a/b":                    `request id has '/' at position 1`,
+	} {
+		err := claim.CheckID(id)
+		if want == "" {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+// Guards against claims deleted while they protect a request, and against unbounded deletions.
+func TestExpired(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	open := claim.New("open", "a", "sale", "vm1", "b1", "", now)
+	done, _ := claim.Finish(claim.New("done", "a", "sale", "vm1", "b1", "", now), 1, "", now)
+	rows := []platform.Row{
+		platform.NewRow("claim/done", done.Encode(), 5), platform.NewRow("claim/open", open.Encode(), 6),
+		platform.NewRow("claim/broken", nil, 7), platform.NewDeletedRow("claim/gone", 8),
+	}
+	for _, c := range []struct {
+		age         time.Duration
+		limit, want int
+	}{
+		{24 * time.Hour, 9, 0},
+		{25 * time.Hour, 9, 1},
+		{25 * time.Hour, 0, 0},
+		{8 * 24 * time.Hour, 9, 2},
+		{8 * 24 * time.Hour, 1, 1},
+	} {
+		got := claim.Expired(rows, now.Add(c.age), c.limit)
+		assert.Equal(t, len(got), c.want, "%v", c)
+		if len(got) > 0 {
+			assert.Equal(t, got[0].Conditions()[0], platform.NewCondition("claim/done", 5))
+		}
+	}
+}
--- /dev/null
+++ b/claim/model_test.go
@@ -0,0 +1,247 @@
+package claim_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/claim"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+const (
+	requestID = "sale-1"
+	servers   = 2
+)
+
+// simulation runs the arrivals of one request at several entry VMs, against a table and backend servers whose messages
+// are lost or delayed. All choices come from pick, which returns a number below n.
+type simulation struct {
+	pick    func(n int) int
+	noClaim bool
+	noClose bool
+
+	row      platform.Row
+	version  uint64
+	delayed  []platform.Transaction
+	servers  [servers]map[int]string
+	starts   []start
+	arrivals []*arrival
+	// notRun holds the attempts that a caller was told didn't run, answered counts the answers.
+	notRun   []int
+	answered int
+	fault    string
+}
+
+// start is a message on its way to a backend server. Its sender may be gone when it arrives.
+type start struct {
+	server, attempt int
+	from            *arrival
+}
+
+// arrival is one copy of the request, handled by an entry VM. Next is what it does when it is scheduled; nil if it ended
+// or crashed.
+type arrival struct {
+	vm   string
+	next func(a *arrival)
+}
+
+func newSimulation(pick func(n int) int) *simulation {
+	s := &simulation{pick: pick}
+	for i := range s.servers {
+		s.servers[i] = map[int]string{}
+	}
+	return s
+}
+
+func (s *simulation) run(steps int) string {
+	for i := 0; i < steps && s.fault == ""; i++ {
+		switch s.pick(8) {
+		case 0:
+			if len(s.arrivals) < 8 {
+				s.arrivals = append(s.arrivals, &arrival{vm: fmt.Sprintf("vm%d", s.pick(3)), next: s.arrive})
+			}
+		case 1:
+			s.deliver()
+		case 2:
+			if len(s.delayed) > 0 {
+				s.apply(s.delayed[0])
+				s.delayed = s.delayed[1:]
+			}
+		default:
+			s.schedule()
+		}
+	}
+	for len(s.starts) > 0 && s.fault == "" {
+		s.deliver()
+	}
+	return s.check()
+}
+
+// schedule lets one arrival take a step, or crash.
+func (s *simulation) schedule() {
+	if len(s.arrivals) == 0 {
+		return
+	}
+	a := s.arrivals[s.pick(len(s.arrivals))]
+	if a.next == nil {
+		return
+	}
+	next := a.next
+	a.next = nil
+	if s.pick(12) != 0 {
+		next(a)
+	}
+}
+
+func (s *simulation) arrive(a *arrival) {
+	if s.noClaim {
+		s.send(a, s.pick(servers), 1)
+		return
+	}
+	s.decide(a, s.row)
+}
+
+func (s *simulation) decide(a *arrival, row platform.Row) {
+	d, err := claim.Decide(row, requestID, "team", "sale", claim.Hash(nil))
+	if err != nil {
+		s.fault = err.Error()
+		return
+	}
+	server := s.pick(servers)
+	name := fmt.Sprint(server)
+	switch d := d.(type) {
+	case claim.Fresh:
+		t := claim.Create(claim.New(requestID, "team", "sale", a.vm, name, claim.Hash(nil), time.Time{}))
+		a.next = func(a *arrival) { s.store(a, t, func() { s.send(a, server, 1) }) }
+	case claim.MayRetry:
+		c, t := claim.Retry(d.Claim(), d.Version(), a.vm, name, time.Time{})
+		a.next = func(a *arrival) { s.store(a, t, func() { s.send(a, server, c.Attempt()) }) }
+	case claim.InProgress:
+		a.next = func(a *arrival) { s.closeAttempt(a, d) }
+	case claim.AlreadyDone:
+		s.answered++
+	case claim.Mismatch:
+		s.fault = "the same request is a mismatch"
+	}
+}
+
+// closeAttempt resolves an attempt at its backend server. Its reply may be lost.
+func (s *simulation) closeAttempt(a *arrival, d claim.InProgress) {
+	c := d.Claim()
+	var server int
+	_, _ = fmt.Sscan(d.Server(), &server)
+	task := s.servers[server][c.Attempt()]
+	if task == "" && !s.noClose {
+		s.servers[server][c.Attempt()] = "closed"
+	}
+	switch {
+	case s.pick(5) == 0:
+	case task == "" || task == "closed":
+		_, t := claim.Abandon(c, d.Version(), time.Time{})
+		a.next = func(a *arrival) { s.store(a, t, func() { s.notRun = append(s.notRun, c.Attempt()) }) }
+	case task == "finished":
+		_, t := claim.Finish(c, d.Version(), "", time.Time{})
+		a.next = func(a *arrival) { s.store(a, t, func() { s.answered++ }) }
+	}
+}
+
+// store commits a transaction. After an unknown outcome or a conflict the arrival looks at the row again.
+func (s *simulation) store(a *arrival, t platform.Transaction, committed func()) {
+	again := func(a *arrival) { s.decide(a, s.row) }
+	switch s.pick(6) {
+	case 0:
+		a.next = again
+		s.delayed = append(s.delayed, t)
+	case 1:
+		a.next = again
+		s.apply(t)
+	default:
+		if !s.apply(t) {
+			a.next = again
+			return
+		}
+		committed()
+	}
+}
+
+func (s *simulation) apply(t platform.Transaction) bool {
+	if t.Conditions()[0].Version() != s.row.Version() {
+		return false
+	}
+	s.version++
+	s.row = platform.NewRow(t.Writes()[0].Key(), t.Writes()[0].Value(), s.version)
+	return true
+}
+
+func (s *simulation) send(a *arrival, server, attempt int) {
+	s.starts = append(s.starts, start{server: server, attempt: attempt, from: a})
+}
+
+// deliver hands a start to its backend server, or finishes a running task, in any order.
+func (s *simulation) deliver() {
+	if len(s.starts) == 0 {
+		return
+	}
+	i := s.pick(len(s.starts))
+	m := s.starts[i]
+	s.starts = append(s.starts[:i], s.starts[i+1:]...)
+	switch s.servers[m.server][m.attempt] {
+	case "closed":
+		if s.pick(3) != 0 {
+			s.notRun = append(s.notRun, m.attempt)
+		}
+		return
+	case "":
+		s.servers[m.server][m.attempt] = "running"
+	}
+	if s.pick(3) == 0 {
+		return
+	}
+	s.servers[m.server][m.attempt] = "finished"
+	if s.pick(3) == 0 {
+		return
+	}
+	m.from.next = func(a *arrival) {
+		s.answered++
+		s.record(a, m.attempt)
+	}
+}
+
+func (s *simulation) record(a *arrival, attempt int) {
+	if s.noClaim || s.row.Version() == 0 {
+		return
+	}
+	c, err := claim.Decode(s.row.Value())
+	if err != nil || c.State() != claim.Claimed || c.Attempt() != attempt {
+		return
+	}
+	_, t := claim.Finish(c, s.row.Version(), "", time.Time{})
+	s.store(a, t, func() {})
+}
+
+func (s *simulation) check() string {
+	if s.fault != "" {
+		return s.fault
+	}
+	started := 0
+	for i := range s.servers {
+		for attempt, task := range s.servers[i] {
+			if task == "closed" {
+				continue
+			}
+			started++
+			for _, n := range s.notRun {
+				if attempt <= n {
+					return fmt.Sprintf("not run: attempt %d was denied and attempt %d started", n, attempt)
+				}
+			}
+		}
+	}
+	if started > 1 {
+		return fmt.Sprintf("double start: %d", started)
+	}
+	if started == 0 && s.answered > 0 {
+		return "an answer without a start"
+	}
+	return ""
+}
