Test the protocol between entry VMs

Adds a property over heartbeats with faults, a table of forward outcomes, a property over changes and relayed transactions, and BenchmarkControlDigest.

--- /dev/null
+++ b/peer/harness_test.go
@@ -0,0 +1,138 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiolead/pistachiolead/peer"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+// handler records what it receives and answers as set.
+type handler struct {
+	heard    peer.Digest
+	own      peer.Digest
+	calls    int
+	request  peer.Request
+	outcome  peer.ForwardOutcome
+	change   peer.Change
+	panicked bool
+}
+
+func (h *handler) Heartbeat(_ context.Context, d peer.Digest) peer.Digest {
+	h.heard = d
+	return h.own
+}
+
+func (h *handler) Forward(_ context.Context, r peer.Request) peer.ForwardOutcome {
+	h.calls++
+	h.request = r
+	if h.panicked {
+		panic("handler")
+	}
+	return h.outcome
+}
+
+func (h *handler) Apply(_ context.Context, c peer.Change) uint64 {
+	h.calls++
+	h.change = c
+	return 42
+}
+
+// table records the last transaction and answers as set.
+type table struct {
+	transaction platform.Transaction
+	commit      platform.CommitOutcome
+	scan        platform.ScanOutcome
+}
+
+func (t *table) Commit(_ context.Context, tx platform.Transaction) platform.CommitOutcome {
+	t.transaction = tx
+	return t.commit
+}
+
+func (t *table) Scan(context.Context, string, uint64) platform.ScanOutcome { return t.scan }
+
+type fault int
+
+const (
+	noFault fault = iota
+	dialFault
+	requestLost
+	replyLost
+	requestDelayed
+	faults
+)
+
+// network carries requests to the server in process, with faults.
+type network struct {
+	server  *peer.Server
+	remote  string
+	fault   fault
+	delayed []*http.Request
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.RemoteAddr = n.remote
+	switch n.fault {
+	case dialFault:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+	case requestLost:
+		return nil, &net.OpError{Op: "write", Net: "tcp", Err: errors.New("broken pipe")}
+	case requestDelayed:
+		n.delayed = append(n.delayed, r)
+		return nil, context.DeadlineExceeded
+	}
+	reply := n.serve(r)
+	if n.fault == replyLost {
+		return nil, &net.OpError{Op: "read", Net: "tcp", Err: errors.New("connection reset")}
+	}
+	return reply, nil
+}
+
+func (n *network) serve(r *http.Request) *http.Response {
+	w := httptest.NewRecorder()
+	func() {
+		// net/http keeps a panic of one request from ending the process, too.
+		defer func() { _ = recover() }()
+		n.server.HTTPHandler().ServeHTTP(w, r)
+	}()
+	return w.Result()
+}
+
+// deliver hands a delayed request to the server, whose reply nobody reads.
+func (n *network) deliver() {
+	if len(n.delayed) > 0 {
+		_ = n.serve(n.delayed[0])
+		n.delayed = n.delayed[1:]
+	}
+}
+
+type pair struct {
+	clock   *timer.Manual
+	handler *handler
+	table   *table
+	network *network
+	client  *peer.Client
+}
+
+func newPair() *pair {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	h := &handler{own: peer.NewDigest("b", 1, 1, true)}
+	t := &table{}
+	n := &network{server: &peer.Server{Handler: h, Table: t, Timer: clock}, remote: "127.0.0.1:1"}
+	p := &pair{clock: clock, handler: h, table: t, network: n}
+	p.newClient()
+	return p
+}
+
+func (p *pair) newClient() {
+	p.client = &peer.Client{Address: "b:1", HTTP: &http.Client{Transport: p.network}, Timer: p.clock}
+}
--- /dev/null
+++ b/peer/heartbeat_test.go
@@ -0,0 +1,192 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/peer"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+func drawDigest(t *rapid.T, member string, incarnation uint64) peer.Digest {
+	names := rapid.SampledFrom([]string{"p", "q", "r", "s"})
+	counts := rapid.MapOf(names, rapid.IntRange(-1, 2))
+	shapes := map[string]platform.Shape{}
+	for k, n := range counts.Draw(t, "running") {
+		shapes[k] = platform.NewShape(n, 1024*n, 0, n)
+	}
+	waits := map[string]time.Duration{}
+	for k, n := range counts.Draw(t, "waits") {
+		waits[k] = time.Duration(n) * 1500 * time.Microsecond
+	}
+	return peer.NewDigest(member, incarnation, rapid.Uint64().Draw(t, "version"), rapid.Bool().Draw(t, "reachable")).
+		WithFreeSlots(counts.Draw(t, "free")).WithWanted(counts.Draw(t, "wanted")).
+		WithRunning(shapes).WithOldestWait(waits)
+}
+
+func text(d peer.Digest) string {
+	s := fmt.Sprint(d.Member(), d.Incarnation(), d.ConfigurationVersion(), d.TableReachable())
+	for _, p := range d.Pools() {
+		s += fmt.Sprint(" pool ", p, d.FreeSlots(p))
+	}
+	for _, n := range d.Teams() {
+		s += fmt.Sprint(" team ", n, d.Running(n), d.Wanted(n))
+	}
+	for _, c := range d.Classes() {
+		s += fmt.Sprint(" class ", c, d.OldestWait(c))
+	}
+	return s
+}
+
+// Guards against digests that differ from what was sent after lost, delayed or overtaken messages and restarts on both
+// sides, and against exchanges that don't recover at once.
+func TestHeartbeatDeliversWholeDigests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPair()
+		incarnation := uint64(1)
+		for range rapid.IntRange(1, 25).Draw(t, "exchanges") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			case 0:
+				incarnation++
+				p.newClient()
+			case 1:
+				// A new client of the same process starts its numbering again.
+				p.newClient()
+			case 2:
+				p.network.server = &peer.Server{Handler: p.handler, Table: p.table, Timer: p.clock}
+			case 3:
+				p.network.deliver()
+			case 4:
+				p.clock.Advance(peer.WholeDigestInterval)
+			}
+			sent := drawDigest(t, "a", incarnation)
+			p.handler.own = drawDigest(t, "b", rapid.Uint64Range(1, 2).Draw(t, "incarnation"))
+			p.handler.heard = peer.Digest{}
+			p.network.fault = fault(rapid.IntRange(0, int(faults)-1).Draw(t, "fault"))
+			o := p.client.Heartbeat(t.Context(), sent)
+
+			switch p.network.fault {
+			case noFault:
+				h, ok := o.(peer.Heard)
+				assert.Assert(t, ok, "%v", o)
+				assert.Equal(t, text(h.Digest()), text(p.handler.own))
+				assert.Equal(t, text(p.handler.heard), text(sent))
+			case dialFault:
+				_, ok := o.(peer.Unreachable)
+				assert.Assert(t, ok, "%v", o)
+			default:
+				_, ok := o.(peer.Unknown)
+				assert.Assert(t, ok, "%v", o)
+			}
+		}
+	})
+}
+
+// Guards against memory of the server that grows with the members it has heard of.
+func TestServerForgetsOldMembers(t *testing.T) {
+	p := newPair()
+	for i := range 200 {
+		p.newClient()
+		p.clock.Advance(time.Second)
+		_, ok := p.client.Heartbeat(t.Context(), peer.NewDigest(fmt.Sprint("m", i), 1, 1, true)).(peer.Heard)
+		assert.Assert(t, ok)
+	}
+	assert.Assert(t, p.network.server.Members() <= 64)
+}
+
+// countingConn counts what is read and written on a client's connection.
+type countingConn struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func sizedDigest(member string, pools, teams, round int, changed bool) peer.Digest {
+	free, running, wanted := map[string]int{}, map[string]platform.Shape{}, map[string]int{}
+	// When only changes are sent, every fourth value changes in each round.
+	at := func(i int) int {
+		if changed && i%4 != round%4 {
+			return 20 + i
+		}
+		return 20 + i + round%7
+	}
+	for i := range pools {
+		free[fmt.Sprintf("pool-%02d", i)] = at(i)
+	}
+	for i := range teams {
+		n := at(i)
+		running[fmt.Sprintf("team-%02d", i)] = platform.NewShape(4*n, 16384*n, n, n)
+		wanted[fmt.Sprintf("team-%02d", i)] = n / 2
+	}
+	waits := map[string]time.Duration{}
+	for i, c := range []string{"urgent", "interactive", "archive"} {
+		waits[c] = time.Duration(100*i+round) * time.Millisecond
+	}
+	return peer.NewDigest(member, 1_770_000_000_000, 1000, true).WithFreeSlots(free).WithRunning(running).
+		WithWanted(wanted).WithOldestWait(waits)
+}
+
+// BenchmarkControlDigest measures the bytes of one heartbeat on a TCP connection, HTTP headers included, without the
+// headers of TCP and IP. All values change for a whole digest, a quarter of them for a changed one (R28).
+func BenchmarkControlDigest(b *testing.B) {
+	for _, size := range []struct{ pools, teams int }{{6, 6}, {18, 48}, {36, 95}} {
+		for _, changed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("pools=%d/teams=%d/changed=%t", size.pools, size.teams, changed), func(b *testing.B) {
+				clock := timer.NewManual(time.Unix(1000, 0))
+				h := &handler{}
+				server := httptest.NewServer((&peer.Server{Handler: h, Timer: clock}).HTTPHandler())
+				defer server.Close()
+				var sent, received atomic.Int64
+				c := &peer.Client{
+					Address: server.Listener.Addr().String(), Timer: clock,
+					HTTP: &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+						conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+						return countingConn{Conn: conn, sent: &sent, received: &received}, err
+					}}},
+				}
+				beat := func(round int) {
+					h.own = sizedDigest("entry-b-1", size.pools, size.teams, round, changed)
+					o := c.Heartbeat(b.Context(), sizedDigest("entry-a-1", size.pools, size.teams, round, changed))
+					if _, ok := o.(peer.Heard); !ok {
+						b.Fatal(o)
+					}
+				}
+				for i := range 3 {
+					beat(i)
+				}
+				sent.Store(0)
+				received.Store(0)
+				b.ResetTimer()
+				for i := range b.N {
+					if !changed {
+						clock.Advance(peer.WholeDigestInterval)
+					}
+					beat(i + 3)
+				}
+				b.ReportMetric(float64(sent.Load())/float64(b.N), "sent-B/op")
+				b.ReportMetric(float64(received.Load())/float64(b.N), "received-B/op")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/peer/message_test.go
@@ -0,0 +1,173 @@
+package peer_test
+
+import (
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/peer"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// opaque compares the unexported fields of data types.
+var opaque = cmp.Exporter(func(reflect.Type) bool { return true })
+
+func request(payload []byte) peer.Request {
+	return peer.NewRequest("r.1", 3, peer.KindJob, "sale", "team", "key", payload, 1500*time.Millisecond)
+}
+
+// Guards against a message that ran or may have run and is reported as undelivered (R7), and against answers that are
+// changed on the way (R6).
+func TestForwardOutcomes(t *testing.T) {
+	output := []byte("seat 1")
+	answer := peer.NewAnswered(true, output, len(output), xxhash.Sum64(output))
+	assert.Assert(t, answer.Whole())
+	assert.Assert(t, !peer.NewAnswered(true, output[1:], len(output), xxhash.Sum64(output)).Whole())
+	large := make([]byte, peer.MaxMessageBytes)
+	refusal := peer.NewNotRun("full", "the queue is full", time.Second)
+
+	for _, c := range []struct {
+		name    string
+		outcome peer.ForwardOutcome
+		fault   fault
+		setUp   func(p *pair)
+		payload []byte
+		want    peer.ForwardOutcome
+		kind    string
+		calls   int
+	}{
+		{name: "answered", outcome: answer, want: answer, calls: 1},
+		{name: "refused", outcome: refusal, want: refusal, calls: 1},
+		{name: "unknown", outcome: peer.NewUnknown("lost"), want: peer.NewUnknown("lost"), calls: 1},
+		{name: "unreachable further on", outcome: peer.NewUnreachable("down"), want: peer.NewUnknown("down"), calls: 1},
+		{name: "no outcome", want: peer.NewUnknown("no outcome"), calls: 1},
+		{name: "dial", outcome: answer, fault: dialFault, kind: "unreachable"},
+		{name: "request lost", outcome: answer, fault: requestLost, kind: "unknown"},
+		{name: "reply lost", outcome: answer, fault: replyLost, kind: "unknown", calls: 1},
+		{name: "panic", setUp: func(p *pair) { p.handler.panicked = true }, kind: "unknown", calls: 1},
+		{name: "large payload", outcome: answer, payload: large, kind: "not run"},
+		{
+			name: "large answer", outcome: peer.NewAnswered(true, large, len(large), 0),
+			want: peer.NewUnknown("the answer is too large to forward"), calls: 1,
+		},
+		{name: "not loopback", setUp: func(p *pair) { p.network.remote = "10.0.0.1:1" }, kind: "unreachable"},
+		{name: "wrong secret", setUp: func(p *pair) {
+			p.network.server.Secret = "right"
+			p.client.Secret = "wrong"
+		}, kind: "unreachable"},
+		{name: "right secret", outcome: answer, setUp: func(p *pair) {
+			p.network.server.Secret = "right"
+			p.client.Secret = "right"
+			p.network.remote = "10.0.0.1:1"
+		}, want: answer, calls: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair()
+			p.handler.outcome = c.outcome
+			p.network.fault = c.fault
+			if c.setUp != nil {
+				c.setUp(p)
+			}
+			got := p.client.Forward(t.Context(), request(c.payload))
+			if c.want != nil {
+				assert.DeepEqual(t, got, c.want, opaque)
+			} else {
+				assert.Equal(t, kindOf(got), c.kind, "%v", got)
+			}
+			assert.Equal(t, p.handler.calls, c.calls)
+		})
+	}
+}
+
+func kindOf(o peer.ForwardOutcome) string {
+	switch o.(type) {
+	case peer.Answered:
+		return "answered"
+	case peer.NotRun:
+		return "not run"
+	case peer.Unreachable:
+		return "unreachable"
+	default:
+		return "unknown"
+	}
+}
+
+// Guards against fields that are lost on the way and requests that circulate.
+func TestForwardKeepsRequest(t *testing.T) {
+	p := newPair()
+	p.handler.outcome = peer.NewNotRun("full", "", 0)
+	p.client.Forward(t.Context(), request([]byte("seat 1")))
+	got := p.handler.request
+	assert.Equal(t, got.Hops(), 1)
+	assert.Equal(t, kindOf(p.client.Forward(t.Context(), got)), "not run")
+	assert.Equal(t, p.handler.calls, 1)
+	assert.Equal(t, got.ID()+got.Entry()+got.Team()+got.KeyID()+string(got.Payload()), "r.1saleteamkeyseat 1")
+	assert.Equal(t, got.Attempt(), 3)
+	assert.Equal(t, got.Remaining(), 1500*time.Millisecond)
+	assert.Equal(t, got.Kind(), peer.KindJob)
+}
+
+// Guards against a connection that is refused by a real socket and reported as more than that.
+func TestRefusedConnectionIsUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	c := &peer.Client{Address: l.Addr().String()}
+	assert.Equal(t, kindOf(c.Forward(t.Context(), request(nil))), "unreachable")
+	_, ok := c.Relay().Commit(t.Context(), platform.Transaction{}).(platform.Unavailable)
+	assert.Assert(t, ok)
+}
+
+func drawRow(t *rapid.T) platform.Row {
+	key, version := rapid.String().Draw(t, "key"), rapid.Uint64().Draw(t, "version")
+	if rapid.Bool().Draw(t, "deleted") {
+		return platform.NewDeletedRow(key, version)
+	}
+	return platform.NewRow(key, rapid.SliceOfN(rapid.Byte(), 1, 8).Draw(t, "value"), version)
+}
+
+// Guards against changes, transactions and outcomes that differ after the way through a peer, and against a lost reply of
+// a commit that is reported as a failure.
+func TestApplyAndRelayKeepMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPair()
+		rows := []platform.Row{drawRow(t), drawRow(t)}
+		for _, c := range []peer.Change{
+			peer.NewConfiguration(rapid.Uint64().Draw(t, "version"), rows), peer.NewZoneTakeOut("a"),
+			peer.NewVMTakeOut("vm"), peer.NewRevocation("key"),
+		} {
+			assert.Equal(t, p.client.Apply(t.Context(), c), peer.NewAcknowledged(42))
+			assert.DeepEqual(t, p.handler.change, c, opaque)
+		}
+
+		tx := platform.NewTransaction(
+			[]platform.Condition{platform.NewCondition("k", rapid.Uint64().Draw(t, "condition"))},
+			[]platform.Write{platform.NewPut("k", []byte("v")), platform.NewDelete("l")},
+		)
+		for _, o := range []platform.CommitOutcome{
+			platform.NewCommitted(7), platform.NewConflict(rows[0]), platform.NewUnavailable("a"), platform.NewUnknown("b"),
+		} {
+			p.table.commit = o
+			assert.DeepEqual(t, p.client.Relay().Commit(t.Context(), tx), o, opaque)
+			assert.DeepEqual(t, p.table.transaction, tx, opaque)
+		}
+		for _, o := range []platform.ScanOutcome{platform.NewRows(rows, 9), platform.NewUnavailable("a")} {
+			p.table.scan = o
+			assert.DeepEqual(t, p.client.Relay().Scan(t.Context(), "p", 3), o, opaque)
+		}
+
+		p.network.fault = replyLost
+		_, ok := p.client.Relay().Commit(t.Context(), tx).(platform.Unknown)
+		assert.Assert(t, ok)
+		_, ok = p.client.Relay().Scan(t.Context(), "p", 3).(platform.Unavailable)
+		assert.Assert(t, ok)
+		_, ok = p.client.Apply(t.Context(), peer.NewRevocation("key")).(peer.Unknown)
+		assert.Assert(t, ok)
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -57,6 +57,13 @@
 	})
 }
 
+// Members returns the number of members whose digests the server keeps, which is bounded.
+func (s *Server) Members() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members)
+}
+
 func (s *Server) admits(r *http.Request, want [sha256.Size]byte) bool {
 	if s.Secret == "" {
 		host, _, err := net.SplitHostPort(r.RemoteAddr)
