--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,131 +1,183 @@
-// Package claim keeps non-idempotent requests from running twice: the row claim/<request id> is written by a
-// conditional commit before a request starts.
 package claim
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-
-	"github.com/pistachiolead/pistachiolead/platform"
 )
 
 // State is the state of a claim.
-type State string
+type State uint8
 
 // States of a claim.
 const (
-	Claimed State = "claimed"
-	Done    State = "done"
-	NotRun  State = "not-run"
+	// Claimed means that the attempt may start, may run or may have ended.
+	Claimed State = iota + 1
+	// Done means that the attempt has ended, successfully or not.
+	Done
+	// NotRun means that the attempt never started and never will.
+	NotRun
 )
 
-// Claim is the record of a non-idempotent request.
-type Claim struct{ f fields }
-
-type fields struct {
-	Team    string `json:"team"`
-	Entry   string `json:"entry"`
-	Hash    uint64 `json:"payload-hash"`
-	Holder  string `json:"holder"`
-	Server  string `json:"server,omitempty"`
-	Attempt int    `json:"attempt"`
-	State   State  `json:"state"`
-	At      int64  `json:"at-unix-ms"`
-	OK      bool   `json:"ok,omitempty"`
-	Output  []byte `json:"output,omitempty"`
-	id      string
+// String returns the name used in the stored form.
+func (s State) String() string {
+	switch s {
+	case Claimed:
+		return "claimed"
+	case Done:
+		return "done"
+	case NotRun:
+		return "not-run"
+	default:
+		return "invalid"
+	}
 }
 
-// RowKey returns the key of the row of a request id. The slash at the end keeps it from being a prefix of another.
-func RowKey(id string) string { return "claim/" + id + "/" }
+// Claim is the right of one attempt of a request to run.
+type Claim struct {
+	id      string
+	team    string
+	entry   string
+	holder  string
+	server  string
+	attempt int
+	state   State
+	changed time.Time
+	hash    string
+	answer  string
+}
 
-// Decode reads the value of a row.
-func Decode(data []byte) (Claim, error) {
-	var c Claim
-	err := json.Unmarshal(data, &c.f)
-	return c, errors.Wrap(err, "decode claim")
+// New returns the claim of the first attempt. Holder is the entry VM, server the backend server that the attempt is
+// meant for, hash the Hash of the payload. The id must be valid.
+func New(id, team, entry, holder, server, hash string, now time.Time) Claim {
+	mustBeValid(id)
+	return Claim{
+		id: id, team: team, entry: entry, holder: holder, server: server, attempt: 1, state: Claimed, hash: hash,
+		changed: now.UTC().Truncate(time.Millisecond),
+	}
 }
 
-// OK reports whether the task succeeded.
-func (c Claim) OK() bool { return c.f.OK }
+// ID returns the request id.
+func (c Claim) ID() string { return c.id }
+
+// Team returns the team that the request is for.
+func (c Claim) Team() string { return c.team }
+
+// Entry returns the name of the catalogue entry.
+func (c Claim) Entry() string { return c.entry }
 
-// Output returns the stored output.
-func (c Claim) Output() []byte { return c.f.Output }
+// Holder returns the entry VM that made the attempt.
+func (c Claim) Holder() string { return c.holder }
+
+// Server returns the backend server that the attempt is meant for. The attempt must not be sent to another one, because
+// only this one is asked to close it.
+func (c Claim) Server() string { return c.server }
 
 // Attempt returns the attempt, counted from 1.
-func (c Claim) Attempt() int { return c.f.Attempt }
+func (c Claim) Attempt() int { return c.attempt }
+
+// State returns the state of the attempt.
+func (c Claim) State() State { return c.state }
+
+// Changed returns when the state was set, in whole milliseconds of the holder's wall clock.
+func (c Claim) Changed() time.Time { return c.changed }
+
+// Hash returns the hash of the payload.
+func (c Claim) Hash() string { return c.hash }
+
+// Answer returns the name of the stored answer, empty if the answer isn't stored.
+func (c Claim) Answer() string { return c.answer }
 
-// Finished returns the claim with the answer.
-func (c Claim) Finished(ok bool, output []byte, now time.Time) Claim {
-	c.f.State, c.f.OK, c.f.Output, c.f.At = Done, ok, output, now.UnixMilli()
-	return c
+// Hash returns the hash of a payload (SHA-256, hexadecimal).
+func Hash(payload []byte) string {
+	sum := sha256.Sum256(payload)
+	return hex.EncodeToString(sum[:])
 }
 
-// Next returns the claim of an attempt that is about to start.
-func Next(_ Claim, _ uint64, id, team, entry string, payload []byte, holder, server string, attempt int, now time.Time) Claim {
-	return Claim{f: fields{
-		Team: team, Entry: entry, Hash: xxhash.Sum64(payload), Holder: holder, Server: server, Attempt: attempt,
-		State: Claimed, At: now.UnixMilli(), id: id,
-	}}
+// RowKey returns the key of the claim's row. The id must be valid.
+func RowKey(id string) string {
+	mustBeValid(id)
+	return rowPrefix + id + "/" // the slash keeps a key from being the prefix of another
 }
 
-// Write returns the transaction that stores the claim, conditional on the version of its row.
-func Write(c Claim, version uint64) platform.Transaction {
-	data, err := json.Marshal(c.f)
-	if err != nil {
-		panic(err)
+// CheckID returns an error if a request id doesn't consist of 1 to 128 letters, digits, '-', '_' and '.'.
+func CheckID(id string) error {
+	if len(id) == 0 || len(id) > MaxIDLength {
+		return errors.Errorf("request id has %d characters, allowed are 1 to %d", len(id), MaxIDLength)
 	}
-	key := RowKey(c.f.id)
-	return platform.NewTransaction(
-		[]platform.Condition{platform.NewCondition(key, version)}, []platform.Write{platform.NewPut(key, data)})
+	for i := range len(id) {
+		if !idCharacter(id[i]) {
+			return errors.Errorf("request id has %q at position %d, allowed are letters, digits, '-', '_' and '.'",
+				id[i], i)
+		}
+	}
+	return nil
 }
 
-// Refuse returns the transaction that closes a request that didn't start.
-func Refuse(id, team, entry, holder string, payload []byte, old Claim, version uint64, now time.Time) platform.Transaction {
-	c := Next(old, version, id, team, entry, payload, holder, "", max(old.f.Attempt, 1), now)
-	c.f.State = NotRun
-	return Write(c, version)
+type wireClaim struct {
+	ID      string    `json:"request-id"`
+	Team    string    `json:"team"`
+	Entry   string    `json:"entry"`
+	Holder  string    `json:"holder"`
+	Server  string    `json:"server"`
+	Attempt int       `json:"attempt"`
+	State   string    `json:"state"`
+	Changed time.Time `json:"changed"`
+	Hash    string    `json:"payload-hash"`
+	Answer  string    `json:"answer,omitempty"`
 }
 
-// Decision says what an existing claim means for a request.
-type Decision interface{ decision() }
-
-// AlreadyDone says that the request ran and ended.
-type AlreadyDone struct{ claim Claim }
-
-// Claim returns the claim with the answer.
-func (a AlreadyDone) Claim() Claim { return a.claim }
-
-// InProgress says that the request was started.
-type InProgress struct{}
-
-// MayRetry says that the request certainly didn't run.
-type MayRetry struct{}
-
-// Mismatch says that the id was used for another request.
-type Mismatch struct{}
+// Encode returns the stored form of the claim.
+func (c Claim) Encode() []byte {
+	b, err := json.Marshal(wireClaim{
+		ID: c.id, Team: c.team, Entry: c.entry, Holder: c.holder, Server: c.server, Attempt: c.attempt,
+		State: c.state.String(), Changed: c.changed, Hash: c.hash, Answer: c.answer,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
 
-func (AlreadyDone) decision() {}
-func (InProgress) decision()  {}
-func (MayRetry) decision()    {}
-func (Mismatch) decision()    {}
+// Decode reads the stored form of a claim.
+func Decode(value []byte) (Claim, error) {
+	var w wireClaim
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Claim{}, errors.Wrap(err, "claim")
+	}
+	if err := CheckID(w.ID); err != nil {
+		return Claim{}, errors.Wrap(err, "claim")
+	}
+	if w.Attempt < 1 {
+		return Claim{}, errors.Errorf("claim %s: attempt is %d, allowed are 1 and more", w.ID, w.Attempt)
+	}
+	c := Claim{
+		id: w.ID, team: w.Team, entry: w.Entry, holder: w.Holder, server: w.Server, attempt: w.Attempt,
+		changed: w.Changed, hash: w.Hash, answer: w.Answer,
+	}
+	for _, s := range []State{Claimed, Done, NotRun} {
+		if s.String() == w.State {
+			c.state = s
+			return c, nil
+		}
+	}
+	return Claim{}, errors.Errorf("claim %s: state is %q, allowed are claimed, done and not-run", w.ID, w.State)
+}
 
-// Decide returns what an existing claim means for a request.
-func Decide(c Claim, team, entry string, payload []byte) Decision {
+func idCharacter(b byte) bool {
 	switch {
-	case c.f.Team != team || c.f.Entry != entry || c.f.Hash != xxhash.Sum64(payload):
-		return Mismatch{}
-	case c.f.State == Done:
-		return AlreadyDone{claim: c}
-	case c.f.State == NotRun:
-		return MayRetry{}
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
 	default:
-		return InProgress{}
+		return b == '-' || b == '_' || b == '.'
 	}
 }
 
-// State returns the state of the claim.
-func (c Claim) State() State { return c.f.State }
+func mustBeValid(id string) {
+	if err := CheckID(id); err != nil {
+		panic(err)
+	}
+}
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -35,6 +35,8 @@
 	abandonedJobDelay = 10 * time.Second
 	// changeWait is how long an operator waits for a change to be in force before it is told as pending.
 	changeWait = 3 * time.Second
+	// closeClaimSlack is how long after the deadline the record of a refusal may still be written.
+	closeClaimSlack = time.Second
 	// recordRetryDelay is the pause before a result that could not be stored is stored again.
 	recordRetryDelay = time.Second
 	// drainRetryDelay is the pause before a job that could not be handed over is handed over again.
@@ -68,4 +70,5 @@
 	donePrefix   = "done/"
 	inputPrefix  = "input/"
 	outputPrefix = "output/"
+	answerPrefix = "answer/"
 )
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -172,6 +172,18 @@
 // Data returns the object's content.
 func (p Put) Data() []byte { return p.data }
 
+// Get reads an object. GetEnded follows.
+type Get struct {
+	ticket uint64
+	name   string
+}
+
+// Ticket returns the number that GetEnded carries.
+func (g Get) Ticket() uint64 { return g.ticket }
+
+// Name returns the object's name.
+func (g Get) Name() string { return g.name }
+
 // List reads the VM list. Listed follows.
 type List struct{}
 
@@ -269,6 +281,7 @@
 func (Commit) effect()    {}
 func (Scan) effect()      {}
 func (Put) effect()       {}
+func (Get) effect()       {}
 func (List) effect()      {}
 func (Heartbeat) effect() {}
 func (Forward) effect()   {}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -145,6 +145,17 @@
 	return PutEnded{ticket: ticket, outcome: o}
 }
 
+// GetEnded says that a Get effect came back.
+type GetEnded struct {
+	ticket  uint64
+	outcome platform.GetOutcome
+}
+
+// NewGetEnded returns a GetEnded event.
+func NewGetEnded(ticket uint64, o platform.GetOutcome) GetEnded {
+	return GetEnded{ticket: ticket, outcome: o}
+}
+
 // Listed says that a List effect came back.
 type Listed struct{ outcome platform.ListOutcome }
 
@@ -307,6 +318,7 @@
 func (CommitEnded) event()     {}
 func (ScanEnded) event()       {}
 func (PutEnded) event()        {}
+func (GetEnded) event()        {}
 func (Listed) event()          {}
 func (HeartbeatEnded) event()  {}
 func (HeartbeatHeard) event()  {}
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/pistachiolead/pistachiolead/claim"
 	"github.com/pistachiolead/pistachiolead/platform"
 )
 
@@ -75,16 +74,6 @@
 	s.finishAnswered(w, a.OK(), a.Output())
 }
 
-// recordClaim stores the answer of a non-idempotent call, so that a repeated request gets it. Nobody waits for it.
-func (s *State) recordClaim(w *work, a platform.Answer) {
-	c := w.claim.Finished(a.OK(), a.Output(), s.now)
-	s.commit(claim.Write(c, w.claimVersion), UrgencyLow, s.now.Add(taskLease), func(o platform.CommitOutcome) {
-		if _, ok := o.(platform.Committed); !ok {
-			s.count("claim_results_not_stored")
-		}
-	})
-}
-
 // runNotStarted handles a Run that the backend server certainly didn't start. A joined attempt may still be running
 // there, so it is looked up again.
 func (s *State) runNotStarted(k runKey, w *work) {
--- a/dispatch/slices.go
+++ b/dispatch/slices.go
@@ -33,15 +33,15 @@
 		switch o := o.(type) {
 		case platform.Committed:
 			s.count("slices_changed")
-			s.Ledger.Applied(c.Team(), o.Version())
+			s.Ledger.Applied(c, o.Version())
 		case platform.Conflict:
-			s.Ledger.Failed(c.Team())
+			s.Ledger.Failed(c)
 			if o.Row().Key() == key && !o.Row().Deleted() && o.Row().Version() > 0 {
 				s.setSlices(c.Team(), o.Row())
 			}
 			s.reads.sliceDue = s.now
 		case platform.Unavailable:
-			s.Ledger.Failed(c.Team())
+			s.Ledger.Failed(c)
 		}
 	})
 }
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"github.com/pistachiolead/pistachiolead/claim"
 	"github.com/pistachiolead/pistachiolead/placement"
 	"github.com/pistachiolead/pistachiolead/platform"
 	"github.com/pistachiolead/pistachiolead/queue"
@@ -120,83 +119,6 @@
 	s.emit(r)
 }
 
-// claimStart records that a non-idempotent request is about to start. It starts once the record is in the table and
-// everything that allowed the start still does.
-func (s *State) claimStart(w *work) {
-	w.phase = phaseClaiming
-	if !w.isCall() {
-		s.claimJob(w)
-		return
-	}
-	next := claim.Next(w.claim, w.claimVersion, w.id(), w.request.team, w.request.entry, w.request.payload,
-		s.Self, w.server, w.attempt, s.now)
-	t := claim.Write(next, w.claimVersion)
-	s.commit(t, UrgencyHigh, w.request.deadline, func(o platform.CommitOutcome) { s.claimed(w, next, o) })
-}
-
-func (s *State) claimed(w *work, next claim.Claim, o platform.CommitOutcome) {
-	if s.works[w.id()] != w {
-		s.unreserve(w)
-		return
-	}
-	switch o := o.(type) {
-	case platform.Committed:
-		w.claim, w.claimVersion = next, o.Version()
-		s.startClaimed(w)
-	case platform.Conflict:
-		s.unreserve(w)
-		s.claimLost(w, o.Row())
-	case platform.Unavailable:
-		s.unreserve(w)
-		s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the request could not be recorded", retryAfterBusy))
-	case platform.Unknown:
-		// The claim may be in the table, but nothing was sent and nothing will be sent under it.
-		s.unreserve(w)
-		s.finishUnresolved(w, CodeStoreUnavailable, "whether the request can be repeated isn't known yet")
-	}
-}
-
-// claimLost decides about a request whose claim another entry VM wrote first.
-func (s *State) claimLost(w *work, row platform.Row) {
-	c, err := claim.Decode(row.Value())
-	if err != nil || row.Deleted() || row.Version() == 0 {
-		s.finishUnresolved(w, CodeInProgress, "the record of this request changed")
-		return
-	}
-	switch d := claim.Decide(c, w.request.team, w.request.entry, w.request.payload).(type) {
-	case claim.AlreadyDone:
-		s.finishAnswered(w, d.Claim().OK(), d.Claim().Output())
-	case claim.MayRetry:
-		// Another entry VM told a later submission that this request didn't run, so it must not run here.
-		s.finishRefused(w, NewNotRun(CodeSuperseded, "the request was refused by another entry VM", 0))
-	default:
-		s.finishUnresolved(w, CodeInProgress, "a request with this id has been started")
-	}
-}
-
-// startClaimed starts an attempt whose claim is in the table.
-func (s *State) startClaimed(w *work) {
-	if refusal := s.forbidden(w); refusal != nil {
-		s.unreserve(w)
-		w.phase = phaseRefusing
-		s.refuse(w, *refusal)
-		return
-	}
-	if w.cancelled {
-		s.unreserve(w)
-		w.phase = phaseRefusing
-		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
-		return
-	}
-	epoch, ok := s.Owners.MayStart(w.server, s.now)
-	if !ok || epoch != w.epoch || !s.mayStartHere() {
-		s.unreserve(w)
-		s.requeue(w)
-		return
-	}
-	s.run(w)
-}
-
 // requeue puts work back whose attempt was certainly not started.
 func (s *State) requeue(w *work) {
 	w.server, w.epoch, w.resends = "", 0, 0
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -63,6 +63,7 @@
 	commits    map[uint64]func(platform.CommitOutcome)
 	scans      map[uint64]func(ScanEnded)
 	puts       map[uint64]func(platform.PutOutcome)
+	gets       map[uint64]func(platform.GetOutcome)
 
 	changes []changeWaiter
 	early   map[string]*earlyChange
@@ -96,6 +97,7 @@
 	s.commits = make(map[uint64]func(platform.CommitOutcome))
 	s.scans = make(map[uint64]func(ScanEnded))
 	s.puts = make(map[uint64]func(platform.PutOutcome))
+	s.gets = make(map[uint64]func(platform.GetOutcome))
 	s.early = make(map[string]*earlyChange)
 	s.reads.memberVersions = make(map[string]uint64)
 	return s.Handle(Tick{}, now)
@@ -134,6 +136,8 @@
 		s.scanEnded(e)
 	case PutEnded:
 		s.putEnded(e)
+	case GetEnded:
+		s.getEnded(e)
 	case Listed:
 		s.listEnded(e)
 	case HeartbeatEnded:
@@ -238,3 +242,18 @@
 	delete(s.puts, e.ticket)
 	done(e.outcome)
 }
+
+func (s *State) get(name string, done func(platform.GetOutcome)) {
+	s.nextTicket++
+	s.gets[s.nextTicket] = done
+	s.emit(Get{ticket: s.nextTicket, name: name})
+}
+
+func (s *State) getEnded(e GetEnded) {
+	done, ok := s.gets[e.ticket]
+	if !ok {
+		return
+	}
+	delete(s.gets, e.ticket)
+	done(e.outcome)
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
-	"github.com/pistachiolead/pistachiolead/claim"
-	"github.com/pistachiolead/pistachiolead/platform"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -28,6 +26,7 @@
 	CodeLostContact      = "lost-contact"
 	CodeUnknownRequest   = "unknown-request"
 	CodeSuperseded       = "superseded"
+	CodeAnswerLost       = "answer-not-stored"
 )
 
 func (s *State) submit(e Submitted) {
@@ -122,52 +121,6 @@
 	return seen
 }
 
-// readClaim finds out whether a non-idempotent request arrived before.
-func (s *State) readClaim(w *work) {
-	w.phase = phaseReading
-	key := claim.RowKey(w.id())
-	s.scan(key, 0, func(e ScanEnded) {
-		if s.works[w.id()] != w {
-			return
-		}
-		rows, ok := e.outcome.(platform.Rows)
-		if !ok {
-			s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the table can't be read", retryAfterBusy))
-			return
-		}
-		for _, row := range rows.Rows() {
-			if row.Key() == key && !row.Deleted() {
-				s.claimFound(w, row)
-				return
-			}
-		}
-		s.enqueue(w)
-	})
-}
-
-// claimFound decides about a request whose claim row exists already.
-func (s *State) claimFound(w *work, row platform.Row) {
-	c, err := claim.Decode(row.Value())
-	if err != nil {
-		s.count("claim_row_invalid")
-		s.finishUnresolved(w, CodeInProgress, "the record of this request can't be read")
-		return
-	}
-	switch d := claim.Decide(c, w.request.team, w.request.entry, w.request.payload).(type) {
-	case claim.AlreadyDone:
-		s.finishAnswered(w, d.Claim().OK(), d.Claim().Output())
-	case claim.InProgress:
-		s.finishUnresolved(w, CodeInProgress, "a request with this id has been started")
-	case claim.MayRetry:
-		w.claim, w.claimVersion = c, row.Version()
-		w.attempt = c.Attempt() + 1
-		s.enqueue(w)
-	case claim.Mismatch:
-		s.forget(w)
-		s.reply(w.ticket, NewRejected(CodeMismatch, "this request id was used for another request", 0))
-	}
-}
-
 // enqueue queues the work here, or forwards it to an entry VM that has room.
 func (s *State) enqueue(w *work) {
 	if w.isCall() && w.request.hops == 0 && s.forwardIfBetter(w) {
@@ -231,25 +184,6 @@
 	}
 }
 
-// closeClaim writes a claim that nobody can start under, then tells the refusal.
-func (s *State) closeClaim(w *work, n NotRun) {
-	w.phase, w.refusal = phaseRefusing, n
-	t := claim.Refuse(w.id(), w.request.team, w.request.entry, s.Self, w.request.payload, w.claim, w.claimVersion, s.now)
-	s.commit(t, UrgencyLow, w.request.deadline, func(o platform.CommitOutcome) {
-		if s.works[w.id()] != w {
-			return
-		}
-		switch o.(type) {
-		case platform.Committed:
-			s.finishRefused(w, n)
-		case platform.Conflict:
-			s.finishUnresolved(w, CodeInProgress, "the same request was handled by another entry VM")
-		default:
-			s.finishUnresolved(w, CodeStoreUnavailable, "whether the request ran can't be confirmed now")
-		}
-	})
-}
-
 func (s *State) finishAnswered(w *work, ok bool, output []byte) {
 	s.forget(w)
 	s.count("answered")
@@ -360,15 +294,3 @@
 		s.reply(e.ticket, NewUnresolved(CodeCancelled, "the cancellation was noted"))
 	})
 }
-
-// OutcomeOfClaim returns what a claim says of its request.
-func OutcomeOfClaim(c claim.Claim) Outcome {
-	switch c.State() {
-	case claim.Done:
-		return NewAnswered(c.OK(), c.Output())
-	case claim.NotRun:
-		return NewNotRun(CodeSuperseded, "the request didn't run", 0)
-	default:
-		return NewUnresolved(CodeInProgress, "the request was started and its outcome isn't recorded yet")
-	}
-}
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -50,6 +50,10 @@
 			v.async(putTimeout, func(ctx context.Context) {
 				v.mail.post(dispatch.NewPutEnded(f.Ticket(), v.Objects.Put(ctx, f.Name(), f.Data())))
 			})
+		case dispatch.Get:
+			v.async(putTimeout, func(ctx context.Context) {
+				v.mail.post(dispatch.NewGetEnded(f.Ticket(), v.Objects.Get(ctx, f.Name())))
+			})
 		case dispatch.List:
 			v.async(listTimeout, v.list)
 		case dispatch.Heartbeat:
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -176,7 +176,23 @@
 			continue
 		}
 		c, err := claim.Decode(row.Value())
-		return dispatch.OutcomeOfClaim(c), true, err == nil
+		if err != nil {
+			return nil, false, false
+		}
+		return v.claimOutcome(ctx, c), true, true
 	}
 	return nil, false, true
 }
+
+func (v *VM) claimOutcome(ctx context.Context, c claim.Claim) dispatch.Outcome {
+	o, name := dispatch.OutcomeOfClaim(c)
+	if name == "" {
+		return o
+	}
+	object, ok := v.Objects.Get(ctx, name).(platform.Object)
+	if !ok {
+		return dispatch.NewRejected(
+			dispatch.CodeStoreUnavailable, "the request has run; its answer can't be read now", time.Second)
+	}
+	return dispatch.NewAnswered(dispatch.DecodeAnswer(object.Data()))
+}
