--- a/api/client.go
+++ b/api/client.go
@@ -155,7 +155,13 @@
 }
 
 // Catalogue is the catalogue document and its version.
-type Catalogue struct{ info catalogueInfo }
+type Catalogue struct {
+	info catalogueInfo
+	text []byte
+}
+
+// JSON returns the answer as it was received.
+func (c Catalogue) JSON() []byte { return c.text }
 
 // Version returns the configuration version.
 func (c Catalogue) Version() uint64 { return c.info.Version }
@@ -176,7 +182,7 @@
 	}
 	var info catalogueInfo
 	err = json.Unmarshal(data, &info)
-	return Catalogue{info}, errors.Wrap(err, "read the answer")
+	return Catalogue{info: info, text: data}, errors.Wrap(err, "read the answer")
 }
 
 // Change is how far a configuration change has come.
@@ -266,8 +272,15 @@
 // GetKeys returns the list of keys as JSON.
 func (c *Client) GetKeys() ([]byte, error) { return c.do("GET", "/v1/keys", nil, c.timeout()) }
 
-// GetStatus returns the status as JSON.
-func (c *Client) GetStatus() ([]byte, error) { return c.do("GET", "/v1/status", nil, c.timeout()) }
+// GetStatus returns the status of an entry VM and of the fleet as it sees it.
+func (c *Client) GetStatus() (Status, error) {
+	data, err := c.do("GET", "/v1/status", nil, c.timeout())
+	if err != nil {
+		return Status{}, err
+	}
+	st := Status{text: data}
+	return st, errors.Wrap(json.Unmarshal(data, &st.info), "read the answer")
+}
 
 func (c *Client) change(method, path string, body any) (Change, error) {
 	data, err := encodeBody(body)
--- /dev/null
+++ b/command/vm.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/pistachiolead/pistachiolead/api"
+)
+
+func newVM() *cli.Command {
+	reason := &cli.StringFlag{Name: "reason", Usage: "a `TEXT` that is recorded"}
+	force := &cli.BoolFlag{Name: "force", Usage: "also if the availability budget is exceeded"}
+	return &cli.Command{
+		Name:  "vm",
+		Usage: "takes VMs out, brings them back and moves them between pools",
+		Commands: []*cli.Command{
+			{
+				Name: "out", Usage: "takes a VM out of service", ArgsUsage: "VM", Flags: clientFlags(reason, force),
+				Description: "Example: pistachiolead vm out backend-a-03 --reason 'new memory'",
+				Action: func(_ context.Context, c *cli.Command) error {
+					return setVM(c, api.VMUpdate{State: "out"}, "is out")
+				},
+			},
+			{
+				Name: "back", Usage: "brings a VM back into service", ArgsUsage: "VM", Flags: clientFlags(reason),
+				Description: "Example: pistachiolead vm back backend-a-03",
+				Action: func(_ context.Context, c *cli.Command) error {
+					return setVM(c, api.VMUpdate{State: "in"}, "is back")
+				},
+			},
+			{
+				Name: "move", Usage: "moves a VM to another pool", ArgsUsage: "VM",
+				Flags:       clientFlags(reason, force, &cli.StringFlag{Name: "pool", Usage: "the new `POOL`", Required: true}),
+				Description: "Example: pistachiolead vm move backend-a-03 --pool proofs",
+				Action: func(_ context.Context, c *cli.Command) error {
+					if c.String("pool") == "" {
+						return usageError{errors.New("give --pool")}
+					}
+					return setVM(c, api.VMUpdate{Pool: c.String("pool")}, "is in pool "+c.String("pool"))
+				},
+			},
+		},
+	}
+}
+
+func setVM(c *cli.Command, u api.VMUpdate, what string) error {
+	id, err := argument(c, "VM")
+	if err != nil {
+		return err
+	}
+	client, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	u.Reason, u.Force = c.String("reason"), c.Bool("force")
+	ch, err := client.SetVM(id, u)
+	if err != nil {
+		return err
+	}
+	return printChange(c, ch, "VM "+id+" "+what)
+}
--- /dev/null
+++ b/command/wait.go
@@ -0,0 +1,66 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/pistachiolead/pistachiolead/api"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+func newWait() *cli.Command {
+	return &cli.Command{
+		Name:        "wait",
+		Usage:       "waits for a job and prints its answer",
+		ArgsUsage:   "REQUEST-ID",
+		Description: "Example: pistachiolead wait 4f9c1a --for 10m",
+		Flags:       clientFlags(&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "how long to wait"}),
+		Action: func(_ context.Context, c *cli.Command) error {
+			id, err := argument(c, "REQUEST-ID")
+			if err != nil {
+				return err
+			}
+			client, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			return waitJob(c, client, id, c.Duration("for"))
+		},
+	}
+}
+
+// waitJob polls a job until it has ended or the time is over.
+func waitJob(c *cli.Command, client *api.Client, id string, limit time.Duration) error {
+	clock := timer.System{}
+	until := clock.Now().Add(limit)
+	for {
+		left := until.Sub(clock.Now())
+		job, err := client.GetJob(id, max(min(left, pollWait), 0))
+		if err != nil {
+			return err
+		}
+		if job.Finished() {
+			return printJob(c, job)
+		}
+		if left <= 0 {
+			return codedError{error: errors.Errorf("job %s hasn't ended after %s", id, limit), code: ExitPending}
+		}
+	}
+}
+
+func printJob(c *cli.Command, job api.Job) error {
+	out := c.Root().Writer
+	if wantsJSON(c) {
+		fmt.Fprintf(out, "%s", job.JSON())
+		return job.Problem()
+	}
+	if err := job.Problem(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s\n", job.Output())
+	return nil
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -274,9 +274,9 @@
 		s.enqueueHere(w)
 		return
 	}
-	w.server = f.Server
+	w.server, w.sentEpoch = f.Server, f.Epoch
 	if here {
-		w.server, w.attempt = k.server, k.attempt
+		w.server, w.attempt, w.sentEpoch = k.key.server, k.key.attempt, k.epoch
 		delete(s.found, row.id)
 	}
 	w.started = true
@@ -294,6 +294,10 @@
 		s.forget(w)
 		return
 	}
+	if !s.mayJoin(w, epoch) {
+		s.serverGone(w)
+		return
+	}
 	w.phase, w.epoch = phaseResolving, epoch
 	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
 }
@@ -347,7 +351,7 @@
 func (s *State) adoptJobs(server string) {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		row := s.jobs[id]
-		if k, here := s.found[id]; row.fields.Server == server || (here && k.server == server) {
+		if k, here := s.found[id]; row.fields.Server == server || (here && k.key.server == server) {
 			s.considerJob(row)
 		}
 	}
@@ -362,7 +366,7 @@
 		return
 	}
 	f := row.fields
-	f.State, f.Server, f.Attempt, f.Holder = jobClaimed, w.server, w.attempt, s.Self
+	f.State, f.Server, f.Epoch, f.Attempt, f.Holder = jobClaimed, w.server, w.epoch, w.attempt, s.Self
 	row.busy = true
 	s.writeJob(row, f, func(ok bool) {
 		if s.works[w.id()] != w {
@@ -387,13 +391,13 @@
 		s.forget(w)
 		return
 	}
-	server, attempt := w.server, w.attempt
+	server, epoch, attempt := w.server, w.sentEpoch, w.attempt
 	s.forget(w)
 	if row.fields.Server != "" || row.busy {
 		return
 	}
 	f := row.fields
-	f.State, f.Server, f.Attempt = jobRunning, server, attempt
+	f.State, f.Server, f.Epoch, f.Attempt = jobRunning, server, epoch, attempt
 	row.busy = true
 	s.writeJob(row, f, func(bool) {})
 }
--- a/dispatch/jobrow.go
+++ b/dispatch/jobrow.go
@@ -40,6 +40,7 @@
 	Holder    string   `json:"holder"`
 	State     jobState `json:"state"`
 	Server    string   `json:"server,omitempty"`
+	Epoch     uint64   `json:"epoch,omitempty"`
 	Attempt   int      `json:"attempt"`
 	Cancelled bool     `json:"cancelled,omitempty"`
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -20,8 +20,9 @@
 			s.runUnknown(k, w)
 			return
 		}
+		entry := s.entryOf(w, k)
 		s.end(k)
-		s.answered(w, e, o)
+		s.answered(w, entry, e.server, o)
 	case platform.Refused, platform.StaleEpoch, platform.Unavailable:
 		s.runNotStarted(k, w)
 	case platform.Unknown:
@@ -35,8 +36,12 @@
 		a.Checksum() == xxhash.Sum64(a.Output())
 }
 
-func (s *State) answered(w *work, e RunEnded, a platform.Answer) {
-	s.Chooser.Observe(e.server, s.entryOf(w, e), a.OK(), s.now)
+func (s *State) answered(w *work, entry, server string, a platform.Answer) {
+	if a.Stopped() {
+		s.stopped(w)
+		return
+	}
+	s.Chooser.Observe(server, entry, a.OK(), s.now)
 	if w == nil {
 		return
 	}
@@ -51,12 +56,29 @@
 	s.settle(w, a)
 }
 
-// entryOf returns the catalogue entry of a finished run.
-func (s *State) entryOf(w *work, e RunEnded) string {
+// stopped handles an attempt that started and ended without an answer of its own.
+func (s *State) stopped(w *work) {
+	s.count("attempts_stopped")
+	switch {
+	case w == nil:
+	case w.cancelled && w.isCall():
+		s.finishUnresolved(w, CodeCancelled, "the request was stopped while it ran")
+	case w.idempotent && !w.cancelled && !w.expired(s.now):
+		// The attempt was stopped to free its place or lost its lease, which isn't a failure of the work.
+		s.retry(w)
+	case !w.isCall():
+		s.recordJob(w, jobResult{state: doneUnknown, code: CodeStopped, message: "the job was stopped while it ran"})
+	default:
+		s.finishUnresolved(w, CodeStopped, "the request was stopped while it ran")
+	}
+}
+
+// entryOf returns the catalogue entry of a run, empty if it isn't known.
+func (s *State) entryOf(w *work, k runKey) string {
 	if w != nil {
 		return w.request.entry
 	}
-	if r, ok := s.runs[runKey{server: e.server, id: e.id, attempt: e.attempt}]; ok {
+	if r, ok := s.runs[k]; ok {
 		return r.entry
 	}
 	return ""
@@ -103,7 +125,7 @@
 		return
 	}
 	epoch, held := s.Owners.Epoch(k.server)
-	if held && !w.cancelled && !w.expired(s.now) {
+	if held && s.mayJoin(w, epoch) && !w.cancelled && !w.expired(s.now) {
 		// The repeated Run joins the attempt if it started, starts it if it didn't, and returns a stored answer.
 		w.epoch = epoch
 		w.resends++
@@ -115,6 +137,12 @@
 	s.abandonAttempt(w)
 }
 
+// mayJoin reports whether the attempt can be sent again. A backend server process that was started since doesn't know
+// the attempt and would start it a second time.
+func (s *State) mayJoin(w *work, epoch uint64) bool {
+	return w.idempotent || platform.SameProcess(w.sentEpoch, epoch)
+}
+
 // abandonAttempt decides what happens to work whose attempt can't be followed any more.
 func (s *State) abandonAttempt(w *work) {
 	switch {
@@ -186,6 +214,7 @@
 	}
 	switch e.outcome.(type) {
 	case platform.NeverStarted, platform.Answer:
+		// A new server process doesn't know the attempt; those of the old one ended with it.
 		s.end(k)
 	case platform.StillRunning:
 		s.stopRun(r)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -46,7 +46,8 @@
 func (s *State) adopt(server string, t platform.TaskStatus) {
 	k := runKey{server: server, id: t.ID(), attempt: t.Attempt()}
 	if _, held := s.works[t.ID()]; !held {
-		s.found[t.ID()] = k
+		epoch, _ := s.Owners.Epoch(server)
+		s.found[t.ID()] = foundRun{key: k, epoch: epoch}
 	}
 	if t.Finished() {
 		return
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -73,7 +73,7 @@
 	lostAt                    map[string]time.Time
 	coveredSince, sliceReadAt time.Time
 	// found are attempts seen on owned backend servers that no work here waits for, by request id.
-	found map[string]runKey
+	found map[string]foundRun
 	drain drainState
 }
 
@@ -89,7 +89,7 @@
 	s.goneSince = make(map[string]time.Time)
 	s.downSince = make(map[string]time.Time)
 	s.lostAt = make(map[string]time.Time)
-	s.found = make(map[string]runKey)
+	s.found = make(map[string]foundRun)
 	s.Ledger.Gone = s.holderGone
 	s.Ledger.Wanted = s.othersWant
 	s.jobs = make(map[string]*jobRow)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -27,6 +27,7 @@
 	CodeUnknownRequest   = "unknown-request"
 	CodeSuperseded       = "superseded"
 	CodeAnswerLost       = "answer-not-stored"
+	CodeStopped          = "stopped"
 )
 
 func (s *State) submit(e Submitted) {
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -42,6 +42,8 @@
 	cancelled bool
 	server    string
 	epoch     uint64
+	// sentEpoch is the epoch that the attempt was first sent under.
+	sentEpoch uint64
 	// resends counts how often the same attempt was sent again after a lost reply.
 	resends int
 	// claim is the claim of a non-idempotent call, claimVersion the version of its row, 0 if there is none.
@@ -91,6 +93,12 @@
 	signalled bool
 }
 
+// foundRun is an attempt that a backend server reported and no work here waits for, with the epoch of that report.
+type foundRun struct {
+	key   runKey
+	epoch uint64
+}
+
 // begin counts a run.
 func (s *State) begin(w *work) *run {
 	r := &run{
