Add settings, examples, and tests of the catalogue

Cause: entry VMs and the platform stand-in need strict settings before any port opens, and the catalogue needs tests. Change: package settings, examples of both customers, property and table tests, fuzz targets. Mappings of YAML documents are bounded to 1,000 fields, because 300,000 fields of one mapping took the parser 4 min 27 s. Conclusion: tests pass; documents with very many empty values are still slow.

--- /dev/null
+++ b/catalogue/authorization_test.go
@@ -0,0 +1,169 @@
+package catalogue_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+)
+
+// Guards against work that runs for a team whose key is revoked, expired, altered or foreign (R3), and against refusals
+// of keys that are good.
+func TestAuthorizeMatchesRule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b, c := newTable(), catalogue.NewConfiguration()
+		x, err := catalogue.ChangeCatalogue(c, drawCatalogue(rt), "ana", start)
+		c = b.mustApply(t, c, x, err)
+		team := rapid.SampledFrom(teamNames).Draw(rt, "team")
+		role := catalogue.Role(rapid.IntRange(1, 3).Draw(rt, "role"))
+		expires := start.Add(time.Hour)
+		k, secret := newKey(t, team, role, 1, expires)
+		x, err = catalogue.GrantKey(c, k)
+		c = b.mustApply(t, c, x, err)
+
+		revoked := rapid.IntRange(0, 2).Draw(rt, "revoked")
+		if revoked == 1 {
+			x, err = catalogue.RevokeKey(c, k.ID(), "ana", start)
+			c = b.mustApply(t, c, x, err)
+		}
+		if revoked == 2 {
+			c = c.WithKeyRevoked(k.ID())
+		}
+		altered := rapid.Bool().Draw(rt, "altered")
+		if altered {
+			i := rapid.IntRange(0, len(secret)-2).Draw(rt, "position")
+			secret = secret[:i] + string(rapid.SampledFrom([]byte("0.A")).Draw(rt, "byte")) + secret[i+1:]
+			altered = !strings.HasPrefix(secret, k.ID()+".") || !k.Verify(secret)
+		}
+		late := rapid.Bool().Draw(rt, "late")
+		now := expires.Add(-1)
+		if late {
+			now = expires
+		}
+
+		name := fmt.Sprintf("entry-%d", rapid.IntRange(0, 4).Draw(rt, "entry"))
+		e, exists := c.Catalogue().Entry(name)
+		admitted := exists && (e.Open() || e.Owner() == team || slices.Contains(e.Teams(), team))
+		want := !altered && revoked == 0 && !late && admitted
+		switch a := catalogue.Authorize(c, secret, name, now).(type) {
+		case catalogue.Allowed:
+			assert.Assert(rt, want)
+			assert.Equal(rt, a.Team().Name(), team)
+			assert.Equal(rt, a.Entry().Name(), name)
+		case catalogue.Denied:
+			assert.Assert(rt, !want, a.Sentence())
+			assert.Assert(rt, !strings.Contains(a.Sentence(), secret))
+		}
+	})
+}
+
+// Guards against callers who get the wrong reason, and against roles that may do more than they should.
+func TestDenialCodes(t *testing.T) {
+	b, c := newTable(), catalogue.NewConfiguration()
+	full, err := catalogue.Parse([]byte(document), "c.yaml")
+	assert.NilError(t, err)
+	x, err := catalogue.ChangeCatalogue(c, full, "ana", start)
+	c = b.mustApply(t, c, x, err)
+	secrets := make(map[string]string)
+	for i, n := range []string{"studio-owner", "adria-owner", "studio-submitter", "-admin", "studio-revoked", "studio-expired"} {
+		team, kind, _ := strings.Cut(n, "-")
+		role, err := catalogue.ParseRole(kind)
+		if err != nil {
+			role = catalogue.RoleAdmin
+		}
+		expires := time.Time{}
+		if kind == "expired" {
+			expires = start.Add(time.Second)
+		}
+		k, secret := newKey(t, team, role, int64(i), expires)
+		x, err := catalogue.GrantKey(c, k)
+		c = b.mustApply(t, c, x, err)
+		secrets[n] = secret
+		if kind == "revoked" {
+			c = c.WithKeyRevoked(k.ID())
+		}
+	}
+	mine, err := catalogue.Parse([]byte(strings.Replace(document, "urgent", "archive", 1)), "c.yaml")
+	assert.NilError(t, err)
+	taken, err := catalogue.Parse([]byte(strings.Replace(document, "limit: 50", "limit: 51", 1)), "c.yaml")
+	assert.NilError(t, err)
+
+	const allowed = catalogue.Code("")
+	for _, r := range []struct {
+		secret                       string
+		submit, admin, owner         catalogue.Code
+		changeEntry, changeTeamLimit catalogue.Code
+	}{
+		{"-admin", catalogue.CodeTeamNotAllowed, allowed, allowed, allowed, allowed},
+		{"studio-owner", allowed, catalogue.CodeRoleNotAllowed, allowed, allowed, catalogue.CodeTeamNotAllowed},
+		{
+			"adria-owner", allowed, catalogue.CodeRoleNotAllowed, catalogue.CodeTeamNotAllowed,
+			catalogue.CodeTeamNotAllowed, catalogue.CodeTeamNotAllowed,
+		},
+		{
+			"studio-submitter", allowed, catalogue.CodeRoleNotAllowed, catalogue.CodeRoleNotAllowed,
+			catalogue.CodeRoleNotAllowed, catalogue.CodeRoleNotAllowed,
+		},
+		{
+			"studio-revoked", catalogue.CodeRevokedKey, catalogue.CodeRevokedKey, catalogue.CodeRevokedKey,
+			catalogue.CodeRevokedKey, catalogue.CodeRevokedKey,
+		},
+		{
+			"studio-expired", catalogue.CodeExpiredKey, catalogue.CodeExpiredKey, catalogue.CodeExpiredKey,
+			catalogue.CodeExpiredKey, catalogue.CodeExpiredKey,
+		},
+		{
+			"none", catalogue.CodeUnknownKey, catalogue.CodeUnknownKey, catalogue.CodeUnknownKey,
+			catalogue.CodeUnknownKey, catalogue.CodeUnknownKey,
+		},
+	} {
+		s, now := secrets[r.secret], start.Add(time.Minute)
+		assert.Equal(t, code(catalogue.Authorize(c, s, "quick-proof", now)), r.submit, r.secret)
+		assert.Equal(t, code(catalogue.AuthorizeAdmin(c, s, now)), r.admin, r.secret)
+		assert.Equal(t, code(catalogue.AuthorizeOwner(c, s, "quick-proof", now)), r.owner, r.secret)
+		assert.Equal(t, code(catalogue.AuthorizeCatalogue(c, s, mine, now)), r.changeEntry, r.secret)
+		assert.Equal(t, code(catalogue.AuthorizeCatalogue(c, s, taken, now)), r.changeTeamLimit, r.secret)
+	}
+	assert.Equal(t, code(catalogue.Authorize(c, secrets["studio-owner"], "none", start)), catalogue.CodeUnknownEntry)
+}
+
+func code(a catalogue.Authorization) catalogue.Code {
+	if d, ok := a.(catalogue.Denied); ok {
+		return d.Code()
+	}
+	return ""
+}
+
+// Guards against secrets in logs, errors and rows, and against keys with too little randomness.
+func TestKeyHidesSecret(t *testing.T) {
+	k, secret := newKey(t, "studio", catalogue.RoleOwner, 1, time.Time{})
+	_, hidden, _ := strings.Cut(secret, ".")
+	assert.Equal(t, len(hidden), 52)
+	assert.Assert(t, k.Verify(secret))
+
+	c := catalogue.NewConfiguration()
+	full, err := catalogue.Parse([]byte(document), "c.yaml")
+	assert.NilError(t, err)
+	b := newTable()
+	x, err := catalogue.ChangeCatalogue(c, full, "ana", start)
+	c = b.mustApply(t, c, x, err)
+	x, err = catalogue.GrantKey(c, k)
+	b.mustApply(t, c, x, err)
+	for _, r := range b.history {
+		assert.Assert(t, !bytes.Contains(r.Value(), []byte(hidden)))
+	}
+	hash := fmt.Sprintf("%x", k.SecretHash())
+	for _, text := range []string{fmt.Sprintf("%v %+v %#v %s", k, k, k, k), fmt.Sprint(catalogue.Authorize(c, secret+"x", "e", start))} {
+		assert.Assert(t, !strings.Contains(text, hidden) && !strings.Contains(text, hash))
+	}
+
+	_, _, err = catalogue.NewKey("studio", catalogue.RoleOwner, "ana", start, time.Time{}, bytes.NewReader(make([]byte, 41)))
+	assert.ErrorContains(t, err, "randomness")
+}
--- /dev/null
+++ b/catalogue/fixtures_test.go
@@ -0,0 +1,125 @@
+package catalogue_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+var teamNames = []string{"team-0", "team-1", "team-2"}
+
+// document is a valid catalogue. Tests replace parts of it; its lines are counted from 1.
+const document = `pools:
+  - {name: proofs, budget: 2}
+  - {name: spare, spare: true, budget: 4}
+teams:
+  - {name: studio, share: 10, limit: 100}
+  - {name: adria, limit: 50}
+entries:
+  - name: quick-proof
+    owner: studio
+    class: urgent
+    pool: proofs
+    teams: [adria]
+    shape: {processors: 4, memory: 8GiB}
+    max-deadline: 30s
+`
+
+// drawCatalogue draws a catalogue with the teams of teamNames.
+func drawCatalogue(t *rapid.T) *catalogue.Catalogue {
+	var entries []catalogue.Entry
+	for i := range rapid.IntRange(0, 4).Draw(t, "entries") {
+		entries = append(entries, drawEntry(t, fmt.Sprintf("entry-%d", i)))
+	}
+	var teams []catalogue.Team
+	for _, n := range teamNames {
+		share := rapid.IntRange(1, catalogue.MaxShare).Draw(t, "share")
+		teams = append(teams, catalogue.NewTeam(n, share, rapid.IntRange(0, catalogue.MaxTeamLimit).Draw(t, "limit")))
+	}
+	pools := []catalogue.Pool{catalogue.NewPool("spare", true, 1), catalogue.NewPool("main", false, 2)}
+	c, err := catalogue.New(entries, teams, pools)
+	assert.NilError(t, err)
+	return c
+}
+
+func drawEntry(t *rapid.T, name string) catalogue.Entry {
+	order := rapid.Permutation(teamNames).Draw(t, "teams")
+	shape := platform.NewShape(
+		rapid.IntRange(0, catalogue.MaxProcessors).Draw(t, "processors"),
+		rapid.IntRange(0, catalogue.MaxMemoryMiB).Draw(t, "memory"),
+		rapid.IntRange(0, catalogue.MaxAccelerators).Draw(t, "accelerators"),
+		rapid.IntRange(1, catalogue.MaxSlots).Draw(t, "slots"),
+	)
+	class := catalogue.Class(rapid.IntRange(1, 3).Draw(t, "class"))
+	deadline := rapid.Int64Range(int64(catalogue.MinDeadline), int64(catalogue.LongestDeadline)).Draw(t, "deadline")
+	e := catalogue.NewEntry(name, order[0], class, "main", shape).
+		WithTeams(order[1 : 1+rapid.IntRange(0, 2).Draw(t, "others")]...).
+		WithOpen(rapid.Bool().Draw(t, "open")).
+		WithIdempotent(rapid.Bool().Draw(t, "idempotent")).
+		WithCheckpoint(rapid.Bool().Draw(t, "checkpoint")).
+		WithMaxRunning(rapid.IntRange(0, catalogue.MaxEntryRunning).Draw(t, "running")).
+		WithMaxPayload(rapid.IntRange(0, catalogue.LargestPayloadBytes).Draw(t, "payload")).
+		WithMaxDeadline(time.Duration(deadline))
+	if rapid.Bool().Draw(t, "objective") {
+		ratio := rapid.Float64Range(0.0001, 0.9999999999999999).Draw(t, "ratio")
+		e = e.WithObjective(catalogue.NewObjective(ratio, time.Duration(rapid.Int64Range(1e6, 1e15).Draw(t, "delay"))))
+	}
+	return e
+}
+
+func newKey(t testing.TB, team string, role catalogue.Role, seed int64, expires time.Time) (catalogue.Key, string) {
+	t.Helper()
+	k, secret, err := catalogue.NewKey(team, role, "ana", start, expires, rand.New(rand.NewSource(seed)))
+	assert.NilError(t, err)
+	return k, secret
+}
+
+// table is a table that holds what was committed, and the history of all rows.
+type table struct {
+	versions map[string]uint64
+	current  map[string]platform.Row
+	history  []platform.Row
+	version  uint64
+}
+
+func newTable() *table {
+	return &table{versions: make(map[string]uint64), current: make(map[string]platform.Row)}
+}
+
+func (b *table) commit(t platform.Transaction) platform.CommitOutcome {
+	for _, c := range t.Conditions() {
+		if b.versions[c.Key()] != c.Version() {
+			return platform.NewConflict(b.current[c.Key()])
+		}
+	}
+	b.version++
+	for _, w := range t.Writes() {
+		r := platform.NewRow(w.Key(), w.Value(), b.version)
+		b.versions[w.Key()], b.current[w.Key()] = b.version, r
+		b.history = append(b.history, r)
+	}
+	return platform.NewCommitted(b.version)
+}
+
+// mustApply commits a transaction and returns the snapshot that includes it.
+func (b *table) mustApply(
+	t testing.TB, c *catalogue.Configuration, x platform.Transaction, err error,
+) *catalogue.Configuration {
+	t.Helper()
+	assert.NilError(t, err)
+	_, ok := b.commit(x).(platform.Committed)
+	assert.Assert(t, ok)
+	n, err := c.With(b.history)
+	assert.NilError(t, err)
+	assert.Equal(t, n.Version(), c.Version()+1)
+	return n
+}
--- a/catalogue/parse.go
+++ b/catalogue/parse.go
@@ -110,7 +110,7 @@
 		owner:       r.teams.refer(s, "owner", "team"),
 		class:       parseClass(s.Choice("class", "", classNames...)),
 		pool:        r.pools.refer(s, "pool", "pool"),
-		shape:       readShape(s.Section("shape")),
+		shape:       ReadShape(s.Section("shape"), 1),
 		open:        s.Bool("open", false),
 		idempotent:  s.Bool("idempotent", false),
 		checkpoint:  s.Bool("checkpoint", false),
@@ -139,13 +139,14 @@
 	return teams
 }
 
-func readShape(s *document.Section) platform.Shape {
+// ReadShape reads a shape: processors, memory, accelerators, and slots, which may be left out for a default.
+func ReadShape(s *document.Section, slots int) platform.Shape {
 	const mebibyte = 1 << 20
 	return platform.NewShape(
 		s.Int("processors", 0, 0, MaxProcessors),
 		int(s.Size("memory", 0, 0, MaxMemoryMiB*mebibyte, mebibyte)/mebibyte),
 		s.Int("accelerators", 0, 0, MaxAccelerators),
-		s.Int("slots", 1, 1, MaxSlots),
+		s.Int("slots", slots, 1, MaxSlots),
 	)
 }
 
--- a/document/constants.go
+++ b/document/constants.go
@@ -1,15 +1,23 @@
 package document
 
-// Limits on documents. Lines and nesting are bounded because the parser of YAML recurses once for each level, and a
-// stack overflow can't be recovered from.
+// Limits on YAML documents. Lines and nesting are bounded because the parser recurses once for each level, and a stack
+// overflow can't be recovered from. Fields are bounded because the parser's time grows with the square of the fields
+// of one mapping: 300,000 took more than 4 min.
 const (
-	MaxBytes     = 8 << 20
+	MaxYAMLBytes = 4 << 20
 	MaxLineBytes = 4 << 10
 	MaxNesting   = 100
+	MaxFields    = 1_000
 )
 
+// MaxJSONBytes is larger than MaxYAMLBytes, because the stored form of a document has the defaults filled in.
+const MaxJSONBytes = 2 * MaxYAMLBytes
+
 // maxProblemsShown is the number of problems in the text of an error. Err.Problems returns all of them.
 const maxProblemsShown = 50
 
 // maxFoundBytes is the length at which a value found is cut in messages.
 const maxFoundBytes = 80
+
+// minRatio is the smallest ratio that Go formats without an exponent.
+const minRatio = 0.0001
--- a/document/document.go
+++ b/document/document.go
@@ -1,7 +1,7 @@
 package document
 
 import (
-	"sort"
+	"slices"
 	"strings"
 )
 
@@ -34,7 +34,7 @@
 	var found []Problem
 	for _, s := range d.sections {
 		for _, f := range s.node.fields {
-			if _, ok := s.asked[f.name]; ok {
+			if slices.Contains(s.asked, f.name) {
 				continue
 			}
 			found = append(found, Problem{
@@ -69,16 +69,11 @@
 }
 
 func (d *Document) section(path string, n *node) *Section {
-	s := &Section{document: d, path: path, node: n, asked: make(map[string]struct{})}
+	s := &Section{document: d, path: path, node: n}
 	d.sections = append(d.sections, s)
 	return s
 }
 
 func (s *Section) known() string {
-	names := make([]string, 0, len(s.asked))
-	for n := range s.asked {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return strings.Join(names, ", ")
+	return strings.Join(slices.Sorted(slices.Values(s.asked)), ", ")
 }
--- a/document/json.go
+++ b/document/json.go
@@ -4,15 +4,16 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"sort"
+	"slices"
 	"strconv"
+	"strings"
 )
 
 // ParseJSON opens a JSON document. Its problems have no lines.
 func ParseJSON(data []byte, file string) *Document {
 	d := &Document{file: file}
-	if len(data) > MaxBytes {
-		return d.refuse(0, strconv.Itoa(len(data))+" bytes", "at most "+strconv.Itoa(MaxBytes)+" bytes")
+	if len(data) > MaxJSONBytes {
+		return d.refuse(0, strconv.Itoa(len(data))+" bytes", "at most "+strconv.Itoa(MaxJSONBytes)+" bytes")
 	}
 
 	dec := json.NewDecoder(bytes.NewReader(data))
@@ -46,7 +47,7 @@
 		for k, i := range v {
 			m.fields = append(m.fields, field{name: k, value: fromJSON(i)})
 		}
-		sort.Slice(m.fields, func(i, j int) bool { return m.fields[i].name < m.fields[j].name })
+		slices.SortFunc(m.fields, func(f, g field) int { return strings.Compare(f.name, g.name) })
 		return m
 	default:
 		return &node{kind: kindNull}
--- a/document/problem.go
+++ b/document/problem.go
@@ -1,8 +1,9 @@
 package document
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 	"strings"
 )
 
@@ -62,12 +63,8 @@
 }
 
 func newError(problems []Problem) *Error {
-	sort.SliceStable(problems, func(i, j int) bool {
-		p, q := problems[i], problems[j]
-		if p.line != q.line {
-			return p.line < q.line
-		}
-		return p.field < q.field
+	slices.SortStableFunc(problems, func(p, q Problem) int {
+		return cmp.Or(cmp.Compare(p.line, q.line), cmp.Compare(p.field, q.field))
 	})
 	return &Error{problems: problems}
 }
--- a/document/section.go
+++ b/document/section.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +15,7 @@
 	document *Document
 	path     string
 	node     *node
-	asked    map[string]struct{}
+	asked    []string
 }
 
 // Item is one text of a list, with its place.
@@ -41,7 +42,7 @@
 func (s *Section) Require(names ...string) {
 	for _, n := range names {
 		if !s.Has(n) {
-			s.asked[n] = struct{}{}
+			s.ask(n)
 			s.document.report(s.node.line, s.join(n), "nothing", "this field is required")
 		}
 	}
@@ -115,15 +116,16 @@
 	return v
 }
 
-// Ratio returns a number above 0 and below 1.
+// Ratio returns a decimal number from 0.0001 to below 1. Smaller numbers are left out because they are written with an
+// exponent, which YAML reads as a text.
 func (s *Section) Ratio(name string, fallback float64) float64 {
-	const rule = "a number above 0 and below 1"
+	const rule = "a decimal number from 0.0001 to below 1"
 	n := s.scalar(name, kindNumber, rule)
 	if n == nil {
 		return fallback
 	}
 	v, err := strconv.ParseFloat(n.text, 64)
-	if err != nil || math.IsNaN(v) || v <= 0 || v >= 1 {
+	if err != nil || math.IsNaN(v) || v < minRatio || v >= 1 {
 		s.Report(name, n.describe(), rule)
 		return fallback
 	}
@@ -233,7 +235,9 @@
 }
 
 func (s *Section) ask(name string) (field, bool) {
-	s.asked[name] = struct{}{}
+	if !slices.Contains(s.asked, name) {
+		s.asked = append(s.asked, name)
+	}
 	return s.node.find(name)
 }
 
--- a/document/yaml.go
+++ b/document/yaml.go
@@ -1,9 +1,7 @@
 package document
 
 import (
-	"bytes"
 	"fmt"
-	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -58,37 +56,6 @@
 	return se.Token.Position.Line, "a syntax error: " + shorten(se.Message)
 }
 
-// checkText bounds what the parser gets. Brackets are counted without regard to quotes, which refuses only
-// documents with very many unbalanced brackets in texts.
-func checkText(data []byte) (line int, found, allowed string) {
-	if len(data) > MaxBytes {
-		return 1, fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes)
-	}
-	if !utf8.Valid(data) {
-		return 1, "bytes that aren't UTF-8", "UTF-8 text"
-	}
-
-	depth := 0
-	for _, l := range bytes.Split(data, []byte("\n")) {
-		line++
-		if len(l) > MaxLineBytes {
-			return line, fmt.Sprintf("a line of %d bytes", len(l)), fmt.Sprintf("at most %d bytes", MaxLineBytes)
-		}
-		for _, b := range l {
-			switch b {
-			case '[', '{':
-				depth++
-			case ']', '}':
-				depth = max(depth-1, 0)
-			}
-			if depth > MaxNesting {
-				return line, "nesting too deep", fmt.Sprintf("at most %d levels", MaxNesting)
-			}
-		}
-	}
-	return 0, "", ""
-}
-
 func lineOf(n ast.Node) int {
 	if n == nil {
 		return 1
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Load reads the settings of an entry VM from a file. Paths in it are relative to its directory. Errors name what is
+// wrong in the document, or which file for TLS can't be read.
+func Load(path string) (*Settings, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Parse(data, path)
+	if err != nil {
+		return nil, err
+	}
+	if !s.tls.Enabled() {
+		return s, nil
+	}
+
+	s.tls = s.tls.relativeTo(filepath.Dir(path))
+	for _, name := range []string{s.tls.certificate, s.tls.key, s.tls.authority} {
+		if _, err := readFile(name); err != nil {
+			return nil, errors.Wrapf(err, "%s: tls", path)
+		}
+	}
+	return s, nil
+}
+
+// LoadStandIn reads the document of the platform stand-in from a file.
+func LoadStandIn(path string) (*StandIn, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseStandIn(data, path)
+}
+
+func (t TLS) relativeTo(dir string) TLS {
+	return TLS{
+		certificate: relative(dir, t.certificate),
+		key:         relative(dir, t.key),
+		authority:   relative(dir, t.authority),
+	}
+}
+
+func relative(dir, path string) string {
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(dir, path)
+}
+
+// readFile refuses files that are far too large before it reads them whole.
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer f.Close()
+
+	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", path)
+	}
+	if len(data) > maxFileBytes {
+		return nil, errors.Errorf("%s: found more than %d bytes, allowed: at most that many", path, maxFileBytes)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"net/netip"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+	"github.com/pistachiolead/pistachiolead/document"
+)
+
+const (
+	nameRule    = "a name of 1 to 63 lower-case letters, digits and hyphens"
+	listenRule  = "an IP address and a port, such as 127.0.0.1:7100"
+	addressRule = "an IP address other than 0.0.0.0 or [::], and a port, such as 127.0.0.1:7100"
+	pathRule    = "the path of a file"
+)
+
+// Parse reads the settings of an entry VM from a YAML document. The error is a *document.Error with all problems; file
+// is the name that they show. Files are neither opened nor looked for.
+func Parse(data []byte, file string) (*Settings, error) {
+	d := document.ParseYAML(data, file)
+	s := read(d.Root())
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func read(root *document.Section) *Settings {
+	root.Require("name", "zone", "listen", "peer-listen", "platform")
+	s := Default("")
+	s.name = root.Checked("name", "", nameRule, catalogue.ValidName)
+	s.zone = root.Checked("zone", "", nameRule, catalogue.ValidName)
+	s.listen = root.Checked("listen", "", listenRule, validListen)
+	s.peerListen = root.Checked("peer-listen", "", listenRule, validListen)
+	s.platform = root.Checked("platform", "", addressRule, validAddress)
+	s.drainTimeout = root.Duration("drain-timeout", s.drainTimeout, shortest, longestLimit)
+	s.queueBound = root.Int("queue-bound", s.queueBound, 1, largestQueue)
+	s.verbosity = root.Int("log-verbosity", 0, 0, maxVerbosity)
+	if s.listen == s.peerListen && s.listen != "" {
+		root.Report("peer-listen", s.peerListen, "an address other than that of listen")
+	}
+
+	s.readPeers(root)
+	s.readTimes(root.Section("lease"), root.Section("freshness"))
+	s.readLimits(root.Section("limits"))
+	s.readTLS(root)
+	return s
+}
+
+func (s *Settings) readPeers(root *document.Section) {
+	seen := map[string]struct{}{s.peerListen: {}}
+	for _, i := range root.Texts("peers", maxPeers, addressRule, validAddress) {
+		if _, ok := seen[i.Text()]; ok {
+			i.Report(i.Text()+" again", "each address once, without the own one")
+		}
+		seen[i.Text()] = struct{}{}
+		s.peers = append(s.peers, i.Text())
+	}
+}
+
+// readTimes checks what sections 5.2 to 5.4 of the design page rely on.
+func (s *Settings) readTimes(lease, freshness *document.Section) {
+	s.lease = lease.Duration("duration", s.lease, shortest, LongestLease)
+	s.renewal = lease.Duration("renewal", s.renewal, shortest, LongestLease)
+	s.guard = lease.Duration("guard", s.guard, shortest, LongestLease)
+	s.freshness = freshness.Duration("grant", s.freshness, shortest, LongestInForce)
+	s.readInterval = freshness.Duration("read-interval", s.readInterval, shortest, LongestInForce)
+
+	if s.guard >= s.renewal {
+		lease.Report("guard", document.FormatDuration(s.guard),
+			"less than lease.renewal, which is "+document.FormatDuration(s.renewal))
+	}
+	if s.renewal+s.guard >= s.lease {
+		lease.Report("renewal", document.FormatDuration(s.renewal),
+			"less than lease.duration minus lease.guard, which is "+document.FormatDuration(s.lease-s.guard))
+	}
+	if s.freshness+s.guard > LongestInForce {
+		freshness.Report("grant", document.FormatDuration(s.freshness),
+			"at most 12s minus lease.guard, which is "+document.FormatDuration(LongestInForce-s.guard))
+	}
+	if 2*s.readInterval > s.freshness {
+		freshness.Report("read-interval", document.FormatDuration(s.readInterval),
+			"at most half of freshness.grant, which is "+document.FormatDuration(s.freshness/2))
+	}
+}
+
+func (s *Settings) readLimits(limits *document.Section) {
+	s.bodyBytes = int(limits.Size("body", int64(s.bodyBytes), smallestBody, largestBody, 1))
+	s.readTimeout = limits.Duration("read-timeout", s.readTimeout, shortest, longestLimit)
+	s.writeTimeout = limits.Duration("write-timeout", s.writeTimeout, shortest, longestLimit)
+	s.idleTimeout = limits.Duration("idle-timeout", s.idleTimeout, shortest, longestLimit)
+	s.waitLimit = limits.Duration("wait", s.waitLimit, shortest, longestLimit)
+}
+
+// readTLS requires TLS as soon as one address can be reached from another machine, because keys of callers and the
+// commands of peers would be readable on the network.
+func (s *Settings) readTLS(root *document.Section) {
+	section := root.Section("tls")
+	if root.Has("tls") {
+		section.Require("certificate", "key", "authority")
+	}
+	s.tls = TLS{
+		certificate: section.Checked("certificate", "", pathRule, validPath),
+		key:         section.Checked("key", "", pathRule, validPath),
+		authority:   section.Checked("authority", "", pathRule, validPath),
+	}
+	if root.Has("tls") {
+		return
+	}
+	for _, a := range append([]string{s.listen, s.peerListen, s.platform}, s.peers...) {
+		if a != "" && !isLoopback(a) {
+			root.Report("tls", "nothing", "the files for TLS, because "+a+" isn't a loopback address")
+			return
+		}
+	}
+}
+
+func validListen(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() > 0 && a.Addr().Zone() == ""
+}
+
+func validAddress(s string) bool {
+	if !validListen(s) {
+		return false
+	}
+	return !netip.MustParseAddrPort(s).Addr().Unmap().IsUnspecified()
+}
+
+func isLoopback(s string) bool {
+	return netip.MustParseAddrPort(s).Addr().Unmap().IsLoopback()
+}
+
+func validPath(s string) bool { return s != "" && len(s) <= maxPathBytes }
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"slices"
+	"time"
+)
+
+// Settings are the settings of one entry VM. They are immutable; methods that start with With return a changed copy.
+type Settings struct {
+	name         string
+	zone         string
+	listen       string
+	peerListen   string
+	platform     string
+	peers        []string
+	drainTimeout time.Duration
+	lease        time.Duration
+	renewal      time.Duration
+	guard        time.Duration
+	freshness    time.Duration
+	readInterval time.Duration
+	bodyBytes    int
+	readTimeout  time.Duration
+	writeTimeout time.Duration
+	idleTimeout  time.Duration
+	waitLimit    time.Duration
+	queueBound   int
+	verbosity    int
+	tls          TLS
+}
+
+// Default returns the settings of an entry VM of the availability zone on free loopback ports, without a platform
+// address.
+func Default(zone string) *Settings {
+	return &Settings{
+		name: "entry-" + zone, zone: zone, listen: "127.0.0.1:0", peerListen: "127.0.0.1:0",
+		drainTimeout: DefaultDrainTimeout, lease: DefaultLease, renewal: DefaultRenewal, guard: DefaultGuard,
+		freshness: DefaultFreshness, readInterval: DefaultReadInterval, bodyBytes: DefaultBodyBytes,
+		readTimeout: DefaultReadTimeout, writeTimeout: DefaultWriteTimeout, idleTimeout: DefaultIdleTimeout,
+		waitLimit: DefaultWaitLimit, queueBound: DefaultQueueBound,
+	}
+}
+
+// WithName sets the name.
+func (s Settings) WithName(name string) *Settings { s.name = name; return &s }
+
+// WithAddresses sets the addresses, each host:port, for callers, for peers and of the platform.
+func (s Settings) WithAddresses(listen, peerListen, platform string) *Settings {
+	s.listen, s.peerListen, s.platform = listen, peerListen, platform
+	return &s
+}
+
+// WithPeers sets the addresses of the peers.
+func (s Settings) WithPeers(peers ...string) *Settings { s.peers = slices.Clone(peers); return &s }
+
+// WithDrainTimeout sets the drain timeout.
+func (s Settings) WithDrainTimeout(d time.Duration) *Settings { s.drainTimeout = d; return &s }
+
+// Name returns the id of the entry VM in the platform's list of VMs.
+func (s *Settings) Name() string { return s.name }
+
+// Zone returns the availability zone of the entry VM.
+func (s *Settings) Zone() string { return s.zone }
+
+// Listen returns host:port for callers and operators.
+func (s *Settings) Listen() string { return s.listen }
+
+// PeerListen returns host:port for other entry VMs.
+func (s *Settings) PeerListen() string { return s.peerListen }
+
+// Platform returns host:port of the platform's table, object store and list of VMs.
+func (s *Settings) Platform() string { return s.platform }
+
+// Peers returns addresses of other entry VMs to contact at start. It is empty if they come from the list of VMs.
+// Callers must not modify the slice.
+func (s *Settings) Peers() []string { return s.peers }
+
+// DrainTimeout returns the time within which the process ends after SIGTERM.
+func (s *Settings) DrainTimeout() time.Duration { return s.drainTimeout }
+
+// Lease returns the longest time for which a lease of a backend server is used.
+func (s *Settings) Lease() time.Duration { return s.lease }
+
+// Renewal returns the interval between renewals of a lease.
+func (s *Settings) Renewal() time.Duration { return s.renewal }
+
+// Guard returns the guard interval before the end of a lease and after the end of a freshness grant.
+func (s *Settings) Guard() time.Duration { return s.guard }
+
+// Freshness returns the duration of a freshness grant.
+func (s *Settings) Freshness() time.Duration { return s.freshness }
+
+// ReadInterval returns the interval between delta scans of the table.
+func (s *Settings) ReadInterval() time.Duration { return s.readInterval }
+
+// BodyBytes returns the largest size of an HTTP body in bytes.
+func (s *Settings) BodyBytes() int { return s.bodyBytes }
+
+// ReadTimeout returns the time within which a request must be read.
+func (s *Settings) ReadTimeout() time.Duration { return s.readTimeout }
+
+// WriteTimeout returns the time within which an answer must be written.
+func (s *Settings) WriteTimeout() time.Duration { return s.writeTimeout }
+
+// IdleTimeout returns the time after which an idle connection is closed.
+func (s *Settings) IdleTimeout() time.Duration { return s.idleTimeout }
+
+// WaitLimit returns the longest time that a query may wait for a state to change.
+func (s *Settings) WaitLimit() time.Duration { return s.waitLimit }
+
+// QueueBound returns the largest number of waiting requests of one team.
+func (s *Settings) QueueBound() int { return s.queueBound }
+
+// LogVerbosity returns the verbosity of the log, 0 to 10.
+func (s *Settings) LogVerbosity() int { return s.verbosity }
+
+// TLS returns the files for TLS.
+func (s *Settings) TLS() TLS { return s.tls }
+
+// TLS names the files for TLS. It is the zero TLS if TLS isn't used.
+type TLS struct {
+	certificate string
+	key         string
+	authority   string
+}
+
+// Enabled reports whether TLS is used.
+func (t TLS) Enabled() bool { return t != TLS{} }
+
+// Certificate returns the path of the certificate in PEM form.
+func (t TLS) Certificate() string { return t.certificate }
+
+// Key returns the path of the private key in PEM form.
+func (t TLS) Key() string { return t.key }
+
+// Authority returns the path of the certificates, in PEM form, that other entry VMs and the platform are checked with.
+func (t TLS) Authority() string { return t.authority }
