--- a/membership/event.go
+++ b/membership/event.go
@@ -6,7 +6,8 @@
 	"github.com/pistachiolead/pistachiolead/platform"
 )
 
-// Event is an input of State.Handle: Listed, HeartbeatEnded, Heard, MemberRows, Tick or Drained.
+// Event is an input of State.Handle: Listed, HeartbeatEnded, Heard, PeerLeaving, MemberRows, Tick or
+// Drained.
 type Event interface{ event() }
 
 // Listed is the content of the VM list, read successfully.
@@ -49,6 +50,16 @@
 // Peer returns the id of the peer.
 func (e Heard) Peer() string { return e.peer }
 
+// PeerLeaving says that a peer has announced its planned stop. It arrives before the VM list shows the peer leaving, and
+// holds until the peer is gone.
+type PeerLeaving struct{ peer string }
+
+// NewPeerLeaving returns a PeerLeaving event.
+func NewPeerLeaving(peer string) PeerLeaving { return PeerLeaving{peer: peer} }
+
+// Peer returns the id of the peer.
+func (e PeerLeaving) Peer() string { return e.peer }
+
 // MemberRows lists the rows member/<id> of a table read.
 type MemberRows struct{ ids []string }
 
@@ -73,6 +84,7 @@
 func (Listed) event()         {}
 func (HeartbeatEnded) event() {}
 func (Heard) event()          {}
+func (PeerLeaving) event()    {}
 func (MemberRows) event()     {}
 func (Tick) event()           {}
 func (Drained) event()        {}
--- a/membership/state.go
+++ b/membership/state.go
@@ -38,6 +38,8 @@
 		return s.heartbeatEnded(e)
 	case Heard:
 		return s.heard(e.peer, now)
+	case PeerLeaving:
+		s.peerLeaving(e.peer)
 	case MemberRows:
 		s.setRows(e.ids, now)
 	case Tick:
@@ -127,7 +129,7 @@
 func (s *State) listPeer(v platform.VM, now time.Time) []Effect {
 	p := s.peer(v.ID(), now)
 	fresh := !p.listed && !p.everUp
-	p.zone, p.address, p.leaving = v.Zone(), v.Address(), v.Leaving()
+	p.zone, p.address, p.leaving = v.Zone(), v.Address(), v.Leaving() || p.leaving
 	p.listed, p.absent = true, 0
 	// At its own start this entry VM takes the others for live until heartbeats fail. Otherwise it would try to
 	// acquire all backend servers of the zone.
@@ -189,6 +191,12 @@
 	return s.raise(p)
 }
 
+func (s *State) peerLeaving(id string) {
+	if p := s.peers[id]; p != nil {
+		p.leaving = true
+	}
+}
+
 func (s *State) setRows(ids []string, now time.Time) {
 	for _, p := range s.peers {
 		p.row = false
--- /dev/null
+++ b/ownership/bench_test.go
@@ -0,0 +1,186 @@
+package ownership_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/ownership"
+	"github.com/pistachiolead/pistachiolead/platform"
+)
+
+// BenchmarkControlOwnership measures one second of control time of one of 8 entry VMs of an availability zone. Bytes
+// are the JSON of the requests without HTTP headers.
+func BenchmarkControlOwnership(b *testing.B) {
+	for _, n := range []int{50, 200, 530} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			f := newFleet(n)
+			for range 120 {
+				f.second()
+			}
+			f.messages, f.bytes = 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				f.second()
+			}
+			b.ReportMetric(float64(f.messages)/float64(b.N), "messages/s")
+			b.ReportMetric(float64(f.bytes)/float64(b.N), "bytes/s")
+		})
+	}
+}
+
+// fleet is one entry VM whose requests are answered at once. Servers that it isn't preferred for are held by others.
+type fleet struct {
+	own      ownership.State
+	now      time.Time
+	held     map[string]bool
+	messages int
+	bytes    int
+}
+
+func newFleet(servers int) *fleet {
+	f := &fleet{own: ownership.State{Self: "e0", Zone: zone}, now: time.Unix(1e6, 0), held: map[string]bool{}}
+	var members []string
+	var vms []platform.VM
+	for i := range 8 {
+		members = append(members, "e"+strconv.Itoa(i))
+	}
+	for i := range servers {
+		vms = append(vms, platform.NewVM(fmt.Sprintf("worker-%04d", i), platform.RoleBackend, zone, "", "", platform.Shape{}, false))
+	}
+	f.handle(ownership.NewMembersChanged(members))
+	f.handle(ownership.NewServersListed(vms))
+	for range 20 { // the preferred owner acquires at once, the others after a lease
+		f.now = f.now.Add(ownership.TickInterval)
+		f.handle(ownership.NewTick())
+	}
+	for _, id := range f.own.Owned() {
+		f.held[id] = true
+	}
+	return f
+}
+
+func (f *fleet) second() {
+	for range int(time.Second / ownership.TickInterval) {
+		f.now = f.now.Add(ownership.TickInterval)
+		f.handle(ownership.NewTick())
+	}
+}
+
+func (f *fleet) handle(e ownership.Event) {
+	for _, x := range f.own.Handle(e, f.now) {
+		switch x := x.(type) {
+		case ownership.Acquire:
+			f.count(x.Server(), 0)
+			f.handle(ownership.NewAcquireEnded(x.Server(), f.now, f.acquire(x.Server())))
+		case ownership.Report:
+			f.count(x.Server(), x.Epoch())
+			f.handle(ownership.NewReportEnded(x.Server(), x.Epoch(), f.now, platform.NewReport(platform.Shape{}, nil)))
+		}
+	}
+}
+
+func (f *fleet) acquire(server string) platform.AcquireOutcome {
+	if f.held[server] || len(f.held) == 0 {
+		return platform.NewGranted(uint64(f.now.UnixMilli())<<20, lease, nil)
+	}
+	return platform.NewHeld("e1", lease-time.Second)
+}
+
+func (f *fleet) count(server string, epoch uint64) {
+	data, err := json.Marshal(map[string]any{"server": server, "holder": "e0", "zone": zone, "epoch": epoch})
+	if err != nil {
+		panic(err)
+	}
+	f.messages++
+	f.bytes += len(data)
+}
+
+// takeOver returns how long each server of a stopped entry VM has no owner that may start work.
+func takeOver(seed uint64, stop func(*proc)) []time.Duration {
+	w := newWorld(8, 50, options{unchecked: true}, seed)
+	w.run(20*time.Second + time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(4*time.Second))))
+	p := w.procs[0]
+	before := p.own.Owned()
+	stop(p)
+	var waits []time.Duration
+	start := w.now
+	for w.now < start+20*time.Second && len(before) > 0 {
+		w.run(w.now + 10*time.Millisecond)
+		before = slices.DeleteFunc(before, func(id string) bool {
+			i := slices.IndexFunc(w.procs, func(q *proc) bool {
+				_, ok := q.own.MayStart(id, q.clock())
+				return ok && q != p
+			})
+			if i >= 0 {
+				waits = append(waits, w.now-w.released(id, start))
+			}
+			return i >= 0
+		})
+	}
+	for range before {
+		waits = append(waits, 20*time.Second)
+	}
+	return waits
+}
+
+// released returns when the stopped entry VM gave the server up, or start if it was killed.
+func (w *world) released(id string, start time.Duration) time.Duration {
+	if at, ok := w.procs[0].releases[id]; ok {
+		return at
+	}
+	return start
+}
+
+var stops = map[string]struct {
+	stop        func(*proc)
+	mean, worst time.Duration
+}{
+	"kill":            {func(p *proc) { p.dead = true }, 5 * time.Second, 7 * time.Second},
+	"planned release": {func(p *proc) { p.drain(2 * time.Second) }, time.Second, 2 * time.Second},
+}
+
+func takeOvers(seeds uint64, stop func(*proc)) (mean, median, worst time.Duration) {
+	var waits []time.Duration
+	var sum time.Duration
+	for seed := range seeds {
+		waits = append(waits, takeOver(seed, stop)...)
+	}
+	for _, d := range waits {
+		sum += d
+	}
+	slices.Sort(waits)
+	return sum / time.Duration(len(waits)), waits[len(waits)/2], waits[len(waits)-1]
+}
+
+// Guards against a take-over above the 7 s of design 5.2, a mean above its 5 s, and a planned stop whose next owner
+// doesn't acquire at once.
+func TestTakeOver(t *testing.T) {
+	for name, c := range stops {
+		t.Run(name, func(t *testing.T) {
+			mean, _, worst := takeOvers(20, c.stop)
+			assert.Assert(t, mean < c.mean, "mean %v", mean)
+			assert.Assert(t, worst < c.worst, "worst %v", worst)
+		})
+	}
+}
+
+// BenchmarkTakeOver measures the time without an owner after a kill and after a planned release, over 200 seeds.
+func BenchmarkTakeOver(b *testing.B) {
+	for name, c := range stops {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				mean, median, worst := takeOvers(200, c.stop)
+				b.ReportMetric(mean.Seconds(), "mean-s")
+				b.ReportMetric(median.Seconds(), "median-s")
+				b.ReportMetric(worst.Seconds(), "worst-s")
+			}
+		})
+	}
+}
--- a/ownership/constants.go
+++ b/ownership/constants.go
@@ -5,6 +5,9 @@
 const (
 	// TickInterval is the longest time between two Tick events for the bounds of this package to hold.
 	TickInterval = 100 * time.Millisecond
+	// RequestTimeout is when a request without a result is given up and may be sent again. A later result is still
+	// understood. Effects that send requests use the same time-out.
+	RequestTimeout = time.Second
 
 	// guardInterval ends the permission to start work before the lease. It covers the drift between the clocks of an
 	// entry VM and a backend server during a lease.
@@ -19,8 +22,9 @@
 
 	// renewInterval is the time between two reports. Two of them can fail before a lease of 6 s is lost.
 	renewInterval = 2 * time.Second
-	// requestTimeout is when a request without a result is given up. A later result is still understood.
-	requestTimeout = time.Second
+	// renewSpread is added to renewInterval by a hash, so that the reports of one entry VM don't coincide. The longer
+	// mean interval also keeps the average take-over after a kill under the 5 s of design 5.2.
+	renewSpread = 500 * time.Millisecond
 
 	// retryMin and retryMax bound the back-off of the preferred owner after a failed or refused request. With retryMax
 	// a free server is acquired within the 7 s of design 5.2 after a fault has ended.
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -105,7 +105,7 @@
 func (s *State) renewed(v *server, r platform.Report, sent time.Time) []Effect {
 	if sent.After(v.sent) {
 		v.sent = sent
-		v.due = sent.Add(renewInterval)
+		v.due = sent.Add(renewInterval + jitter(s.Self, v.id, renewSpread))
 	}
 	v.failures = 0
 	return []Effect{NewReported(v.id, r)}
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -28,6 +28,7 @@
 	known   bool // whether members has been set
 	drained bool
 	handed  time.Time // when the last hand-over began
+	passed  time.Time // when the last hand-over ended
 }
 
 // Handle applies an event at time now and returns the effects to carry out, in order.
@@ -177,7 +178,7 @@
 
 // expire gives up a request without a result.
 func (s *State) expire(v *server, now time.Time) {
-	if v.asking == requestNone || now.Sub(v.asked) < requestTimeout {
+	if v.asking == requestNone || now.Sub(v.asked) < RequestTimeout {
 		return
 	}
 	asking := v.asking
@@ -214,7 +215,7 @@
 		return false
 	}
 	if !v.handing.IsZero() {
-		return now.Sub(v.handing) >= handOverDrain
+		return s.passOn(v, now)
 	}
 	if now.Sub(s.handed) < handOverInterval || now.Sub(v.gained) < v.holdOff {
 		return false
@@ -223,6 +224,16 @@
 	return false
 }
 
+// passOn reports whether a server that takes no new work is to be released. The limit on hand-overs holds here as well,
+// because several are overdue after a pause of the process.
+func (s *State) passOn(v *server, now time.Time) bool {
+	if now.Sub(v.handing) < handOverDrain || now.Sub(s.passed) < handOverInterval {
+		return false
+	}
+	s.passed = now
+	return true
+}
+
 func (s *State) drain(now time.Time) []Effect {
 	s.drained = true
 	var effects []Effect
