--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,160 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"flag"
+	"net"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/dig"
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/api"
+	"github.com/pistachiolead/pistachiolead/entry"
+	"github.com/pistachiolead/pistachiolead/group"
+	"github.com/pistachiolead/pistachiolead/metrics"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/platform/remote"
+	"github.com/pistachiolead/pistachiolead/settings"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+func newServe() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "runs an entry VM",
+		Description: "SIGTERM or SIGINT starts a planned stop: nothing new is taken, and what is held is finished or handed over.\n" +
+			"A second signal ends the process at once.\n\nExample: pistachiolead serve --settings settings.yaml",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`", Required: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			set, err := settings.Load(c.String("settings"))
+			if err != nil {
+				return usageError{err}
+			}
+			return serve(ctx, set)
+		},
+	}
+}
+
+// process is what runs in an entry VM's process.
+type process struct {
+	dig.In
+
+	Settings *settings.Settings
+	Timer    timer.Service
+	Metrics  *metrics.Registry
+	VM       *entry.VM
+	Server   *api.Server
+}
+
+func serve(ctx context.Context, set *settings.Settings) error {
+	setVerbosity(set.LogVerbosity())
+	c := dig.New()
+	providers := []any{
+		func() *settings.Settings { return set },
+		func() timer.Service { return timer.System{} },
+		func() *metrics.Registry { return metrics.New(metricsInterval) },
+		provideVM,
+		provideServer,
+	}
+	for _, p := range providers {
+		if err := c.Provide(p); err != nil {
+			return errors.Wrap(err, "wire the entry VM")
+		}
+	}
+	err := c.Invoke(func(p process) error { return p.run(ctx) })
+	return errors.WithMessage(dig.RootCause(err), "entry VM "+set.Name())
+}
+
+func provideVM(set *settings.Settings, t timer.Service, m *metrics.Registry) (*entry.VM, error) {
+	listener, err := net.Listen("tcp", set.PeerListen())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return &entry.VM{
+		ID: set.Name(), Zone: set.Zone(), PeerListener: listener, Timer: t, Scope: m.Scope(),
+		Table:      &remote.Table{Address: set.Platform()},
+		Objects:    &remote.Objects{Address: set.Platform()},
+		List:       &remote.VMs{Address: set.Platform()},
+		Connect:    func(v platform.VM) platform.BackendServer { return &remote.Backend{Address: v.Address()} },
+		QueueBound: set.QueueBound(), Freshness: set.Freshness(), Guard: set.Guard(),
+	}, nil
+}
+
+func provideServer(set *settings.Settings, v *entry.VM, m *metrics.Registry) (*api.Server, error) {
+	listener, err := net.Listen("tcp", set.Listen())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	if files := set.TLS(); files.Certificate() != "" {
+		pair, err := tls.LoadX509KeyPair(files.Certificate(), files.Key())
+		if err != nil {
+			return nil, errors.Wrap(err, "load the certificate")
+		}
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12})
+	}
+	return &api.Server{
+		VM: v, Listener: listener, Random: rand.Reader, WriteMetrics: m.WriteText, BodyBytes: set.BodyBytes(),
+		ReadTimeout: set.ReadTimeout(), WriteTimeout: set.WriteTimeout(), IdleTimeout: set.IdleTimeout(),
+		WaitLimit: set.WaitLimit(),
+	}, nil
+}
+
+// run runs the entry VM until a planned stop is complete.
+func (p process) run(ctx context.Context) error {
+	p.VM.Init()
+	signals, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tasks, ctx := group.New(ctx)
+
+	tasks.Go(func() error { return p.Server.Run(ctx) })
+	tasks.Go(func() error {
+		defer cancel()
+		return p.VM.Run(ctx)
+	})
+	tasks.Go(func() error {
+		select {
+		case <-signals.Done():
+		case <-ctx.Done():
+			return nil
+		}
+		// Restores the default action, so that a second signal ends the process.
+		stop()
+		p.drain(ctx, cancel)
+		return nil
+	})
+	err := tasks.Wait()
+	klog.Flush()
+	if closeErr := p.Metrics.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// drain starts a planned stop and ends it after the drain timeout, if it isn't complete by then.
+func (p process) drain(ctx context.Context, cancel context.CancelFunc) {
+	p.VM.Drain()
+	late := p.Timer.After(p.Settings.DrainTimeout(), func(time.Time) {
+		klog.InfoS("Drain timeout", "vm", p.Settings.Name(), "timeout", p.Settings.DrainTimeout())
+		cancel()
+	})
+	defer late.Stop()
+	<-ctx.Done()
+}
+
+func setVerbosity(v int) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Set("v", strconv.Itoa(v)); err != nil {
+		panic(err) // the flag exists and takes any integer
+	}
+}
