Keep standing slots and rebalance at once when work waits

Cause: an entry VM without a slice of a team's limit waited for the next read of the slice rows, up to 1 s, and gave its slots back after 3 s without work, so the next call waited again.

Change: half of a team's limit is divided evenly among the members as standing slots, which are given back only while another holder is short; and a backlog leads to a rebalancing plan at once, at most every 50 ms.

--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -11,6 +11,10 @@
 	configInterval = 500 * time.Millisecond
 	// sliceInterval is the time between two reads of the slice rows, and between two rebalancing plans.
 	sliceInterval = time.Second
+	// planInterval is the least time between two rebalancing plans while work waits.
+	planInterval = 50 * time.Millisecond
+	// standingDivisor makes half of each team's limit standing slots.
+	standingDivisor = 2
 	// jobInterval is the time between two delta reads of the rows of unfinished jobs.
 	jobInterval = time.Second
 	// listInterval is the time between two reads of the VM list.
--- a/dispatch/reads.go
+++ b/dispatch/reads.go
@@ -20,6 +20,7 @@
 	configBusy, sliceBusy, jobBusy, listBusy       bool
 	memberVersions                                 map[string]uint64
 	tableReachable                                 bool
+	planDue                                        time.Time
 }
 
 // readPeriodically starts the reads that are due. Each reads only what changed since the one before.
--- a/dispatch/slices.go
+++ b/dispatch/slices.go
@@ -21,6 +21,26 @@
 	}
 }
 
+// planWhenShort changes the slice rows without waiting for their next read if work waits.
+func (s *State) planWhenShort() {
+	if s.Queue.Len() == 0 || s.now.Before(s.reads.planDue) {
+		return
+	}
+	s.reads.planDue = s.now.Add(planInterval)
+	s.planSlices()
+}
+
+// standingSlots returns the part of a team's limit that this entry VM keeps while it has no work of the team. Half of the
+// limit is divided evenly among the members, the other half follows demand.
+func (s *State) standingSlots(team string) int {
+	t, ok := s.config.Catalogue().Team(team)
+	members := len(s.Grant.Members())
+	if !ok || members == 0 || s.drain.started {
+		return 0
+	}
+	return t.Limit() / (standingDivisor * members)
+}
+
 func (s *State) commitSlices(c quota.Change) {
 	key := slicePrefix + c.Team()
 	conditions := []platform.Condition{platform.NewCondition(key, c.Version())}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -92,6 +92,7 @@
 	s.found = make(map[string]foundRun)
 	s.Ledger.Gone = s.holderGone
 	s.Ledger.Wanted = s.othersWant
+	s.Ledger.Standing = s.standingSlots
 	s.jobs = make(map[string]*jobRow)
 	s.peers = make(map[string]*peerState)
 	s.commits = make(map[uint64]func(platform.CommitOutcome))
@@ -109,6 +110,7 @@
 	s.effects = s.effects[:0]
 	s.apply(e)
 	s.startWork()
+	s.planWhenShort()
 	return s.effects
 }
 
--- a/local/fleet_test.go
+++ b/local/fleet_test.go
@@ -38,7 +38,7 @@
     shape: {processors: 1, memory: 256MiB}
 `
 
-func startFleet(t *testing.T) *local.Fleet {
+func startFleet(t testing.TB) *local.Fleet {
 	t.Helper()
 	c, err := catalogue.Parse([]byte(document), "catalogue.yaml")
 	assert.NilError(t, err)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -18,6 +18,9 @@
 	Gone func(holder string) bool
 	// Wanted reports that other holders are short of slots for a team. It may be nil.
 	Wanted func(team string) bool
+	// Standing returns the slots that this holder keeps of a team even if it has no work, so that the first requests of
+	// a burst needn't wait for the table. It may be nil.
+	Standing func(team string) int
 
 	teams map[string]*account
 }
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -38,7 +38,7 @@
 	}
 
 	own := base.Of(l.Holder)
-	want := l.grown(a, own, a.limit-base.Sum(), backlog)
+	want := l.grown(team, a, own, a.limit-base.Sum(), backlog)
 	if want == own {
 		want = l.shrunk(team, a, own, a.limit-base.Sum(), backlog, now)
 	}
@@ -47,11 +47,14 @@
 
 // grown returns the own slice with what the backlog needs from the unassigned remainder. While at least half of the limit
 // is unassigned it includes spare slots, which save writes and waits while the load rises.
-func (l *Ledger) grown(a *account, own, remainder, backlog int) int {
+func (l *Ledger) grown(team string, a *account, own, remainder, backlog int) int {
 	need := a.running + backlog
-	if need <= own || remainder <= 0 {
+	if remainder <= 0 {
 		return own
 	}
+	if need <= own {
+		return l.standing(team, own, remainder)
+	}
 	a.surplus = time.Time{}
 	if 2*remainder >= a.limit {
 		need += spare(a.running)
@@ -59,6 +62,14 @@
 	return own + min(need-own, remainder)
 }
 
+// standing returns the own slice, raised to the standing slots if no other holder is short.
+func (l *Ledger) standing(team string, own, remainder int) int {
+	if l.Standing == nil || (l.Wanted != nil && l.Wanted(team)) {
+		return own
+	}
+	return max(own, min(l.Standing(team), own+remainder))
+}
+
 // shrunk returns the own slice after giving back what isn't needed, never less than what runs.
 func (l *Ledger) shrunk(team string, a *account, own, remainder, backlog int, now time.Time) int {
 	floor := min(own, a.running)
@@ -70,6 +81,9 @@
 	}
 
 	keep := a.running + backlog + spare(a.running)
+	if l.Standing != nil {
+		keep = max(keep, l.Standing(team))
+	}
 	if own <= keep {
 		a.surplus = time.Time{}
 		return own
