Measure the policies and fix what the measurements found

Requests of one shape that fits nowhere filled a look-ahead of 8 and stopped their team (shortfall 100%). Large shapes never started at a full fleet. Remote use counted in full made all entry VMs start the same team. The first holder to grow its slice kept it while others were short.

Change: one lane for each team, class and shape; a server is held for a shape that found no room for 2 s; remote use has weight 0.5 and past use a memory of 3 s; holders divide a contended limit by the demands in their digests (Ledger.Demand); the estimator returns the mean of a bucket.

--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -21,9 +21,10 @@
 	// be nil.
 	OutElsewhere func(pool string) int
 
-	servers map[string]*state
-	pools   map[string][]*state // in order of ids
-	latest  time.Time           // of the calls that carry a time
+	servers   map[string]*state
+	pools     map[string][]*state // in order of ids
+	shortages map[shortageKey]*shortage
+	latest    time.Time // of the calls that carry a time
 }
 
 // state is one server with its reservations.
@@ -105,30 +106,34 @@
 }
 
 // Choose returns a server of the pool with room for the work, and reserves nothing. Servers out of rotation are chosen
-// only for one probe every 10 s, and not for urgent work.
+// only for one probe every 10 s, and not for urgent work. When a shape has found no room for 2 s, a server is held for it: other
+// shapes are not given its slots, unless they are urgent.
 func (c *Chooser) Choose(pool, entry string, shape platform.Shape, class queue.Class, now time.Time) (string, Outcome) {
 	c.latest = now
 	shape = atLeastOneSlot(shape)
 	if c.neverFits(pool, shape) {
 		return "", NeverFits{}
 	}
-	if class != queue.Urgent && c.FreeSlots(pool)-shape.Slots() < c.reserved(pool) {
-		return "", NoRoom{}
-	}
-	if class != queue.Urgent {
+	kept := class != queue.Urgent && c.FreeSlots(pool)-shape.Slots() < c.reserved(pool)
+	if class != queue.Urgent && !kept {
 		if st := c.probe(pool, entry, shape, now); st != nil {
 			st.probed = now
 			return st.server.id, Chosen{server: st.server.id}
 		}
 	}
 
-	best := c.fit(pool, shape, shape.Accelerators() > 0)
+	best := c.fit(pool, shape, class, shape.Accelerators() > 0)
 	if best == nil && shape.Accelerators() == 0 {
-		best = c.fit(pool, shape, true)
+		best = c.fit(pool, shape, class, true)
 	}
 	if best == nil {
+		c.refused(pool, shape, now)
 		return "", NoRoom{}
 	}
+	if kept {
+		return "", NoRoom{}
+	}
+	c.placed(pool, shape)
 	return best.server.id, Chosen{server: best.server.id}
 }
 
@@ -155,6 +160,18 @@
 	return sum
 }
 
+// Held returns the servers of a pool that are held for shapes that find no room, in order of their ids.
+func (c *Chooser) Held(pool string) []string {
+	var held []string
+	for k, s := range c.shortages {
+		if k.pool == pool && s.held != nil {
+			held = append(held, s.held.server.id)
+		}
+	}
+	slices.Sort(held)
+	return held
+}
+
 // Tasks returns the keys of the tasks reserved on a server in sorted order.
 func (c *Chooser) Tasks(server string) []string {
 	st, ok := c.servers[server]
@@ -184,7 +201,7 @@
 
 // fit returns the server with the fewest slots left over in the least loaded rack with room. Servers with accelerators
 // are considered only if accelerated is set.
-func (c *Chooser) fit(pool string, shape platform.Shape, accelerated bool) *state {
+func (c *Chooser) fit(pool string, shape platform.Shape, class queue.Class, accelerated bool) *state {
 	racks := make(map[string]load)
 	for _, st := range c.pools[pool] {
 		if c.inRotation(st) {
@@ -197,6 +214,9 @@
 		if !c.inRotation(st) || !shape.Fits(st.free()) || (!accelerated && st.server.shape.Accelerators() > 0) {
 			continue
 		}
+		if class != queue.Urgent && c.heldForOther(st, shape) {
+			continue
+		}
 		if best == nil || better(st, best, racks) {
 			best = st
 		}
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -102,7 +102,7 @@
 	blocked := class != queue.Urgent && free-shape.Slots() < reserved
 	fits := false
 	for _, id := range m.candidates(pool) {
-		fits = fits || shape.Fits(m.free(id))
+		fits = fits || (shape.Fits(m.free(id)) && !slices.Contains(m.chooser.Held(pool), id))
 	}
 	out := m.chooser.OutOfRotation(pool)
 
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -13,6 +13,11 @@
 	outcomeWindow = 20
 	minOutcomes   = 5
 
+	// holdDelay is how long a shape must have found no room before a server is held for it, and how long it may go
+	// without being asked for before the server is let go. One server in holdDivisor may be held, and at least one.
+	holdDelay   = 2 * time.Second
+	holdDivisor = 16
+
 	maxFailureRate  = 0.5
 	maxFailureRatio = 3.0 // failure rate relative to peers on the same entries
 	maxOutDivisor   = 4   // at most a quarter of a pool is out of rotation
@@ -37,5 +42,6 @@
 	bucketsPerDouble  = 4    // buckets grow by 2^(1/4), about 19%
 	estimatorBuckets  = 160  // up to 2^40 times the smallest value
 	smallestEstimate  = 1e-3 // 1 ms, if the values are seconds
+	roundingError     = 1e-9 // of sums of decayed weights
 	minDecayedSamples = 1e-3 // avoids division by zero
 )
--- a/placement/estimator.go
+++ b/placement/estimator.go
@@ -17,11 +17,15 @@
 
 // distribution is a histogram with logarithmic buckets and decaying weights.
 type distribution struct {
-	buckets [estimatorBuckets]float64
+	buckets [estimatorBuckets]weighted
 	total   float64
 	updated time.Time
 }
 
+// weighted is the decayed number and sum of the values in one bucket. A quantile is the mean of its bucket, which is
+// exact for entries whose values don't vary.
+type weighted struct{ count, sum float64 }
+
 // Observe records a value of an entry. Values of 0 or less count as the smallest one.
 func (e *Estimator) Observe(entry string, value float64, now time.Time) {
 	if e.entries == nil {
@@ -33,7 +37,9 @@
 		e.entries[entry] = d
 	}
 	d.decay(now, e.halfLife())
-	d.buckets[bucket(value)]++
+	b := &d.buckets[bucket(value)]
+	b.count++
+	b.sum += value
 	d.total++
 }
 
@@ -83,7 +89,8 @@
 		keep = min(1, minSamples/max(d.total, minDecayedSamples))
 	}
 	for i := range d.buckets {
-		d.buckets[i] *= keep
+		d.buckets[i].count *= keep
+		d.buckets[i].sum *= keep
 	}
 	d.total *= keep
 }
@@ -91,7 +98,7 @@
 func (d *distribution) after(first int) float64 {
 	sum := 0.0
 	for _, w := range d.buckets[first:] {
-		sum += w
+		sum += w.count
 	}
 	return sum
 }
@@ -100,12 +107,12 @@
 	target := q * d.after(first)
 	sum := 0.0
 	for i := first; i < estimatorBuckets; i++ {
-		sum += d.buckets[i]
-		if sum >= target && sum > 0 {
-			return upper(i)
+		sum += d.buckets[i].count
+		if sum > 0 && sum >= target*(1-roundingError) {
+			return d.buckets[i].sum / d.buckets[i].count
 		}
 	}
-	return upper(estimatorBuckets - 1)
+	return 0
 }
 
 // bucket returns the index of the bucket that holds the value.
@@ -116,6 +123,3 @@
 	i := int(math.Ceil(bucketsPerDouble * math.Log2(value/smallestEstimate)))
 	return min(i, estimatorBuckets-1)
 }
-
-// upper returns the largest value of a bucket.
-func upper(i int) float64 { return smallestEstimate * math.Exp2(float64(i)/bucketsPerDouble) }
--- a/placement/rotation_test.go
+++ b/placement/rotation_test.go
@@ -76,6 +76,40 @@
 	assert.Equal(t, len(c.OutOfRotation("p")), 0)
 }
 
+// Guards against a large shape that never starts because smaller work takes every slot that becomes free, and against a
+// server that stays held when nobody asks for it any more.
+func TestServerIsHeldForLargeShape(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		until time.Duration // how long the large shape is asked for
+		fits  bool
+	}{
+		{"until it fits", time.Hour, true},
+		{"given up", 2100 * time.Millisecond, false},
+	} {
+		chooser, tasks, placed, held := pool(2), map[int]string{}, false, false
+		large, small := platform.NewShape(8, 1, 0, 1), platform.NewShape(1, 1, 0, 1)
+		for i := -15; i < 200 && !placed; i++ { // the pool fills up, then one task ends every 100 ms
+			now := start.Add(time.Duration(max(i, 0)) * 100 * time.Millisecond)
+			if i >= 0 {
+				chooser.Free(tasks[i-15], fmt.Sprint(i-15))
+			}
+			if i >= 0 && now.Sub(start) < c.until {
+				server, _ := chooser.Choose("p", "large", large, queue.Interactive, now)
+				placed = server != ""
+			}
+			held = held || len(chooser.Held("p")) > 0
+			if server, _ := chooser.Choose("p", "small", small, queue.Interactive, now); server != "" {
+				chooser.Reserve(server, fmt.Sprint(i), small)
+				tasks[i] = server
+			}
+		}
+		assert.Assert(t, held, c.name)
+		assert.Equal(t, placed, c.fits, c.name)
+		assert.Equal(t, len(chooser.Held("p")), 0, c.name)
+	}
+}
+
 // Guards against estimates that follow declared values off by 10x, or that don't follow a change of the real values.
 func TestEstimatorLearnsRealValues(t *testing.T) {
 	var e placement.Estimator
--- a/queue/constants.go
+++ b/queue/constants.go
@@ -11,8 +11,11 @@
 	// ageingInterval is the wait after which a request counts as one class higher.
 	ageingInterval = 10 * time.Minute
 
-	// lookAhead bounds how many requests of one team and class Pick examines for a shape that wasn't offered yet.
-	lookAhead = 8
+	// Defaults of Shares. In BenchmarkPolicyShare with 8 entry VMs, the largest shortfall of a team in 10 s is 2.5%
+	// with them, 3.1% without memory, 4.0% without memory and remote use, and 33% when remote use, which is up to 1 s
+	// old, counts in full: all entry VMs then start the same team's work at once.
+	defaultShareMemory  = 3 * time.Second
+	defaultRemoteWeight = 0.5
 
 	// rateMemory is the time constant of the learned start rate, in time during which the pool had waiting work.
 	rateMemory = 10 * time.Second
--- a/queue/lane.go
+++ b/queue/lane.go
@@ -3,16 +3,17 @@
 import (
 	"container/heap"
 	"container/list"
-	"slices"
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/platform"
 )
 
-// laneKey names the requests of one team and class in one pool.
+// laneKey names the requests of one team, class and shape in one pool. Shapes have lanes of their own because requests
+// that don't fit for a long time would otherwise fill the front of their team's lane and stop the team.
 type laneKey struct {
 	team  string
 	class Class
+	shape platform.Shape
 }
 
 // lane holds waiting requests in order of arrival.
@@ -32,8 +33,7 @@
 // insert keeps the order of arrival. Requests nearly always arrive in order, or all at the front after a takeover.
 func (l *lane) insert(it *item) {
 	it.lane = l
-	front := l.items.Front()
-	if front != nil && it.request.arrived.Before(front.Value.(*item).request.arrived) {
+	if l.items.Len() > 0 && it.request.arrived.Before(l.head().request.arrived) {
 		it.place = l.items.PushFront(it)
 		return
 	}
@@ -46,52 +46,28 @@
 	it.place = l.items.PushFront(it)
 }
 
-// cursor walks over the first requests of a lane, one for each shape.
-type cursor struct {
-	place  *list.Element
-	seen   int
-	shapes []platform.Shape
+func (l *lane) head() *item { return l.items.Front().Value.(*item) }
 
+// candidate is the first request of a lane with its rank.
+type candidate struct {
+	item  *item
 	class Class
 	rank  float64
 }
 
-func newCursor(l *lane, rank float64, now time.Time) *cursor {
-	c := &cursor{place: l.items.Front(), rank: rank}
-	c.class = c.item().agedClass(now)
-	return c
+func newCandidate(l *lane, rank float64, now time.Time) candidate {
+	r := l.head().request
+	return candidate{item: l.head(), class: r.class.aged(now.Sub(r.arrived)), rank: rank}
 }
 
-func (c *cursor) item() *item { return c.place.Value.(*item) }
+// candidates is a heap in the order of Pick.
+type candidates []candidate
 
-// advance moves to the next request with a shape that wasn't offered yet and reports whether there is one.
-func (c *cursor) advance(now time.Time) bool {
-	c.shapes = append(c.shapes, c.item().request.shape)
-	for c.seen++; c.seen < lookAhead; c.seen++ {
-		c.place = c.place.Next()
-		if c.place == nil {
-			return false
-		}
-		if !slices.Contains(c.shapes, c.item().request.shape) {
-			c.class = c.item().agedClass(now)
-			return true
-		}
-	}
-	return false
-}
-
-func (it *item) agedClass(now time.Time) Class {
-	return it.request.class.aged(now.Sub(it.request.arrived))
-}
-
-// cursors is a heap in the order of Pick.
-type cursors []*cursor
-
-var _ heap.Interface = (*cursors)(nil)
+var _ heap.Interface = (*candidates)(nil)
 
-func (c cursors) Len() int { return len(c) }
+func (c candidates) Len() int { return len(c) }
 
-func (c cursors) Less(i, j int) bool {
+func (c candidates) Less(i, j int) bool {
 	a, b := c[i], c[j]
 	if a.class != b.class {
 		return a.class < b.class
@@ -99,18 +75,18 @@
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
-	ra, rb := a.item().request, b.item().request
+	ra, rb := a.item.request, b.item.request
 	if !ra.arrived.Equal(rb.arrived) {
 		return ra.arrived.Before(rb.arrived)
 	}
 	return ra.id < rb.id
 }
 
-func (c cursors) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c candidates) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
 
-func (c *cursors) Push(x any) { *c = append(*c, x.(*cursor)) }
+func (c *candidates) Push(x any) { *c = append(*c, x.(candidate)) }
 
-func (c *cursors) Pop() any {
+func (c *candidates) Pop() any {
 	last := (*c)[len(*c)-1]
 	*c = (*c)[:len(*c)-1]
 	return last
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -97,23 +97,18 @@
 	}
 	p.rate.advance(now, p.waiting > 0)
 
-	order := make(cursors, 0, len(p.lanes))
+	order := make(candidates, 0, len(p.lanes))
 	for _, l := range p.lanes {
-		order = append(order, newCursor(l, q.Shares.rank(l.key.team), now))
+		order = append(order, newCandidate(l, q.Shares.rank(l.key.team), now))
 	}
 	heap.Init(&order)
 	for len(order) > 0 {
-		c := order[0]
-		if it := c.item(); try(it.request) {
+		it := heap.Pop(&order).(candidate).item
+		if try(it.request) {
 			p.rate.started(it.request.arrived, now)
 			q.remove(it)
 			return it.request, true
 		}
-		if c.advance(now) {
-			heap.Fix(&order, 0)
-		} else {
-			heap.Pop(&order)
-		}
 	}
 	return Request{}, false
 }
@@ -132,19 +127,23 @@
 // ahead returns how many requests are likely to start before r: all of higher classes, those of its team, and as many of
 // each other team as its weight allows while the requests of r's team are served.
 func (q *Queue) ahead(p *pool, r Request) int {
-	own := 0
-	if l, ok := p.lanes[laneKey{team: r.team, class: r.class}]; ok {
-		own = l.items.Len()
-	}
-	turns := float64(own+1) / q.Shares.Weight(r.team)
-
-	ahead := own
+	ahead := 0
+	teams := make(map[string]int)
 	for k, l := range p.lanes {
 		switch {
 		case k.class < r.class:
 			ahead += l.items.Len()
-		case k.class == r.class && k.team != r.team:
-			ahead += min(l.items.Len(), int(turns*q.Shares.Weight(k.team)))
+		case k.class == r.class:
+			teams[k.team] += l.items.Len()
+		}
+	}
+
+	own := teams[r.team]
+	turns := float64(own+1) / q.Shares.Weight(r.team)
+	ahead += own
+	for t, n := range teams {
+		if t != r.team {
+			ahead += min(n, int(turns*q.Shares.Weight(t)))
 		}
 	}
 	return ahead
@@ -162,7 +161,7 @@
 	for _, p := range q.pools {
 		for k, l := range p.lanes {
 			if k.class == class {
-				longest = max(longest, now.Sub(l.items.Front().Value.(*item).request.arrived))
+				longest = max(longest, now.Sub(l.head().request.arrived))
 			}
 		}
 	}
@@ -200,7 +199,7 @@
 	}
 	p.rate.advance(now, p.waiting > 0)
 
-	k := laneKey{team: r.team, class: r.class}
+	k := laneKey{team: r.team, class: r.class, shape: r.shape}
 	l, ok := p.lanes[k]
 	if !ok {
 		l = &lane{key: k, items: list.New()}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -156,12 +156,8 @@
 		m.queue.Shares.Started(picked.Team(), picked.Shape())
 		return true
 	}
-	lanes := make(map[kind]bool)
-	for k := range offered {
-		lanes[kind{team: k.team, class: k.class}] = true
-	}
 	for _, w := range m.waiting {
-		assert.Assert(r, w.Pool() != pool || lanes[kind{team: w.Team(), class: w.Class()}], "%v was not offered", w)
+		assert.Assert(r, w.Pool() != pool || offered[kind{w.Team(), w.Class(), w.Shape()}], "%v was not offered", w)
 	}
 	return false
 }
@@ -172,6 +168,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		m := &model{waiting: make(map[string]queue.Request), now: start}
 		m.queue.Bound = 8
+		m.queue.Shares.Memory = -1 // the model ranks by present use
 		m.queue.Shares.SetCapacity(slots(40))
 		m.queue.Shares.SetTeam("b", 2)
 		r.Repeat(map[string]func(*rapid.T){
@@ -208,15 +205,16 @@
 	})
 }
 
-// Guards against a request that doesn't fit blocking other shapes of its team.
+// Guards against requests that don't fit blocking other shapes of their team, however many there are. With a look-ahead
+// of 8, an entry declared at 10x its size stopped its team in the simulated fleet.
 func TestPickLooksPastRequestThatDoesNotFit(t *testing.T) {
 	var q queue.Queue
-	for i, n := range []int{8, 8, 8, 1} {
-		q.Push(queue.NewRequest(fmt.Sprint(i), "p", "e", "a", queue.Archive, slots(n), start, time.Time{}), start)
+	for i := range 100 {
+		q.Push(queue.NewRequest(fmt.Sprint(i), "p", "e", "a", queue.Archive, slots(8-i/99*7), start, time.Time{}), start)
 	}
 	got, ok := q.Pick("p", start, func(r queue.Request) bool { return r.Shape().Slots() == 1 })
 	assert.Assert(t, ok)
-	assert.Equal(t, got.ID(), "3")
+	assert.Equal(t, got.ID(), "99")
 }
 
 // Guards against refusals in the first moments of a burst after an idle time, and against admission beyond the bounds at
--- a/queue/shares.go
+++ b/queue/shares.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -11,12 +12,16 @@
 // slots, divided by its weight. The zero value is ready for use.
 type Shares struct {
 	// Memory is the time constant with which past use counts towards a team's rank, so that a team that was short
-	// during a burst of others catches up. 0 ranks by present use only.
+	// during a burst of others catches up. It is 3 s if it is 0; a negative value ranks by present use only.
 	Memory time.Duration
-
-	capacity platform.Shape
-	teams    map[string]*usage
-	updated  time.Time
+	// RemoteWeight is the weight of the share that a team has of the other entry VMs' capacity, relative to its share
+	// of this one's, when teams are ranked. It is 0.5 if it is 0; a negative value ignores remote use.
+	RemoteWeight float64
+
+	capacity  platform.Shape
+	elsewhere platform.Shape
+	teams     map[string]*usage
+	updated   time.Time
 }
 
 type usage struct {
@@ -34,9 +39,12 @@
 	s.team(name).weight = weight
 }
 
-// SetCapacity sets the capacity that shares are computed from.
+// SetCapacity sets the capacity that this entry VM places work on.
 func (s *Shares) SetCapacity(c platform.Shape) { s.capacity = c }
 
+// SetRemoteCapacity sets the capacity that other entry VMs place work on.
+func (s *Shares) SetRemoteCapacity(c platform.Shape) { s.elsewhere = c }
+
 // Started adds a running task.
 func (s *Shares) Started(team string, shape platform.Shape) {
 	u := s.team(team)
@@ -58,7 +66,7 @@
 	if !ok {
 		return 0
 	}
-	return s.dominant(u)
+	return dominant(u.local.Plus(u.remote), s.capacity.Plus(s.elsewhere)) / u.weight
 }
 
 // Weight returns the weight of a team.
@@ -74,12 +82,12 @@
 func (s *Shares) Advance(now time.Time) {
 	passed := now.Sub(s.updated)
 	s.updated = now
-	if s.Memory <= 0 || passed <= 0 {
+	if s.Memory < 0 || passed <= 0 {
 		return
 	}
-	keep := math.Exp(-passed.Seconds() / s.Memory.Seconds())
+	keep := math.Exp(-passed.Seconds() / cmp.Or(s.Memory, defaultShareMemory).Seconds())
 	for _, u := range s.teams {
-		u.past = u.past*keep + s.dominant(u)*(1-keep)
+		u.past = u.past*keep + s.present(u)*(1-keep)
 	}
 }
 
@@ -89,21 +97,22 @@
 	if !ok {
 		return 0
 	}
-	if s.Memory <= 0 {
-		return s.dominant(u)
-	}
-	return s.dominant(u) + u.past
+	return s.present(u) + u.past
+}
+
+func (s *Shares) present(u *usage) float64 {
+	weight := max(cmp.Or(s.RemoteWeight, defaultRemoteWeight), 0)
+	return (dominant(u.local, s.capacity) + weight*dominant(u.remote, s.elsewhere)) / u.weight
 }
 
-func (s *Shares) dominant(u *usage) float64 {
-	used := u.local.Plus(u.remote)
-	share := max(
-		ratio(used.Processors(), s.capacity.Processors()),
-		ratio(used.MemoryMiB(), s.capacity.MemoryMiB()),
-		ratio(used.Accelerators(), s.capacity.Accelerators()),
-		ratio(used.Slots(), s.capacity.Slots()),
+// dominant returns the largest share that used has of a part of the capacity.
+func dominant(used, capacity platform.Shape) float64 {
+	return max(
+		ratio(used.Processors(), capacity.Processors()),
+		ratio(used.MemoryMiB(), capacity.MemoryMiB()),
+		ratio(used.Accelerators(), capacity.Accelerators()),
+		ratio(used.Slots(), capacity.Slots()),
 	)
-	return share / u.weight
 }
 
 func (s *Shares) team(name string) *usage {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -18,6 +18,10 @@
 	Gone func(holder string) bool
 	// Wanted reports that other holders are short of slots for a team. It may be nil.
 	Wanted func(team string) bool
+	// Demand returns what each other live holder runs and has waiting for a team, from their digests. With it, holders
+	// that are all short divide the limit evenly; without it, the first to grow keeps its slots as long as it has
+	// work. It may be nil.
+	Demand func(team string) map[string]int
 
 	teams map[string]*account
 }
@@ -36,6 +40,7 @@
 	inherit map[string]int // slots ever asked for by Inherit, by former holder; Slices.Moved has those received
 
 	pending *Change
+	ceiling int       // slots that may be used while others are short, as of the last Plan; 0 for no ceiling
 	surplus time.Time // when the slice was first seen with unused slots, zero if it has none
 }
 
@@ -145,8 +150,11 @@
 // slice counts. After the limit was lowered, the slices of other holders count as running until they have shrunk.
 func (l *Ledger) Room(team string) int {
 	a := l.account(team)
-	others := a.slices.Sum() - a.slices.Of(l.Holder)
-	return max(min(l.held(a), a.limit-others)-a.running, 0)
+	room := min(l.held(a), a.limit-a.slices.Sum()+a.slices.Of(l.Holder))
+	if a.ceiling > 0 {
+		room = min(room, a.ceiling)
+	}
+	return max(room-a.running, 0)
 }
 
 // Teams returns the teams with a limit, a slice or running tasks, in sorted order.
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -84,11 +84,25 @@
 	h := &holder{counted: make(map[int]int)}
 	h.ledger.Holder = name(len(m.holders))
 	h.ledger.Gone = m.gone
+	if len(m.holders)%2 == 0 {
+		h.ledger.Demand = m.demand
+	}
 	h.ledger.Wanted = func(string) bool { return m.draw(3) == 0 }
 	m.holders = append(m.holders, h)
 	m.read(h)
 }
 
+// demand returns digests of some of the holders, with made-up figures.
+func (m *model) demand(string) map[string]int {
+	demand := make(map[string]int)
+	for i, h := range m.holders {
+		if !h.dead && m.draw(4) > 0 {
+			demand[name(i)] = m.draw(9)
+		}
+	}
+	return demand
+}
+
 func name(i int) string { return fmt.Sprint("h", i) }
 
 // gone is the proof that Ledger.Gone describes.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -8,6 +8,9 @@
 
 // Plan returns the changes of rows that this holder wants, at most one for each team and none while one is under way.
 // The caller commits each one on its condition and reports Applied or Failed, or nothing while the outcome is unknown.
+// After a conflict it sets the row that the conflict returned and plans again at once: during a burst the row changes
+// several times a second, and a plan on the copy from the last scan conflicts again. It also plans when work waits and
+// Room is 0, at most every 100 ms.
 // The backlog is the number of waiting requests for each team.
 func (l *Ledger) Plan(backlog map[string]int, now time.Time) []Change {
 	var changes []Change
@@ -38,35 +41,87 @@
 	}
 
 	own := base.Of(l.Holder)
-	want := l.grown(a, own, a.limit-base.Sum(), backlog)
+	remainder := a.limit - base.Sum()
+	part, contended := l.part(team, a.limit, base, a.running+backlog)
+	a.ceiling = 0
+	if contended {
+		a.ceiling = max(part, 1)
+	}
+
+	want := l.grown(a, own, remainder, backlog, part)
 	if want == own {
-		want = l.shrunk(team, a, own, a.limit-base.Sum(), backlog, now)
+		want = l.shrunk(team, a, own, remainder, part, backlog, now)
 	}
 	return Change{team: team, slices: base.With(l.Holder, want), version: a.version, grows: want > own}
 }
 
-// grown returns the own slice with what the backlog needs from the unassigned remainder. While at least half of the limit
-// is unassigned it includes spare slots, which save writes and waits while the load rises.
-func (l *Ledger) grown(a *account, own, remainder, backlog int) int {
+// grown returns the own slice with what the backlog needs from the unassigned remainder, up to the own part. While at
+// least half of the limit is unassigned it includes spare slots, which save writes and waits while the load rises.
+func (l *Ledger) grown(a *account, own, remainder, backlog, part int) int {
 	need := a.running + backlog
 	if need <= own || remainder <= 0 {
 		return own
 	}
 	a.surplus = time.Time{}
+	if l.Demand != nil {
+		return own + min(max(part-own, 0), remainder)
+	}
 	if 2*remainder >= a.limit {
 		need += spare(a.running)
 	}
 	return own + min(need-own, remainder)
 }
 
+// part returns the own part of the limit when it is divided by demand, and whether the holders need more than there is.
+// If they do, the division is even among those that need that much; otherwise each gets what it needs and an even part
+// of the rest. Slots of holders without a digest can't be divided.
+func (l *Ledger) part(team string, limit int, base Slices, need int) (int, bool) {
+	if l.Demand == nil {
+		return limit, false
+	}
+	demand := l.Demand(team)
+	left, needed := limit, need
+	for _, h := range base.Holders() {
+		if _, ok := demand[h]; !ok && h != l.Holder {
+			left -= base.Of(h)
+		}
+	}
+	needs := make([]int, 0, len(demand))
+	for _, n := range demand {
+		needs = append(needs, n)
+		needed += n
+	}
+	if needed <= left {
+		return need + (left-needed)/(len(needs)+1), false
+	}
+
+	// Holders that need less than an even part leave the rest to the others.
+	slices.Sort(needs)
+	for i, n := range needs {
+		even := left / (len(needs) - i + 1)
+		if n >= even || need <= even {
+			return min(need, even), true
+		}
+		left -= n
+	}
+	return min(need, left), true
+}
+
 // shrunk returns the own slice after giving back what isn't needed, never less than what runs.
-func (l *Ledger) shrunk(team string, a *account, own, remainder, backlog int, now time.Time) int {
+func (l *Ledger) shrunk(team string, a *account, own, remainder, part, backlog int, now time.Time) int {
 	floor := min(own, a.running)
 	if remainder < 0 {
 		return max(floor, own+remainder)
 	}
 	if l.Wanted != nil && l.Wanted(team) {
-		return min(own, a.running+backlog)
+		keep := a.running + backlog
+		if l.Demand != nil {
+			keep = part + part/partTolerance
+		}
+		if own <= keep {
+			return own
+		}
+		return max(floor, min(own, part, keep))
 	}
 
 	keep := a.running + backlog + spare(a.running)
--- a/quota/plan_test.go
+++ b/quota/plan_test.go
@@ -73,6 +73,38 @@
 	}
 }
 
+// Guards against the first holder to grow keeping all slots while others are short: at a burst that left 21% of the slots
+// unused in the simulation of BenchmarkPolicyStranded.
+func TestHoldersThatAreShortDivideTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		running, demand int // of this holder; each of the two others demands the same
+		others          int
+		want, room      int
+	}{
+		{"all short", 20, 40, 40, 20, 0},
+		{"all short, some tasks ended", 4, 40, 40, 10, 6},
+		{"others need less than an even part", 4, 40, 5, 20, 16},
+		{"enough for all", 4, 12, 6, 14, 16},
+		{"far more than this holder needs", 4, 4, 9, 6, 16},
+	} {
+		l := quota.Ledger{Holder: "a", Wanted: func(string) bool { return true }}
+		l.Demand = func(string) map[string]int { return map[string]int{"b": c.others, "c": c.others} }
+		l.SetLimit(team, 30)
+		l.SetSlices(team, quota.Slices{}.With("a", 20), 1)
+		for range c.running {
+			assert.Assert(t, l.TryStart(team), c.name)
+		}
+		got := 20
+		for _, p := range l.Plan(map[string]int{team: c.demand - c.running}, start) {
+			got = p.Slices().Of("a")
+			l.Failed(p)
+		}
+		assert.Equal(t, got, c.want, c.name)
+		assert.Equal(t, l.Room(team), c.room, c.name)
+	}
+}
+
 // Guards against rows that lose slots or records on the way through the table, and against unchecked input.
 func TestRowsSurviveEncoding(t *testing.T) {
 	s := quota.Slices{}.With("a", 3).With("b", 4).Move("a", "b", 2).Move("b", "c", 9)
