Document what shares need and wrap comments

Cause: Shares without a capacity ranks all teams alike, which its comments didn't say.

Change: comments only.

Conclusion: no change of behaviour.

--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -12,8 +12,8 @@
 )
 
 // Chooser knows the backend servers and what is reserved on them. All servers of a pool are set, those that other entry
-// VMs own as not usable, so that what never fits and the quarter that may be out of rotation refer to the whole pool. It isn't safe for concurrent use. The zero value is
-// ready for use.
+// VMs own as not usable, so that what never fits and the quarter that may be out of rotation refer to the whole pool. It
+// isn't safe for concurrent use. The zero value is ready for use.
 type Chooser struct {
 	// Zone is the availability zone whose servers are given work, empty for all.
 	Zone string
@@ -106,8 +106,8 @@
 }
 
 // Choose returns a server of the pool with room for the work, and reserves nothing. Servers out of rotation are chosen
-// only for one probe every 10 s, and not for urgent work. When a shape has found no room for 2 s, a server is held for it: other
-// shapes are not given its slots, unless they are urgent.
+// only for one probe every 10 s, and not for urgent work. When a shape has found no room for 2 s, a server is held for it:
+// other shapes are not given its slots, unless they are urgent.
 func (c *Chooser) Choose(pool, entry string, shape platform.Shape, class queue.Class, now time.Time) (string, Outcome) {
 	c.latest = now
 	shape = atLeastOneSlot(shape)
--- a/queue/shares.go
+++ b/queue/shares.go
@@ -39,10 +39,10 @@
 	s.team(name).weight = weight
 }
 
-// SetCapacity sets the capacity that this entry VM places work on.
+// SetCapacity sets the capacity that this entry VM places work on. Without it all shares are 0, and Pick goes by arrival.
 func (s *Shares) SetCapacity(c platform.Shape) { s.capacity = c }
 
-// SetRemoteCapacity sets the capacity that other entry VMs place work on.
+// SetRemoteCapacity sets the capacity that other entry VMs place work on. Without it remote use is ignored.
 func (s *Shares) SetRemoteCapacity(c platform.Shape) { s.elsewhere = c }
 
 // Started adds a running task.
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// Plan returns the changes of rows that this holder wants, at most one for each team and none while one is under way.
+// Plan returns the changes of rows that this holder wants, at most one for each team and none while one is under way. The
+// backlog is the number of waiting requests for each team.
+//
 // The caller commits each one on its condition and reports Applied or Failed, or nothing while the outcome is unknown.
 // After a conflict it sets the row that the conflict returned and plans again at once: during a burst the row changes
 // several times a second, and a plan on the copy from the last scan conflicts again. It also plans when work waits and
 // Room is 0, at most every 100 ms.
-// The backlog is the number of waiting requests for each team.
 func (l *Ledger) Plan(backlog map[string]int, now time.Time) []Change {
 	var changes []Change
 	for _, t := range l.Teams() {
