--- a/membership/state.go
+++ b/membership/state.go
@@ -278,9 +278,10 @@
 	return peers
 }
 
-// nextDue keeps the phase of the heartbeats and skips those missed during a pause.
+// nextDue keeps the phase of the heartbeats. It skips those missed during a pause, and one that would follow too closely
+// on a heartbeat sent late.
 func nextDue(due, now time.Time) time.Time {
-	missed := now.Sub(due) / heartbeatInterval
+	missed := (now.Sub(due) + heartbeatInterval/2) / heartbeatInterval
 	return due.Add((missed + 1) * heartbeatInterval)
 }
 
