Count the messages between entry VMs, and end hung commits in a test

A reply to another request is dropped and has to be counted (R6), and operators need to see lost heartbeats and relayed transactions.

Client and Server of package peer take a tally scope; Client.Close closes the idle connections to a peer that has left. New tests cover the crossed reply and a table call that never returns. The tests of commit, claim and peer are shorter with the same checks.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -69,33 +69,21 @@
 		return d
 	}
 
-	for _, c := range []struct {
-		row               platform.Row
-		team, entry, text string
-		want              claim.Decision
-	}{
-		{platform.Row{}, "a", "sale", "seat 1", claim.Fresh{}},
-		{platform.NewDeletedRow("claim/r.1", 9), "a", "sale", "seat 1", claim.Fresh{}},
-		{row(first), "b", "sale", "seat 1", claim.Mismatch{}},
-		{row(done), "a", "refund", "seat 1", claim.Mismatch{}},
-		{row(done), "a", "sale", "seat 2", claim.Mismatch{}},
-	} {
-		d, err := claim.Decide(c.row, "r.1", c.team, c.entry, claim.Hash([]byte(c.text)))
+	decide := func(r platform.Row, team, entry, payload string) claim.Decision {
+		d, err := claim.Decide(r, "r.1", team, entry, claim.Hash([]byte(payload)))
 		assert.NilError(t, err)
-		assert.Equal(t, d, c.want)
+		return d
 	}
-
-	hash := claim.Hash([]byte("seat 1"))
-	d, err := claim.Decide(row(done), "r.1", "a", "sale", hash)
-	assert.NilError(t, err)
-	assert.Equal(t, d.(claim.AlreadyDone).Claim(), stored(done))
-	d, err = claim.Decide(row(abandoned), "r.1", "a", "sale", hash)
-	assert.NilError(t, err)
-	assert.Equal(t, d.(claim.MayRetry).Version(), uint64(7))
-	d, err = claim.Decide(row(second), "r.1", "a", "sale", hash)
-	assert.NilError(t, err)
-	assert.Equal(t, d.(claim.InProgress).Holder()+d.(claim.InProgress).Server(), "vm2b2")
-	_, err = claim.Decide(platform.NewRow("claim/r.1", []byte("{}"), 7), "r.1", "a", "sale", hash)
+	assert.Equal(t, decide(platform.Row{}, "a", "sale", "seat 1"), claim.Fresh{})
+	assert.Equal(t, decide(platform.NewDeletedRow("claim/r.1", 9), "a", "sale", "seat 1"), claim.Fresh{})
+	assert.Equal(t, decide(row(first), "b", "sale", "seat 1"), claim.Mismatch{})
+	assert.Equal(t, decide(row(done), "a", "refund", "seat 1"), claim.Mismatch{})
+	assert.Equal(t, decide(row(done), "a", "sale", "seat 2"), claim.Mismatch{})
+	assert.Equal(t, decide(row(done), "a", "sale", "seat 1").(claim.AlreadyDone).Claim(), stored(done))
+	assert.Equal(t, decide(row(abandoned), "a", "sale", "seat 1").(claim.MayRetry).Version(), uint64(7))
+	progress := decide(row(second), "a", "sale", "seat 1").(claim.InProgress)
+	assert.Equal(t, progress.Holder()+progress.Server(), "vm2b2")
+	_, err := claim.Decide(platform.NewRow("claim/r.1", []byte("{}"), 7), "r.1", "a", "sale", "")
 	assert.ErrorContains(t, err, "row claim/r.1: claim: request id has 0 characters")
 }
 
@@ -108,12 +96,10 @@
 		"":                       "request id has 0 characters",
 		"a/b":                    `request id has '/' at position 1`,
 	} {
-		err := claim.CheckID(id)
-		if want == "" {
-			assert.NilError(t, err)
-			continue
+		if err := claim.CheckID(id); want != "" || err != nil {
+			assert.ErrorContains(t, err, want)
+			assert.Assert(t, want != "")
 		}
-		assert.ErrorContains(t, err, want)
 	}
 }
 
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -8,10 +8,7 @@
 	"github.com/pistachiolead/pistachiolead/platform"
 )
 
-const (
-	requestID = "sale-1"
-	servers   = 2
-)
+const requestID, servers = "sale-1", 2
 
 // simulation runs the arrivals of one request at several entry VMs, against a table and backend servers whose messages
 // are lost or delayed. All choices come from pick, which returns a number below n.
--- a/commit/committer_test.go
+++ b/commit/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,20 +22,23 @@
 	mu    sync.Mutex
 	calls int
 	model *model
-	down  atomic.Bool
-	stuck chan struct{}
+	// hung is closed by the first call, which then doesn't answer until its context ends. Nil for a table that answers.
+	hung chan struct{}
+	once sync.Once
 }
 
 func (l *lossyTable) Commit(ctx context.Context, t platform.Transaction) platform.CommitOutcome {
-	if l.stuck != nil {
-		close(l.stuck)
+	first := false
+	l.once.Do(func() { first = l.hung != nil })
+	if first {
+		close(l.hung)
 		<-ctx.Done()
 		return platform.NewUnknown("no reply")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
-	if l.down.Load() || l.calls%5 == 0 {
+	if l.calls%5 == 0 {
 		return platform.NewUnavailable("down")
 	}
 	o := l.model.commit(t)
@@ -53,15 +57,24 @@
 	return platform.NewTransaction(nil, []platform.Write{platform.NewPut(k, []byte(k))})
 }
 
+// start runs a committer and returns a function that stops it.
+func start(t testing.TB, c *commit.Committer) func() {
+	ctx, cancel := context.WithCancel(t.Context())
+	run, _ := group.New(ctx)
+	run.Go(func() error { return c.Run(ctx) })
+	return func() {
+		cancel()
+		assert.NilError(t, run.Wait())
+	}
+}
+
 // Guards against lost, doubled or misdirected outcomes between concurrent submitters and the committer's goroutine.
 func TestCommitterAnswersEverySubmitter(t *testing.T) {
 	table := &lossyTable{model: newModel()}
 	c := &commit.Committer{Table: table, Name: "vm", MaxRate: 2000, MaxRowRate: 100_000, MaxRows: 20}
-	ctx, cancel := context.WithCancel(t.Context())
-	run, _ := group.New(ctx)
-	run.Go(func() error { return c.Run(ctx) })
+	stop := start(t, c)
 
-	submitters, _ := group.New(ctx)
+	submitters, _ := group.New(t.Context())
 	for i := range 20 {
 		submitters.Go(func() error {
 			for j := range 20 {
@@ -75,8 +88,7 @@
 		})
 	}
 	assert.NilError(t, submitters.Wait())
-	cancel()
-	assert.NilError(t, run.Wait())
+	stop()
 	assert.Equal(t, len(table.model.applied), 400)
 	for id, n := range table.model.applied {
 		assert.Equal(t, n, 1, "%d", id)
@@ -85,9 +97,8 @@
 
 // Guards against an unbounded queue, and against submitters that wait for ever when the committer stops.
 func TestCommitterRefusesWhenFullOrStopped(t *testing.T) {
-	table := &lossyTable{model: newModel(), stuck: make(chan struct{})}
+	table := &lossyTable{model: newModel(), hung: make(chan struct{})}
 	c := &commit.Committer{Table: table, Name: "vm", MaxQueued: 2, MaxRows: 1}
-	ctx, cancel := context.WithCancel(t.Context())
 	var outcomes [4]platform.CommitOutcome
 	submit := func(i int) { c.Submit(mark(i), func(o platform.CommitOutcome) { outcomes[i] = o }) }
 	submit(0)
@@ -95,11 +106,9 @@
 	submit(2)
 	assert.Equal(t, outcomes[2], platform.NewUnavailable("the commit queue is full"))
 
-	run, _ := group.New(ctx)
-	run.Go(func() error { return c.Run(ctx) })
-	<-table.stuck
-	cancel()
-	assert.NilError(t, run.Wait())
+	stop := start(t, c)
+	<-table.hung
+	stop()
 	submit(3)
 	assert.Equal(t, outcomes[0], platform.NewUnknown("the committer stopped during the commit"))
 	assert.Equal(t, outcomes[1], platform.NewUnavailable("the committer stopped"))
@@ -107,6 +116,25 @@
 	assert.Equal(t, c.Pending(), 0)
 }
 
+// Guards against a call that never returns and holds up all that follow.
+func TestCommitterEndsHungAttempt(t *testing.T) {
+	table := &lossyTable{model: newModel(), hung: make(chan struct{})}
+	clock := timer.NewManual(time.Unix(1000, 0))
+	c := &commit.Committer{Table: table, Timer: clock, Name: "vm"}
+	stop := start(t, c)
+
+	done := make(chan platform.CommitOutcome, 1)
+	c.Submit(mark(1), func(o platform.CommitOutcome) { done <- o })
+	<-table.hung
+	for len(done) == 0 {
+		clock.Advance(50 * time.Millisecond)
+		runtime.Gosched()
+	}
+	_, ok := (<-done).(platform.Committed)
+	assert.Assert(t, ok)
+	stop()
+}
+
 // instantTable applies everything at once.
 type instantTable struct {
 	lossyTable
@@ -127,10 +155,8 @@
 		b.Run(fmt.Sprintf("submitters=%d", n), func(b *testing.B) {
 			table := &instantTable{}
 			c := &commit.Committer{Table: table, Name: "vm", MaxRate: 1e6, MaxRowRate: 1e9}
-			ctx, cancel := context.WithCancel(b.Context())
-			run, _ := group.New(ctx)
-			run.Go(func() error { return c.Run(ctx) })
-			submitters, _ := group.New(ctx)
+			stop := start(b, c)
+			submitters, _ := group.New(b.Context())
 			var left atomic.Int64
 			left.Store(int64(b.N))
 			b.ResetTimer()
@@ -146,8 +172,7 @@
 			}
 			assert.NilError(b, submitters.Wait())
 			b.StopTimer()
-			cancel()
-			assert.NilError(b, run.Wait())
+			stop()
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "items/s")
 			b.ReportMetric(float64(table.rows)/b.Elapsed().Seconds(), "rows/s")
 			b.ReportMetric(float64(table.transactions)/b.Elapsed().Seconds(), "transactions/s")
@@ -158,14 +183,12 @@
 // BenchmarkControlCommitPeak measures, in manual time, what the jobs of a peak (R20) cost with the default limits: an
 // arrival rate for one entry VM during 10 s, and three records of one row for each job (accepted, started, done).
 func BenchmarkControlCommitPeak(b *testing.B) {
-	for _, rate := range []int{5, 44, 220} {
-		for _, sharers := range []int{1, 9} {
-			b.Run(fmt.Sprintf("jobs=%d/sharers=%d", rate, sharers), func(b *testing.B) {
-				for range b.N {
-					runPeak(b, rate, sharers)
-				}
-			})
-		}
+	for _, c := range []struct{ rate, sharers int }{{5, 1}, {5, 9}, {44, 1}, {44, 9}, {220, 1}, {220, 9}} {
+		b.Run(fmt.Sprintf("jobs=%d/sharers=%d", c.rate, c.sharers), func(b *testing.B) {
+			for range b.N {
+				runPeak(b, c.rate, c.sharers)
+			}
+		})
 	}
 }
 
@@ -178,8 +201,7 @@
 		float64(commit.DefaultMaxRowRate)/float64(sharers))
 	s := commit.NewState("vm", limits, nil, start)
 	table := &instantTable{}
-	jobs := 0
-	records := map[uint64]int{}
+	jobs, records := 0, map[uint64]int{}
 	for elapsed := time.Duration(0); jobs < 10*rate || s.Pending() > 0; elapsed = clock.Now().Sub(start) {
 		for ; jobs < 10*rate && jobs < int(elapsed.Seconds()*float64(rate)); jobs++ {
 			records[s.Add(mark(jobs))] = 1
--- a/commit/model_test.go
+++ b/commit/model_test.go
@@ -143,19 +143,15 @@
 func (s *simulation) submit() {
 	id := uint64(len(s.items) + 1)
 	k := fmt.Sprintf("k%d", s.pick(4))
-	writes := []platform.Write{platform.NewPut(fmt.Sprintf("mark/%d", id), []byte(k))}
+	writes := []platform.Write{platform.NewPut(fmt.Sprintf("mark/%d", id), []byte(k)), platform.NewPut(k, nil)}
 	var conditions []platform.Condition
 	switch s.pick(4) {
 	case 0:
-		writes = append(writes, platform.NewPut(k, nil))
-	case 1:
 		conditions = append(conditions, platform.NewCondition(k, 0))
-		writes = append(writes, platform.NewPut(k, nil))
-	case 2:
+	case 1:
 		conditions = append(conditions, platform.NewCondition(k, s.table.rows[k].Version()))
-		writes = append(writes, platform.NewPut(k, nil))
-	default:
-		writes = append(writes, platform.NewDelete(k))
+	case 2:
+		writes[1] = platform.NewDelete(k)
 	}
 	t := platform.NewTransaction(conditions, writes)
 	var options []commit.Option
@@ -246,10 +242,8 @@
 		case platform.Conflict:
 			s.checkConflict(d.ID(), o)
 		case platform.Unavailable, platform.Unknown:
-			if _, unknown := o.(platform.Unknown); unknown && s.strangers {
-				continue
-			}
-			if at, ok := s.deadlines[d.ID()]; !ok || s.now.Before(at) {
+			_, unknown := o.(platform.Unknown)
+			if at, ok := s.deadlines[d.ID()]; (!ok || s.now.Before(at)) && (!unknown || !s.strangers) {
 				s.fault = fmt.Sprintf("%d was given up before its deadline", d.ID())
 			}
 		}
--- a/commit/state_test.go
+++ b/commit/state_test.go
@@ -60,15 +60,12 @@
 func TestStatePacksUrgentFirst(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := commit.NewState("vm", commit.NewLimits(2, 20, 300), rand.New(rand.NewPCG(1, 2)), now)
-	put := func(key string) platform.Transaction {
-		return platform.NewTransaction(nil, []platform.Write{platform.NewPut(key, nil)})
-	}
-	s.Add(put("job/1"))
-	s.Add(put("job/2"))
-	s.Add(put("job/2"), commit.Urgent{})
-	s.Add(put("claim/1"), commit.Urgent{})
+	s.Add(mark(1))
+	s.Add(mark(2))
+	s.Add(mark(2), commit.Urgent{})
+	s.Add(mark(3), commit.Urgent{})
 
-	want := [][]string{{"commit/vm", "claim/1", "job/1"}, {"commit/vm", "job/2"}, {"commit/vm", "job/2"}}
+	want := [][]string{{"commit/vm", "mark/3", "mark/1"}, {"commit/vm", "mark/2"}, {"commit/vm", "mark/2"}}
 	for i, w := range want {
 		now = now.Add(time.Second)
 		var got []string
--- a/metrics/registry_test.go
+++ b/metrics/registry_test.go
@@ -26,9 +26,8 @@
 
 // parse reads the text format strictly and returns the samples by name and labels.
 func parse(text string) (map[string]float64, error) {
-	samples := map[string]float64{}
+	samples, seen := map[string]float64{}, map[string]bool{}
 	family, kind := "", ""
-	seen := map[string]bool{}
 	lines := bufio.NewScanner(strings.NewReader(text))
 	if !strings.HasSuffix(text, "\n") {
 		return nil, fmt.Errorf("the last line has no end")
--- a/peer/client.go
+++ b/peer/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
@@ -26,9 +27,12 @@
 	Secret string
 	// Timer defaults to the system's.
 	Timer timer.Service
+	// Scope receives counters, and defaults to none.
+	Scope tally.Scope
 
-	once sync.Once
-	rpc  peerwire.Peer
+	once    sync.Once
+	rpc     peerwire.Peer
+	metrics clientMetrics
 
 	heartbeat sync.Mutex
 	encoder   DigestEncoder
@@ -49,10 +53,14 @@
 		// The peer has lost the base of the delta, or has heard a later digest.
 		last, _ := strconv.ParseUint(refused.Meta(metaSequence), 10, 64)
 		c.encoder.Reset(last)
+		c.metrics.resent.Inc(1)
 		reply, err = c.exchange(ctx, d)
 	}
 	if err != nil {
-		return heartbeatFailure(err)
+		if c.undelivered(err) {
+			return NewUnreachable(err.Error())
+		}
+		return NewUnknown(err.Error())
 	}
 
 	c.confirmed = 0
@@ -80,14 +88,19 @@
 	if proto.Size(w) > MaxMessageBytes {
 		return NewNotRun(codeTooLarge, "the payload is too large to forward", 0)
 	}
+	c.metrics.forwards.Inc(1)
 	reply, err := c.rpc.Forward(ctx, w)
 	if err != nil {
-		if undelivered(err) {
+		if c.undelivered(err) {
 			return NewUnreachable(err.Error())
 		}
 		return NewUnknown(err.Error())
 	}
-	return replyFromWire(r, reply)
+	if reply.GetId() != r.id || reply.GetAttempt() != int64(r.attempt) {
+		c.metrics.crossed.Inc(1)
+		return NewUnknown("reply to another request")
+	}
+	return replyFromWire(reply)
 }
 
 // Apply pushes a change.
@@ -99,7 +112,7 @@
 	}
 	ack, err := c.rpc.Apply(ctx, w)
 	if err != nil {
-		if undelivered(err) {
+		if c.undelivered(err) {
 			return NewUnreachable(err.Error())
 		}
 		return NewUnknown(err.Error())
@@ -113,7 +126,15 @@
 	return relay{client: c}
 }
 
+// Close closes the connections that aren't in use, for a peer that has left. Connections in use close when
+// they have been idle for 90 s. The client can still be used.
+func (c *Client) Close() {
+	c.init()
+	c.HTTP.CloseIdleConnections()
+}
+
 func (c *Client) exchange(ctx context.Context, d Digest) (*peerwire.Digest, error) {
+	c.metrics.heartbeats.Inc(1)
 	w := c.encoder.Encode(d, c.confirmed, c.Timer.Now())
 	w.Heard, w.HeardIncarnation = c.decoder.Heard()
 	return c.rpc.Heartbeat(ctx, w)
@@ -132,17 +153,21 @@
 				DisableCompression:  true,
 			}}
 		}
+		c.metrics = newClientMetrics(c.Scope)
 		h := *c.HTTP
 		h.Transport = transport{next: h.Transport, secret: c.Secret}
 		c.rpc = peerwire.NewPeerProtobufClient("http://"+c.Address, &h)
 	})
 }
 
-func heartbeatFailure(err error) HeartbeatOutcome {
+// undelivered reports whether a failed request certainly didn't reach the peer's handler, and counts the failure.
+func (c *Client) undelivered(err error) bool {
 	if undelivered(err) {
-		return NewUnreachable(err.Error())
+		c.metrics.unreachable.Inc(1)
+		return true
 	}
-	return NewUnknown(err.Error())
+	c.metrics.unknown.Inc(1)
+	return false
 }
 
 // undelivered reports whether the request certainly didn't reach the peer's handler: no connection was made, or the
--- a/peer/harness_test.go
+++ b/peer/harness_test.go
@@ -97,14 +97,12 @@
 	return reply, nil
 }
 
-func (n *network) serve(r *http.Request) *http.Response {
+func (n *network) serve(r *http.Request) (reply *http.Response) {
 	w := httptest.NewRecorder()
-	func() {
-		// net/http keeps a panic of one request from ending the process, too.
-		defer func() { _ = recover() }()
-		n.server.HTTPHandler().ServeHTTP(w, r)
-	}()
-	return w.Result()
+	// net/http keeps a panic of one request from ending the process, too.
+	defer func() { _, reply = recover(), w.Result() }()
+	n.server.HTTPHandler().ServeHTTP(w, r)
+	return nil
 }
 
 // deliver hands a delayed request to the server, whose reply nobody reads.
--- a/peer/heartbeat_test.go
+++ b/peer/heartbeat_test.go
@@ -21,12 +21,9 @@
 func drawDigest(t *rapid.T, member string, incarnation uint64) peer.Digest {
 	names := rapid.SampledFrom([]string{"p", "q", "r", "s"})
 	counts := rapid.MapOf(names, rapid.IntRange(-1, 2))
-	shapes := map[string]platform.Shape{}
-	for k, n := range counts.Draw(t, "running") {
+	shapes, waits := map[string]platform.Shape{}, map[string]time.Duration{}
+	for k, n := range counts.Draw(t, "running and waits") {
 		shapes[k] = platform.NewShape(n, 1024*n, 0, n)
-	}
-	waits := map[string]time.Duration{}
-	for k, n := range counts.Draw(t, "waits") {
 		waits[k] = time.Duration(n) * 1500 * time.Microsecond
 	}
 	return peer.NewDigest(member, incarnation, rapid.Uint64().Draw(t, "version"), rapid.Bool().Draw(t, "reachable")).
@@ -34,20 +31,6 @@
 		WithRunning(shapes).WithOldestWait(waits)
 }
 
-func text(d peer.Digest) string {
-	s := fmt.Sprint(d.Member(), d.Incarnation(), d.ConfigurationVersion(), d.TableReachable())
-	for _, p := range d.Pools() {
-		s += fmt.Sprint(" pool ", p, d.FreeSlots(p))
-	}
-	for _, n := range d.Teams() {
-		s += fmt.Sprint(" team ", n, d.Running(n), d.Wanted(n))
-	}
-	for _, c := range d.Classes() {
-		s += fmt.Sprint(" class ", c, d.OldestWait(c))
-	}
-	return s
-}
-
 // Guards against digests that differ from what was sent after lost, delayed or overtaken messages and restarts on both
 // sides, and against exchanges that don't recover at once.
 func TestHeartbeatDeliversWholeDigests(t *testing.T) {
@@ -56,11 +39,9 @@
 		incarnation := uint64(1)
 		for range rapid.IntRange(1, 25).Draw(t, "exchanges") {
 			switch rapid.IntRange(0, 12).Draw(t, "event") {
-			case 0:
-				incarnation++
-				p.newClient()
-			case 1:
+			case 0, 1:
 				// A new client of the same process starts its numbering again.
+				incarnation += rapid.Uint64Range(0, 1).Draw(t, "restart")
 				p.newClient()
 			case 2:
 				p.network.server = &peer.Server{Handler: p.handler, Table: p.table, Timer: p.clock}
@@ -77,16 +58,12 @@
 
 			switch p.network.fault {
 			case noFault:
-				h, ok := o.(peer.Heard)
-				assert.Assert(t, ok, "%v", o)
-				assert.Equal(t, text(h.Digest()), text(p.handler.own))
-				assert.Equal(t, text(p.handler.heard), text(sent))
+				assert.DeepEqual(t, o, peer.NewHeard(p.handler.own), opaque)
+				assert.DeepEqual(t, p.handler.heard, sent, opaque)
 			case dialFault:
-				_, ok := o.(peer.Unreachable)
-				assert.Assert(t, ok, "%v", o)
+				assert.Equal(t, fmt.Sprintf("%T", o), "peer.Unreachable")
 			default:
-				_, ok := o.(peer.Unknown)
-				assert.Assert(t, ok, "%v", o)
+				assert.Equal(t, fmt.Sprintf("%T", o), "peer.Unknown")
 			}
 		}
 	})
@@ -111,9 +88,8 @@
 }
 
 func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.sent.Add(int64(n))
-	return n, err
+	c.sent.Add(int64(len(b)))
+	return c.Conn.Write(b)
 }
 
 func (c countingConn) Read(b []byte) (int, error) {
@@ -139,10 +115,8 @@
 		running[fmt.Sprintf("team-%02d", i)] = platform.NewShape(4*n, 16384*n, n, n)
 		wanted[fmt.Sprintf("team-%02d", i)] = n / 2
 	}
-	waits := map[string]time.Duration{}
-	for i, c := range []string{"urgent", "interactive", "archive"} {
-		waits[c] = time.Duration(100*i+round) * time.Millisecond
-	}
+	wait := time.Duration(round) * time.Millisecond
+	waits := map[string]time.Duration{"urgent": wait, "interactive": 100 * wait, "archive": 10_000 * wait}
 	return peer.NewDigest(member, 1_770_000_000_000, 1000, true).WithFreeSlots(free).WithRunning(running).
 		WithWanted(wanted).WithOldestWait(waits)
 }
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -1,17 +1,22 @@
 package peer_test
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"net/http/httptest"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/peer"
+	"github.com/pistachiolead/pistachiolead/peer/peerwire"
 	"github.com/pistachiolead/pistachiolead/platform"
 )
 
@@ -47,20 +52,20 @@
 		{name: "unknown", outcome: peer.NewUnknown("lost"), want: peer.NewUnknown("lost"), calls: 1},
 		{name: "unreachable further on", outcome: peer.NewUnreachable("down"), want: peer.NewUnknown("down"), calls: 1},
 		{name: "no outcome", want: peer.NewUnknown("no outcome"), calls: 1},
-		{name: "dial", outcome: answer, fault: dialFault, kind: "unreachable"},
-		{name: "request lost", outcome: answer, fault: requestLost, kind: "unknown"},
-		{name: "reply lost", outcome: answer, fault: replyLost, kind: "unknown", calls: 1},
-		{name: "panic", setUp: func(p *pair) { p.handler.panicked = true }, kind: "unknown", calls: 1},
-		{name: "large payload", outcome: answer, payload: large, kind: "not run"},
+		{name: "dial", outcome: answer, fault: dialFault, kind: "peer.Unreachable"},
+		{name: "request lost", outcome: answer, fault: requestLost, kind: "peer.Unknown"},
+		{name: "reply lost", outcome: answer, fault: replyLost, kind: "peer.Unknown", calls: 1},
+		{name: "panic", setUp: func(p *pair) { p.handler.panicked = true }, kind: "peer.Unknown", calls: 1},
+		{name: "large payload", outcome: answer, payload: large, kind: "peer.NotRun"},
 		{
 			name: "large answer", outcome: peer.NewAnswered(true, large, len(large), 0),
 			want: peer.NewUnknown("the answer is too large to forward"), calls: 1,
 		},
-		{name: "not loopback", setUp: func(p *pair) { p.network.remote = "10.0.0.1:1" }, kind: "unreachable"},
+		{name: "not loopback", setUp: func(p *pair) { p.network.remote = "10.0.0.1:1" }, kind: "peer.Unreachable"},
 		{name: "wrong secret", setUp: func(p *pair) {
 			p.network.server.Secret = "right"
 			p.client.Secret = "wrong"
-		}, kind: "unreachable"},
+		}, kind: "peer.Unreachable"},
 		{name: "right secret", outcome: answer, setUp: func(p *pair) {
 			p.network.server.Secret = "right"
 			p.client.Secret = "right"
@@ -78,24 +83,28 @@
 			if c.want != nil {
 				assert.DeepEqual(t, got, c.want, opaque)
 			} else {
-				assert.Equal(t, kindOf(got), c.kind, "%v", got)
+				assert.Equal(t, fmt.Sprintf("%T", got), c.kind, "%v", got)
 			}
 			assert.Equal(t, p.handler.calls, c.calls)
 		})
 	}
 }
 
-func kindOf(o peer.ForwardOutcome) string {
-	switch o.(type) {
-	case peer.Answered:
-		return "answered"
-	case peer.NotRun:
-		return "not run"
-	case peer.Unreachable:
-		return "unreachable"
-	default:
-		return "unknown"
-	}
+// crossed answers with the reply to another request.
+type crossed struct{ peerwire.Peer }
+
+func (crossed) Forward(context.Context, *peerwire.ForwardRequest) (*peerwire.ForwardReply, error) {
+	return &peerwire.ForwardReply{Id: "r.2", Attempt: 3, Outcome: &peerwire.ForwardReply_NotRun{}}, nil
+}
+
+// Guards against the reply to one request that is taken for another's (R6).
+func TestForwardDropsCrossedReply(t *testing.T) {
+	server := httptest.NewServer(peerwire.NewPeerServer(crossed{}))
+	defer server.Close()
+	scope := tally.NewTestScope("", nil)
+	c := &peer.Client{Address: server.Listener.Addr().String(), Scope: scope}
+	assert.Equal(t, c.Forward(t.Context(), request(nil)), peer.NewUnknown("reply to another request"))
+	assert.Equal(t, scope.Snapshot().Counters()["peer-client.forwards-crossed+"].Value(), int64(1))
 }
 
 // Guards against fields that are lost on the way and requests that circulate.
@@ -105,7 +114,7 @@
 	p.client.Forward(t.Context(), request([]byte("seat 1")))
 	got := p.handler.request
 	assert.Equal(t, got.Hops(), 1)
-	assert.Equal(t, kindOf(p.client.Forward(t.Context(), got)), "not run")
+	assert.Equal(t, fmt.Sprintf("%T", p.client.Forward(t.Context(), got)), "peer.NotRun")
 	assert.Equal(t, p.handler.calls, 1)
 	assert.Equal(t, got.ID()+got.Entry()+got.Team()+got.KeyID()+string(got.Payload()), "r.1saleteamkeyseat 1")
 	assert.Equal(t, got.Attempt(), 3)
@@ -119,9 +128,8 @@
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
 	c := &peer.Client{Address: l.Addr().String()}
-	assert.Equal(t, kindOf(c.Forward(t.Context(), request(nil))), "unreachable")
-	_, ok := c.Relay().Commit(t.Context(), platform.Transaction{}).(platform.Unavailable)
-	assert.Assert(t, ok)
+	assert.Equal(t, fmt.Sprintf("%T", c.Forward(t.Context(), request(nil))), "peer.Unreachable")
+	assert.Equal(t, fmt.Sprintf("%T", c.Relay().Commit(t.Context(), platform.Transaction{})), "platform.Unavailable")
 }
 
 func drawRow(t *rapid.T) platform.Row {
@@ -163,11 +171,8 @@
 		}
 
 		p.network.fault = replyLost
-		_, ok := p.client.Relay().Commit(t.Context(), tx).(platform.Unknown)
-		assert.Assert(t, ok)
-		_, ok = p.client.Relay().Scan(t.Context(), "p", 3).(platform.Unavailable)
-		assert.Assert(t, ok)
-		_, ok = p.client.Apply(t.Context(), peer.NewRevocation("key")).(peer.Unknown)
-		assert.Assert(t, ok)
+		assert.Equal(t, fmt.Sprintf("%T", p.client.Relay().Commit(t.Context(), tx)), "platform.Unknown")
+		assert.Equal(t, fmt.Sprintf("%T", p.client.Relay().Scan(t.Context(), "p", 3)), "platform.Unavailable")
+		assert.Equal(t, fmt.Sprintf("%T", p.client.Apply(t.Context(), peer.NewRevocation("key"))), "peer.Unknown")
 	})
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -22,7 +22,7 @@
 	}
 	reply, err := r.client.rpc.Commit(ctx, w)
 	if err != nil {
-		if undelivered(err) {
+		if r.client.undelivered(err) {
 			return platform.NewUnavailable(err.Error())
 		}
 		return platform.NewUnknown(err.Error())
@@ -34,6 +34,8 @@
 func (r relay) Scan(ctx context.Context, prefix string, since uint64) platform.ScanOutcome {
 	reply, err := r.client.rpc.Scan(ctx, &peerwire.ScanRequest{Prefix: prefix, Since: since})
 	if err != nil {
+		// A scan has no effect, so a lost reply is no different.
+		r.client.undelivered(err)
 		return platform.NewUnavailable(err.Error())
 	}
 	return scanFromWire(reply)
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
@@ -29,6 +30,11 @@
 	Secret string
 	// Timer defaults to the system's.
 	Timer timer.Service
+	// Scope receives counters, and defaults to none.
+	Scope tally.Scope
+
+	once    sync.Once
+	metrics serverMetrics
 
 	mu      sync.Mutex
 	members map[string]*memberState
@@ -42,13 +48,18 @@
 
 // HTTPHandler returns the handler for all paths of the protocol, which start with /twirp/.
 func (s *Server) HTTPHandler() http.Handler {
-	if s.Timer == nil {
-		s.Timer = timer.System{}
-	}
+	s.once.Do(func() {
+		if s.Timer == nil {
+			s.Timer = timer.System{}
+		}
+		s.metrics = newServerMetrics(s.Scope)
+		s.members = make(map[string]*memberState)
+	})
 	service := peerwire.NewPeerServer(service{server: s})
 	want := sha256.Sum256([]byte(s.Secret))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.admits(r, want) {
+			s.metrics.unauthorized.Inc(1)
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the peer secret is missing or wrong"))
 			return
 		}
@@ -80,15 +91,13 @@
 	now := s.Timer.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.members == nil {
-		s.members = make(map[string]*memberState)
-	}
 	m := s.members[w.GetMember()]
 	if m == nil {
 		s.evictMember()
 		m = &memberState{}
 		s.members[w.GetMember()] = m
 	}
+	s.metrics.members.Update(float64(len(s.members)))
 	m.seen = now
 	d, ok = m.decoder.Decode(w)
 	last, _ = m.decoder.Heard()
@@ -137,8 +146,10 @@
 var _ peerwire.Peer = service{}
 
 func (s service) Heartbeat(ctx context.Context, w *peerwire.Digest) (*peerwire.Digest, error) {
+	s.server.metrics.heartbeats.Inc(1)
 	d, last, ok := s.server.decode(w)
 	if !ok {
+		s.server.metrics.refused.Inc(1)
 		return nil, twirp.NewError(twirp.FailedPrecondition, "the base of the digest is missing").
 			WithMeta(metaSequence, strconv.FormatUint(last, 10))
 	}
@@ -146,6 +157,7 @@
 }
 
 func (s service) Forward(ctx context.Context, w *peerwire.ForwardRequest) (*peerwire.ForwardReply, error) {
+	s.server.metrics.forwards.Inc(1)
 	r := requestFromWire(w)
 	if r.hops > MaxHops {
 		return replyToWire(r, NewNotRun(codeHops, "the request was forwarded too often", 0)), nil
@@ -169,6 +181,7 @@
 	if s.server.Table == nil {
 		return unavailableScan("no relay"), nil
 	}
+	s.server.metrics.relayed.Inc(1)
 	reply := scanToWire(s.server.Table.Scan(ctx, w.GetPrefix(), w.GetSince()))
 	if proto.Size(reply) > MaxMessageBytes {
 		return unavailableScan("the rows are too large to relay"), nil
@@ -180,5 +193,6 @@
 	if s.server.Table == nil {
 		return commitToWire(platform.NewUnavailable("no relay")), nil
 	}
+	s.server.metrics.relayed.Inc(1)
 	return commitToWire(s.server.Table.Commit(ctx, transactionFromWire(w))), nil
 }
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -46,10 +46,7 @@
 	return &peerwire.ForwardReply_Unknown{Unknown: &peerwire.Unknown{Reason: reason}}
 }
 
-func replyFromWire(r Request, w *peerwire.ForwardReply) ForwardOutcome {
-	if w.GetId() != r.id || w.GetAttempt() != int64(r.attempt) {
-		return NewUnknown("reply to another request")
-	}
+func replyFromWire(w *peerwire.ForwardReply) ForwardOutcome {
 	switch o := w.GetOutcome().(type) {
 	case *peerwire.ForwardReply_Answered:
 		a := o.Answered
