--- a/peer/client.go
+++ b/peer/client.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
@@ -26,15 +26,18 @@
 	Secret string
 	// Timer defaults to the system's.
 	Timer timer.Service
+	// Scope receives counters, and defaults to none.
+	Scope tally.Scope
 
-	once sync.Once
-	rpc  peerwire.Peer
+	once    sync.Once
+	rpc     peerwire.Peer
+	metrics clientMetrics
 
 	heartbeat sync.Mutex
 	encoder   DigestEncoder
 	decoder   DigestDecoder
-	// confirmed is the sequence number of the last digest that the peer says it decoded.
-	confirmed uint64
+	// confirmed is the position of the last digest that the peer says it decoded.
+	confirmed Position
 }
 
 // Heartbeat sends a digest and returns the peer's.
@@ -46,19 +49,19 @@
 	reply, err := c.exchange(ctx, d)
 	var refused twirp.Error
 	if errors.As(err, &refused) && refused.Code() == twirp.FailedPrecondition {
-		// The peer has lost the base of the delta, or has heard a later digest.
-		last, _ := strconv.ParseUint(refused.Meta(metaSequence), 10, 64)
-		c.encoder.Reset(last)
+		// The peer was restarted, or has forgotten this member.
+		c.encoder.Reset()
+		c.metrics.resent.Inc(1)
 		reply, err = c.exchange(ctx, d)
 	}
 	if err != nil {
-		return heartbeatFailure(err)
+		if c.undelivered(err) {
+			return NewUnreachable(err.Error())
+		}
+		return NewUnknown(err.Error())
 	}
 
-	c.confirmed = 0
-	if reply.GetHeardIncarnation() == d.Incarnation() {
-		c.confirmed = reply.GetHeard()
-	}
+	c.confirmed = heardIn(reply)
 	whole, ok := c.decoder.Decode(reply)
 	if !ok {
 		return NewUnknown("the base of the reply is missing")
@@ -80,14 +83,19 @@
 	if proto.Size(w) > MaxMessageBytes {
 		return NewNotRun(codeTooLarge, "the payload is too large to forward", 0)
 	}
+	c.metrics.forwards.Inc(1)
 	reply, err := c.rpc.Forward(ctx, w)
 	if err != nil {
-		if undelivered(err) {
+		if c.undelivered(err) {
 			return NewUnreachable(err.Error())
 		}
 		return NewUnknown(err.Error())
 	}
-	return replyFromWire(r, reply)
+	if reply.GetId() != r.id || reply.GetAttempt() != int64(r.attempt) {
+		c.metrics.crossed.Inc(1)
+		return NewUnknown("reply to another request")
+	}
+	return replyFromWire(reply)
 }
 
 // Apply pushes a change.
@@ -99,7 +107,7 @@
 	}
 	ack, err := c.rpc.Apply(ctx, w)
 	if err != nil {
-		if undelivered(err) {
+		if c.undelivered(err) {
 			return NewUnreachable(err.Error())
 		}
 		return NewUnknown(err.Error())
@@ -113,10 +121,17 @@
 	return relay{client: c}
 }
 
+// Close closes the connections that aren't in use, for a peer that has left. Connections in use close when
+// they have been idle for 90 s. The client can still be used.
+func (c *Client) Close() {
+	c.init()
+	c.HTTP.CloseIdleConnections()
+}
+
 func (c *Client) exchange(ctx context.Context, d Digest) (*peerwire.Digest, error) {
+	c.metrics.heartbeats.Inc(1)
 	w := c.encoder.Encode(d, c.confirmed, c.Timer.Now())
-	w.Heard, w.HeardIncarnation = c.decoder.Heard()
-	return c.rpc.Heartbeat(ctx, w)
+	return c.rpc.Heartbeat(ctx, withHeard(w, c.decoder.Heard()))
 }
 
 func (c *Client) init() {
@@ -132,17 +147,21 @@
 				DisableCompression:  true,
 			}}
 		}
+		c.metrics = newClientMetrics(c.Scope)
 		h := *c.HTTP
 		h.Transport = transport{next: h.Transport, secret: c.Secret}
 		c.rpc = peerwire.NewPeerProtobufClient("http://"+c.Address, &h)
 	})
 }
 
-func heartbeatFailure(err error) HeartbeatOutcome {
+// undelivered reports whether a failed request certainly didn't reach the peer's handler, and counts the failure.
+func (c *Client) undelivered(err error) bool {
 	if undelivered(err) {
-		return NewUnreachable(err.Error())
+		c.metrics.unreachable.Inc(1)
+		return true
 	}
-	return NewUnknown(err.Error())
+	c.metrics.unknown.Inc(1)
+	return false
 }
 
 // undelivered reports whether the request certainly didn't reach the peer's handler: no connection was made, or the
--- a/peer/harness_test.go
+++ b/peer/harness_test.go
@@ -97,14 +97,12 @@
 	return reply, nil
 }
 
-func (n *network) serve(r *http.Request) *http.Response {
+func (n *network) serve(r *http.Request) (reply *http.Response) {
 	w := httptest.NewRecorder()
-	func() {
-		// net/http keeps a panic of one request from ending the process, too.
-		defer func() { _ = recover() }()
-		n.server.HTTPHandler().ServeHTTP(w, r)
-	}()
-	return w.Result()
+	// net/http keeps a panic of one request from ending the process, too.
+	defer func() { _, reply = recover(), w.Result() }()
+	n.server.HTTPHandler().ServeHTTP(w, r)
+	return nil
 }
 
 // deliver hands a delayed request to the server, whose reply nobody reads.
@@ -124,11 +122,9 @@
 }
 
 func newPair() *pair {
-	clock := timer.NewManual(time.Unix(1000, 0))
-	h := &handler{own: peer.NewDigest("b", 1, 1, true)}
-	t := &table{}
-	n := &network{server: &peer.Server{Handler: h, Table: t, Timer: clock}, remote: "127.0.0.1:1"}
-	p := &pair{clock: clock, handler: h, table: t, network: n}
+	p := &pair{clock: timer.NewManual(time.Unix(1000, 0)), handler: &handler{}, table: &table{}}
+	server := &peer.Server{Handler: p.handler, Table: p.table, Timer: p.clock}
+	p.network = &network{server: server, remote: "127.0.0.1:1"}
 	p.newClient()
 	return p
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,11 +6,11 @@
 	"crypto/subtle"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
@@ -29,6 +29,11 @@
 	Secret string
 	// Timer defaults to the system's.
 	Timer timer.Service
+	// Scope receives counters, and defaults to none.
+	Scope tally.Scope
+
+	once    sync.Once
+	metrics serverMetrics
 
 	mu      sync.Mutex
 	members map[string]*memberState
@@ -42,13 +47,18 @@
 
 // HTTPHandler returns the handler for all paths of the protocol, which start with /twirp/.
 func (s *Server) HTTPHandler() http.Handler {
-	if s.Timer == nil {
-		s.Timer = timer.System{}
-	}
+	s.once.Do(func() {
+		if s.Timer == nil {
+			s.Timer = timer.System{}
+		}
+		s.metrics = newServerMetrics(s.Scope)
+		s.members = make(map[string]*memberState)
+	})
 	service := peerwire.NewPeerServer(service{server: s})
 	want := sha256.Sum256([]byte(s.Secret))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.admits(r, want) {
+			s.metrics.unauthorized.Inc(1)
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the peer secret is missing or wrong"))
 			return
 		}
@@ -75,24 +85,20 @@
 	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
 
-// decode returns the peer's whole digest, or the sequence number of the last one heard.
-func (s *Server) decode(w *peerwire.Digest) (d Digest, last uint64, ok bool) {
+// decode returns the peer's whole digest, false if its base is missing.
+func (s *Server) decode(w *peerwire.Digest) (Digest, bool) {
 	now := s.Timer.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.members == nil {
-		s.members = make(map[string]*memberState)
-	}
 	m := s.members[w.GetMember()]
 	if m == nil {
 		s.evictMember()
 		m = &memberState{}
 		s.members[w.GetMember()] = m
 	}
+	s.metrics.members.Update(float64(len(s.members)))
 	m.seen = now
-	d, ok = m.decoder.Decode(w)
-	last, _ = m.decoder.Heard()
-	return d, last, ok
+	return m.decoder.Decode(w)
 }
 
 // evictMember makes room for one more member by removing the one not heard of for the longest time.
@@ -119,16 +125,7 @@
 		m = &memberState{seen: now}
 		s.members[w.GetMember()] = m
 	}
-	heard := w.GetHeard()
-	if w.GetHeardIncarnation() != own.Incarnation() {
-		heard = 0
-	}
-	if heard > m.encoder.sequence {
-		m.encoder.Reset(heard)
-	}
-	r := m.encoder.Encode(own, heard, now)
-	r.Heard, r.HeardIncarnation = m.decoder.Heard()
-	return r
+	return withHeard(m.encoder.Encode(own, heardIn(w), now), m.decoder.Heard())
 }
 
 // service implements the generated interface, whose method names would clash with those of Server's users.
@@ -137,15 +134,17 @@
 var _ peerwire.Peer = service{}
 
 func (s service) Heartbeat(ctx context.Context, w *peerwire.Digest) (*peerwire.Digest, error) {
-	d, last, ok := s.server.decode(w)
+	s.server.metrics.heartbeats.Inc(1)
+	d, ok := s.server.decode(w)
 	if !ok {
-		return nil, twirp.NewError(twirp.FailedPrecondition, "the base of the digest is missing").
-			WithMeta(metaSequence, strconv.FormatUint(last, 10))
+		s.server.metrics.refused.Inc(1)
+		return nil, twirp.NewError(twirp.FailedPrecondition, "the base of the digest is missing")
 	}
 	return s.server.encode(s.server.Handler.Heartbeat(ctx, d), w), nil
 }
 
 func (s service) Forward(ctx context.Context, w *peerwire.ForwardRequest) (*peerwire.ForwardReply, error) {
+	s.server.metrics.forwards.Inc(1)
 	r := requestFromWire(w)
 	if r.hops > MaxHops {
 		return replyToWire(r, NewNotRun(codeHops, "the request was forwarded too often", 0)), nil
@@ -169,6 +168,7 @@
 	if s.server.Table == nil {
 		return unavailableScan("no relay"), nil
 	}
+	s.server.metrics.relayed.Inc(1)
 	reply := scanToWire(s.server.Table.Scan(ctx, w.GetPrefix(), w.GetSince()))
 	if proto.Size(reply) > MaxMessageBytes {
 		return unavailableScan("the rows are too large to relay"), nil
@@ -180,5 +180,6 @@
 	if s.server.Table == nil {
 		return commitToWire(platform.NewUnavailable("no relay")), nil
 	}
+	s.server.metrics.relayed.Inc(1)
 	return commitToWire(s.server.Table.Commit(ctx, transactionFromWire(w))), nil
 }
