Prove team limits and acceptance on the control state

Run three to five control states with the real group commit against the stand-in platform on a manual clock, in one goroutine, with lost, late and repeated messages, cuts, pauses, kills, drains, failing servers, racing operators and repeated or cancelled requests drawn by rapid.

--- /dev/null
+++ b/dispatch/property_test.go
@@ -0,0 +1,51 @@
+package dispatch_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the number of runs, so that CI has the same verdict each time. Either flag of rapid
+// overrides both.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	chosen := false
+	flag.Visit(func(f *flag.Flag) {
+		chosen = chosen || f.Name == "rapid.checks" || f.Name == "rapid.seed" || f.Name == "rapid.failfile"
+	})
+	if !chosen {
+		for name, value := range map[string]string{"rapid.checks": "4", "rapid.seed": "1", "rapid.nofailfile": "true"} {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// check runs plans of a profile and fails on a violation of the row.
+func check(t *testing.T, row string, f profile) {
+	t.Helper()
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		c := execute(drawPlan(t, f), broken{})
+		t.Logf("%d submissions, %d starts, %d configuration versions", len(c.submissions), len(c.starts), c.truth.Version())
+		if v, ok := c.violations[row]; ok {
+			t.Fatalf("%s\n%s", v, strings.Join(c.trace, "\n"))
+		}
+	})
+}
+
+// Guards against starts beyond a team's limit while limits, slices and owners change.
+func TestPropertyR4TeamLimit(t *testing.T) {
+	check(t, "R4", profile{often: []kind{changeLimits, burst, killNode, pauseNode, cutZones, restartServer, drainNode}})
+}
+
+// Guards against a copy of the configuration that goes back, and against an early answer that a version is in force.
+func TestPropertyR11InForce(t *testing.T) {
+	check(t, "R11", profile{often: []kind{changeLimits, vmOut, vmIn, addNode, killNode, cutZones, cutTable, pauseNode}})
+}
