--- a/peer/digest_flags_test.go
+++ b/peer/digest_flags_test.go
@@ -17,7 +17,7 @@
 	now := time.Unix(1000, 0)
 	for i, uncovered := range []int{3, 0, 7} {
 		sent := peer.NewDigest("entry-a-1", 5, 11, true).WithUncovered(uncovered).WithRecognized(i%2 == 0)
-		heard, _ := d.Heard()
+		heard := d.Heard()
 		got, ok := d.Decode(e.Encode(sent, heard, now))
 		assert.Assert(t, ok)
 		assert.Equal(t, got.Uncovered(), uncovered)
