--- a/catalogue/configuration_test.go
+++ b/catalogue/configuration_test.go
@@ -1,6 +1,7 @@
 package catalogue_test
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -41,6 +42,15 @@
 	return b, c
 }
 
+// observe returns what readers see of a snapshot.
+func observe(c *catalogue.Configuration) string {
+	text := fmt.Sprint(c.Change(), string(c.Catalogue().Encode()), c.Zones(), c.Zone("zone-a"), c.VMs(), c.VM("vm-1"))
+	for _, k := range c.Keys() {
+		text += fmt.Sprint(k, k.Revoked(), c.RowVersion("config/key/"+k.ID()))
+	}
+	return text
+}
+
 // Guards against a copy that reverts, or that depends on the order and repetition of the rows it receives (R11).
 func TestWithNeverReverts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -51,8 +61,12 @@
 		c := catalogue.NewConfiguration()
 		for len(rows) > 0 {
 			n := rapid.IntRange(1, len(rows)).Draw(rt, "batch")
+			before := observe(c)
 			next, err := c.With(rows[:n])
 			assert.NilError(rt, err)
+			next.WithZoneOut("zone-b").WithKeyRevoked("k")
+			assert.Equal(rt, observe(c), before, "a snapshot that was handed out has changed")
+			assert.Equal(rt, len(next.EarlyZones())+len(next.EarlyKeys()), 0)
 			assert.Assert(rt, next.Version() >= c.Version())
 			for _, r := range b.history {
 				assert.Assert(rt, next.RowVersion(r.Key()) >= c.RowVersion(r.Key()))
@@ -96,6 +110,29 @@
 	assert.Assert(t, held.Revoked())
 }
 
+// Guards against a deleted row that comes back with an older read or blocks its next writer, and against a version
+// that falls.
+func TestDeletedAndFallingRows(t *testing.T) {
+	b, c := newTable(), catalogue.NewConfiguration()
+	x, err := catalogue.SetZone(c, "zone-a", catalogue.NewZoneState(true, "ana", start))
+	c = b.mustApply(t, c, x, err)
+	c, err = c.With([]platform.Row{platform.NewDeletedRow("config/zone/zone-a", 2)})
+	assert.NilError(t, err)
+	c, err = c.With(b.history)
+	assert.NilError(t, err)
+	assert.Assert(t, !c.Zone("zone-a").Out())
+	x, err = catalogue.SetZone(c, "zone-a", catalogue.NewZoneState(true, "ana", start))
+	assert.NilError(t, err)
+	assert.Assert(t, reflect.DeepEqual(x.Conditions(), []platform.Condition{
+		platform.NewCondition(catalogue.VersionKey, 1), platform.NewCondition("config/zone/zone-a", 0),
+	}))
+
+	_, err = c.With([]platform.Row{platform.NewRow(catalogue.VersionKey, []byte(`{"version": 1}`), 9)})
+	assert.ErrorContains(t, err, "row config/version at table version 9: configuration version 1 follows version 1")
+	_, err = c.With([]platform.Row{platform.NewRow("config/key/k", []byte(`{"role": "admin", "secret-hash": "00"}`), 9)})
+	assert.ErrorContains(t, err, "secret-hash")
+}
+
 // Guards against two operators who both believe that their change was accepted, and against a conflict that doesn't
 // name the winner.
 func TestConflictNamesWinner(t *testing.T) {
--- a/document/constants.go
+++ b/document/constants.go
@@ -11,8 +11,10 @@
 	MaxEmptyValues = 1_000
 )
 
-// MaxJSONBytes is larger than MaxYAMLBytes, because the stored form of a document has the defaults filled in.
-const MaxJSONBytes = 2 * MaxYAMLBytes
+// MaxJSONBytes is larger than MaxYAMLBytes, because the stored form of a document has quotes and the defaults filled in:
+// about 2 MB for 10,000 entries, and 5 bytes for each 3 of a list of short names. A document that was accepted must
+// never be too large to be read again.
+const MaxJSONBytes = 4 * MaxYAMLBytes
 
 // maxProblemsShown is the number of problems in the text of an error. Err.Problems returns all of them.
 const maxProblemsShown = 50
