--- a/document/seed_test.go
+++ b/document/seed_test.go
@@ -1,10 +1,3 @@
 package document_test
 
-import "flag"
-
-// Fixes the seed of the property tests, so that every run has the same verdict. The flag -rapid.seed overrides it.
-func init() {
-	if err := flag.Set("rapid.seed", "20260102"); err != nil {
-		panic(err)
-	}
-}
+import _ "github.com/pistachiolead/pistachiolead/seed" // fixes the seed of the property tests
