Refuse what needs the table while it is down, and record orphaned answers

Cause: with the table down, a job without a deadline waited until its caller gave up and was then told as unknown, although nothing had been stored; a planned stop then waited for that commit. Found by TestTableDownForAll.

Change: a job that isn't stored within 5 s is refused as not run; after 2 s without the table, jobs and non-idempotent calls are refused at once. The answer of a non-idempotent call that nobody waits for is stored with its claim, so that its unknown outcome can be resolved by the request id.

Tests: an entry VM that alone is cut off from the table goes on through its peers; with the table down for all, idempotent calls run on every entry VM after the grants of 9 s have passed, what needs the table is refused and never starts, and a revocation is applied at once on every entry VM.

--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -50,9 +50,17 @@
 		s.reply(e.ticket, *rejected)
 		return
 	}
+	t = s.asMember(t)
 	s.commit(t, UrgencyHigh, s.now.Add(readTimeout), func(o platform.CommitOutcome) { s.changeCommitted(e, t, o) })
 }
 
+// asMember makes a configuration change conditional on the own member row: an entry VM that was removed from the members
+// must not commit changes, because the others no longer take it into account.
+func (s *State) asMember(t platform.Transaction) platform.Transaction {
+	own := platform.NewCondition(memberPrefix+s.Self, s.reads.memberVersions[s.Self])
+	return platform.NewTransaction(append(slices.Clone(t.Conditions()), own), t.Writes())
+}
+
 // earlyPush returns the message that applies a change early, nil if the change must be stored first.
 func earlyPush(c Change) peer.Change {
 	switch c := c.(type) {
@@ -238,6 +246,10 @@
 func (s *State) changeConflict(e ChangeRequested, row platform.Row) {
 	s.count("configuration_conflicts")
 	s.reads.configDue = s.now
+	if row.Key() == memberPrefix+s.Self {
+		s.changeDelayed(e, NewRejected(CodeNotReady, "this entry VM is no longer a member", retryAfterBusy))
+		return
+	}
 	if earlyPush(e.change) != nil {
 		s.changeDelayed(e, Rejected{})
 		return
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -210,8 +210,12 @@
 
 // recordClaim stores the answer of a non-idempotent call, so that a repeated request gets it. Nobody waits for it.
 func (s *State) recordClaim(w *work, a platform.Answer) {
-	c, version := w.claim, w.claimVersion
-	name := answerPrefix + w.id()
+	s.finishClaim(w.id(), w.claim, w.claimVersion, a)
+}
+
+// finishClaim stores an answer, then the claim that names it.
+func (s *State) finishClaim(id string, c claim.Claim, version uint64, a platform.Answer) {
+	name := answerPrefix + id
 	s.put(name, EncodeAnswer(a.OK(), a.Output()), func(o platform.PutOutcome) {
 		if _, ok := o.(platform.Stored); !ok {
 			s.count("answers_not_stored")
@@ -226,6 +230,31 @@
 	})
 }
 
+// recordOrphan stores the answer of a non-idempotent call that nobody here waits for, because its caller left or the
+// entry VM that started it was lost. The caller can then resolve the unknown outcome by the request id.
+func (s *State) recordOrphan(k runKey, a platform.Answer) {
+	if !whole(a, k.id, k.attempt) {
+		return
+	}
+	key := claim.RowKey(k.id)
+	s.scan(key, 0, func(e ScanEnded) {
+		rows, ok := e.outcome.(platform.Rows)
+		if !ok {
+			return
+		}
+		for _, row := range rows.Rows() {
+			c, err := claim.Decode(row.Value())
+			if row.Key() != key || row.Deleted() || err != nil {
+				continue
+			}
+			if c.State() == claim.Claimed && c.Server() == k.server && c.Attempt() == k.attempt {
+				s.count("orphans_recorded")
+				s.finishClaim(k.id, c, row.Version(), a)
+			}
+		}
+	})
+}
+
 // OutcomeOfClaim returns what a claim says of its request, and the name of the object that holds its answer.
 func OutcomeOfClaim(c claim.Claim) (o Outcome, object string) {
 	switch c.State() {
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -44,6 +44,10 @@
 	abandonedJobDelay = 10 * time.Second
 	// changeWait is how long an operator waits for a change to be in force before it is told as pending.
 	changeWait = 3 * time.Second
+	// submitTimeout bounds the wait until a new job is stored. A job that isn't stored by then is refused.
+	submitTimeout = 5 * time.Second
+	// tableDownDelay is how long the table must be out of reach before what needs it is refused without a try.
+	tableDownDelay = 2 * time.Second
 	// closeClaimSlack is how long after the deadline the record of a refusal may still be written.
 	closeClaimSlack = time.Second
 	// recordRetryDelay is the pause before a result that could not be stored is stored again.
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -7,7 +7,6 @@
 
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
-	"github.com/pistachiolead/pistachiolead/platform"
 )
 
 // drainState is how far a planned stop has come.
@@ -15,6 +14,7 @@
 	started  bool
 	since    time.Time
 	released bool
+	left     bool
 	done     bool
 }
 
@@ -24,7 +24,6 @@
 		return
 	}
 	s.drain.started, s.drain.since = true, s.now
-	s.members(membership.NewDrained())
 	for _, id := range slices.Sorted(maps.Keys(s.works)) {
 		w, ok := s.works[id]
 		if ok && (w.phase == phaseQueued || w.phase == phaseBackingOff) {
@@ -101,12 +100,22 @@
 		return
 	}
 	if len(s.Owners.Owned()) == 0 && s.now.Sub(d.since) >= drainSettle {
-		d.done = true
-		s.returnSlices()
-		s.emit(Drained{})
+		s.leave()
 	}
 }
 
+// leave deletes the member row, so that the others needn't wait for this entry VM, and then ends the planned stop.
+func (s *State) leave() {
+	d := &s.drain
+	if !d.left {
+		d.left = true
+		s.members(membership.NewDrained())
+		return
+	}
+	d.done = true
+	s.emit(Drained{})
+}
+
 func (s *State) held() (calls int, jobs []*work) {
 	for _, id := range slices.Sorted(maps.Keys(s.works)) {
 		w := s.works[id]
@@ -118,13 +127,3 @@
 	}
 	return calls, jobs
 }
-
-// returnSlices deletes the member row, so that the others needn't wait for this entry VM.
-func (s *State) returnSlices() {
-	if version, ok := s.reads.memberVersions[s.Self]; ok {
-		s.commit(platform.NewTransaction(
-			[]platform.Condition{platform.NewCondition(memberPrefix+s.Self, version)},
-			[]platform.Write{platform.NewDelete(memberPrefix + s.Self)},
-		), UrgencyHigh, s.now.Add(readTimeout), func(platform.CommitOutcome) {})
-	}
-}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -21,7 +21,11 @@
 		[]platform.Condition{platform.NewCondition(JobKey(r.id), 0), platform.NewCondition(DoneKey(r.id), 0)},
 		[]platform.Write{platform.NewPut(JobKey(r.id), f.encode()), platform.NewPut(inputKey(r.id), r.payload)},
 	)
-	s.commit(t, UrgencyLow, r.deadline, func(o platform.CommitOutcome) { s.jobStored(w, f, o) })
+	deadline := s.now.Add(submitTimeout)
+	if !r.deadline.IsZero() && r.deadline.Before(deadline) {
+		deadline = r.deadline
+	}
+	s.commit(t, UrgencyLow, deadline, func(o platform.CommitOutcome) { s.jobStored(w, f, o) })
 }
 
 func (s *State) jobStored(w *work, f jobFields, o platform.CommitOutcome) {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -111,7 +111,7 @@
 		uncovered += s.Ledger.Uncovered(team)
 	}
 	return peer.NewDigest(s.Self, s.Incarnation, s.config.Version(), s.reads.tableReachable).
-		WithFreeSlots(free).WithRunning(running).WithWanted(wanted).WithUncovered(uncovered)
+		WithFreeSlots(free).WithRunning(running).WithWanted(wanted).WithUncovered(uncovered).WithLeaving(s.drain.started)
 }
 
 // Digest returns the answer to a heartbeat of another entry VM.
@@ -150,6 +150,9 @@
 		p = &peerState{}
 		s.peers[d.Member()] = p
 	}
+	if d.Leaving() && !p.digest.Leaving() {
+		s.members(membership.NewPeerLeaving(d.Member()))
+	}
 	p.digest, p.heard = d, s.now
 	p.forwarded = make(map[string]int)
 	s.sumRemote()
--- a/dispatch/reads.go
+++ b/dispatch/reads.go
@@ -21,6 +21,7 @@
 	memberVersions                                 map[string]uint64
 	tableReachable                                 bool
 	planDue                                        time.Time
+	downSince                                      time.Time
 }
 
 // readPeriodically starts the reads that are due. Each reads only what changed since the one before.
@@ -44,6 +45,12 @@
 	}
 }
 
+// tableDown reports whether the table has been out of reach for so long that what needs it is refused at once.
+func (s *State) tableDown() bool {
+	r := &s.reads
+	return !r.tableReachable && !r.downSince.IsZero() && s.now.Sub(r.downSince) > tableDownDelay
+}
+
 // readConfig reads the configuration, then the members. The members are read last, so that a member that joined
 // before the configuration was read isn't missed.
 func (s *State) readConfig() {
@@ -64,6 +71,9 @@
 
 func (s *State) configReadFailed() {
 	s.count("table_reads_failed")
+	if s.reads.tableReachable {
+		s.reads.downSince = s.now
+	}
 	s.reads.tableReachable = false
 	s.reads.configBusy, s.reads.configDue = false, s.now.Add(configInterval)
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -22,7 +22,7 @@
 		}
 		entry := s.entryOf(w, k)
 		s.end(k)
-		s.answered(w, entry, e.server, o)
+		s.answered(w, entry, k, o)
 	case platform.Refused, platform.StaleEpoch, platform.Unavailable:
 		s.runNotStarted(k, w)
 	case platform.Unknown:
@@ -36,12 +36,15 @@
 		a.Checksum() == xxhash.Sum64(a.Output())
 }
 
-func (s *State) answered(w *work, entry, server string, a platform.Answer) {
+func (s *State) answered(w *work, entry string, k runKey, a platform.Answer) {
+	if w == nil {
+		s.recordOrphan(k, a)
+	}
 	if a.Stopped() {
 		s.stopped(w)
 		return
 	}
-	s.Chooser.Observe(server, entry, a.OK(), s.now)
+	s.Chooser.Observe(k.server, entry, a.OK(), s.now)
 	if w == nil {
 		return
 	}
@@ -204,6 +207,9 @@
 	if held && w.phase == phaseResolving && w.server == e.server && w.attempt == e.attempt {
 		s.resolved(w, e.outcome)
 	}
+	if a, ended := e.outcome.(platform.Answer); ended && !held {
+		s.recordOrphan(k, a)
+	}
 	r, ok := s.runs[k]
 	if !ok {
 		return
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -51,6 +51,7 @@
 		s.found[t.ID()] = foundRun{key: k, epoch: epoch}
 	}
 	if t.Finished() {
+		s.fetchOrphan(server, t)
 		return
 	}
 	if r, ok := s.runs[k]; ok {
@@ -68,6 +69,20 @@
 	s.count("runs_adopted")
 }
 
+// fetchOrphan asks for the answer of a finished non-idempotent call that nobody here waits for.
+func (s *State) fetchOrphan(server string, t platform.TaskStatus) {
+	entry, known := s.config.Catalogue().Entry(t.Entry())
+	_, isJob := s.jobs[t.ID()]
+	epoch, owned := s.Owners.Epoch(server)
+	if !known || entry.Idempotent() || isJob || !owned {
+		return
+	}
+	if _, held := s.works[t.ID()]; held {
+		return
+	}
+	s.emit(Close{server: server, epoch: epoch, id: t.ID(), attempt: t.Attempt()})
+}
+
 // regain puts a run back on a backend server whose lease was lost and acquired again.
 func (s *State) regain(r *run, former string) {
 	if r.lostAt.IsZero() {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -81,6 +81,9 @@
 	if r.kind == KindCall && !r.deadline.IsZero() && !s.now.Before(r.deadline) {
 		return refuse(CodeDeadlinePassed, "the deadline has passed", 0)
 	}
+	if s.tableDown() && (r.kind == KindJob || !entry.Idempotent()) {
+		return refuse(CodeStoreUnavailable, "the table can't be reached, which this request needs", retryAfterBusy)
+	}
 	if s.neverFits(entry) {
 		return refuse(CodeNeverFits, fmt.Sprintf("no VM of pool %q can hold a task of entry %q", entry.Pool(), r.entry), 0)
 	}
--- a/local/fleet.go
+++ b/local/fleet.go
@@ -36,6 +36,8 @@
 	Shape platform.Shape
 	// Timer defaults to the system's.
 	Timer timer.Service
+	// WrapTable returns the table as one entry VM reaches it. It may be nil, which is the platform's table itself.
+	WrapTable func(id string, t platform.Table) platform.Table
 	// NewMetrics returns the scope of an entry VM and the writer of its metrics. It may be nil.
 	NewMetrics func() (tally.Scope, func(io.Writer) error)
 
@@ -105,8 +107,10 @@
 	return nil
 }
 
-// Stop stops all entry VMs gracefully and waits for them.
+// Stop stops all entry VMs gracefully and waits for them. What isn't complete after the stop timeout is cut short.
 func (f *Fleet) Stop() error {
+	late := f.Timer.After(stopTimeout, func(time.Time) { f.cancel() })
+	defer late.Stop()
 	for _, v := range f.vms {
 		v.Drain()
 	}
@@ -181,6 +185,9 @@
 		Freshness: freshness.DefaultDuration, Guard: freshness.DefaultGuard,
 	}
 	server := &api.Server{VM: v, Listener: pair.callers, Random: rand.Reader}
+	if f.WrapTable != nil {
+		v.Table = f.WrapTable(v.ID, f.platform.Table)
+	}
 	if f.NewMetrics != nil {
 		v.Scope, server.WriteMetrics = f.NewMetrics()
 	}
--- a/local/fleet_test.go
+++ b/local/fleet_test.go
@@ -52,11 +52,17 @@
 `
 
 func startFleet(t testing.TB) *local.Fleet {
+	t.Helper()
+	return startFleetWith(t, nil)
+}
+
+func startFleetWith(t testing.TB, wrap func(id string, t platform.Table) platform.Table) *local.Fleet {
 	t.Helper()
 	c, err := catalogue.Parse([]byte(document), "catalogue.yaml")
 	assert.NilError(t, err)
 	f := &local.Fleet{
 		Zones: []string{"a", "b"}, EntryVMs: 2, BackendServers: 4, Catalogue: c, Shape: platform.NewShape(8, 16<<10, 0, 8),
+		WrapTable: wrap,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -20,6 +20,7 @@
 	oldest         map[string]time.Duration
 	uncovered      int
 	recognized     bool
+	leaving        bool
 }
 
 // NewDigest returns a digest without values by pool, team and class. Member is the id of the entry VM, incarnation
@@ -77,6 +78,15 @@
 	return d
 }
 
+// WithLeaving returns the digest with whether the member is about to stop.
+func (d Digest) WithLeaving(leaving bool) Digest {
+	d.leaving = leaving
+	return d
+}
+
+// Leaving reports whether the member is about to stop.
+func (d Digest) Leaving() bool { return d.leaving }
+
 // Uncovered returns the number of tasks that the member runs beyond its slices because it adopted them.
 func (d Digest) Uncovered() int { return d.uncovered }
 
--- a/peer/digest_codec.go
+++ b/peer/digest_codec.go
@@ -29,7 +29,7 @@
 	w := &peerwire.Digest{
 		Member: d.member, Incarnation: d.incarnation, Stream: e.position.stream, Sequence: e.position.sequence + 1,
 		Base: e.position.sequence, ConfigurationVersion: d.version, TableReachable: d.tableReachable,
-		Uncovered: int64(d.uncovered), Recognized: d.recognized,
+		Uncovered: int64(d.uncovered), Recognized: d.recognized, Leaving: d.leaving,
 	}
 	if heard != e.position || d.incarnation != e.incarnation || d.member != e.member || !now.Before(e.wholeAt) {
 		e.tables = digestTables{}
--- a/peer/digest_tables.go
+++ b/peer/digest_tables.go
@@ -54,5 +54,5 @@
 	}
 	return NewDigest(w.GetMember(), w.GetIncarnation(), w.GetConfigurationVersion(), w.GetTableReachable()).
 		WithFreeSlots(free).WithRunning(running).WithWanted(wanted).WithOldestWait(oldest).
-		WithUncovered(int(w.GetUncovered())).WithRecognized(w.GetRecognized())
+		WithUncovered(int(w.GetUncovered())).WithRecognized(w.GetRecognized()).WithLeaving(w.GetLeaving())
 }
