Keep a restarted backend server from running work twice

TestPropertyR8AtMostOnce found starts of a non-idempotent request under a second process of a backend server: the process forgets what the former one started, so a repeated Run starts the attempt again, and a Close answers that it never started. Lost leases alone are not the cause: within one process the server remembers its attempts. The network is not the cause either: epochs refuse all messages of the former process.

The epoch of the first send is kept with the attempt, in the job's row too. A repeated Run and the answer that an attempt never started count only within one process; else the outcome is unknown.

--- a/dispatch/carry_test.go
+++ b/dispatch/carry_test.go
@@ -45,7 +45,8 @@
 }
 
 // request sends a request of a node. Serve runs when it arrives and passes what the node does with the reply to its
-// argument. Lost runs if no reply arrives, with false if the request certainly wasn't delivered.
+// argument. A repeatable request may arrive a second time, after the first; the reply to the second
+// is lost. Lost runs if no reply arrives, with false if the request certainly wasn't delivered.
 func (r *rig) request(
 	n *node, to string, timeout time.Duration, repeatable bool, serve func(reply func(func())), lost func(sent bool),
 ) {
@@ -72,11 +73,13 @@
 			r.after(r.delay(to), func() { settle(fn) })
 		})
 	}
-	if !r.chance(r.plan.loss) {
-		r.after(r.delay(to), arrive)
+	if r.chance(r.plan.loss) {
+		return
 	}
+	delay := r.delay(to)
+	r.after(delay, arrive)
 	if repeatable && r.chance(r.plan.loss) {
-		r.after(r.delay(to), arrive)
+		r.after(delay+r.delay(to), func() { serve(func(func()) {}) })
 	}
 }
 
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -58,7 +58,7 @@
 	f := row.fields
 	f.Holder = ""
 	if w.phase == phaseRunning {
-		f.State, f.Server, f.Attempt = jobRunning, w.server, w.attempt
+		f.State, f.Server, f.Epoch, f.Attempt = jobRunning, w.server, w.sentEpoch, w.attempt
 	}
 	row.busy = true
 	s.writeJob(row, f, func(ok bool) {
--- /dev/null
+++ b/dispatch/fault_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/dispatch"
+)
+
+// calm returns a rig without traffic or faults that has warmed up.
+func calm() *rig {
+	r := newRig(plan{seed: 1, nodes: 4, load: time.Hour}, broken{})
+	r.poll()
+	r.run(r.now().Add(warmUp))
+	return r
+}
+
+// send submits a request of team red to a node.
+func (r *rig) send(node, id string, k dispatch.Kind, entry, payload string, wait time.Duration) *submission {
+	deadline := time.Time{}
+	if wait > 0 {
+		deadline = r.now().Add(wait)
+	}
+	q := dispatch.NewRequest(id, k, entry, "red", r.record.keys["red"][0], []byte(payload), deadline, 0, true)
+	return r.submitAt(r.nodes[node], q)
+}
+
+// untilStart runs the rig until a request was started the given number of times, and returns the last start.
+func (r *rig) untilStart(t *testing.T, id string, count int) start {
+	t.Helper()
+	for end := r.now().Add(settleTime); r.now().Before(end); r.run(r.now().Add(time.Millisecond)) {
+		n := 0
+		for _, s := range r.record.starts {
+			if s.task.ID() != id {
+				continue
+			}
+			if n++; n == count {
+				return s
+			}
+		}
+	}
+	t.Fatalf("%s wasn't started %d times", id, count)
+	return start{}
+}
+
+// none fails if any requirement was violated by the end of the run.
+func (r *rig) none(t *testing.T) {
+	t.Helper()
+	r.stopFaults()
+	for end := r.now().Add(settleTime); r.now().Before(end) && !r.record.settled(); r.run(r.now().Add(time.Second)) {
+	}
+	r.record.finish()
+	assert.Equal(t, len(r.record.violations), 0, "%v", r.record.violations)
+}
+
+// A backend server restarts while it runs a request that isn't idempotent. Under its new epoch the repeated Run started
+// the request again, and a Close answered that it had never started.
+func TestRestartedServerRunsNothingTwice(t *testing.T) {
+	for _, k := range []dispatch.Kind{dispatch.KindCall, dispatch.KindJob} {
+		r := calm()
+		r.send("entry-a-1", "once", k, "seats", `{"run-ms": 3000}`, 20*time.Second*time.Duration(2-k))
+		s := r.untilStart(t, "once", 1)
+		r.restart(s.server)
+		r.none(t)
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -279,7 +279,7 @@
 		w.server, w.attempt = k.server, k.attempt
 		delete(s.found, row.id)
 	}
-	w.started = true
+	w.started, w.sentEpoch = true, f.Epoch
 	s.resolve(w)
 }
 
@@ -304,15 +304,24 @@
 		s.retry(w)
 		return
 	}
-	s.recordJob(w, jobResult{
+	s.recordJob(w, lostResult())
+}
+
+// lostResult is the result of a job that may have run on a backend server that can't tell any more.
+func lostResult() jobResult {
+	return jobResult{
 		state: doneUnknown, code: CodeLostContact, message: "the backend server was lost while the job may have run",
-	})
+	}
 }
 
 // resolved handles the answer to a Close that asked about the attempt of a work.
 func (s *State) resolved(w *work, o platform.CloseOutcome) {
 	switch o := o.(type) {
 	case platform.NeverStarted:
+		if !w.idempotent && !platform.SameProcess(w.sentEpoch, w.epoch) {
+			s.recordJob(w, lostResult())
+			return
+		}
 		w.started = false
 		w.attempt++
 		s.requeue(w)
@@ -362,7 +371,7 @@
 		return
 	}
 	f := row.fields
-	f.State, f.Server, f.Attempt, f.Holder = jobClaimed, w.server, w.attempt, s.Self
+	f.State, f.Server, f.Epoch, f.Attempt, f.Holder = jobClaimed, w.server, w.epoch, w.attempt, s.Self
 	row.busy = true
 	s.writeJob(row, f, func(ok bool) {
 		if s.works[w.id()] != w {
@@ -387,13 +396,13 @@
 		s.forget(w)
 		return
 	}
-	server, attempt := w.server, w.attempt
+	server, epoch, attempt := w.server, w.sentEpoch, w.attempt
 	s.forget(w)
 	if row.fields.Server != "" || row.busy {
 		return
 	}
 	f := row.fields
-	f.State, f.Server, f.Attempt = jobRunning, server, attempt
+	f.State, f.Server, f.Epoch, f.Attempt = jobRunning, server, epoch, attempt
 	row.busy = true
 	s.writeJob(row, f, func(bool) {})
 }
--- a/dispatch/jobrow.go
+++ b/dispatch/jobrow.go
@@ -40,8 +40,10 @@
 	Holder    string   `json:"holder"`
 	State     jobState `json:"state"`
 	Server    string   `json:"server,omitempty"`
-	Attempt   int      `json:"attempt"`
-	Cancelled bool     `json:"cancelled,omitempty"`
+	// Epoch is the epoch that the attempt was first sent under.
+	Epoch     uint64 `json:"epoch,omitempty"`
+	Attempt   int    `json:"attempt"`
+	Cancelled bool   `json:"cancelled,omitempty"`
 }
 
 func (f jobFields) encode() []byte {
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -189,8 +189,10 @@
 
 // submitTo submits a request to any node.
 func (r *rig) submitTo(q dispatch.Request) *submission {
-	nodes := r.running()
-	n := nodes[r.random.IntN(len(nodes))]
+	return r.submitAt(r.node(r.random.IntN(60)), q)
+}
+
+func (r *rig) submitAt(n *node, q dispatch.Request) *submission {
 	s := &submission{node: n.id, request: q, at: r.now(), idempotent: q.Entry() == "proofs" || q.Entry() == "batch"}
 	r.record.submissions = append(r.record.submissions, s)
 	r.record.note("%s gets %s of %s", n.id, q.ID(), q.Team())
@@ -325,9 +327,7 @@
 	b := r.platform.Backends[id]
 	switch o.kind {
 	case restartServer:
-		r.fetchAnswers()
-		b.Restart()
-		r.restarted[id]++
+		r.restart(id)
 	case failServer:
 		b.TaskFaults.SetFail(standin.Always{})
 		r.after(o.length, func() { b.TaskFaults.SetFail(standin.Never{}) })
@@ -345,6 +345,12 @@
 	}
 }
 
+func (r *rig) restart(server string) {
+	r.fetchAnswers()
+	r.platform.Backends[server].Restart()
+	r.restarted[server]++
+}
+
 // change has an operator change the configuration.
 func (r *rig) change(n *node, o operation) {
 	c := r.record
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -45,6 +45,11 @@
 	check(t, "R4", profile{often: []kind{changeLimits, burst, killNode, pauseNode, cutZones, restartServer, drainNode}})
 }
 
+// Guards against a second start of a request that isn't idempotent.
+func TestPropertyR8AtMostOnce(t *testing.T) {
+	check(t, "R8", profile{often: []kind{submitTwice, restartServer, killNode, downTable, cutServer, crossAnswers}})
+}
+
 // Guards against a copy of the configuration that goes back, and against an early answer that a version is in force.
 func TestPropertyR11InForce(t *testing.T) {
 	check(t, "R11", profile{often: []kind{changeLimits, vmOut, vmIn, addNode, killNode, cutZones, cutTable, pauseNode}})
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -103,7 +103,7 @@
 		return
 	}
 	epoch, held := s.Owners.Epoch(k.server)
-	if held && !w.cancelled && !w.expired(s.now) {
+	if held && !w.cancelled && !w.expired(s.now) && (w.idempotent || platform.SameProcess(w.sentEpoch, epoch)) {
 		// The repeated Run joins the attempt if it started, starts it if it didn't, and returns a stored answer.
 		w.epoch = epoch
 		w.resends++
@@ -123,6 +123,8 @@
 	case w.idempotent && s.mayRetry(w):
 		s.count("retries_after_loss")
 		s.retry(w)
+	case !w.isCall() && s.restartedSince(w):
+		s.recordJob(w, lostResult())
 	case !w.isCall():
 		s.jobLost(w)
 	default:
@@ -130,6 +132,12 @@
 	}
 }
 
+// restartedSince reports whether the backend server lost what it knew of the attempt of a work.
+func (s *State) restartedSince(w *work) bool {
+	epoch, held := s.Owners.Epoch(w.server)
+	return held && !platform.SameProcess(w.sentEpoch, epoch)
+}
+
 // mayRetry takes one retry out of the budget.
 func (s *State) mayRetry(w *work) bool {
 	if w.attempt >= maxAttempts && w.isCall() {
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -101,7 +101,7 @@
 
 // run sends the attempt to its backend server.
 func (s *State) run(w *work) {
-	w.phase, w.started = phaseRunning, true
+	w.phase, w.started, w.sentEpoch = phaseRunning, true, w.epoch
 	s.begin(w)
 	s.count("started")
 	s.send(w, false)
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -42,6 +42,8 @@
 	cancelled bool
 	server    string
 	epoch     uint64
+	// sentEpoch is the epoch that the attempt was first sent under, 0 if that isn't known.
+	sentEpoch uint64
 	// resends counts how often the same attempt was sent again after a lost reply.
 	resends int
 	// claim is the claim of a non-idempotent call, claimVersion the version of its row, 0 if there is none.
