Check again before a Run is repeated, and tell started jobs as unknown

A Run whose connection broke is sent again, and starts the attempt if the first one never arrived or the backend server restarted; nothing asked whether the zone, the key, the VM list, the pool and freshness still allow a start. And a job that is taken up from its row again forgot that an attempt had run, so that a revoked key was told as not run. The freshness grant is not the cause: the first start is checked. Loss of messages is not needed: one restart of a backend server is enough (TestRepeatedRunStartsNothingForbidden).

An attempt that must not start any more is closed instead, and goes on only if it had started. A claimed start is checked the same way after its claim. A job that may have run is recorded as unknown instead of being forgotten and refused later; an attempt that a server refuses as closed gets a new number instead of being sent again without end.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -171,8 +171,7 @@
 		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
 		return
 	}
-	epoch, ok := s.Owners.MayStart(w.server, s.now)
-	if !ok || epoch != w.epoch || !s.mayStartHere() {
+	if epoch, _ := s.Owners.Epoch(w.server); epoch != w.epoch || !s.mayStartOn(w) {
 		s.unreserve(w)
 		s.requeue(w)
 		return
--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -66,3 +66,28 @@
 		r.none(t)
 	}
 }
+
+// A backend server restarts, and before it can be reached again its availability zone is taken out, the key of the
+// request is revoked or the server is leaving. The repeated Run started the request all the same.
+func TestRepeatedRunStartsNothingForbidden(t *testing.T) {
+	for _, k := range []kind{zoneOut, revokeKey, leaveServer} {
+		r := calm()
+		s := r.send("entry-a-1", "late", dispatch.KindJob, "proofs", `{"run-ms": 3000}`, 0)
+		first := r.untilStart(t, "late", 1)
+		r.restart(first.server)
+		for _, n := range r.running() {
+			r.cutPair(n.id, first.server, 6*time.Second)
+		}
+		switch k {
+		case zoneOut:
+			r.ask(r.nodes[first.node], dispatch.NewZoneChange(zoneOf(first.server), true, true), forced)
+		case revokeKey:
+			r.ask(r.nodes[first.node], dispatch.NewKeyRevocation(s.request.Key()), "operator")
+		default:
+			r.record.leavingAt[first.server] = r.now()
+			r.platform.VMs.SetLeaving(first.server, true)
+		}
+		r.run(r.now().Add(20 * time.Second))
+		r.none(t)
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -88,7 +88,7 @@
 	}
 	s.peers[to].forwarded[w.pool]++
 	f := row.fields
-	f.Holder = to
+	f.Holder, f.Attempt = to, w.attempt
 	row.busy = true
 	s.writeJob(row, f, func(bool) {})
 }
@@ -264,6 +264,9 @@
 	entry, ok := s.config.Catalogue().Entry(f.Entry)
 	w := newWork(r, 0, entry, s.now)
 	w.attempt = max(1, f.Attempt)
+	// Only jobs that aren't idempotent have their starts in the row.
+	w.ranBefore = !ok || entry.Idempotent()
+	w.started = w.ranBefore || f.Server != ""
 	s.works[row.id] = w
 	if !ok {
 		s.refuse(w, NewNotRun(CodeUnknownEntry, "the entry was removed", 0))
@@ -322,7 +325,7 @@
 			s.recordJob(w, lostResult())
 			return
 		}
-		w.started = false
+		w.started = w.ranBefore || !platform.SameProcess(w.sentEpoch, w.epoch)
 		w.attempt++
 		s.requeue(w)
 	case platform.StillRunning:
@@ -334,10 +337,21 @@
 		}
 		s.join(w)
 	default:
-		s.forget(w) // considered again with the next scan
+		s.resolveLater(w)
 	}
 }
 
+// resolveLater follows up a Close without an answer. Work whose attempt this entry VM didn't send is considered again
+// with the next scan of the jobs.
+func (s *State) resolveLater(w *work) {
+	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
+	if _, sent := s.runs[k]; !sent {
+		s.forget(w)
+		return
+	}
+	s.later(w, rejoinDelay, func() { s.runUnknown(k, w) })
+}
+
 // join waits for an attempt that runs already.
 func (s *State) join(w *work) {
 	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -379,7 +379,7 @@
 	var found *work
 	s.Queue.Pick(pool, s.now, func(q queue.Request) bool {
 		w, ok := s.works[q.ID()]
-		if !ok || w.phase != phaseQueued || w.started {
+		if !ok || w.phase != phaseQueued || (w.isCall() && w.started) {
 			return false
 		}
 		row := s.jobs[q.ID()]
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -50,6 +50,21 @@
 	check(t, "R8", profile{often: []kind{submitTwice, restartServer, killNode, downTable, cutServer, crossAnswers}})
 }
 
+// Guards against a start of a request that was told as not run.
+func TestPropertyR7NotRunIsTrue(t *testing.T) {
+	check(t, "R7", profile{often: []kind{revokeKey, killNode, cancelWave, cutServer, cutNodes, submitTwice, slowTable}})
+}
+
+// Guards against starts in an availability zone after its take-out was told to be in force.
+func TestPropertyR5ZoneOut(t *testing.T) {
+	check(t, "R5", profile{often: []kind{zoneOut, zoneOut, zoneIn, cutServer, cutNodes, pauseNode, downTable}})
+}
+
+// Guards against starts for a team that an entry doesn't admit, or under a key whose revocation is in force.
+func TestPropertyR3KeysAndTeams(t *testing.T) {
+	check(t, "R3", profile{often: []kind{revokeKey, revokeKey, grantKey, cutServer, cutNodes, pauseNode, changeLimits}})
+}
+
 // Guards against a copy of the configuration that goes back, and against an early answer that a version is in force.
 func TestPropertyR11InForce(t *testing.T) {
 	check(t, "R11", profile{often: []kind{changeLimits, vmOut, vmIn, addNode, killNode, cutZones, cutTable, pauseNode}})
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -23,7 +23,7 @@
 		s.end(k)
 		s.answered(w, e, o)
 	case platform.Refused, platform.StaleEpoch, platform.Unavailable:
-		s.runNotStarted(k, w)
+		s.runNotStarted(k, w, e.outcome)
 	case platform.Unknown:
 		s.runUnknown(k, w)
 	}
@@ -76,7 +76,7 @@
 
 // runNotStarted handles a Run that the backend server certainly didn't start. A joined attempt may still be running
 // there, so it is looked up again.
-func (s *State) runNotStarted(k runKey, w *work) {
+func (s *State) runNotStarted(k runKey, w *work, o platform.RunOutcome) {
 	r, ok := s.runs[k]
 	if !ok {
 		return
@@ -87,7 +87,10 @@
 	}
 	s.end(k)
 	s.count("runs_not_started")
-	w.started = w.attempt > 1
+	w.started = w.ranBefore
+	if _, refused := o.(platform.Refused); refused && w.idempotent {
+		w.attempt++ // an attempt that is closed there would be refused again
+	}
 	s.requeue(w)
 }
 
@@ -104,6 +107,10 @@
 	}
 	epoch, held := s.Owners.Epoch(k.server)
 	if held && !w.cancelled && !w.expired(s.now) && (w.idempotent || platform.SameProcess(w.sentEpoch, epoch)) {
+		if !s.mayStartOn(w) {
+			s.closeInDoubt(r, w, epoch)
+			return
+		}
 		// The repeated Run joins the attempt if it started, starts it if it didn't, and returns a stored answer.
 		w.epoch = epoch
 		w.resends++
@@ -132,6 +139,13 @@
 	}
 }
 
+// closeInDoubt finds out whether an attempt has started that must not start any more.
+func (s *State) closeInDoubt(r *run, w *work, epoch uint64) {
+	w.phase, w.epoch = phaseResolving, epoch
+	r.orphan, r.closing = true, true
+	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
+}
+
 // restartedSince reports whether the backend server lost what it knew of the attempt of a work.
 func (s *State) restartedSince(w *work) bool {
 	epoch, held := s.Owners.Epoch(w.server)
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -194,9 +194,15 @@
 	if !ok {
 		return
 	}
+	s.Chooser.SetServer(
+		placement.NewServer(v.ID(), v.Zone(), v.Rack(), s.poolOf(server), v.Shape(), s.usable(server)))
+}
+
+// usable reports whether new work may start on a backend server.
+func (s *State) usable(server string) bool {
+	v, listed := s.vms[server]
 	_, held := s.Owners.Epoch(server)
-	usable := held && !v.Leaving() && !s.config.VM(server).Out() && !s.Owners.HandingOver(server)
-	s.Chooser.SetServer(placement.NewServer(v.ID(), v.Zone(), v.Rack(), s.poolOf(server), v.Shape(), usable))
+	return listed && held && !v.Leaving() && !s.config.VM(server).Out() && !s.Owners.HandingOver(server)
 }
 
 // refreshServers tells the placement about all backend servers, so that it knows the size of each pool. Those that
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -93,6 +93,13 @@
 	return true
 }
 
+// mayStartOn reports whether the configuration, the VM list and the lease allow the work to start on its backend server
+// now. A choice made earlier may be out of date.
+func (s *State) mayStartOn(w *work) bool {
+	_, ok := s.Owners.MayStart(w.server, s.now)
+	return ok && s.mayStartHere() && s.forbidden(w) == nil && s.usable(w.server) && s.poolOf(w.server) == w.pool
+}
+
 // unreserve gives back what reserve took for an attempt that was never sent.
 func (s *State) unreserve(w *work) {
 	s.Chooser.Free(w.server, taskKey(w.id(), w.attempt))
@@ -101,7 +108,8 @@
 
 // run sends the attempt to its backend server.
 func (s *State) run(w *work) {
-	w.phase, w.started, w.sentEpoch = phaseRunning, true, w.epoch
+	w.phase, w.sentEpoch = phaseRunning, w.epoch
+	w.ranBefore, w.started = w.started, true
 	s.begin(w)
 	s.count("started")
 	s.send(w, false)
@@ -122,6 +130,11 @@
 // requeue puts work back whose attempt was certainly not started.
 func (s *State) requeue(w *work) {
 	w.server, w.epoch, w.resends = "", 0, 0
+	if w.cancelled {
+		w.phase = phaseRefusing
+		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
+		return
+	}
 	if w.isCall() && w.expired(s.now) {
 		w.phase = phaseRefusing
 		s.refuse(w, NewNotRun(CodeDeadlinePassed, "the deadline passed before the request started", 0))
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -173,6 +173,8 @@
 // claim is closed first, so that the refusal stays true.
 func (s *State) refuse(w *work, n NotRun) {
 	switch {
+	case w.started && !w.isCall():
+		s.recordJob(w, jobResult{state: doneUnknown, code: n.code, message: "the job may have run: " + n.message})
 	case w.started:
 		s.finishUnresolved(w, n.code, "the request may have run: "+n.message)
 	case !w.isCall():
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -38,6 +38,8 @@
 	attempt int
 	// started is set once an attempt may have been started: from then on the request is never told as not run.
 	started bool
+	// ranBefore is set if an earlier attempt may have run.
+	ranBefore bool
 	// cancelled is set once nobody wants the answer.
 	cancelled bool
 	server    string
