--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -294,13 +294,26 @@
 			s.serverGone(w)
 			return
 		}
-		s.forget(w)
+		s.leaveJob(w)
 		return
 	}
 	w.phase, w.epoch = phaseResolving, epoch
 	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
 }
 
+// leaveJob gives up a job whose attempt only the owner of another backend server can find out about.
+func (s *State) leaveJob(w *work) {
+	s.forget(w)
+	row, ok := s.jobs[w.id()]
+	if !ok || row.busy {
+		return
+	}
+	f := row.fields
+	f.Holder = ""
+	row.busy = true
+	s.writeJob(row, f, func(bool) {})
+}
+
 // serverGone settles work whose backend server no longer exists: its tasks have ended without an answer.
 func (s *State) serverGone(w *work) {
 	if w.idempotent {
--- a/dispatch/slices.go
+++ b/dispatch/slices.go
@@ -29,7 +29,9 @@
 		conditions = append(conditions, platform.NewCondition(versionKey, s.config.RowVersion(versionKey)))
 	}
 	t := platform.NewTransaction(conditions, []platform.Write{platform.NewPut(key, c.Slices().Encode())})
-	s.commit(t, UrgencyHigh, s.now.Add(readTimeout), func(o platform.CommitOutcome) {
+	// Without a deadline the group commit always finds out whether the change was applied. With one the outcome can be
+	// unknown, and the change would stay under way until another entry VM changes the row.
+	s.commit(t, UrgencyHigh, zeroTime, func(o platform.CommitOutcome) {
 		switch o := o.(type) {
 		case platform.Committed:
 			s.count("slices_changed")
