--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -88,7 +88,7 @@
 	}
 	s.peers[to].forwarded[w.pool]++
 	f := row.fields
-	f.Holder, f.Attempt = to, w.attempt
+	f.Holder, f.State, f.Server, f.Epoch, f.Attempt = to, jobWaiting, "", 0, w.attempt
 	row.busy = true
 	s.writeJob(row, f, func(bool) {})
 }
@@ -277,12 +277,12 @@
 		s.enqueueHere(w)
 		return
 	}
-	w.server = f.Server
+	w.server, w.sentEpoch = f.Server, f.Epoch
 	if here {
-		w.server, w.attempt = k.server, k.attempt
+		w.server, w.attempt, w.sentEpoch = k.key.server, k.key.attempt, k.epoch
 		delete(s.found, row.id)
 	}
-	w.started, w.sentEpoch = true, f.Epoch
+	w.started = true
 	s.resolve(w)
 }
 
@@ -297,6 +297,10 @@
 		s.leaveJob(w)
 		return
 	}
+	if !s.mayJoin(w, epoch) {
+		s.serverGone(w)
+		return
+	}
 	w.phase, w.epoch = phaseResolving, epoch
 	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
 }
@@ -320,24 +324,15 @@
 		s.retry(w)
 		return
 	}
-	s.recordJob(w, lostResult())
-}
-
-// lostResult is the result of a job that may have run on a backend server that can't tell any more.
-func lostResult() jobResult {
-	return jobResult{
+	s.recordJob(w, jobResult{
 		state: doneUnknown, code: CodeLostContact, message: "the backend server was lost while the job may have run",
-	}
+	})
 }
 
 // resolved handles the answer to a Close that asked about the attempt of a work.
 func (s *State) resolved(w *work, o platform.CloseOutcome) {
 	switch o := o.(type) {
 	case platform.NeverStarted:
-		if !w.idempotent && !platform.SameProcess(w.sentEpoch, w.epoch) {
-			s.recordJob(w, lostResult())
-			return
-		}
 		w.started = w.ranBefore || !platform.SameProcess(w.sentEpoch, w.epoch)
 		w.attempt++
 		s.requeue(w)
@@ -383,7 +378,7 @@
 func (s *State) adoptJobs(server string) {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		row := s.jobs[id]
-		if k, here := s.found[id]; row.fields.Server == server || (here && k.server == server) {
+		if k, here := s.found[id]; row.fields.Server == server || (here && k.key.server == server) {
 			s.considerJob(row)
 		}
 	}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -105,8 +105,8 @@
 		if shape := s.running[team]; shape != (platform.Shape{}) {
 			running[team] = shape
 		}
-		if short := s.Queue.Backlog(team) - s.Ledger.Room(team); short > 0 {
-			wanted[team] = short
+		if n := s.Queue.Backlog(team); n > 0 {
+			wanted[team] = n
 		}
 		uncovered += s.Ledger.Uncovered(team)
 	}
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -111,6 +111,7 @@
 	w.phase, w.sentEpoch = phaseRunning, w.epoch
 	w.ranBefore, w.started = w.started, true
 	s.begin(w)
+	s.describe(w)
 	s.count("started")
 	s.send(w, false)
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -72,8 +72,10 @@
 	// that is settled.
 	lostAt                    map[string]time.Time
 	coveredSince, sliceReadAt time.Time
+	// zoneOutAt is when the own availability zone was seen to be out, zero while it is in service.
+	zoneOutAt time.Time
 	// found are attempts seen on owned backend servers that no work here waits for, by request id.
-	found map[string]runKey
+	found map[string]foundRun
 	drain drainState
 }
 
@@ -89,9 +91,11 @@
 	s.goneSince = make(map[string]time.Time)
 	s.downSince = make(map[string]time.Time)
 	s.lostAt = make(map[string]time.Time)
-	s.found = make(map[string]runKey)
+	s.found = make(map[string]foundRun)
 	s.Ledger.Gone = s.holderGone
 	s.Ledger.Wanted = s.othersWant
+	s.Ledger.Standing = s.standingSlots
+	s.Ledger.Demand = s.demand
 	s.jobs = make(map[string]*jobRow)
 	s.peers = make(map[string]*peerState)
 	s.commits = make(map[uint64]func(platform.CommitOutcome))
@@ -109,6 +113,7 @@
 	s.effects = s.effects[:0]
 	s.apply(e)
 	s.startWork()
+	s.planWhenShort()
 	return s.effects
 }
 
@@ -171,6 +176,8 @@
 	s.checkRuns()
 	s.checkChanges()
 	s.retryEarly()
+	s.makeRoom()
+	s.drainZone()
 	s.moveWaiting()
 	s.checkDrain()
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -95,6 +95,12 @@
 	signalled bool
 }
 
+// foundRun is an attempt that a backend server reported and no work here waits for, with the epoch of that report.
+type foundRun struct {
+	key   runKey
+	epoch uint64
+}
+
 // begin counts a run.
 func (s *State) begin(w *work) *run {
 	r := &run{
