Round the even part of a team's limit up

The liveness check found teams with a limit below the number of demanding entry VMs that never started anything: the even part, rounded down, was none for each. Lost writes and leases are ruled out, since it happens without any fault (TestLimitBelowHoldersIsUsed). Round up; the condition of the write and the unassigned remainder keep the sum within the limit.

--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,16 @@
 		r.none(t)
 	}
 }
+
+// The limit of a team is below the number of entry VMs with work of the team. Each took the limit divided by their
+// number, rounded down to none, as its part, so that nothing of the team ever started.
+func TestLimitBelowHoldersIsUsed(t *testing.T) {
+	r := calm()
+	n := r.nodes["entry-a-1"]
+	r.ask(n, dispatch.NewCatalogueChange(testCatalogue(1, 1, false), n.state.Configuration().Version()), "operator")
+	r.run(r.now().Add(time.Second))
+	for i, id := range []string{"entry-a-1", "entry-a-2", "entry-b-1", "entry-b-2"} {
+		r.send(id, fmt.Sprintf("job-%d", i), dispatch.KindJob, "proofs", `{"run-ms": 1000}`, 0)
+	}
+	r.none(t)
+}
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -107,10 +107,11 @@
 		return need + (left-needed)/(len(needs)+1), false
 	}
 
-	// Holders that need less than an even part leave the rest to the others.
+	// Holders that need less than an even part leave the rest to the others. An even part is rounded up: rounded down,
+	// a limit below the number of holders would be used by none. The condition of the write keeps the sum.
 	slices.Sort(needs)
 	for i, n := range needs {
-		even := left / (len(needs) - i + 1)
+		even := (left + len(needs) - i) / (len(needs) - i + 1)
 		if n >= even || need <= even {
 			return min(need, even), true
 		}
