--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -105,3 +105,23 @@
 	}
 	r.none(t)
 }
+
+// finished fails unless a job ends within a time.
+func (r *rig) finished(t *testing.T, id string, within time.Duration) {
+	t.Helper()
+	for end := r.now().Add(within); r.now().Before(end) && !r.record.hasRow(dispatch.DoneKey(id)); {
+		r.run(r.now().Add(100 * time.Millisecond))
+	}
+	assert.Assert(t, r.record.hasRow(dispatch.DoneKey(id)), "%s has not ended", id)
+}
+
+// The holder of a job that isn't idempotent loses its backend server to another entry VM. It stayed the holder and could
+// not ask the server, and the new owner left the job to it.
+func TestJobGoesToTheOwnerOfItsServer(t *testing.T) {
+	r := calm()
+	r.send("entry-a-1", "once", dispatch.KindJob, "seats", `{"run-ms": 3000}`, 0)
+	s := r.untilStart(t, "once", 1)
+	r.cutPair(s.node, s.server, time.Hour)
+	r.finished(t, "once", 60*time.Second)
+	r.none(t)
+}
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -69,3 +69,8 @@
 func TestPropertyR11InForce(t *testing.T) {
 	check(t, "R11", profile{often: []kind{changeLimits, vmOut, vmIn, addNode, killNode, cutZones, cutTable, pauseNode}})
 }
+
+// Guards against calls that are never answered and accepted jobs that never end, once the faults have stopped.
+func TestPropertyLiveness(t *testing.T) {
+	check(t, "liveness", profile{often: []kind{killNode, drainNode, cancelWave, downTable, submitTwice, cutServer}})
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -233,6 +233,7 @@
 	s.count("cancelled")
 	switch w.phase {
 	case phaseQueued, phaseBackingOff, phaseReading:
+		s.Queue.Cancel(e.id)
 		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
 		s.reply(e.ticket, NewNotRun(CodeCancelled, "the request was cancelled before it started", 0))
 	case phaseRunning:
