Ask for slots that can be used, and follow attempts past a lost lease

The liveness check found two more reasons for jobs that never end. An entry VM without backend servers of a pool held slots for work of that pool that it can't start, while the owner of the pool had none; only work that can start here now counts as backlog. And an attempt that was sent again after its lease was lost and regained was counted off 22 s after the loss, so that its later outcome met nothing and its job waited for ever; it is now closed before it is tried again, which needs a new slot, and an outcome without a counted attempt still reaches its work. Slow tasks are ruled out: the attempts had no answer to wait for. TestFoundTraces replays the drawn plans.

--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -94,6 +94,7 @@
 	free := make(map[string]int)
 	running := make(map[string]platform.Shape)
 	wanted := make(map[string]int)
+	startable := s.startable()
 	uncovered := 0
 	open := s.mayStartHere() && !s.drain.started
 	for _, p := range s.config.Catalogue().Pools() {
@@ -105,7 +106,7 @@
 		if shape := s.running[team]; shape != (platform.Shape{}) {
 			running[team] = shape
 		}
-		if n := s.Queue.Backlog(team); n > 0 {
+		if n := startable[team]; n > 0 {
 			wanted[team] = n
 		}
 		uncovered += s.Ledger.Uncovered(team)
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
@@ -74,3 +75,28 @@
 func TestPropertyLiveness(t *testing.T) {
 	check(t, "liveness", profile{often: []kind{killNode, drainNode, cancelWave, downTable, submitTwice, cutServer}})
 }
+
+// Each plan once led to jobs that never ended, for the reason given.
+func TestFoundTraces(t *testing.T) {
+	r4 := []kind{changeLimits, burst, killNode, pauseNode, cutZones, restartServer, drainNode}
+	r8 := []kind{submitTwice, restartServer, killNode, downTable, cutServer, crossAnswers}
+	r5 := []kind{zoneOut, zoneOut, zoneIn, cutServer, cutNodes, pauseNode, downTable}
+	for _, c := range []struct {
+		reason string
+		often  []kind
+		seed   int
+	}{
+		{"the outcome of a slice change stays unknown", r4, 141},
+		{"a cancelled job stays in the queue", r8, 128},
+		{"slots are held for work that their holder can't start", r5, 166},
+		{"an attempt is counted off while it is followed", []kind{drainNode, drainNode, killNode, restartServer}, 147},
+	} {
+		t.Run(c.reason, func(t *testing.T) {
+			t.Parallel()
+			f := profile{often: c.often}
+			g := rapid.Custom(func(t *rapid.T) plan { return drawPlan(t, f) })
+			r := execute(g.Example(c.seed), broken{})
+			assert.Equal(t, r.violations["liveness"], "", strings.Join(r.trace, "\n"))
+		})
+	}
+}
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -100,10 +100,7 @@
 // there, so it is looked up again.
 func (s *State) runNotStarted(k runKey, w *work, o platform.RunOutcome) {
 	r, ok := s.runs[k]
-	if !ok {
-		return
-	}
-	if w == nil || w.resends > 0 || r.adopted {
+	if !ok || w == nil || w.resends > 0 || r.adopted {
 		s.runUnknown(k, w)
 		return
 	}
@@ -120,6 +117,9 @@
 func (s *State) runUnknown(k runKey, w *work) {
 	r, ok := s.runs[k]
 	if !ok {
+		if w != nil {
+			s.abandonAttempt(w) // the task lease has passed since the backend server was lost
+		}
 		return
 	}
 	if w == nil {
@@ -129,7 +129,8 @@
 	}
 	epoch, held := s.Owners.Epoch(k.server)
 	if held && s.mayJoin(w, epoch) && !w.cancelled && !w.expired(s.now) {
-		if !s.mayStartOn(w) {
+		// A run whose server was lost may be counted off already, so a start needs a slot again.
+		if !r.lostAt.IsZero() || !s.mayStartOn(w) {
 			s.closeInDoubt(r, w, epoch)
 			return
 		}
--- a/dispatch/slices.go
+++ b/dispatch/slices.go
@@ -12,15 +12,30 @@
 	if s.drain.started {
 		return
 	}
-	backlog := make(map[string]int)
-	for _, team := range s.Ledger.Teams() {
-		backlog[team] = s.Queue.Backlog(team)
-	}
-	for _, c := range s.Ledger.Plan(backlog, s.now) {
+	for _, c := range s.Ledger.Plan(s.startable(), s.now) {
 		s.commitSlices(c)
 	}
 }
 
+// startable returns, by team, how many waiting requests this entry VM could start with more slots. Slots for others
+// would be kept from the entry VMs that own their pools.
+func (s *State) startable() map[string]int {
+	n := make(map[string]int)
+	if !s.mayStartHere() {
+		return n
+	}
+	served := make(map[string]bool)
+	for _, pool := range s.Queue.Pools() {
+		served[pool] = s.Chooser.Capacity(pool).Slots() > 0
+	}
+	for _, w := range s.works {
+		if w.phase == phaseQueued && served[w.pool] {
+			n[w.request.team]++
+		}
+	}
+	return n
+}
+
 // planWhenShort changes the slice rows without waiting for their next read if work waits.
 func (s *State) planWhenShort() {
 	if s.Queue.Len() == 0 || s.now.Before(s.reads.planDue) {
