Check availability budgets before a take-out is applied

A VM that is out could also be moved to a pool without room, and an availability zone or VM that was out by force could be taken out again as planned. Racing operators are ruled out: the condition on the version refuses the second.

The budget is checked first, without the early take-out itself. A planned take-out is applied early only while the table can't be reached, because only the table can decide which of two take-outs may use a budget; of two racing planned take-outs the second gets a conflict. Forced take-outs and revocations are applied early as before.

--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -34,18 +34,22 @@
 	due    time.Time
 }
 
-// changeRequested commits a configuration change. Take-outs and revocations are applied and pushed first, because
-// they are safe to apply early.
+// changeRequested commits a configuration change. Forced take-outs and revocations are applied and pushed first, because
+// they are safe to apply early. A planned take-out is applied early only if the table can't be reached: the table
+// decides which of two operators may use an availability budget.
 func (s *State) changeRequested(e ChangeRequested) {
-	if push := earlyPush(e.change); push != nil {
-		s.applyEarly(push)
-		s.pushToAll(push)
+	if !planned(e.change) {
+		s.applyAndPush(e.change)
 	}
 	if !s.Acceptance.MayAuthor(s.now) {
 		s.changeDelayed(e, NewRejected(CodeNotReady, "this entry VM isn't known to all others yet", retryAfterBusy))
 		return
 	}
 	t, rejected := s.changeTransaction(e.change, e.author)
+	if rejected != nil && e.ticket == 0 && rejected.code == CodeBudgetExceeded {
+		s.changeDelayed(e, *rejected) // applied early, and to be stored once the budget allows
+		return
+	}
 	if rejected != nil {
 		s.reply(e.ticket, *rejected)
 		return
@@ -53,6 +57,20 @@
 	s.commit(t, UrgencyHigh, s.now.Add(readTimeout), func(o platform.CommitOutcome) { s.changeCommitted(e, t, o) })
 }
 
+// planned reports whether a change is a take-out of an availability zone within the budgets.
+func planned(c Change) bool {
+	z, ok := c.(ZoneChange)
+	return ok && z.out && !z.force
+}
+
+// applyAndPush applies a change early if that is safe.
+func (s *State) applyAndPush(c Change) {
+	if push := earlyPush(c); push != nil {
+		s.applyEarly(push)
+		s.pushToAll(push)
+	}
+}
+
 // earlyPush returns the message that applies a change early, nil if the change must be stored first.
 func earlyPush(c Change) peer.Change {
 	switch c := c.(type) {
@@ -100,7 +118,7 @@
 		return built(catalogue.RevokeKey(s.config, c.id, author, s.now))
 	case ZoneChange:
 		if c.out {
-			if r := s.overBudget(s.vmsOfZone(c.zone)); r != nil && !c.force {
+			if r := s.zoneOverBudget(c.zone); r != nil && !c.force {
 				return platform.Transaction{}, r
 			}
 		}
@@ -136,45 +154,80 @@
 	if _, ok := s.config.Catalogue().Pool(pool); !ok {
 		return reject(CodeInvalid, fmt.Sprintf("there is no pool %q", pool))
 	}
-	if c.out && !c.force && !s.config.VM(c.vm).Out() {
-		if r := s.overBudget([]string{c.vm}); r != nil {
+	if !c.force {
+		if r := s.vmOverBudget(c.vm, pool, c.out); r != nil {
 			return platform.Transaction{}, r
 		}
 	}
 	return built(catalogue.SetVM(s.config, c.vm, catalogue.NewVMState(pool, c.out, c.reason, author, s.now)))
 }
 
-// overBudget returns a rejection if taking these VMs out would exceed the availability budget of a pool. Planned and
-// unplanned absences count together. The transaction is conditional on the configuration version, so that two
-// operators can't use the same budget.
-func (s *State) overBudget(vms []string) *Rejected {
+// zoneOverBudget returns a rejection if taking an availability zone out would exceed the availability budget of a pool.
+// What only an early take-out of the zone itself makes absent counts as leaving.
+func (s *State) zoneOverBudget(zone string) *Rejected {
 	leaving := make(map[string]int)
-	for _, id := range vms {
-		if !s.absent(id) {
-			leaving[s.poolOf(id)]++
+	for _, id := range s.vmsOfZone(zone) {
+		n := 1
+		if s.absentBesides(id, zone) {
+			n = 0
 		}
+		leaving[s.poolOf(id)] += n
 	}
-	for _, p := range s.config.Catalogue().Pools() {
-		n := leaving[p.Name()]
-		if n == 0 {
-			continue
-		}
-		if absent := s.absentIn(p.Name()); absent+n > p.Budget() {
-			r := NewRejected(CodeBudgetExceeded, fmt.Sprintf(
-				"pool %q has %d VMs absent and a budget of %d; %d more would exceed it", p.Name(), absent, p.Budget(), n), 0)
-			return &r
+	for _, pool := range slices.Sorted(maps.Keys(leaving)) {
+		if r := s.overBudget(pool, leaving[pool], zone); r != nil {
+			return r
 		}
 	}
 	return nil
 }
 
+// vmOverBudget returns a rejection if a VM would exceed the availability budget of the pool that it is to be in.
+func (s *State) vmOverBudget(id, pool string, out bool) *Rejected {
+	switch {
+	case pool != s.poolOf(id) && (out || s.absentOtherwise(id, "")):
+		return s.overBudget(pool, 1, "")
+	case out && s.absent(id):
+		return s.overBudget(pool, 0, "")
+	case out:
+		return s.overBudget(pool, 1, "")
+	default:
+		return nil
+	}
+}
+
+// overBudget returns a rejection if n more absences would exceed the availability budget of a pool. Planned and
+// unplanned absences count together. The transaction is conditional on the configuration version, so that two operators
+// can't use the same budget.
+func (s *State) overBudget(pool string, n int, besides string) *Rejected {
+	p, ok := s.config.Catalogue().Pool(pool)
+	if !ok {
+		return nil
+	}
+	absent := s.absentIn(pool, besides)
+	if absent+n <= p.Budget() {
+		return nil
+	}
+	r := NewRejected(CodeBudgetExceeded, fmt.Sprintf(
+		"pool %q has %d VMs absent and a budget of %d; %d more would exceed it", pool, absent, p.Budget(), n), 0)
+	return &r
+}
+
 // absent reports whether a VM is out of service, planned or not.
-func (s *State) absent(id string) bool {
+func (s *State) absent(id string) bool { return s.absentBesides(id, "") }
+
+// absentBesides is absent without an early take-out of an availability zone.
+func (s *State) absentBesides(id, early string) bool {
+	return s.config.VM(id).Out() || s.absentOtherwise(id, early)
+}
+
+// absentOtherwise is absentBesides without the VM's own take-out.
+func (s *State) absentOtherwise(id, early string) bool {
 	v, listed := s.vms[id]
-	if !listed || v.Leaving() || s.config.VM(id).Out() || s.config.Zone(v.Zone()).Out() {
+	if !listed || v.Leaving() {
 		return true
 	}
-	return s.unreachable(id)
+	isEarly := v.Zone() == early && slices.Contains(s.config.EarlyZones(), early)
+	return (s.config.Zone(v.Zone()).Out() && !isEarly) || s.unreachable(id)
 }
 
 // unreachable reports whether a backend server of the own zone can't be reached. Servers of other zones are judged by
@@ -188,11 +241,11 @@
 	return down && s.now.Sub(since) > taskLease
 }
 
-// absentIn counts the absent VMs of a pool, those included that the list no longer has.
-func (s *State) absentIn(pool string) int {
+// absentIn counts the absent VMs of a pool, those included that the list no longer has, without an early take-out.
+func (s *State) absentIn(pool, early string) int {
 	n := 0
 	for id := range s.vms {
-		if s.poolOf(id) == pool && s.absent(id) {
+		if s.poolOf(id) == pool && s.absentBesides(id, early) {
 			n++
 		}
 	}
@@ -238,7 +291,7 @@
 func (s *State) changeConflict(e ChangeRequested, row platform.Row) {
 	s.count("configuration_conflicts")
 	s.reads.configDue = s.now
-	if earlyPush(e.change) != nil {
+	if earlyPush(e.change) != nil && (!planned(e.change) || e.ticket == 0) {
 		s.changeDelayed(e, Rejected{})
 		return
 	}
@@ -251,6 +304,13 @@
 		s.reply(e.ticket, r)
 		return
 	}
+	if planned(e.change) && e.ticket != 0 {
+		if over := s.zoneOverBudget(e.change.(ZoneChange).zone); over != nil {
+			s.reply(e.ticket, *over)
+			return
+		}
+		s.applyAndPush(e.change)
+	}
 	s.early[earlyName(e.change)] = &earlyChange{change: e.change, author: e.author, due: s.now.Add(earlyRetryDelay)}
 	s.reply(e.ticket, Changed{})
 }
--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -125,3 +125,19 @@
 	r.finished(t, "once", 60*time.Second)
 	r.none(t)
 }
+
+// An availability zone is taken out while the other is out. The take-out was applied before its budget was checked, so
+// that the zone's VMs counted as absent already. A VM that is out was moved to a pool without room in its budget.
+func TestBudgetsBoundTakeOuts(t *testing.T) {
+	r := calm()
+	n := r.nodes["entry-a-1"]
+	for _, c := range []dispatch.Change{
+		dispatch.NewZoneChange("a", true, false),
+		dispatch.NewZoneChange("b", true, false),
+		dispatch.NewVMChange("backend-a-1", false, "side", "", false),
+	} {
+		r.ask(n, c, "operator")
+		r.run(r.now().Add(5 * time.Second))
+	}
+	r.none(t)
+}
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -151,7 +151,10 @@
 	count := 0
 	for _, id := range config.VMs() {
 		v, z := config.VM(id), config.Zone(zoneOf(id))
-		if v.Pool() == pool && ((v.Out() && v.By() != forced) || (z.Out() && z.By() != forced)) {
+		if v.Pool() != pool || (v.Out() && v.By() == forced) {
+			continue
+		}
+		if v.Out() || (z.Out() && z.By() != forced) {
 			count++
 		}
 	}
