Prove budgets, pools, answers, leaving servers and planned stops

Properties for R1, R2, R6, R9 and R10 on the same rig. R9 runs without pauses and lost messages, because a VM list that can't be read shows nothing.

--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -71,6 +71,35 @@
 	check(t, "R11", profile{often: []kind{changeLimits, vmOut, vmIn, addNode, killNode, cutZones, cutTable, pauseNode}})
 }
 
+// Guards against planned take-outs beyond a pool's availability budget when operators race.
+func TestPropertyR1Budgets(t *testing.T) {
+	check(t, "R1", profile{often: []kind{zoneOut, zoneOut, zoneIn, vmOut, vmOut, vmIn, vmMove, vmMove, cutTable, cutZones}})
+}
+
+// Guards against VMs without a pool and against starts on a VM of another pool than the entry's.
+func TestPropertyR2OnePool(t *testing.T) {
+	check(t, "R2", profile{often: []kind{vmMove, vmMove, vmOut, vmIn, changeLimits, restartServer, burst}})
+}
+
+// Guards against answers to other requests, against parts of answers and against a second reply.
+func TestPropertyR6OwnAnswer(t *testing.T) {
+	check(t, "R6", profile{often: []kind{crossAnswers, cutAnswers, sameAnswers, submitTwice, cutNodes, restartServer}})
+}
+
+// Guards against starts on a backend server that is leaving. The VM list has to be readable, so messages aren't lost and
+// nodes aren't paused here.
+func TestPropertyR9Leaving(t *testing.T) {
+	check(t, "R9", profile{
+		often: []kind{leaveServer, leaveServer, leaveServer, burst, restartServer, cutServer}, never: []kind{pauseNode},
+		reliable: true,
+	})
+}
+
+// Guards against planned stops that take too long, leave requests without an answer or lose jobs.
+func TestPropertyR10Drain(t *testing.T) {
+	check(t, "R10", profile{often: []kind{drainNode, drainNode, drainNode, burst, submitTwice}, reliable: true})
+}
+
 // Guards against calls that are never answered and accepted jobs that never end, once the faults have stopped.
 func TestPropertyLiveness(t *testing.T) {
 	check(t, "liveness", profile{often: []kind{killNode, drainNode, cancelWave, downTable, submitTwice, cutServer}})
