--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -268,7 +268,9 @@
 	entry, ok := s.config.Catalogue().Entry(f.Entry)
 	w := newWork(r, 0, entry, s.now)
 	w.attempt = max(1, f.Attempt)
-	w.started = w.attempt > 1
+	// Only jobs that aren't idempotent have their starts in the row.
+	w.ranBefore = !ok || entry.Idempotent()
+	w.started = w.ranBefore || f.Server != ""
 	s.works[row.id] = w
 	if !ok {
 		s.refuse(w, NewNotRun(CodeUnknownEntry, "the entry was removed", 0))
@@ -296,7 +298,7 @@
 			s.serverGone(w)
 			return
 		}
-		s.forget(w)
+		s.leaveJob(w)
 		return
 	}
 	if !s.mayJoin(w, epoch) {
@@ -307,6 +309,19 @@
 	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
 }
 
+// leaveJob gives up a job whose attempt only the owner of another backend server can find out about.
+func (s *State) leaveJob(w *work) {
+	s.forget(w)
+	row, ok := s.jobs[w.id()]
+	if !ok || row.busy {
+		return
+	}
+	f := row.fields
+	f.Holder = ""
+	row.busy = true
+	s.writeJob(row, f, func(bool) {})
+}
+
 // serverGone settles work whose backend server no longer exists: its tasks have ended without an answer.
 func (s *State) serverGone(w *work) {
 	if w.idempotent {
@@ -322,7 +337,7 @@
 func (s *State) resolved(w *work, o platform.CloseOutcome) {
 	switch o := o.(type) {
 	case platform.NeverStarted:
-		w.started = false
+		w.started = w.ranBefore || !platform.SameProcess(w.sentEpoch, w.epoch)
 		w.attempt++
 		s.requeue(w)
 	case platform.StillRunning:
@@ -334,8 +349,19 @@
 		}
 		s.join(w)
 	default:
-		s.forget(w) // considered again with the next scan
+		s.resolveLater(w)
+	}
+}
+
+// resolveLater follows up a Close without an answer. Work whose attempt this entry VM didn't send is considered again
+// with the next scan of the jobs.
+func (s *State) resolveLater(w *work) {
+	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
+	if _, sent := s.runs[k]; !sent {
+		s.forget(w)
+		return
 	}
+	s.later(w, rejoinDelay, func() { s.runUnknown(k, w) })
 }
 
 // join waits for an attempt that runs already.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -24,7 +24,7 @@
 		s.end(k)
 		s.answered(w, entry, k, o)
 	case platform.Refused, platform.StaleEpoch, platform.Unavailable:
-		s.runNotStarted(k, w)
+		s.runNotStarted(k, w, e.outcome)
 	case platform.Unknown:
 		s.runUnknown(k, w)
 	}
@@ -101,18 +101,18 @@
 
 // runNotStarted handles a Run that the backend server certainly didn't start. A joined attempt may still be running
 // there, so it is looked up again.
-func (s *State) runNotStarted(k runKey, w *work) {
+func (s *State) runNotStarted(k runKey, w *work, o platform.RunOutcome) {
 	r, ok := s.runs[k]
-	if !ok {
-		return
-	}
-	if w == nil || w.resends > 0 || r.adopted {
+	if !ok || w == nil || w.resends > 0 || r.adopted {
 		s.runUnknown(k, w)
 		return
 	}
 	s.end(k)
 	s.count("runs_not_started")
-	w.started = w.attempt > 1
+	w.started = w.ranBefore
+	if _, refused := o.(platform.Refused); refused && w.idempotent {
+		w.attempt++ // an attempt that is closed there would be refused again
+	}
 	s.requeue(w)
 }
 
@@ -120,6 +120,9 @@
 func (s *State) runUnknown(k runKey, w *work) {
 	r, ok := s.runs[k]
 	if !ok {
+		if w != nil {
+			s.abandonAttempt(w) // the task lease has passed since the backend server was lost
+		}
 		return
 	}
 	if w == nil {
@@ -129,6 +132,11 @@
 	}
 	epoch, held := s.Owners.Epoch(k.server)
 	if held && s.mayJoin(w, epoch) && !w.cancelled && !w.expired(s.now) {
+		// A run whose server was lost may be counted off already, so a start needs a slot again.
+		if !r.lostAt.IsZero() || !s.mayStartOn(w) {
+			s.closeInDoubt(r, w, epoch)
+			return
+		}
 		// The repeated Run joins the attempt if it started, starts it if it didn't, and returns a stored answer.
 		w.epoch = epoch
 		w.resends++
@@ -161,6 +169,13 @@
 	}
 }
 
+// closeInDoubt finds out whether an attempt has started that must not start any more.
+func (s *State) closeInDoubt(r *run, w *work, epoch uint64) {
+	w.phase, w.epoch = phaseResolving, epoch
+	r.orphan, r.closing = true, true
+	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
+}
+
 // mayRetry takes one retry out of the budget.
 func (s *State) mayRetry(w *work) bool {
 	if w.attempt >= maxAttempts && w.isCall() {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -181,6 +181,8 @@
 // claim is closed first, so that the refusal stays true.
 func (s *State) refuse(w *work, n NotRun) {
 	switch {
+	case w.started && !w.isCall():
+		s.recordJob(w, jobResult{state: doneUnknown, code: n.code, message: "the job may have run: " + n.message})
 	case w.started:
 		s.finishUnresolved(w, n.code, "the request may have run: "+n.message)
 	case !w.isCall():
@@ -234,6 +236,7 @@
 	s.count("cancelled")
 	switch w.phase {
 	case phaseQueued, phaseBackingOff, phaseReading:
+		s.Queue.Cancel(e.id)
 		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
 		s.reply(e.ticket, NewNotRun(CodeCancelled, "the request was cancelled before it started", 0))
 	case phaseRunning:
