Send the VM list only when it has changed

The client now names the tag of the list it has, and the server answers "unchanged" if it is the same. A tag is a hash of the content, so it survives a restart of the platform.

--- a/dispatch/control_rig_test.go
+++ b/dispatch/control_rig_test.go
@@ -337,7 +337,8 @@
 			c.count("scan", 60, rowsBytes(rows))
 			c.events = append(c.events, dispatch.NewScanEnded(f.Ticket(), f.Prefix(), now, rows))
 		case dispatch.List:
-			c.count("list", 2, c.listSize)
+			c.count("list", 40, c.listSize)
+			c.listSize = 50 // package remote sends a list only if it has changed
 			c.events = append(c.events, dispatch.NewListed(c.listed))
 		case dispatch.Heartbeat:
 			c.beat(f)
