Look only at unsettled jobs after each scan

Each second all unfinished jobs of the fleet were sorted, and each was checked against a newly sorted list of the live entry VMs. Only jobs that may need a decision are now collected and sorted, and IsLive looks one entry VM up.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -121,11 +121,33 @@
 		}
 		s.rememberJob(&jobRow{id: id, version: row.Version(), fields: f})
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+	for _, id := range s.unsettledJobs() {
 		s.considerJob(s.jobs[id])
 	}
 }
 
+// unsettledJobs returns the jobs that may need a decision, in order of their ids. Most of 10,000 jobs need none, so that
+// only these few are sorted.
+func (s *State) unsettledJobs() []string {
+	var ids []string
+	for id, row := range s.jobs {
+		if !s.settled(row) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// settled reports whether a job stays with the holder that its row names: this entry VM works on it, or another live one
+// holds it.
+func (s *State) settled(row *jobRow) bool {
+	if _, held := s.works[row.id]; held {
+		return row.fields.Holder == s.Self && !row.fields.Cancelled
+	}
+	return row.fields.Holder != s.Self && row.holderLostAt.IsZero() && s.isLive(row.fields.Holder)
+}
+
 func (s *State) jobRemoved(id string, version uint64) {
 	row, ok := s.jobs[id]
 	if !ok || row.version > version {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -87,7 +87,7 @@
 }
 
 // isLive reports whether an entry VM is live as seen from here.
-func (s *State) isLive(id string) bool { return slices.Contains(s.Members.Live(), id) }
+func (s *State) isLive(id string) bool { return s.Members.IsLive(id) }
 
 // digest describes this entry VM to its peers.
 func (s *State) digest() peer.Digest {
--- a/membership/state.go
+++ b/membership/state.go
@@ -62,6 +62,15 @@
 	return ids
 }
 
+// IsLive reports whether Live contains an entry VM.
+func (s *State) IsLive(id string) bool {
+	if id == s.Self {
+		return true
+	}
+	p := s.peers[id]
+	return p != nil && p.up
+}
+
 // LiveInZone returns the ids of the live entry VMs of zone that aren't leaving, sorted. These may own backend servers.
 func (s *State) LiveInZone(zone string) []string {
 	var ids []string
