Interrupt one task for each urgent request that waits

Cause: one interruption a tick and pool made the n-th of several urgent requests wait n ticks. A signal that got lost was never sent again, and a task that ignored it was counted on for ever.

Change: as many interruptions as urgent requests wait, less those under way; a lost signal is sent again, and a task is counted on for 2 s only. The count of waiting urgent requests comes from the queue instead of a walk over all work.

--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -20,6 +20,9 @@
 	// maxUrgentWaiting bounds the urgent requests of a pool that wait for interruptions. At one interruption a tick the
 	// last of them starts within 1.6 s, below the 1.9 s of R16.
 	maxUrgentWaiting = 16
+	// signalPatience is how long a task that was told to end is expected to make room. One that ignores the signal isn't
+	// counted on any longer.
+	signalPatience = 2 * time.Second
 	// jobInterval is the time between two delta reads of the rows of unfinished jobs.
 	jobInterval = time.Second
 	// listInterval is the time between two reads of the VM list.
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -246,10 +246,10 @@
 func (s *State) stopRun(r *run) {
 	epoch, held := s.Owners.Epoch(r.key.server)
 	entry, known := s.config.Catalogue().Entry(r.entry)
-	if !held || r.signalled || !known || !entry.Idempotent() {
+	if !held || !r.signalled.IsZero() || !known || !entry.Idempotent() {
 		return
 	}
-	r.signalled = true
+	r.signalled = s.now
 	s.emit(Signal{
 		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: platform.SignalStop,
 	})
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -128,7 +128,7 @@
 	case CloseEnded:
 		s.closeEnded(e)
 	case SignalEnded:
-		s.count("signal_ended")
+		s.signalEnded(e)
 	case AcquireEnded:
 		s.owners(ownership.NewAcquireEnded(e.server, e.sent, e.outcome))
 	case ReportEnded:
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -10,44 +10,49 @@
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
-// makeRoom interrupts the cheapest running work of a lower class for urgent work that finds no room. One interruption
-// is made for each pool and tick, so that the room it makes is used before the next.
+// makeRoom interrupts the cheapest running work of a lower class for urgent work that finds no room: one task for each
+// urgent request that waits, less those that were told to end and haven't yet.
 func (s *State) makeRoom() {
 	if !s.mayStartHere() {
 		return
 	}
 	for _, pool := range s.Queue.Pools() {
-		w := s.urgentWaiting(pool)
-		if w == nil {
+		waiting := s.Queue.WaitingOf(pool, queue.Urgent)
+		if waiting == 0 {
 			continue
 		}
-		if plan, ok := s.Chooser.Victims(pool, w.shape, queue.Urgent); ok {
+		w := s.urgentWaiting(pool)
+		for missing := waiting - s.ending(pool); w != nil && missing > 0; missing-- {
+			plan, ok := s.Chooser.Victims(pool, w.shape, queue.Urgent)
+			if !ok {
+				break
+			}
 			s.interrupt(plan)
 		}
 	}
 }
 
+// ending counts the tasks of a pool that were told to end and haven't yet.
+func (s *State) ending(pool string) int {
+	n := 0
+	for k, r := range s.runs {
+		if s.now.Sub(r.signalled) < signalPatience && r.lostAt.IsZero() && s.poolOf(k.server) == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // urgentFits reports whether interruptions will make room for an urgent request in time. The start rate that admission
 // goes by doesn't know of them.
 func (s *State) urgentFits(w *work) bool {
-	if w.class != catalogue.ClassUrgent || s.urgentQueued(w.pool) >= maxUrgentWaiting {
+	if w.class != catalogue.ClassUrgent || s.Queue.WaitingOf(w.pool, queue.Urgent) >= maxUrgentWaiting {
 		return false
 	}
 	_, ok := s.Chooser.Victims(w.pool, w.shape, queue.Urgent)
 	return ok
 }
 
-// urgentQueued counts the urgent requests that wait for a pool, up to maxUrgentWaiting.
-func (s *State) urgentQueued(pool string) int {
-	n := 0
-	for _, w := range s.works {
-		if w.phase == phaseQueued && w.class == catalogue.ClassUrgent && w.pool == pool {
-			n++
-		}
-	}
-	return n
-}
-
 // urgentWaiting returns the first urgent request of a pool that only lacks room.
 func (s *State) urgentWaiting(pool string) *work {
 	var found *work
@@ -74,15 +79,35 @@
 		}
 		if v.Signal() == platform.SignalThrottle {
 			s.Chooser.Throttled(plan.Server(), v.Key())
-		} else if r.signalled {
+		} else if !r.signalled.IsZero() {
 			continue
 		}
-		r.signalled = v.Signal() != platform.SignalThrottle
+		if v.Signal() != platform.SignalThrottle {
+			r.signalled = s.now
+		}
+		// Without traits the task isn't chosen again while it ends.
+		s.Chooser.Describe(plan.Server(), v.Key(), placement.Traits{})
 		s.count("interruptions")
 		s.emit(Signal{server: plan.Server(), epoch: epoch, id: id, attempt: attempt, signal: v.Signal()})
 	}
 }
 
+// signalEnded notes that a signal didn't reach its task, so that it is sent again.
+func (s *State) signalEnded(e SignalEnded) {
+	switch e.outcome.(type) {
+	case platform.Signalled, platform.NotRunning:
+		return
+	}
+	r, ok := s.runs[runKey{server: e.server, id: e.id, attempt: e.attempt}]
+	if !ok {
+		return
+	}
+	r.signalled = zeroTime
+	if w, held := s.works[e.id]; held && w.server == e.server && w.attempt == e.attempt {
+		s.describe(w)
+	}
+}
+
 // splitTaskKey is the inverse of taskKey.
 func splitTaskKey(key string) (id string, attempt int) {
 	i := strings.LastIndexByte(key, '#')
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -91,8 +91,8 @@
 	closing bool
 	// lostAt is when the lease of its backend server was lost, zero while it is held.
 	lostAt time.Time
-	// signalled is set once the task was told to stop.
-	signalled bool
+	// signalled is when the task was told to end, zero if it wasn't.
+	signalled time.Time
 }
 
 // foundRun is an attempt that a backend server reported and no work here waits for, with the epoch of that report.
--- a/dispatch/zoneout.go
+++ b/dispatch/zoneout.go
@@ -25,7 +25,7 @@
 // checkpoint ends an attempt that can be checkpointed. Its job continues elsewhere.
 func (s *State) checkpoint(r *run) {
 	w, ok := s.works[r.key.id]
-	if !ok || w.isCall() || r.signalled {
+	if !ok || w.isCall() || !r.signalled.IsZero() {
 		return
 	}
 	entry, known := s.config.Catalogue().Entry(r.entry)
@@ -33,7 +33,7 @@
 	if !known || !entry.Checkpoint() || !entry.Idempotent() || !held {
 		return
 	}
-	r.signalled = true
+	r.signalled = s.now
 	s.count("checkpoints")
 	s.emit(Signal{
 		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: platform.SignalCheckpoint,
