Move waiting calls out of a zone that is taken out

Cause: a call that was forwarded to an entry VM just before its zone went out waited there until its deadline, because forwarded calls are never forwarded again. A claimed call that couldn't start any more was moved with its claim still open, and the next entry VM took it for started. A peer in a zone that is out was chosen by a digest of up to 3 s ago. Ruled out: slices and start rates (the other calls of the same teams were answered), and lost connections (both entry VMs were healthy). Change: forwarded calls move on if the own zone is out; the claim of an attempt that was never sent is closed before the call is queued again; peers in zones that are out get nothing. If contact is lost after a claim was retried, the outcome is told as unknown, not as not-run.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -174,12 +174,37 @@
 	epoch, ok := s.Owners.MayStart(w.server, s.now)
 	if !ok || epoch != w.epoch || !s.mayStartHere() {
 		s.unreserve(w)
-		s.requeue(w)
+		s.requeueClaimed(w)
 		return
 	}
 	s.run(w)
 }
 
+// requeueClaimed puts work back whose attempt is recorded but was never sent. The claim of a call is closed first,
+// because an entry VM that the call moves to would take it for started.
+func (s *State) requeueClaimed(w *work) {
+	if !w.isCall() {
+		s.requeue(w)
+		return
+	}
+	w.phase = phaseRefusing
+	next, t := claim.Abandon(w.claim, w.claimVersion, s.now)
+	s.commit(t, UrgencyHigh, w.request.deadline.Add(closeClaimSlack), func(o platform.CommitOutcome) {
+		if s.works[w.id()] != w {
+			return
+		}
+		switch o := o.(type) {
+		case platform.Committed:
+			w.claim, w.claimVersion = next, o.Version()
+			s.requeue(w)
+		case platform.Conflict:
+			s.claimLost(w, o.Row())
+		default:
+			s.finishUnresolved(w, CodeStoreUnavailable, "whether the request can be repeated isn't known yet")
+		}
+	})
+}
+
 // closeClaim records that the request didn't start and can't start any more, then tells the refusal.
 func (s *State) closeClaim(w *work, n NotRun) {
 	w.phase, w.refusal = phaseRefusing, n
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -203,12 +203,14 @@
 	return p.digest.FreeSlots(pool) - p.forwarded[pool]
 }
 
-// peerWithRoom returns the live peer with the most free slots in a pool, empty if none has any.
+// peerWithRoom returns the live peer with the most free slots in a pool, empty if none has any. A peer in an availability
+// zone that is out starts nothing, although its last digest may tell of free slots.
 func (s *State) peerWithRoom(pool string) string {
 	best, most := "", 0
+	out := s.membersOut()
 	for _, id := range s.Members.Live() {
 		p, ok := s.peers[id]
-		if !ok || id == s.Self {
+		if !ok || id == s.Self || slices.Contains(out, id) {
 			continue
 		}
 		if n := p.room(pool, s.now); n > most {
@@ -218,6 +220,17 @@
 	return best
 }
 
+// membersOut returns the live entry VMs of the availability zones that are out.
+func (s *State) membersOut() []string {
+	var ids []string
+	for _, zone := range s.config.Zones() {
+		if s.config.Zone(zone).Out() {
+			ids = append(ids, s.Members.LiveInZone(zone)...)
+		}
+	}
+	return ids
+}
+
 // hasRoomHere reports whether this entry VM could start work of a pool now.
 func (s *State) hasRoomHere(pool string) bool {
 	return s.mayStartHere() && s.Chooser.FreeSlots(pool) > 0 && !s.Queue.Waiting(pool)
@@ -309,6 +322,11 @@
 		s.retry(w)
 		return
 	}
+	if w.claimVersion != 0 {
+		// The peer may have started a further attempt under the claim.
+		s.finishUnresolved(w, CodeLostContact, "contact with the entry VM that has the request was lost")
+		return
+	}
 	s.closeClaim(w, NewNotRun(CodeLostContact, "contact was lost before the request started", retryAfterBusy))
 }
 
@@ -383,7 +401,8 @@
 			return false
 		}
 		row := s.jobs[q.ID()]
-		if (w.isCall() && w.request.hops > 0) || (!w.isCall() && (row == nil || row.busy)) {
+		// A call is forwarded once only, unless nothing starts here any more.
+		if (w.isCall() && w.request.hops > 0 && !s.config.Zone(s.Zone).Out()) || (!w.isCall() && (row == nil || row.busy)) {
 			return false
 		}
 		found = w
