Check the budget before a take-out is applied early

Cause: a take-out is applied and pushed before its transaction is built, and the VMs of a zone that is out count as absent. Unknown zones were taken out as well. Ruled out: a wrong budget in the catalogue (vm out is refused with it). Before and after (TestBadInputIsRefused): PUT /v1/zones/a over the budget answered 200 and in-force, and answers 409 budget-exceeded with the zone still in; an unknown zone answered 200, and answers 422 invalid.

--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -37,6 +37,10 @@
 // changeRequested commits a configuration change. Take-outs and revocations are applied and pushed first, because
 // they are safe to apply early.
 func (s *State) changeRequested(e ChangeRequested) {
+	if r := s.zoneRefused(e.change); r != nil {
+		s.reply(e.ticket, *r)
+		return
+	}
 	if push := earlyPush(e.change); push != nil {
 		s.applyEarly(push)
 		s.pushToAll(push)
@@ -66,6 +70,28 @@
 	return nil
 }
 
+// zoneRefused returns why a change of an availability zone can't be made, nil if it can or if it is another change. It is
+// asked before a take-out is applied early, because the VMs of a zone that is out count as absent already.
+func (s *State) zoneRefused(change Change) *Rejected {
+	c, ok := change.(ZoneChange)
+	if !ok || c.force {
+		return nil
+	}
+	if s.listed && !s.knowsZone(c.zone) {
+		r := NewRejected(CodeInvalid, fmt.Sprintf("there is no availability zone %q", c.zone), 0)
+		return &r
+	}
+	if !c.out {
+		return nil
+	}
+	return s.overBudget(s.vmsOfZone(c.zone))
+}
+
+func (s *State) knowsZone(zone string) bool {
+	return zone == s.Zone || len(s.vmsOfZone(zone)) > 0 || len(s.Members.LiveInZone(zone)) > 0 ||
+		slices.Contains(s.config.Zones(), zone)
+}
+
 func (s *State) applyEarly(c peer.Change) {
 	switch c := c.(type) {
 	case peer.TakeOut:
@@ -99,11 +125,6 @@
 	case KeyRevocation:
 		return built(catalogue.RevokeKey(s.config, c.id, author, s.now))
 	case ZoneChange:
-		if c.out {
-			if r := s.overBudget(s.vmsOfZone(c.zone)); r != nil && !c.force {
-				return platform.Transaction{}, r
-			}
-		}
 		return built(catalogue.SetZone(s.config, c.zone, catalogue.NewZoneState(c.out, author, s.now)))
 	case VMChange:
 		return s.vmTransaction(c, author)
