Refuse trailing brackets and answer oversized bodies

Cause: Decoder.More is false before a closing bracket, so that a body like {...}} was accepted. A body over the limit was left unread, and closing the connection reset it while the client was still sending. Revoking an unknown key answered 401, as if the caller's own key were wrong. Change: only the end of the data is accepted after the object; the rest of an oversized body is read, up to 64 MiB and the read timeout; an unknown key id is 404 not-found.

--- a/api/admin.go
+++ b/api/admin.go
@@ -208,7 +208,7 @@
 	}
 	id, _ := c.UserValue("id").(string)
 	if _, known := s.VM.Configuration().Key(id); !known {
-		writeProblem(c, problem{Code: string(catalogue.CodeUnknownKey), Message: fmt.Sprintf("there is no key %q", id), Outcome: outcomeNotRun})
+		writeProblem(c, problem{Code: codeNotFound, Message: fmt.Sprintf("there is no key %q", id), Outcome: outcomeNotRun})
 		return
 	}
 	s.change(c, dispatch.NewKeyRevocation(id), by, changeState{})
--- a/api/constants.go
+++ b/api/constants.go
@@ -9,7 +9,11 @@
 	RequestHeader = "Pistachiolead-Request"
 
 	// defaultBodyBytes bounds the body of a request. It is larger than a payload because a body is JSON.
-	defaultBodyBytes    = 8 << 20
+	defaultBodyBytes = 8 << 20
+	// readBufferBytes bounds the headers of a request.
+	readBufferBytes = 4 << 10
+	// maxDiscardBytes bounds what is read of a body that is too large.
+	maxDiscardBytes     = 64 << 20
 	defaultReadTimeout  = 10 * time.Second
 	defaultWriteTimeout = 30 * time.Second
 	defaultIdleTimeout  = time.Minute
--- a/api/server.go
+++ b/api/server.go
@@ -63,6 +63,7 @@
 		Handler:               s.handler(),
 		Name:                  "pistachiolead",
 		MaxRequestBodySize:    s.BodyBytes,
+		ReadBufferSize:        readBufferBytes,
 		ReadTimeout:           s.ReadTimeout,
 		WriteTimeout:          s.WriteTimeout,
 		IdleTimeout:           s.IdleTimeout,
@@ -103,12 +104,24 @@
 
 func handleError(c *fasthttp.RequestCtx, err error) {
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		discardBody(c)
 		writeProblem(c, problem{Code: codeBodyTooLarge, Message: "the body is too large", Outcome: outcomeNotRun})
 		return
 	}
 	invalid(c, "the request can't be read")
 }
 
+// discardBody reads the rest of a body that is too large. A client that is still sending would get a broken connection
+// instead of the answer.
+func discardBody(c *fasthttp.RequestCtx) {
+	// Bytes that are in the read buffer don't come from the connection again.
+	rest := min(c.Request.Header.ContentLength()-readBufferBytes, maxDiscardBytes)
+	if rest > 0 {
+		// The answer is sent even if the client stops sending.
+		_, _ = io.CopyN(io.Discard, c.Conn(), int64(rest))
+	}
+}
+
 func (s *Server) handler() fasthttp.RequestHandler {
 	r := router.New()
 	r.POST("/v1/calls", s.call)
--- a/api/work.go
+++ b/api/work.go
@@ -5,12 +5,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
@@ -316,7 +318,8 @@
 	if err := d.Decode(into); err != nil {
 		return fmt.Errorf("the body isn't valid: %w", err)
 	}
-	if d.More() {
+	// More is false before a closing bracket, so only the end of the data shows that nothing follows.
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return fmt.Errorf("the body has data after its JSON object")
 	}
 	return nil
