End wrong command lines with the exit code for usage

Cause: the handler of usage errors was set on the root only, and unknown commands printed a line and ended with 0. A payload that isn't JSON ended with 1. Change: each command has the handler; unknown commands, also below key, zone and vm, and wrong payloads are usage errors. key, zone and vm show an example in their help, and a test reads the example of every command.

--- a/command/call.go
+++ b/command/call.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/pistachiolead/pistachiolead/api"
@@ -80,6 +82,9 @@
 			return nil, api.Work{}, err
 		}
 	}
+	if len(payload) > 0 && !json.Valid(payload) {
+		return nil, api.Work{}, usageError{errors.New("the payload isn't valid JSON")}
+	}
 	client, err := newClient(c)
 	if err != nil {
 		return nil, api.Work{}, err
--- a/command/command.go
+++ b/command/command.go
@@ -43,25 +43,43 @@
 }
 
 func newRoot(out, errOut io.Writer) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "pistachiolead",
 		Usage:                 "manages the capacity and maintenance of a fleet",
 		Writer:                out,
 		ErrWriter:             errOut,
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError{err}
-		},
-		CommandNotFound: func(_ context.Context, c *cli.Command, name string) {
-			fmt.Fprintf(c.Root().ErrWriter, "pistachiolead: there is no command %q; see pistachiolead --help\n", name)
-		},
 		Commands: []*cli.Command{
 			newLocal(), newServe(), newPlatform(), newInit(), newCheck(),
 			newApply(), newGet(), newDiff(), newKey(), newZone(), newVM(), newChange(),
 			newCall(), newSubmit(), newWait(), newCancel(), newStatus(),
 		},
 	}
+	refuseMisuse(root)
+	return root
+}
+
+// refuseMisuse makes a command and those below it end with a usage error for wrong flags and unknown commands. The
+// library would print the whole help and end with 1, or with 0 for an unknown command.
+func refuseMisuse(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError{err} }
+	for _, sub := range c.Commands {
+		refuseMisuse(sub)
+	}
+	if len(c.Commands) > 0 {
+		c.Action = showHelp
+	}
+}
+
+func showHelp(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return usageError{errors.Errorf("there is no command %q; see %s --help", c.FullName()+" "+c.Args().First(), c.FullName())}
+	}
+	if c.Root() == c {
+		return cli.ShowRootCommandHelp(c)
+	}
+	return cli.ShowSubcommandHelp(c)
 }
 
 // usageError is a mistake in the command line or in a document.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,3 +17,17 @@
 	assert.Equal(t, code, command.ExitOK, errOut.String())
 	assert.Assert(t, bytes.Contains(out.Bytes(), []byte("fleet")), out.String())
 }
+
+// Guards against a command whose help has no example, or one of another command.
+func TestHelpHasExamples(t *testing.T) {
+	for _, name := range []string{
+		"local", "serve", "platform", "init", "check", "apply", "get", "diff", "change", "call", "submit", "wait", "cancel", "status",
+		"key", "key grant", "key revoke", "key list", "zone", "zone out", "zone back", "vm", "vm out", "vm back", "vm move",
+	} {
+		var out bytes.Buffer
+		args := append([]string{"pistachiolead"}, strings.Fields(name)...)
+		assert.Equal(t, command.Run(append(args, "--help"), &out, &out), command.ExitOK, name)
+		assert.Check(t, strings.Contains(out.String(), "Example: pistachiolead "+name+" ") ||
+			strings.Contains(out.String(), "Example: pistachiolead "+name+"\n"), out.String())
+	}
+}
--- a/command/key.go
+++ b/command/key.go
@@ -12,8 +12,9 @@
 
 func newKey() *cli.Command {
 	return &cli.Command{
-		Name:  "key",
-		Usage: "grants, revokes and lists keys",
+		Name:        "key",
+		Usage:       "grants, revokes and lists keys",
+		Description: "Example: pistachiolead key grant --team press",
 		Commands: []*cli.Command{
 			{
 				Name:        "grant",
--- a/command/vm.go
+++ b/command/vm.go
@@ -13,8 +13,9 @@
 	reason := &cli.StringFlag{Name: "reason", Usage: "a `TEXT` that is recorded"}
 	force := &cli.BoolFlag{Name: "force", Usage: "also if the availability budget is exceeded"}
 	return &cli.Command{
-		Name:  "vm",
-		Usage: "takes VMs out, brings them back and moves them between pools",
+		Name:        "vm",
+		Usage:       "takes VMs out, brings them back and moves them between pools",
+		Description: "Example: pistachiolead vm out backend-a-03 --reason 'new memory'",
 		Commands: []*cli.Command{
 			{
 				Name: "out", Usage: "takes a VM out of service", ArgsUsage: "VM", Flags: clientFlags(reason, force),
--- a/command/zone.go
+++ b/command/zone.go
@@ -8,8 +8,9 @@
 
 func newZone() *cli.Command {
 	return &cli.Command{
-		Name:  "zone",
-		Usage: "takes availability zones out of service and brings them back",
+		Name:        "zone",
+		Usage:       "takes availability zones out of service and brings them back",
+		Description: "Example: pistachiolead zone out zagreb-2",
 		Commands: []*cli.Command{
 			{
 				Name:        "out",
