--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -21,7 +21,11 @@
 		[]platform.Condition{platform.NewCondition(JobKey(r.id), 0), platform.NewCondition(DoneKey(r.id), 0)},
 		[]platform.Write{platform.NewPut(JobKey(r.id), f.encode()), platform.NewPut(inputKey(r.id), r.payload)},
 	)
-	s.commit(t, UrgencyLow, r.deadline, func(o platform.CommitOutcome) { s.jobStored(w, f, o) })
+	deadline := s.now.Add(submitTimeout)
+	if !r.deadline.IsZero() && r.deadline.Before(deadline) {
+		deadline = r.deadline
+	}
+	s.commit(t, UrgencyLow, deadline, func(o platform.CommitOutcome) { s.jobStored(w, f, o) })
 }
 
 func (s *State) jobStored(w *work, f jobFields, o platform.CommitOutcome) {
@@ -121,11 +125,33 @@
 		}
 		s.rememberJob(&jobRow{id: id, version: row.Version(), fields: f})
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+	for _, id := range s.unsettledJobs() {
 		s.considerJob(s.jobs[id])
 	}
 }
 
+// unsettledJobs returns the jobs that may need a decision, in order of their ids. Most of 10,000 jobs need none, so that
+// only these few are sorted.
+func (s *State) unsettledJobs() []string {
+	var ids []string
+	for id, row := range s.jobs {
+		if !s.settled(row) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// settled reports whether a job stays with the holder that its row names: this entry VM works on it, or another live one
+// holds it.
+func (s *State) settled(row *jobRow) bool {
+	if _, held := s.works[row.id]; held {
+		return row.fields.Holder == s.Self && !row.fields.Cancelled
+	}
+	return row.fields.Holder != s.Self && row.holderLostAt.IsZero() && s.isLive(row.fields.Holder)
+}
+
 func (s *State) jobRemoved(id string, version uint64) {
 	row, ok := s.jobs[id]
 	if !ok || row.version > version {
@@ -264,7 +290,9 @@
 	entry, ok := s.config.Catalogue().Entry(f.Entry)
 	w := newWork(r, 0, entry, s.now)
 	w.attempt = max(1, f.Attempt)
-	w.started = w.attempt > 1
+	// Only jobs that aren't idempotent have their starts in the row.
+	w.ranBefore = !ok || entry.Idempotent()
+	w.started = w.ranBefore || f.Server != ""
 	s.works[row.id] = w
 	if !ok {
 		s.refuse(w, NewNotRun(CodeUnknownEntry, "the entry was removed", 0))
@@ -292,7 +320,7 @@
 			s.serverGone(w)
 			return
 		}
-		s.forget(w)
+		s.leaveJob(w)
 		return
 	}
 	if !s.mayJoin(w, epoch) {
@@ -303,6 +331,19 @@
 	s.emit(Close{server: w.server, epoch: epoch, id: w.id(), attempt: w.attempt})
 }
 
+// leaveJob gives up a job whose attempt only the owner of another backend server can find out about.
+func (s *State) leaveJob(w *work) {
+	s.forget(w)
+	row, ok := s.jobs[w.id()]
+	if !ok || row.busy {
+		return
+	}
+	f := row.fields
+	f.Holder = ""
+	row.busy = true
+	s.writeJob(row, f, func(bool) {})
+}
+
 // serverGone settles work whose backend server no longer exists: its tasks have ended without an answer.
 func (s *State) serverGone(w *work) {
 	if w.idempotent {
@@ -318,7 +359,7 @@
 func (s *State) resolved(w *work, o platform.CloseOutcome) {
 	switch o := o.(type) {
 	case platform.NeverStarted:
-		w.started = false
+		w.started = w.ranBefore || !platform.SameProcess(w.sentEpoch, w.epoch)
 		w.attempt++
 		s.requeue(w)
 	case platform.StillRunning:
@@ -330,8 +371,19 @@
 		}
 		s.join(w)
 	default:
-		s.forget(w) // considered again with the next scan
+		s.resolveLater(w)
+	}
+}
+
+// resolveLater follows up a Close without an answer. Work whose attempt this entry VM didn't send is considered again
+// with the next scan of the jobs.
+func (s *State) resolveLater(w *work) {
+	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
+	if _, sent := s.runs[k]; !sent {
+		s.forget(w)
+		return
 	}
+	s.later(w, rejoinDelay, func() { s.runUnknown(k, w) })
 }
 
 // join waits for an attempt that runs already.
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -87,13 +87,14 @@
 }
 
 // isLive reports whether an entry VM is live as seen from here.
-func (s *State) isLive(id string) bool { return slices.Contains(s.Members.Live(), id) }
+func (s *State) isLive(id string) bool { return s.Members.IsLive(id) }
 
 // digest describes this entry VM to its peers.
 func (s *State) digest() peer.Digest {
 	free := make(map[string]int)
 	running := make(map[string]platform.Shape)
 	wanted := make(map[string]int)
+	startable := s.startable()
 	uncovered := 0
 	open := s.mayStartHere() && !s.drain.started
 	for _, p := range s.config.Catalogue().Pools() {
@@ -105,13 +106,13 @@
 		if shape := s.running[team]; shape != (platform.Shape{}) {
 			running[team] = shape
 		}
-		if n := s.Queue.Backlog(team); n > 0 {
+		if n := startable[team]; n > 0 {
 			wanted[team] = n
 		}
 		uncovered += s.Ledger.Uncovered(team)
 	}
 	return peer.NewDigest(s.Self, s.Incarnation, s.config.Version(), s.reads.tableReachable).
-		WithFreeSlots(free).WithRunning(running).WithWanted(wanted).WithUncovered(uncovered)
+		WithFreeSlots(free).WithRunning(running).WithWanted(wanted).WithUncovered(uncovered).WithLeaving(s.drain.started)
 }
 
 // Digest returns the answer to a heartbeat of another entry VM.
@@ -150,6 +151,9 @@
 		p = &peerState{}
 		s.peers[d.Member()] = p
 	}
+	if d.Leaving() && !p.digest.Leaving() {
+		s.members(membership.NewPeerLeaving(d.Member()))
+	}
 	p.digest, p.heard = d, s.now
 	p.forwarded = make(map[string]int)
 	s.sumRemote()
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
@@ -45,7 +46,86 @@
 	check(t, "R4", profile{often: []kind{changeLimits, burst, killNode, pauseNode, cutZones, restartServer, drainNode}})
 }
 
+// Guards against a second start of a request that isn't idempotent.
+func TestPropertyR8AtMostOnce(t *testing.T) {
+	check(t, "R8", profile{often: []kind{submitTwice, restartServer, killNode, downTable, cutServer, crossAnswers}})
+}
+
+// Guards against a start of a request that was told as not run.
+func TestPropertyR7NotRunIsTrue(t *testing.T) {
+	check(t, "R7", profile{often: []kind{revokeKey, killNode, cancelWave, cutServer, cutNodes, submitTwice, slowTable}})
+}
+
+// Guards against starts in an availability zone after its take-out was told to be in force.
+func TestPropertyR5ZoneOut(t *testing.T) {
+	check(t, "R5", profile{often: []kind{zoneOut, zoneOut, zoneIn, cutServer, cutNodes, pauseNode, downTable}})
+}
+
+// Guards against starts for a team that an entry doesn't admit, or under a key whose revocation is in force.
+func TestPropertyR3KeysAndTeams(t *testing.T) {
+	check(t, "R3", profile{often: []kind{revokeKey, revokeKey, grantKey, cutServer, cutNodes, pauseNode, changeLimits}})
+}
+
 // Guards against a copy of the configuration that goes back, and against an early answer that a version is in force.
 func TestPropertyR11InForce(t *testing.T) {
 	check(t, "R11", profile{often: []kind{changeLimits, vmOut, vmIn, addNode, killNode, cutZones, cutTable, pauseNode}})
 }
+
+// Guards against planned take-outs beyond a pool's availability budget when operators race.
+func TestPropertyR1Budgets(t *testing.T) {
+	check(t, "R1", profile{often: []kind{zoneOut, zoneOut, zoneIn, vmOut, vmOut, vmIn, vmMove, vmMove, cutTable, cutZones}})
+}
+
+// Guards against VMs without a pool and against starts on a VM of another pool than the entry's.
+func TestPropertyR2OnePool(t *testing.T) {
+	check(t, "R2", profile{often: []kind{vmMove, vmMove, vmOut, vmIn, changeLimits, restartServer, burst}})
+}
+
+// Guards against answers to other requests, against parts of answers and against a second reply.
+func TestPropertyR6OwnAnswer(t *testing.T) {
+	check(t, "R6", profile{often: []kind{crossAnswers, cutAnswers, sameAnswers, submitTwice, cutNodes, restartServer}})
+}
+
+// Guards against starts on a backend server that is leaving. The VM list has to be readable, so messages aren't lost and
+// nodes aren't paused here.
+func TestPropertyR9Leaving(t *testing.T) {
+	check(t, "R9", profile{
+		often: []kind{leaveServer, leaveServer, leaveServer, burst, restartServer, cutServer}, never: []kind{pauseNode},
+		reliable: true,
+	})
+}
+
+// Guards against planned stops that take too long, leave requests without an answer or lose jobs.
+func TestPropertyR10Drain(t *testing.T) {
+	check(t, "R10", profile{often: []kind{drainNode, drainNode, drainNode, burst, submitTwice}, reliable: true})
+}
+
+// Guards against calls that are never answered and accepted jobs that never end, once the faults have stopped.
+func TestPropertyLiveness(t *testing.T) {
+	check(t, "liveness", profile{often: []kind{killNode, drainNode, cancelWave, downTable, submitTwice, cutServer}})
+}
+
+// Each plan once led to jobs that never ended, for the reason given.
+func TestFoundTraces(t *testing.T) {
+	r4 := []kind{changeLimits, burst, killNode, pauseNode, cutZones, restartServer, drainNode}
+	r8 := []kind{submitTwice, restartServer, killNode, downTable, cutServer, crossAnswers}
+	r5 := []kind{zoneOut, zoneOut, zoneIn, cutServer, cutNodes, pauseNode, downTable}
+	for _, c := range []struct {
+		reason string
+		often  []kind
+		seed   int
+	}{
+		{"the outcome of a slice change stays unknown", r4, 141},
+		{"a cancelled job stays in the queue", r8, 128},
+		{"slots are held for work that their holder can't start", r5, 166},
+		{"an attempt is counted off while it is followed", []kind{drainNode, drainNode, killNode, restartServer}, 147},
+	} {
+		t.Run(c.reason, func(t *testing.T) {
+			t.Parallel()
+			f := profile{often: c.often}
+			g := rapid.Custom(func(t *rapid.T) plan { return drawPlan(t, f) })
+			r := execute(g.Example(c.seed), broken{})
+			assert.Equal(t, r.violations["liveness"], "", strings.Join(r.trace, "\n"))
+		})
+	}
+}
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -51,6 +51,7 @@
 		s.found[t.ID()] = foundRun{key: k, epoch: epoch}
 	}
 	if t.Finished() {
+		s.fetchOrphan(server, t)
 		return
 	}
 	if r, ok := s.runs[k]; ok {
@@ -68,6 +69,20 @@
 	s.count("runs_adopted")
 }
 
+// fetchOrphan asks for the answer of a finished non-idempotent call that nobody here waits for.
+func (s *State) fetchOrphan(server string, t platform.TaskStatus) {
+	entry, known := s.config.Catalogue().Entry(t.Entry())
+	_, isJob := s.jobs[t.ID()]
+	epoch, owned := s.Owners.Epoch(server)
+	if !known || entry.Idempotent() || isJob || !owned {
+		return
+	}
+	if _, held := s.works[t.ID()]; held {
+		return
+	}
+	s.emit(Close{server: server, epoch: epoch, id: t.ID(), attempt: t.Attempt()})
+}
+
 // regain puts a run back on a backend server whose lease was lost and acquired again.
 func (s *State) regain(r *run, former string) {
 	if r.lostAt.IsZero() {
@@ -197,9 +212,15 @@
 	if !ok {
 		return
 	}
+	s.Chooser.SetServer(
+		placement.NewServer(v.ID(), v.Zone(), v.Rack(), s.poolOf(server), v.Shape(), s.usable(server)))
+}
+
+// usable reports whether new work may start on a backend server.
+func (s *State) usable(server string) bool {
+	v, listed := s.vms[server]
 	_, held := s.Owners.Epoch(server)
-	usable := held && !v.Leaving() && !s.config.VM(server).Out() && !s.Owners.HandingOver(server)
-	s.Chooser.SetServer(placement.NewServer(v.ID(), v.Zone(), v.Rack(), s.poolOf(server), v.Shape(), usable))
+	return listed && held && !v.Leaving() && !s.config.VM(server).Out() && !s.Owners.HandingOver(server)
 }
 
 // refreshServers tells the placement about all backend servers, so that it knows the size of each pool. Those that
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -81,6 +81,9 @@
 	if r.kind == KindCall && !r.deadline.IsZero() && !s.now.Before(r.deadline) {
 		return refuse(CodeDeadlinePassed, "the deadline has passed", 0)
 	}
+	if s.tableDown() && (r.kind == KindJob || !entry.Idempotent()) {
+		return refuse(CodeStoreUnavailable, "the table can't be reached, which this request needs", retryAfterBusy)
+	}
 	if s.neverFits(entry) {
 		return refuse(CodeNeverFits, fmt.Sprintf("no VM of pool %q can hold a task of entry %q", entry.Pool(), r.entry), 0)
 	}
@@ -178,6 +181,8 @@
 // claim is closed first, so that the refusal stays true.
 func (s *State) refuse(w *work, n NotRun) {
 	switch {
+	case w.started && !w.isCall():
+		s.recordJob(w, jobResult{state: doneUnknown, code: n.code, message: "the job may have run: " + n.message})
 	case w.started:
 		s.finishUnresolved(w, n.code, "the request may have run: "+n.message)
 	case !w.isCall():
@@ -231,6 +236,7 @@
 	s.count("cancelled")
 	switch w.phase {
 	case phaseQueued, phaseBackingOff, phaseReading:
+		s.Queue.Cancel(e.id)
 		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
 		s.reply(e.ticket, NewNotRun(CodeCancelled, "the request was cancelled before it started", 0))
 	case phaseRunning:
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -38,11 +38,13 @@
 	attempt int
 	// started is set once an attempt may have been started: from then on the request is never told as not run.
 	started bool
+	// ranBefore is set if an earlier attempt may have run.
+	ranBefore bool
 	// cancelled is set once nobody wants the answer.
 	cancelled bool
 	server    string
 	epoch     uint64
-	// sentEpoch is the epoch that the attempt was first sent under.
+	// sentEpoch is the epoch that the attempt was first sent under, 0 if that isn't known.
 	sentEpoch uint64
 	// resends counts how often the same attempt was sent again after a lost reply.
 	resends int
