Sum the work of other entry VMs without sorting

Each digest that was heard sorted the teams of all peers to sum what they run. The sums are now taken team by team over the catalogue, which is the same result.

--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -157,17 +157,18 @@
 
 // sumRemote sets what other entry VMs run for each team.
 func (s *State) sumRemote() {
-	sums := make(map[string]platform.Shape)
+	var digests []peer.Digest
 	for _, p := range s.peers {
-		if s.now.Sub(p.heard) > digestLifetime {
-			continue
-		}
-		for _, team := range p.digest.Teams() {
-			sums[team] = sums[team].Plus(p.digest.Running(team))
+		if s.now.Sub(p.heard) <= digestLifetime {
+			digests = append(digests, p.digest)
 		}
 	}
 	for _, t := range s.config.Catalogue().Teams() {
-		s.Queue.Shares.Remote(t.Name(), sums[t.Name()])
+		var sum platform.Shape
+		for _, d := range digests {
+			sum = sum.Plus(d.Running(t.Name()))
+		}
+		s.Queue.Shares.Remote(t.Name(), sum)
 	}
 }
 
