Tell the ownership decisions only of changed members

Every heartbeat and tick ranked all backend servers of the zone again, though the entry VMs of the zone had not changed.

--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -45,7 +45,11 @@
 			s.deleteMemberRow(f.ID())
 		}
 	}
-	s.owners(ownership.NewMembersChanged(s.Members.LiveInZone(s.Zone)))
+	// The ownership decisions rank all backend servers of the zone again, so they are told of changes only.
+	if live := s.Members.LiveInZone(s.Zone); s.owning == nil || !slices.Equal(live, s.owning) {
+		s.owning = append([]string{}, live...)
+		s.owners(ownership.NewMembersChanged(live))
+	}
 }
 
 func (s *State) membersListed(vms []platform.VM) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -55,6 +55,7 @@
 	due     dueHeap
 
 	peers     map[string]*peerState
+	owning    []string             // live entry VMs of the own zone as the ownership decisions know them, nil at first
 	entryVMs  map[string]bool      // as last listed
 	goneSince map[string]time.Time // holders of slices that are no longer listed
 	downSince map[string]time.Time // backend servers of the own zone that can't be reached
