Send the tables of digests with replies only

Requests and replies of heartbeats both carried the tables, and each pair of entry VMs exchanges heartbeats in both directions, so each table went out twice a second. Freshness needs both directions, the tables need one. A request now carries the version and the flags. A digest without tables has number 0 on the wire and doesn't change what the other side has decoded. The property of whole digests draws such digests too.

The free slots and demand of peers are up to 1 s old instead of about 0.5 s.

--- a/dispatch/control_rig_test.go
+++ b/dispatch/control_rig_test.go
@@ -254,7 +254,7 @@
 			p.free[fmt.Sprintf("pool-%02d", i)] = 10 + (i+c.round)%7
 		}
 	}
-	w := p.asked.requests.Encode(p.digest(c), p.asked.requestDecoder.Heard(), c.clock.Now())
+	w := p.asked.requests.Encode(p.digest(c).WithoutTables(), p.asked.requestDecoder.Heard(), c.clock.Now())
 	c.received["heartbeat"] += float64(proto.Size(w)) + messageHeaders
 	d, ok := p.asked.requestDecoder.Decode(w)
 	if !ok {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -36,7 +36,7 @@
 	for _, f := range s.Members.Handle(e, s.now) {
 		switch f := f.(type) {
 		case membership.SendHeartbeat:
-			s.emit(Heartbeat{peer: f.Peer(), address: s.Members.Address(f.Peer()), digest: s.digest()})
+			s.emit(Heartbeat{peer: f.Peer(), address: s.Members.Address(f.Peer()), digest: s.bareDigest()})
 		case membership.PeerUp, membership.PeerDown:
 			s.count("membership_changes")
 		case membership.WriteMemberRow:
@@ -93,6 +93,17 @@
 // isLive reports whether an entry VM is live as seen from here.
 func (s *State) isLive(id string) bool { return s.Members.IsLive(id) }
 
+// bareDigest is what a heartbeat carries. The tables go with the replies only: two entry VMs send each other heartbeats,
+// so each still hears the other's tables once a second, at half of the bytes (R28).
+func (s *State) bareDigest() peer.Digest {
+	uncovered := 0
+	for _, team := range s.Ledger.Teams() {
+		uncovered += s.Ledger.Uncovered(team)
+	}
+	return peer.NewDigest(s.Self, s.Incarnation, s.config.Version(), s.reads.tableReachable).
+		WithUncovered(uncovered).WithoutTables()
+}
+
 // digest describes this entry VM to its peers.
 func (s *State) digest() peer.Digest {
 	free := make(map[string]int)
@@ -143,7 +154,9 @@
 func (s *State) heartbeatHeard(e HeartbeatHeard) {
 	id := e.digest.Member()
 	s.members(membership.NewHeard(id))
-	s.heard(e.digest)
+	if e.digest.HasTables() {
+		s.heard(e.digest)
+	}
 	s.Acceptance.Acknowledged(id, e.digest.ConfigurationVersion())
 	s.emit(Greet{ticket: e.ticket, digest: s.digestFor(id)})
 }
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -20,6 +20,7 @@
 	oldest         map[string]time.Duration
 	uncovered      int
 	recognized     bool
+	bare           bool
 }
 
 // NewDigest returns a digest without values by pool, team and class. Member is the id of the entry VM, incarnation
@@ -77,6 +78,15 @@
 	return d
 }
 
+// WithoutTables returns the digest without its values by pool, team and class, which then say nothing.
+func (d Digest) WithoutTables() Digest {
+	d.free, d.running, d.wanted, d.oldest, d.bare = nil, nil, nil, nil, true
+	return d
+}
+
+// HasTables reports whether the digest says anything about pools, teams and classes.
+func (d Digest) HasTables() bool { return !d.bare }
+
 // Uncovered returns the number of tasks that the member runs beyond its slices because it adopted them.
 func (d Digest) Uncovered() int { return d.uncovered }
 
--- a/peer/digest_codec.go
+++ b/peer/digest_codec.go
@@ -21,8 +21,14 @@
 	wholeAt     time.Time
 }
 
-// Encode returns the next digest for the peer. Heard is the position of the last digest that the peer says it decoded.
+// Encode returns the next digest for the peer. One without tables isn't numbered and changes nothing here. Heard is the position of the last digest that the peer says it decoded.
 func (e *DigestEncoder) Encode(d Digest, heard Position, now time.Time) *peerwire.Digest {
+	if d.bare {
+		return &peerwire.Digest{
+			Member: d.member, Incarnation: d.incarnation, ConfigurationVersion: d.version,
+			TableReachable: d.tableReachable, Uncovered: int64(d.uncovered), Recognized: d.recognized,
+		}
+	}
 	for e.position.stream == 0 {
 		e.position.stream = rand.Uint32()
 	}
@@ -58,9 +64,12 @@
 // Heard returns the position of the last digest that was decoded.
 func (d *DigestDecoder) Heard() Position { return d.heard }
 
-// Decode returns the whole digest. It returns false if the digest changes one that isn't the last one decoded here, or was
+// Decode returns the whole digest, or the one without tables that was sent. It returns false if the digest changes one that isn't the last one decoded here, or was
 // overtaken by it. The peer's next digest is then whole, because Heard doesn't confirm this one.
 func (d *DigestDecoder) Decode(w *peerwire.Digest) (Digest, bool) {
+	if w.GetSequence() == 0 {
+		return digestTables{}.digest(w).WithoutTables(), true
+	}
 	p := Position{stream: w.GetStream(), sequence: w.GetSequence()}
 	if p.stream == d.heard.stream && p.sequence <= d.heard.sequence {
 		return Digest{}, false
--- a/peer/heartbeat_test.go
+++ b/peer/heartbeat_test.go
@@ -27,9 +27,13 @@
 		shapes[k] = platform.NewShape(n, 1024*n, 0, n)
 		waits[k] = time.Duration(n) * 1500 * time.Microsecond
 	}
-	return peer.NewDigest(member, incarnation, rapid.Uint64().Draw(t, "version"), rapid.Bool().Draw(t, "reachable")).
+	d := peer.NewDigest(member, incarnation, rapid.Uint64().Draw(t, "version"), rapid.Bool().Draw(t, "reachable")).
 		WithFreeSlots(counts.Draw(t, "free")).WithWanted(counts.Draw(t, "wanted")).
 		WithRunning(shapes).WithOldestWait(waits)
+	if rapid.IntRange(0, 3).Draw(t, "tables") == 0 {
+		return d.WithoutTables()
+	}
+	return d
 }
 
 // Guards against digests that differ from what was sent after lost, delayed or overtaken messages and restarts on both
