--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -36,7 +36,7 @@
 	for _, f := range s.Members.Handle(e, s.now) {
 		switch f := f.(type) {
 		case membership.SendHeartbeat:
-			s.emit(Heartbeat{peer: f.Peer(), address: s.Members.Address(f.Peer()), digest: s.digest()})
+			s.emit(Heartbeat{peer: f.Peer(), address: s.Members.Address(f.Peer()), digest: s.bareDigest()})
 		case membership.PeerUp, membership.PeerDown:
 			s.count("membership_changes")
 		case membership.WriteMemberRow:
@@ -45,7 +45,11 @@
 			s.deleteMemberRow(f.ID())
 		}
 	}
-	s.owners(ownership.NewMembersChanged(s.Members.LiveInZone(s.Zone)))
+	// The ownership decisions rank all backend servers of the zone again, so they are told of changes only.
+	if live := s.Members.LiveInZone(s.Zone); s.owning == nil || !slices.Equal(live, s.owning) {
+		s.owning = append([]string{}, live...)
+		s.owners(ownership.NewMembersChanged(live))
+	}
 }
 
 func (s *State) membersListed(vms []platform.VM) {
@@ -89,6 +93,17 @@
 // isLive reports whether an entry VM is live as seen from here.
 func (s *State) isLive(id string) bool { return s.Members.IsLive(id) }
 
+// bareDigest is what a heartbeat carries. The tables go with the replies only: two entry VMs send each other heartbeats,
+// so each still hears the other's tables once a second, at half of the bytes (R28).
+func (s *State) bareDigest() peer.Digest {
+	uncovered := 0
+	for _, team := range s.Ledger.Teams() {
+		uncovered += s.Ledger.Uncovered(team)
+	}
+	return peer.NewDigest(s.Self, s.Incarnation, s.config.Version(), s.reads.tableReachable).
+		WithUncovered(uncovered).WithoutTables()
+}
+
 // digest describes this entry VM to its peers.
 func (s *State) digest() peer.Digest {
 	free := make(map[string]int)
@@ -140,7 +155,9 @@
 func (s *State) heartbeatHeard(e HeartbeatHeard) {
 	id := e.digest.Member()
 	s.members(membership.NewHeard(id))
-	s.heard(e.digest)
+	if e.digest.HasTables() {
+		s.heard(e.digest)
+	}
 	s.Acceptance.Acknowledged(id, e.digest.ConfigurationVersion())
 	s.emit(Greet{ticket: e.ticket, digest: s.digestFor(id)})
 }
@@ -161,17 +178,18 @@
 
 // sumRemote sets what other entry VMs run for each team.
 func (s *State) sumRemote() {
-	sums := make(map[string]platform.Shape)
+	var digests []peer.Digest
 	for _, p := range s.peers {
-		if s.now.Sub(p.heard) > digestLifetime {
-			continue
-		}
-		for _, team := range p.digest.Teams() {
-			sums[team] = sums[team].Plus(p.digest.Running(team))
+		if s.now.Sub(p.heard) <= digestLifetime {
+			digests = append(digests, p.digest)
 		}
 	}
 	for _, t := range s.config.Catalogue().Teams() {
-		s.Queue.Shares.Remote(t.Name(), sums[t.Name()])
+		var sum platform.Shape
+		for _, d := range digests {
+			sum = sum.Plus(d.Running(t.Name()))
+		}
+		s.Queue.Shares.Remote(t.Name(), sum)
 	}
 }
 
