--- a/dispatch/carry_test.go
+++ b/dispatch/carry_test.go
@@ -132,11 +132,21 @@
 
 func (r *rig) drained(n *node) {
 	n.drainedAt = r.now()
+	if r.broken.dropJobs {
+		r.deleteJobs()
+	}
 	r.record.drained(n)
 	r.order = slices.DeleteFunc(r.order, func(id string) bool { return id == n.id })
 	r.platform.VMs.Remove(n.id)
 }
 
+func (r *rig) deleteJobs() {
+	ctx := context.Background()
+	for _, row := range r.platform.Table.Scan(ctx, "job/", 0).(platform.Rows).Rows() {
+		r.platform.Table.Commit(ctx, platform.NewTransaction(nil, []platform.Write{platform.NewDelete(row.Key())}))
+	}
+}
+
 func (r *rig) carryRun(n *node, f dispatch.Run) {
 	decided, config := r.now(), n.state.Configuration()
 	timeout := lostRunTimeout
@@ -360,11 +370,22 @@
 		ended := func(o platform.ListOutcome) { r.handle(n, dispatch.NewListed(o)) }
 		r.request(n, listName, 2*time.Second, false, func(reply func(func())) {
 			o := r.platform.VMs.List(ctx)
+			if r.broken.hideLeaving {
+				o = withoutLeaving(o)
+			}
 			reply(func() { ended(o) })
 		}, func(bool) { ended(platform.NewUnavailable("lost")) })
 	}
 }
 
+func withoutLeaving(o platform.ListOutcome) platform.ListOutcome {
+	var vms []platform.VM
+	for _, v := range o.(platform.VMs).VMs() {
+		vms = append(vms, platform.NewVM(v.ID(), v.Role(), v.Zone(), v.Rack(), v.Address(), v.Shape(), false))
+	}
+	return platform.NewVMs(vms)
+}
+
 func (r *rig) carryHeartbeat(n *node, f dispatch.Heartbeat) {
 	sent := r.now()
 	r.request(n, f.Peer(), time.Second, true, func(reply func(func())) {
