Resolve claims whose holder is gone, and list answers until they are delivered

Cause 1: a non-idempotent call that ran at a killed entry VM stayed in progress: nobody asked its backend server. Ruled out: the adoption of its task, which worked while the task ran, but an answer sent into the broken connection was counted as fetched. Change: a repeated request goes to the owner of the backend server named in its claim, who closes the attempt: one that never started is run under the next attempt, a running one is joined, a stored answer is returned. Claims record the epoch, because only the same process of the backend server can tell.

Cause 2: idempotent jobs that finished just after their entry VM was killed ran again on another server, because of the same lost answer. Change: the stand-in lists an answer until a report that came after it was fetched.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -48,8 +48,19 @@
 	changed time.Time
 	hash    string
 	answer  string
+	epoch   uint64
 }
 
+// WithEpoch returns the claim with the epoch of the lease that the attempt is sent under.
+func (c Claim) WithEpoch(epoch uint64) Claim {
+	c.epoch = epoch
+	return c
+}
+
+// Epoch returns the epoch of the lease that the attempt is sent under, 0 if it isn't recorded. Only the same process of
+// the backend server can tell whether the attempt started.
+func (c Claim) Epoch() uint64 { return c.epoch }
+
 // New returns the claim of the first attempt. Holder is the entry VM, server the backend server that the attempt is
 // meant for, hash the Hash of the payload. The id must be valid.
 func New(id, team, entry, holder, server, hash string, now time.Time) Claim {
@@ -128,13 +139,14 @@
 	Changed time.Time `json:"changed"`
 	Hash    string    `json:"payload-hash"`
 	Answer  string    `json:"answer,omitempty"`
+	Epoch   uint64    `json:"epoch,omitempty"`
 }
 
 // Encode returns the stored form of the claim.
 func (c Claim) Encode() []byte {
 	b, err := json.Marshal(wireClaim{
 		ID: c.id, Team: c.team, Entry: c.entry, Holder: c.holder, Server: c.server, Attempt: c.attempt,
-		State: c.state.String(), Changed: c.changed, Hash: c.hash, Answer: c.answer,
+		State: c.state.String(), Changed: c.changed, Hash: c.hash, Answer: c.answer, Epoch: c.epoch,
 	})
 	if err != nil {
 		panic(err)
@@ -156,7 +168,7 @@
 	}
 	c := Claim{
 		id: w.ID, team: w.Team, entry: w.Entry, holder: w.Holder, server: w.Server, attempt: w.Attempt,
-		changed: w.Changed, hash: w.Hash, answer: w.Answer,
+		changed: w.Changed, hash: w.Hash, answer: w.Answer, epoch: w.Epoch,
 	}
 	for _, s := range []State{Claimed, Done, NotRun} {
 		if s.String() == w.State {
--- a/claim/transition.go
+++ b/claim/transition.go
@@ -12,6 +12,9 @@
 	return store(c, 0)
 }
 
+// Update returns the transaction that stores a claim. Version is that of the row that the claim was made from.
+func Update(c Claim, version uint64) platform.Transaction { return store(c, version) }
+
 // Finish returns a claim that is done and the transaction that stores it. Version is that of the row that holds
 // c, answer the name of the stored answer or empty. The claim must be Claimed.
 func Finish(c Claim, version uint64, answer string, now time.Time) (Claim, platform.Transaction) {
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -71,8 +71,10 @@
 	case claim.Mismatch:
 		s.forget(w)
 		s.reply(w.ticket, NewRejected(CodeMismatch, "this request id was used for another request", 0))
+	case claim.InProgress:
+		s.resolveClaim(w, d.Claim(), d.Version())
 	default:
-		s.finishUnresolved(w, CodeInProgress, "a request with this id has been started")
+		s.finishUnresolved(w, CodeInProgress, "the record of this request can't be read")
 	}
 }
 
@@ -114,6 +116,7 @@
 func (s *State) nextClaim(w *work) (claim.Claim, platform.Transaction) {
 	if w.claimVersion == 0 {
 		c := claim.New(w.id(), w.request.team, w.request.entry, s.Self, w.server, claim.Hash(w.request.payload), s.now)
+		c = c.WithEpoch(w.epoch)
 		return c, claim.Create(c)
 	}
 	c := w.claim
@@ -121,7 +124,9 @@
 		// The attempt of this claim was never sent, so the next one may replace it.
 		c, _ = claim.Abandon(c, w.claimVersion, s.now)
 	}
-	return claim.Retry(c, w.claimVersion, s.Self, w.server, s.now)
+	c, _ = claim.Retry(c, w.claimVersion, s.Self, w.server, s.now)
+	c = c.WithEpoch(w.epoch)
+	return c, claim.Update(c, w.claimVersion)
 }
 
 func (s *State) claimed(w *work, next claim.Claim, o platform.CommitOutcome) {
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -23,6 +23,9 @@
 	// signalPatience is how long a task that was told to end is expected to make room. One that ignores the signal isn't
 	// counted on any longer.
 	signalPatience = 2 * time.Second
+	// foundLifetime is how long an attempt that a gained backend server listed is remembered for a job that isn't known
+	// yet.
+	foundLifetime = time.Minute
 	// jobInterval is the time between two delta reads of the rows of unfinished jobs.
 	jobInterval = time.Second
 	// listInterval is the time between two reads of the VM list.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -298,6 +298,7 @@
 		return
 	}
 	k, here := s.found[row.id]
+	here = here && k.key.attempt >= f.Attempt
 	if f.Server == "" && !here {
 		s.enqueueHere(w)
 		return
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -285,6 +285,10 @@
 		return
 	}
 	w.server = ""
+	if len(w.asked) > 0 {
+		s.ownerAnswered(w, e.outcome)
+		return
+	}
 	switch o := e.outcome.(type) {
 	case peer.Answered:
 		if !o.Whole() {
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -48,7 +48,7 @@
 	k := runKey{server: server, id: t.ID(), attempt: t.Attempt()}
 	if _, held := s.works[t.ID()]; !held {
 		epoch, _ := s.Owners.Epoch(server)
-		s.found[t.ID()] = foundRun{key: k, epoch: epoch}
+		s.found[t.ID()] = foundRun{key: k, epoch: epoch, at: s.now}
 	}
 	if t.Finished() {
 		s.fetchOrphan(server, t)
@@ -172,6 +172,11 @@
 		}
 	}
 	s.settleLost()
+	for id, f := range s.found {
+		if _, isJob := s.jobs[id]; !isJob && s.now.Sub(f.at) > foundLifetime {
+			delete(s.found, id)
+		}
+	}
 }
 
 // settleLost counts off lost runs that nobody adopted. It waits until the task lease has passed, every other member
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -51,6 +51,8 @@
 	// claim is the claim of a non-idempotent call, claimVersion the version of its row, 0 if there is none.
 	claim        claim.Claim
 	claimVersion uint64
+	// asked are the entry VMs that were asked about the claim.
+	asked []string
 	// refusal is what the caller is told once the refusal is certain.
 	refusal NotRun
 	// pending is called at wake, if it is set.
@@ -99,6 +101,7 @@
 type foundRun struct {
 	key   runKey
 	epoch uint64
+	at    time.Time
 }
 
 // begin counts a run.
