Hand over work queued during a stop, and keep deadlines out of accepted jobs

The liveness check found planned stops that never ended: work that was put back into the queue after the stop had begun was never handed over, and a stopping entry VM asks for no slots. The queue is now handed over at each tick. It also found jobs with a deadline that were started again and again: the deadline of the submission also ended the waits for their answers, so that each attempt had an unknown outcome at once. It is dropped once the job is stored. Slices are ruled out: the ledger showed no change under way.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -24,6 +24,11 @@
 		return
 	}
 	s.drain.started, s.drain.since = true, s.now
+	s.drainQueue()
+}
+
+// drainQueue hands over all work that waits, also what was put back into the queue during the stop.
+func (s *State) drainQueue() {
 	for _, id := range slices.Sorted(maps.Keys(s.works)) {
 		w, ok := s.works[id]
 		if ok && (w.phase == phaseQueued || w.phase == phaseBackingOff) {
@@ -82,6 +87,7 @@
 	if !d.started || d.done {
 		return
 	}
+	s.drainQueue()
 	calls, jobs := s.held()
 	if calls > 0 {
 		return
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -33,7 +33,8 @@
 	case platform.Committed:
 		s.count("jobs_accepted")
 		s.reply(w.ticket, NewAccepted(w.id()))
-		w.ticket = 0
+		// The deadline was that of the submission. It must not end the waits for the answers of the job's attempts.
+		w.ticket, w.request.deadline = 0, zeroTime
 		s.rememberJob(&jobRow{id: w.id(), version: o.Version(), fields: f})
 		if f.Holder != s.Self {
 			s.forget(w)
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -120,6 +120,7 @@
 			[]kind{vmMove, vmMove, vmOut, vmIn, changeLimits, restartServer, burst},
 			153,
 		},
+		{"work is queued again during a planned stop", []kind{drainNode, drainNode, killNode, restartServer}, 128},
 		{"an attempt is counted off while it is followed", []kind{drainNode, drainNode, killNode, restartServer}, 147},
 	} {
 		t.Run(c.reason, func(t *testing.T) {
