Forget the deadlines of calls that have ended

Entries of ended requests are now removed when the heap has doubled.

go test ./dispatch -run FinishedCalls: 72 bytes a call before, below 8 after.

--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -52,6 +52,8 @@
 	drainRetryDelay = 200 * time.Millisecond
 	// drainSettle is how long a stopping entry VM stays reachable, so that the load balancer notices.
 	drainSettle = 500 * time.Millisecond
+	// minDueBound is the least length at which the list of looks at requests is compacted.
+	minDueBound = 1024
 	// digestLifetime is how long a peer's digest is used. Heartbeats come once a second.
 	digestLifetime = 3 * time.Second
 	// avoidPeerTime is how long a peer that refused work or lost contact gets none.
--- a/dispatch/control_bench_test.go
+++ b/dispatch/control_bench_test.go
@@ -6,6 +6,9 @@
 	"runtime"
 	"slices"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // targetSize is the target of R23 to R26 with 8 entry VMs.
@@ -82,6 +85,24 @@
 	b.ReportMetric(float64(c.objects)/3, "control-allocs/s")
 }
 
+// Guards against memory that grows with each finished call until its deadline, which callers may set to a day: at 60 calls
+// a second that were 5 million entries, over the 32 MB of R28.
+func TestFinishedCallsAreForgotten(t *testing.T) {
+	c := newControlRig(controlSize{servers: 50, pools: 6, teams: 6, entries: 3})
+	c.deadline = c.clock.Now().Add(24 * time.Hour)
+	for range 5 {
+		c.second(100, 0)
+	}
+	before := liveHeap()
+	const seconds = 120
+	for range seconds {
+		c.second(100, 0)
+	}
+	grown := (liveHeap() - before) / (seconds * 100)
+	runtime.KeepAlive(c)
+	assert.Assert(t, grown < 8, "%.0f bytes a call", grown)
+}
+
 // heapOf returns the live heap bytes of a control state after load, without those of the rig around it.
 func heapOf(s controlSize) float64 {
 	c := newControlRig(s)
--- a/dispatch/control_rig_test.go
+++ b/dispatch/control_rig_test.go
@@ -60,6 +60,7 @@
 	peers    []*benchPeer
 	keys     []string
 	round    int
+	deadline time.Time // of the requests, zero for the default
 	calls    int
 
 	started        time.Duration // processor time of the first 20 s, in which the backend servers are acquired
@@ -238,7 +239,7 @@
 	i := c.calls % c.size.teams
 	id := fmt.Sprintf("%s.request-%d", teamName(i), c.calls)
 	c.handle(dispatch.NewSubmitted(uint64(c.calls), dispatch.NewRequest(
-		id, k, entry+teamName(i), teamName(i), c.keys[i], []byte(`{"run-ms": 100}`), time.Time{}, 0, true)))
+		id, k, entry+teamName(i), teamName(i), c.keys[i], []byte(`{"run-ms": 100}`), c.deadline, 0, true)))
 }
 
 // heartbeat delivers a heartbeat of a peer. A quarter of its values change each second if there is load.
--- a/dispatch/due.go
+++ b/dispatch/due.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -38,6 +39,20 @@
 
 func (s *State) lookAt(id string, at time.Time) {
 	heap.Push(&s.due, dueEntry{at: at, id: id})
+	if len(s.due) >= max(s.dueBound, minDueBound) {
+		s.compactDue()
+	}
+}
+
+// compactDue removes the looks at requests that have ended. Without it each call would be kept until its deadline, which
+// may be a day. The bound doubles, so that a look costs constant time, amortized.
+func (s *State) compactDue() {
+	s.due = slices.DeleteFunc(s.due, func(d dueEntry) bool {
+		_, held := s.works[d.id]
+		return !held
+	})
+	heap.Init(&s.due)
+	s.dueBound = 2 * len(s.due)
 }
 
 // later calls fn after a delay, unless the work has ended by then.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -53,6 +53,8 @@
 	running map[string]platform.Shape // by team, what runs occupy
 	jobs    map[string]*jobRow        // rows of unfinished jobs, by request id
 	due     dueHeap
+	// dueBound is the length of due at which ended requests are removed from it.
+	dueBound int
 
 	peers     map[string]*peerState
 	owning    []string             // live entry VMs of the own zone as the ownership decisions know them, nil at first
