--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -38,6 +38,10 @@
 // they are safe to apply early. A planned take-out is applied early only if the table can't be reached: the table
 // decides which of two operators may use an availability budget.
 func (s *State) changeRequested(e ChangeRequested) {
+	if r := s.unknownZone(e.change); r != nil {
+		s.reply(e.ticket, *r)
+		return
+	}
 	if !planned(e.change) {
 		s.applyAndPush(e.change)
 	}
@@ -92,6 +96,22 @@
 	return nil
 }
 
+// unknownZone returns a rejection if the change names an availability zone without a VM. A forced change isn't checked,
+// so that a zone can be taken out whose VMs are gone from the list.
+func (s *State) unknownZone(change Change) *Rejected {
+	c, ok := change.(ZoneChange)
+	if !ok || c.force || !s.listed || s.knowsZone(c.zone) {
+		return nil
+	}
+	r := NewRejected(CodeInvalid, fmt.Sprintf("there is no availability zone %q", c.zone), 0)
+	return &r
+}
+
+func (s *State) knowsZone(zone string) bool {
+	return zone == s.Zone || len(s.vmsOfZone(zone)) > 0 || len(s.Members.LiveInZone(zone)) > 0 ||
+		slices.Contains(s.config.Zones(), zone)
+}
+
 func (s *State) applyEarly(c peer.Change) {
 	switch c := c.(type) {
 	case peer.TakeOut:
