Forward calls to the owner of a busy pool instead of refusing them

Cause: an entry VM without a backend server of a pool forwards calls only to peers whose last digest, up to 1 s old, shows more free slots than it has forwarded since. Once these were used up it refused calls as no-capacity, although the pool was about two thirds busy. Found by BenchmarkPolicyTakeover.

Change: such a call goes to a peer that rendezvous hashing makes the owner of a server of the pool, the own availability zone first, and is admitted by its queue. A peer that is stopping counts as one without room.

TestNoRefusalBelowCapacity guards against the refusals without a fault.

--- a/dispatch/cut_bench_test.go
+++ b/dispatch/cut_bench_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/pistachiolead/pistachiolead/dispatch"
 )
 
@@ -284,3 +286,15 @@
 		}
 	}
 }
+
+// An entry VM owned no backend server of a pool and had handed on as many calls as the last digests told of free slots.
+// It refused all calls until the next digest, at half of the load that the pool can take.
+func TestNoRefusalBelowCapacity(t *testing.T) {
+	r, l := loadedRig(1, takeoverLoad, asDesigned)
+	begin := r.now()
+	r.run(begin.Add(20 * time.Second))
+	l.settle()
+	for _, zone := range []string{"a", cutZone} {
+		assert.Equal(t, r.record.fates(zone, begin, r.now()), fates{again: r.record.fates(zone, begin, r.now()).again})
+	}
+}
--- a/dispatch/inforce_bench_test.go
+++ b/dispatch/inforce_bench_test.go
@@ -33,7 +33,9 @@
 	},
 	{
 		"zone-out",
-		func(*rig, *catalogue.Configuration) dispatch.Change { return dispatch.NewZoneChange(cutZone, true, true) },
+		func(*rig, *catalogue.Configuration) dispatch.Change {
+			return dispatch.NewZoneChange(cutZone, true, true)
+		},
 		func(_ *rig, c *catalogue.Configuration) bool { return c.Zone(cutZone).Out() },
 	},
 	{
@@ -226,8 +228,10 @@
 		idempotent  bool
 		calls, jobs int
 	}{
-		{"background", true, 0, 0}, {"idempotent-call", true, 20, 0},
-		{"claimed-call", false, 20, 0}, {"job", true, 0, 5},
+		{"background", true, 0, 0},
+		{"idempotent-call", true, 20, 0},
+		{"claimed-call", false, 20, 0},
+		{"job", true, 0, 5},
 	} {
 		b.Run(v.name, func(b *testing.B) {
 			for b.Loop() {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -199,9 +199,14 @@
 	return true
 }
 
+// takes reports whether a peer was heard of lately, has refused nothing lately and isn't stopping.
+func (p *peerState) takes(now time.Time) bool {
+	return p.forwarded != nil && now.Sub(p.heard) <= digestLifetime && !now.Before(p.avoidUntil) && !p.digest.Leaving()
+}
+
 // room returns how many free slots a peer has left in a pool.
 func (p *peerState) room(pool string, now time.Time) int {
-	if now.Sub(p.heard) > digestLifetime || now.Before(p.avoidUntil) {
+	if !p.takes(now) {
 		return 0
 	}
 	return p.digest.FreeSlots(pool) - p.forwarded[pool]
@@ -353,6 +358,37 @@
 	return best
 }
 
+// ownerOfPool returns the live peer that should own a backend server of a pool, in the own availability zone if
+// possible, empty if there is none. The request id decides between several. Digests tell only of free slots, so a peer
+// whose servers are all busy can't be told from one without servers.
+func (s *State) ownerOfPool(pool, id string) string {
+	var near, far []string
+	live := make(map[string][]string)
+	for server, v := range s.vms {
+		if s.poolOf(server) != pool || s.config.VM(server).Out() || s.config.Zone(v.Zone()).Out() || v.Leaving() {
+			continue
+		}
+		members, ok := live[v.Zone()]
+		if !ok {
+			members = s.Members.LiveInZone(v.Zone())
+			live[v.Zone()] = members
+		}
+		owner := ownership.Preferred(server, members)
+		if p, ok := s.peers[owner]; !ok || owner == s.Self || !p.takes(s.now) {
+			continue
+		}
+		if v.Zone() == s.Zone {
+			near = append(near, owner)
+		} else {
+			far = append(far, owner)
+		}
+	}
+	if len(near) > 0 {
+		return ownership.Preferred(id, near)
+	}
+	return ownership.Preferred(id, far)
+}
+
 func (s *State) room(id string) int {
 	p, ok := s.peers[id]
 	if !ok {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -141,6 +141,10 @@
 		return
 	}
 	if w.isCall() && s.Chooser.Capacity(w.pool).Slots() == 0 {
+		if to := s.ownerOfPool(w.pool, w.id()); to != "" && w.request.hops == 0 {
+			s.forward(w, to)
+			return
+		}
 		s.refuse(w, NewNotRun(CodeNoCapacity, "no backend server of the pool can be reached from here", retryAfterBusy))
 		return
 	}
