Draw fewer bursts in the mutation of R3

Since heartbeats carry no tables, none of the 60 plans of this mutation showed a start under a revoked key: bursts fill the isolated entry VM's slots before the revocation. Without bursts the first plans show it. The checker and the number of plans stay as they are.

--- a/dispatch/mutation_test.go
+++ b/dispatch/mutation_test.go
@@ -38,7 +38,7 @@
 
 // Guards against a checker of R3 that misses starts under a revoked key by entry VMs that are stale.
 func TestMutationR3StaleStarts(t *testing.T) {
-	caught(t, "R3", broken{freshness: time.Minute, acceptance: time.Millisecond}, revokeKey, isolateNode, isolateNode, isolateNode, burst)
+	caught(t, "R3", broken{freshness: time.Minute, acceptance: time.Millisecond}, revokeKey, isolateNode, isolateNode)
 }
 
 // Guards against a checker of R4 that misses starts without slots of their own.
