Pass calls on while an entry VM stops

Cause: a stopping entry VM refused the calls that the load balancer still sent it.

TestStoppingEntryVMPassesCallsOn fails without the change.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -32,6 +32,12 @@
 	}
 }
 
+// passesOn reports whether a stopping entry VM forwards a request. The load balancer sends calls here for some time after
+// the stop has begun.
+func (s *State) passesOn(r Request) bool {
+	return r.kind == KindCall && r.hops == 0 && s.now.Sub(s.drain.since) < drainSettle
+}
+
 // drainWaiting hands over work that hasn't started.
 func (s *State) drainWaiting(w *work) {
 	s.Queue.Cancel(w.id())
@@ -39,7 +45,11 @@
 		s.releaseJob(w)
 		return
 	}
-	if to := s.peerWithRoom(w.pool); to != "" && w.request.hops == 0 {
+	to := s.peerWithRoom(w.pool)
+	if to == "" {
+		to = s.ownerOfPool(w.pool, w.id())
+	}
+	if to != "" && w.request.hops == 0 {
 		s.forward(w, to)
 		return
 	}
@@ -75,14 +85,14 @@
 	w.phase = phaseRecording
 }
 
-// checkDrain moves a planned stop forward: calls are finished first, then running jobs are left to the next owners of
-// their backend servers, then the leases are released.
+// checkDrain moves a planned stop forward: calls that are here are finished first, then running jobs are left to the next
+// owners of their backend servers, then the leases are released. The answers of forwarded calls are awaited last.
 func (s *State) checkDrain() {
 	d := &s.drain
 	if !d.started || d.done {
 		return
 	}
-	calls, jobs := s.held()
+	calls, forwarded, jobs := s.held()
 	if calls > 0 {
 		return
 	}
@@ -99,7 +109,7 @@
 		s.owners(ownership.NewDrained())
 		return
 	}
-	if len(s.Owners.Owned()) == 0 && s.now.Sub(d.since) >= drainSettle {
+	if forwarded == 0 && len(s.Owners.Owned()) == 0 && s.now.Sub(d.since) >= drainSettle {
 		s.leave()
 	}
 }
@@ -116,14 +126,17 @@
 	s.emit(Drained{})
 }
 
-func (s *State) held() (calls int, jobs []*work) {
+func (s *State) held() (calls, forwarded int, jobs []*work) {
 	for _, id := range slices.Sorted(maps.Keys(s.works)) {
 		w := s.works[id]
-		if w.isCall() {
+		switch {
+		case !w.isCall():
+			jobs = append(jobs, w)
+		case w.phase == phaseForwarded || w.phase == phaseReading:
+			forwarded++
+		default:
 			calls++
-			continue
 		}
-		jobs = append(jobs, w)
 	}
-	return calls, jobs
+	return calls, forwarded, jobs
 }
--- a/dispatch/inforce_bench_test.go
+++ b/dispatch/inforce_bench_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/dispatch"
 )
@@ -286,3 +288,22 @@
 		panic("the change was not applied")
 	}
 }
+
+// An entry VM that stops refused the calls that the load balancer sent it before it noticed.
+func TestStoppingEntryVMPassesCallsOn(t *testing.T) {
+	r := calm()
+	n := r.nodes["entry-b-1"]
+	r.drain(n)
+	for i := range 4 {
+		for _, entry := range []string{"proofs", "seats"} {
+			r.send(n.id, fmt.Sprintf("%s-%d", entry, i), dispatch.KindCall, entry, `{"run-ms": 100}`, 5*time.Second)
+		}
+		r.run(r.now().Add(loadStep))
+	}
+	r.none(t)
+	for _, s := range r.record.submissions {
+		_, ok := s.outcome.(dispatch.Answered)
+		assert.Assert(t, ok, "%s: %+v", s.request.ID(), s.outcome)
+	}
+	assert.Assert(t, !n.drainedAt.IsZero())
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -65,7 +65,7 @@
 		n := NewNotRun(code, message, retryAfter)
 		return catalogue.Entry{}, &n
 	}
-	if s.drain.started {
+	if s.drain.started && !s.passesOn(r) {
 		return refuse(CodeDraining, "this entry VM is stopping", retryAfterBusy)
 	}
 	if !s.Grant.Fresh(s.now) {
@@ -127,6 +127,10 @@
 
 // enqueue queues the work here, or forwards it to an entry VM that has room.
 func (s *State) enqueue(w *work) {
+	if s.drain.started {
+		s.drainWaiting(w)
+		return
+	}
 	if w.isCall() && w.request.hops == 0 && s.forwardIfBetter(w) {
 		return
 	}
