--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -23,6 +23,9 @@
 	// signalPatience is how long a task that was told to end is expected to make room. One that ignores the signal isn't
 	// counted on any longer.
 	signalPatience = 2 * time.Second
+	// foundLifetime is how long an attempt that a gained backend server listed is remembered for a job that isn't known
+	// yet.
+	foundLifetime = time.Minute
 	// jobInterval is the time between two delta reads of the rows of unfinished jobs.
 	jobInterval = time.Second
 	// listInterval is the time between two reads of the VM list.
@@ -59,6 +62,8 @@
 	drainRetryDelay = 200 * time.Millisecond
 	// drainSettle is how long a stopping entry VM stays reachable, so that the load balancer notices.
 	drainSettle = 500 * time.Millisecond
+	// minDueBound is the least length at which the list of looks at requests is compacted.
+	minDueBound = 1024
 	// digestLifetime is how long a peer's digest is used. Heartbeats come once a second.
 	digestLifetime = 3 * time.Second
 	// avoidPeerTime is how long a peer that refused work or lost contact gets none.
--- a/dispatch/control_rig_test.go
+++ b/dispatch/control_rig_test.go
@@ -60,9 +60,11 @@
 	peers    []*benchPeer
 	keys     []string
 	round    int
+	deadline time.Time // of the requests, zero for the default
 	calls    int
 
-	exact          bool // measures allocations, at the cost of time
+	started        time.Duration // processor time of the first 20 s, in which the backend servers are acquired
+	exact          bool          // measures allocations, at the cost of time
 	spent          time.Duration
 	objects        uint64
 	counts         map[string]float64
@@ -128,7 +130,7 @@
 	for range 20 {
 		c.second(0, 0)
 	}
-	c.filled = true
+	c.filled, c.started = true, c.spent
 	return c
 }
 
@@ -237,7 +239,7 @@
 	i := c.calls % c.size.teams
 	id := fmt.Sprintf("%s.request-%d", teamName(i), c.calls)
 	c.handle(dispatch.NewSubmitted(uint64(c.calls), dispatch.NewRequest(
-		id, k, entry+teamName(i), teamName(i), c.keys[i], []byte(`{"run-ms": 100}`), time.Time{}, 0, true)))
+		id, k, entry+teamName(i), teamName(i), c.keys[i], []byte(`{"run-ms": 100}`), c.deadline, 0, true)))
 }
 
 // heartbeat delivers a heartbeat of a peer. A quarter of its values change each second if there is load.
@@ -253,7 +255,7 @@
 			p.free[fmt.Sprintf("pool-%02d", i)] = 10 + (i+c.round)%7
 		}
 	}
-	w := p.asked.requests.Encode(p.digest(c), p.asked.requestDecoder.Heard(), c.clock.Now())
+	w := p.asked.requests.Encode(p.digest(c).WithoutTables(), p.asked.requestDecoder.Heard(), c.clock.Now())
 	c.received["heartbeat"] += float64(proto.Size(w)) + messageHeaders
 	d, ok := p.asked.requestDecoder.Decode(w)
 	if !ok {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"slices"
 
 	"github.com/pistachiolead/pistachiolead/ownership"
@@ -33,7 +32,8 @@
 	case platform.Committed:
 		s.count("jobs_accepted")
 		s.reply(w.ticket, NewAccepted(w.id()))
-		w.ticket = 0
+		// The deadline was that of the submission. It must not end the waits for the answers of the job's attempts.
+		w.ticket, w.request.deadline = 0, zeroTime
 		s.rememberJob(&jobRow{id: w.id(), version: o.Version(), fields: f})
 		if f.Holder != s.Self {
 			s.forget(w)
@@ -299,6 +299,7 @@
 		return
 	}
 	k, here := s.found[row.id]
+	here = here && k.key.attempt >= f.Attempt
 	if f.Server == "" && !here {
 		s.enqueueHere(w)
 		return
@@ -402,12 +403,16 @@
 
 // adoptJobs looks at the jobs that ran on a backend server that was gained.
 func (s *State) adoptJobs(server string) {
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-		row := s.jobs[id]
+	var ids []string
+	for id, row := range s.jobs {
 		if k, here := s.found[id]; row.fields.Server == server || (here && k.key.server == server) {
-			s.considerJob(row)
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.considerJob(s.jobs[id])
+	}
 }
 
 // claimJob records that a non-idempotent job is about to start on a backend server.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -53,8 +53,11 @@
 	running map[string]platform.Shape // by team, what runs occupy
 	jobs    map[string]*jobRow        // rows of unfinished jobs, by request id
 	due     dueHeap
+	// dueBound is the length of due at which ended requests are removed from it.
+	dueBound int
 
 	peers     map[string]*peerState
+	owning    []string             // live entry VMs of the own zone as the ownership decisions know them, nil at first
 	entryVMs  map[string]bool      // as last listed
 	goneSince map[string]time.Time // holders of slices that are no longer listed
 	downSince map[string]time.Time // backend servers of the own zone that can't be reached
