Plan maintenance waves within the availability budgets

Progress is read from the rows of the VMs. The property found that the waves of announced VMs must be fixed at the announcement: a VM announced for wave 4 was taken out in wave 3, one wave after a task had moved to it.

--- /dev/null
+++ b/maintenance/vm.go
@@ -0,0 +1,73 @@
+package maintenance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/catalogue"
+)
+
+// VM is a backend server VM as the planner sees it. Its methods that start with With return a changed copy.
+type VM struct {
+	id      string
+	zone    string
+	rack    string
+	pool    string
+	absent  bool
+	started time.Time
+	state   catalogue.VMState
+	tasks   []Task
+}
+
+// NewVM returns a VM that is present and idle. The pool is that of its row, or the one it had at first.
+func NewVM(id, zone, rack, pool string) VM { return VM{id: id, zone: zone, rack: rack, pool: pool} }
+
+// WithAbsent sets whether the VM is absent for a reason other than its own row: failed, leaving, not listed, or in an
+// availability zone that is out.
+func (v VM) WithAbsent(absent bool) VM { v.absent = absent; return v }
+
+// WithStarted sets when the backend server process started, which its epochs say.
+func (v VM) WithStarted(t time.Time) VM { v.started = t; return v }
+
+// WithState sets the row of the VM.
+func (v VM) WithState(s catalogue.VMState) VM { v.state = s; return v }
+
+// WithTasks sets the tasks that run on the VM.
+func (v VM) WithTasks(tasks ...Task) VM { v.tasks = slices.Clone(tasks); return v }
+
+// ID returns the id of the VM.
+func (v VM) ID() string { return v.id }
+
+// Zone returns the availability zone.
+func (v VM) Zone() string { return v.zone }
+
+// Rack returns the rack.
+func (v VM) Rack() string { return v.rack }
+
+// Pool returns the name of the pool.
+func (v VM) Pool() string { return v.pool }
+
+// State returns the row of the VM.
+func (v VM) State() catalogue.VMState { return v.state }
+
+// Tasks returns the tasks that run on the VM. Callers must not modify the slice.
+func (v VM) Tasks() []Task { return v.tasks }
+
+// Absent reports whether the VM counts against the availability budget, planned or not.
+func (v VM) Absent() bool { return v.absent || v.state.Out() }
+
+// Unplanned reports whether the VM is absent though its row says that it is in service. A VM that reboots by plan isn't.
+func (v VM) Unplanned() bool { return v.absent && !v.state.Out() }
+
+// drain returns how long the VM is expected to drain, and how many of its tasks will have to be moved.
+func (v VM) drain(window time.Duration) (longest time.Duration, moves int) {
+	for _, t := range v.tasks {
+		r := t.Remaining()
+		if r > window && t.Restartable() {
+			r = window
+			moves++
+		}
+		longest = max(longest, r)
+	}
+	return longest, moves
+}
--- /dev/null
+++ b/maintenance/wave.go
@@ -0,0 +1,55 @@
+package maintenance
+
+// Wave is the next part of a roll-out: steps, actions for the tasks of draining VMs, and where tasks may go.
+type Wave struct {
+	steps      []Step
+	actions    []TaskAction
+	fleet      Fleet
+	progress   map[string]Progress
+	paused     []string
+	impossible []string
+	left       int
+}
+
+// Steps returns the steps. Each may fail or be left out: the next wave has it again.
+func (w Wave) Steps() []Step { return w.steps }
+
+// Actions returns the actions for the tasks of draining VMs.
+func (w Wave) Actions() []TaskAction { return w.actions }
+
+// Paused returns the pools whose budget is used up by unplanned absence, so that their roll-out waits.
+func (w Wave) Paused() []string { return w.paused }
+
+// Impossible returns the pools that can't be maintained because their budget is 0.
+func (w Wave) Impossible() []string { return w.impossible }
+
+// Left returns how many VMs aren't maintained yet.
+func (w Wave) Left() int { return w.left }
+
+// MayReceive reports whether a task of a draining VM may move to another VM: one that isn't absent, isn't of the next
+// wave, and wasn't of the source's wave or the one after. A task is thus moved at most once in a wave.
+func (w Wave) MayReceive(source, target string) bool {
+	v, ok := w.fleet.VM(target)
+	if !ok || v.Absent() {
+		return false
+	}
+	t := w.progress[target]
+	switch t.phase {
+	case Pending:
+		return true
+	case Back:
+		s := w.progress[source]
+		return t.wave != s.wave && t.wave != s.wave+1
+	default:
+		return false
+	}
+}
+
+// Maintained reports whether a VM was maintained. Tasks that move there aren't moved again by this roll-out.
+func (w Wave) Maintained(vm string) bool { return w.progress[vm].phase == Back }
+
+// Leaving reports whether a VM is out or of the next wave. Long work should start elsewhere if there is room.
+func (w Wave) Leaving(vm string) bool {
+	p := w.progress[vm].phase
+	return p == Announced || p.out()
+}
