Move tasks only after the drain window, and measure zones and the spare

Cause: tasks whose learned run time was far beyond the window were moved at once; about 5% of them would have ended within it. Change: Decide waits for the window.

--- a/maintenance/action.go
+++ b/maintenance/action.go
@@ -22,11 +22,10 @@
 func (Restart) action()    {}
 func (Leave) action()      {}
 
-// Decide returns the action for a task of a VM that has been draining for some time. Until the window has passed, only
-// tasks that are known to need much longer are moved, because a declared run time may be off by 10x.
+// Decide returns the action for a task of a VM that has been draining for some time. No task is moved before the window
+// has passed: run times of one entry vary, and a task that was expected to outlast the window may still end within it.
 func Decide(t Task, drained, window time.Duration) Action {
-	left := window - drained
-	if left > 0 && (!t.known || t.learned <= earlyMoveFactor*left || !t.Movable()) {
+	if drained < window {
 		return Wait{}
 	}
 	switch {
@@ -46,6 +45,11 @@
 	action Action
 }
 
+// NewTaskAction returns the action for a task on a VM.
+func NewTaskAction(vm, task string, a Action) TaskAction {
+	return TaskAction{vm: vm, task: task, action: a}
+}
+
 // VM returns the id of the VM that the task runs on.
 func (a TaskAction) VM() string { return a.vm }
 
--- a/maintenance/constants.go
+++ b/maintenance/constants.go
@@ -15,10 +15,6 @@
 	// DefaultQuantile is the probability that the spare is large enough for the failures within one refill time.
 	DefaultQuantile = 0.999
 
-	// earlyMoveFactor is how many times longer than the rest of the window a task must be expected to run to be moved
-	// before the window has passed. Learned run times are accurate to 19%, but tasks of one entry vary more.
-	earlyMoveFactor = 4
-
 	// scheduleNumerator and scheduleDenominator set the part of the period over which the racks fall due. The rest is
 	// left for pauses.
 	scheduleNumerator   = 4
--- a/maintenance/rig_test.go
+++ b/maintenance/rig_test.go
@@ -71,6 +71,7 @@
 	load     float64
 	sizes    placement.Estimator
 	seen     map[string]int
+	kindOf   map[string]int
 	queues   map[string][]*job
 	serial   int
 	blind    bool    // unplanned absences are hidden from the planner
@@ -78,14 +79,16 @@
 	last     maintenance.Wave
 	baseline bool
 
-	moves, bound, twice, lost, over int
-	faults                          []string
+	finished                                 map[string]int // times that each job ended
+	moves, bound, twice, lost, over, archive int
+	redone                                   time.Duration // progress lost by restarts
+	faults                                   []string
 }
 
 func newWorld(seed uint64, load float64, pools []catalogue.Pool, vms []maintenance.VM) *world {
 	w := &world{
 		pools: pools, random: rand.New(rand.NewPCG(seed, seed)), now: start, load: load, byID: make(map[string]*node),
-		members: make(map[string][]*node), seen: make(map[string]int), queues: make(map[string][]*job),
+		members: make(map[string][]*node), seen: make(map[string]int), kindOf: make(map[string]int), finished: make(map[string]int), queues: make(map[string][]*job),
 	}
 	for _, v := range vms {
 		n := &node{VM: v.WithState(catalogue.NewVMState(v.Pool(), false, "", "", start)), started: start}
@@ -191,6 +194,10 @@
 		declared: time.Duration(off * float64(full)), moved: make(map[int]bool),
 	}
 	if len(w.queues[pool]) < 2000 {
+		w.kindOf[j.id] = kind
+		if kind == 1 {
+			w.archive++
+		}
 		w.queues[pool] = append(w.queues[pool], j)
 	}
 }
@@ -259,6 +266,7 @@
 				continue
 			}
 			w.seen[j.entry]++
+			w.finished[j.id]++
 			w.sizes.Observe(j.entry, j.full.Seconds(), w.now)
 		}
 		n.tasks = kept
@@ -353,6 +361,7 @@
 	j := n.tasks[i]
 	switch a.Action().(type) {
 	case maintenance.Restart:
+		w.redone += j.full - j.left
 		j.left = j.full
 	case maintenance.Checkpoint:
 	default:
