Keep work that can't be stopped off VMs of the next wave

Cause: non-idempotent tasks that start on an announced VM just before its drain extend the time that it uses the budget. Change: Wave.Admits refuses them there; the fake fleet of the benchmarks asks it.

--- a/maintenance/rig_test.go
+++ b/maintenance/rig_test.go
@@ -232,6 +232,9 @@
 		if !w.baseline && j.wave >= 0 && !w.last.MayReceive(j.origin, n.ID()) {
 			continue
 		}
+		if t := maintenance.NewTask(j.id, j.declared, kinds[j.kind].idempotent, false); !w.last.Admits(n.ID(), t) {
+			continue
+		}
 		if best == nil || w.score(n, j) < w.score(best, j) {
 			best = n
 		}
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -53,3 +53,10 @@
 	p := w.progress[vm].phase
 	return p == Announced || p.out()
 }
+
+// Admits reports whether a task may start on a VM: a VM that is of the next wave takes only work that can be stopped at the
+// end of the drain window. Other work would extend the time that the VM uses its pool's budget.
+func (w Wave) Admits(vm string, t Task) bool {
+	p := w.progress[vm].phase
+	return !p.out() && (p != Announced || t.Restartable())
+}
