--- a/maintenance/poolplan.go
+++ b/maintenance/poolplan.go
@@ -136,6 +136,7 @@
 func (n *poolPlan) compareOrder(a, b VM) int {
 	return cmp.Or(
 		compareBool(a.Absent(), b.Absent()), compareBool(n.late(a), n.late(b)),
+		n.compareFirst(a, b),
 		cmp.Compare(n.racks[b.rack], n.racks[a.rack]),
 		cmp.Compare(n.zones[b.zone], n.zones[a.zone]),
 		cmp.Compare(a.zone, b.zone), cmp.Compare(a.rack, b.rack), cmp.Compare(a.id, b.id),
@@ -146,3 +147,12 @@
 	longest, _ := v.drain(n.planner.window())
 	return longest > n.planner.window()
 }
+
+// compareFirst orders the VMs of the first wave by their tasks that can't be stopped. Those of later waves lose such tasks
+// while they are announced.
+func (n *poolPlan) compareFirst(a, b VM) int {
+	if n.last > 0 || n.size >= n.pool.Budget() {
+		return 0
+	}
+	return cmp.Compare(a.unstoppable(), b.unstoppable())
+}
--- a/maintenance/vm.go
+++ b/maintenance/vm.go
@@ -71,3 +71,14 @@
 	}
 	return longest, moves
 }
+
+// unstoppable counts the tasks that have to run to their end.
+func (v VM) unstoppable() int {
+	n := 0
+	for _, t := range v.tasks {
+		if !t.Restartable() {
+			n++
+		}
+	}
+	return n
+}
