Check where moved tasks land

Cause: the property saw a move to a VM of the same or the next wave only once that VM was drained, so it missed moves to one that is already back. Change: the fake fleet checks the wave of the VM when a moved task starts there. Measured: without the rule in Wave.MayReceive the property fails after 39 tests; with it all tests pass.

--- a/maintenance/rig_test.go
+++ b/maintenance/rig_test.go
@@ -211,6 +211,10 @@
 			if n := w.room(q.Name(), j, full); n != nil {
 				j.began = w.now
 				n.tasks = append(n.tasks, j)
+				g := maintenance.ProgressOf(rollout, n.State())
+				if !w.baseline && j.wave >= 0 && g.Phase() != maintenance.Pending && (g.Wave() == j.wave || g.Wave() == j.wave+1) {
+					w.fault("%s moved in wave %d to %s, which is %s in wave %d", j.id, j.wave, n.ID(), g.Phase(), g.Wave())
+				}
 				continue
 			}
 			full = full || j.wave < 0
