Move waiting work along with its entry to another pool

Found by reading, after the property rig was reported never to change the pool of an entry.

Change: waiting work is queued again with what the catalogue says now. A call that was forwarded for the old pool goes back to the entry VM that it came from if none of the new pool's backend servers is owned there, and is forwarded again.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -176,7 +176,7 @@
 		s.refuse(w, NewNotRun(CodeCancelled, "the request was cancelled", 0))
 		return
 	}
-	if epoch, _ := s.Owners.Epoch(w.server); epoch != w.epoch || !s.mayStartOn(w) {
+	if epoch, _ := s.Owners.Epoch(w.server); epoch != w.epoch || !s.mayStartOn(w) || s.followEntry(w) {
 		s.unreserve(w)
 		s.requeueClaimed(w)
 		return
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -324,6 +324,10 @@
 func (s *State) forwardRefused(w *work, from string, n peer.NotRun) {
 	s.avoidPeer(from)
 	refusal := NewNotRun(n.Code(), n.Message(), n.RetryAfter())
+	if n.Code() == CodeNoCapacity && w.idempotent && s.followEntry(w) {
+		s.enqueue(w)
+		return
+	}
 	if n.RetryAfter() == 0 || (!w.idempotent && w.request.named) {
 		s.finishRefused(w, refusal)
 		return
--- a/dispatch/reads.go
+++ b/dispatch/reads.go
@@ -172,12 +172,13 @@
 		}
 	}
 	s.refreshServers()
-	s.refuseForbidden()
+	s.reviewWaiting()
 	s.emit(Publish{configuration: next})
 }
 
-// refuseForbidden refuses waiting work that the configuration no longer allows.
-func (s *State) refuseForbidden() {
+// reviewWaiting refuses waiting work that the configuration no longer allows, and queues work again whose entry has
+// another pool, class or shape now.
+func (s *State) reviewWaiting() {
 	for _, id := range slices.Sorted(maps.Keys(s.works)) {
 		w := s.works[id]
 		if w.phase != phaseQueued && w.phase != phaseBackingOff {
@@ -187,10 +188,35 @@
 			s.Queue.Cancel(id)
 			w.phase = phaseRefusing
 			s.refuse(w, *refusal)
+			continue
+		}
+		if s.followEntry(w) && w.phase == phaseQueued {
+			s.Queue.Cancel(id)
+			s.enqueueAgain(w)
 		}
 	}
 }
 
+// enqueueAgain queues work again whose entry has changed. A call that was forwarded here for another pool goes back to
+// the entry VM that it came from, if none of the new pool's backend servers is owned here.
+func (s *State) enqueueAgain(w *work) {
+	if w.isCall() && s.Chooser.Capacity(w.pool).Slots() == 0 {
+		s.enqueueHere(w)
+		return
+	}
+	s.Queue.Readmit(s.queueRequest(w), s.now)
+}
+
+// followEntry takes over the pool, class and shape of the work's entry, and reports whether any of them changed.
+func (s *State) followEntry(w *work) bool {
+	e, ok := s.config.Catalogue().Entry(w.request.entry)
+	if !ok || (e.Pool() == w.pool && e.Class() == w.class && e.Shape() == w.shape) {
+		return false
+	}
+	w.pool, w.class, w.shape = e.Pool(), e.Class(), e.Shape()
+	return true
+}
+
 // statusOf returns how far a configuration version has come.
 func (s *State) statusOf(version uint64) Changed {
 	c := Changed{version: version, stored: true}
