--- a/command/serve.go
+++ b/command/serve.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"flag"
 	"net"
+	"net/netip"
 	"os/signal"
 	"strconv"
 	"syscall"
@@ -38,6 +39,11 @@
 			if err != nil {
 				return usageError{err}
 			}
+			if a, err := netip.ParseAddrPort(set.PeerListen()); err != nil || !a.Addr().IsLoopback() {
+				return usageError{errors.Errorf(
+					"%s: peer-listen: found %s, allowed: a loopback address, because entry VMs don't use TLS between them yet",
+					c.String("settings"), set.PeerListen())}
+			}
 			return serve(ctx, set)
 		},
 	}
