Refuse fewer requests during a planned stop

While backend servers change hands, no entry VM owns the pool, and calls were refused at once as no-capacity; a stopping entry VM refused calls that others had forwarded before they knew, and those were passed on to the caller; and it refused jobs, although it could still store them for another holder.

Change: a call whose pool is in service but has no known owner waits up to 3 s, at most 1000 at a time; a call refused for a state of one entry VM alone (draining, no-capacity, configuration-not-fresh) is sent elsewhere up to three times; a stopping entry VM stores jobs for other holders while the load balancer still sends to it.

--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -26,6 +26,14 @@
 	// foundLifetime is how long an attempt that a gained backend server listed is remembered for a job that isn't known
 	// yet.
 	foundLifetime = time.Minute
+	// holdTime is how long a call waits for an owner of its pool, and holdInterval how often one is looked for. Backend
+	// servers change hands within about a second at a planned stop.
+	holdTime     = 3 * time.Second
+	holdInterval = 100 * time.Millisecond
+	// maxOnHold bounds the calls that wait for an owner of their pool.
+	maxOnHold = 1000
+	// maxReroutes bounds how often a call is sent elsewhere after another entry VM refused it.
+	maxReroutes = 3
 	// jobInterval is the time between two delta reads of the rows of unfinished jobs.
 	jobInterval = time.Second
 	// listInterval is the time between two reads of the VM list.
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -37,10 +37,10 @@
 	}
 }
 
-// passesOn reports whether a stopping entry VM forwards a request. The load balancer sends calls here for some time after
-// the stop has begun.
+// passesOn reports whether a stopping entry VM forwards a call, or stores a job for another one to run. The load balancer
+// sends requests here for some time after the stop has begun.
 func (s *State) passesOn(r Request) bool {
-	return r.kind == KindCall && r.hops == 0 && s.now.Sub(s.drain.since) < drainSettle
+	return r.hops == 0 && s.now.Sub(s.drain.since) < drainSettle
 }
 
 // drainWaiting hands over work that hasn't started.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -66,13 +66,13 @@
 
 // holderFor returns the entry VM that is to run a new job: this one, unless only others have room.
 func (s *State) holderFor(w *work) string {
-	if s.hasRoomHere(w.pool) {
+	if s.hasRoomHere(w.pool) && !s.drain.started {
 		return s.Self
 	}
 	if p := s.peerWithRoom(w.pool); p != "" {
 		return p
 	}
-	if s.Chooser.Capacity(w.pool).Slots() > 0 {
+	if s.Chooser.Capacity(w.pool).Slots() > 0 && !s.drain.started {
 		return s.Self
 	}
 	if p := s.peerWithCapacity(w.pool); p != "" {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -324,7 +324,9 @@
 func (s *State) forwardRefused(w *work, from string, n peer.NotRun) {
 	s.avoidPeer(from)
 	refusal := NewNotRun(n.Code(), n.Message(), n.RetryAfter())
-	if n.Code() == CodeNoCapacity && w.idempotent && s.followEntry(w) {
+	s.followEntry(w)
+	if passing(n) && w.reroutes < maxReroutes && !w.expired(s.now) {
+		w.reroutes++
 		s.enqueue(w)
 		return
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -49,6 +49,7 @@
 	neverFit map[string]bool // by entry, until the configuration or the VM list changes
 
 	works   map[string]*work          // by request id
+	onHold  map[string]*work          // calls kept for want of an owner of their pool, by request id
 	runs    map[runKey]*run           // attempts that may occupy a slot
 	running map[string]platform.Shape // by team, what runs occupy
 	jobs    map[string]*jobRow        // rows of unfinished jobs, by request id
@@ -88,6 +89,7 @@
 	s.vms = make(map[string]platform.VM)
 	s.works = make(map[string]*work)
 	s.runs = make(map[runKey]*run)
+	s.onHold = make(map[string]*work)
 	s.running = make(map[string]platform.Shape)
 	s.neverFit = make(map[string]bool)
 	s.entryVMs = make(map[string]bool)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -149,7 +149,9 @@
 			s.forward(w, to)
 			return
 		}
-		s.refuse(w, NewNotRun(CodeNoCapacity, "no backend server of the pool can be reached from here", retryAfterBusy))
+		if !s.hold(w) {
+			s.refuse(w, NewNotRun(CodeNoCapacity, "no backend server of the pool can be reached from here", retryAfterBusy))
+		}
 		return
 	}
 	if s.urgentFits(w) {
@@ -224,6 +226,9 @@
 	if s.works[w.id()] == w {
 		delete(s.works, w.id())
 	}
+	if s.onHold[w.id()] == w {
+		delete(s.onHold, w.id())
+	}
 	if w.phase == phaseQueued {
 		s.Queue.Cancel(w.id())
 	}
@@ -275,7 +280,7 @@
 			continue
 		}
 		if w.phase == phaseBackingOff && !s.now.Before(w.wake) {
-			s.enqueueHere(w)
+			s.resume(w)
 			continue
 		}
 		if w.isCall() && w.expired(s.now) {
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -55,6 +55,10 @@
 	asked []string
 	// refusal is what the caller is told once the refusal is certain.
 	refusal NotRun
+	// heldSince is when the call was first kept for want of an owner of its pool.
+	heldSince time.Time
+	// reroutes counts how often the call was sent elsewhere after a refusal.
+	reroutes int
 	// pending is called at wake, if it is set.
 	pending func()
 	wake    time.Time
