Tell a stopped job of a lost entry VM as unknown

Cause: the answer of a task that was stopped has no output of its own. Where a job's attempt was resolved by closing it, this answer was recorded as that of a failed task. Found by reading. Change: it is handled as where the entry VM hears of the stop itself: idempotent work runs again, other work is unknown.

A call whose backend server can't be asked about its claim was dropped without a reply, so that its caller waited for the connection to time out; it is told as unknown now. This one has no test of its own.

--- a/dispatch/adoption.go
+++ b/dispatch/adoption.go
@@ -263,25 +263,32 @@
 	case platform.StillRunning:
 		s.join(w)
 	case platform.Answer:
-		if whole(o, w.id(), w.attempt) {
+		switch {
+		case !whole(o, w.id(), w.attempt):
+			s.join(w)
+		case o.Stopped():
+			s.stopped(w)
+		default:
 			s.settle(w, o)
-			return
 		}
-		s.join(w)
 	default:
 		s.resolveLater(w)
 	}
 }
 
-// resolveLater follows up a Close without an answer. Work whose attempt this entry VM didn't send is considered again
-// with the next scan of the jobs.
+// resolveLater follows up a Close without an answer. A job whose attempt this entry VM didn't send is considered again
+// with the next scan of the jobs; a call is for its caller to repeat.
 func (s *State) resolveLater(w *work) {
 	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
-	if _, sent := s.runs[k]; !sent {
+	_, sent := s.runs[k]
+	switch {
+	case sent:
+		s.later(w, rejoinDelay, func() { s.runUnknown(k, w) })
+	case w.isCall():
+		s.finishUnresolved(w, CodeInProgress, "the backend server that may have run the request can't be asked now")
+	default:
 		s.forget(w)
-		return
 	}
-	s.later(w, rejoinDelay, func() { s.runUnknown(k, w) })
 }
 
 // join waits for an attempt that runs already.
