--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -18,7 +18,7 @@
 	chosen := false
 	flag.Visit(func(f *flag.Flag) { chosen = chosen || f.Name == "rapid.checks" })
 	if !chosen {
-		if err := flag.Set("rapid.checks", "1"); err != nil {
+		if err := flag.Set("rapid.checks", "6"); err != nil {
 			panic(err)
 		}
 	}
