Use one check for backend servers in service, and remove a dead field

The check that a backend server of a pool is in service stood three times, in inService, peerWithCapacity and ownerOfPool; they now call serves. The field refusal of work was written and never read. readTimeout bounded commits, not reads, and is called changeTimeout. Behaviour is unchanged: go test ./dispatch and the linter pass as before.

--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -59,7 +59,7 @@
 		return
 	}
 	t = s.asMember(t)
-	s.commit(t, UrgencyHigh, s.now.Add(readTimeout), func(o platform.CommitOutcome) { s.changeCommitted(e, t, o) })
+	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(o platform.CommitOutcome) { s.changeCommitted(e, t, o) })
 }
 
 // asMember makes a configuration change conditional on the own member row: an entry VM that was removed from the members
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -211,7 +211,7 @@
 
 // closeClaim records that the request didn't start and can't start any more, then tells the refusal.
 func (s *State) closeClaim(w *work, n NotRun) {
-	w.phase, w.refusal = phaseRefusing, n
+	w.phase = phaseRefusing
 	c := w.claim
 	if w.claimVersion == 0 {
 		c = claim.New(w.id(), w.request.team, w.request.entry, s.Self, "", claim.Hash(w.request.payload), s.now)
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -38,8 +38,8 @@
 	jobInterval = time.Second
 	// listInterval is the time between two reads of the VM list.
 	listInterval = time.Second
-	// readTimeout is how long a table read may take before it counts as lost.
-	readTimeout = 3 * time.Second
+	// changeTimeout bounds the commits of configuration changes and member rows, whose authors wait for them.
+	changeTimeout = 3 * time.Second
 	// taskLease is how long a backend server keeps a task that nobody renews (design.md, 5.3).
 	taskLease = 20 * time.Second
 	// taskLeaseGuard is added to taskLease before a task on a lost backend server counts as ended.
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -33,14 +33,21 @@
 
 // inService reports whether a pool has a backend server that may be given work by somebody.
 func (s *State) inService(pool string) bool {
-	for id, v := range s.vms {
-		if s.poolOf(id) == pool && !v.Leaving() && !s.config.VM(id).Out() && !s.config.Zone(v.Zone()).Out() {
+	for id := range s.vms {
+		if s.serves(id, pool) {
 			return true
 		}
 	}
 	return false
 }
 
+// serves reports whether a listed backend server is in the pool and in service, whoever owns it.
+func (s *State) serves(server, pool string) bool {
+	v, listed := s.vms[server]
+	return listed && s.poolOf(server) == pool && !v.Leaving() &&
+		!s.config.VM(server).Out() && !s.config.Zone(v.Zone()).Out()
+}
+
 // passing reports whether a refusal of another entry VM comes from a state of that one alone, so that the call may be
 // sent elsewhere. None of these refusals lets the call start later.
 func passing(n peer.NotRun) bool {
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -75,7 +75,7 @@
 		panic(err) // a struct of strings and numbers always encodes
 	}
 	t := platform.NewTransaction(nil, []platform.Write{platform.NewPut(memberPrefix+s.Self, data)})
-	s.commit(t, UrgencyHigh, s.now.Add(readTimeout), func(platform.CommitOutcome) { s.reads.configDue = s.now })
+	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(platform.CommitOutcome) { s.reads.configDue = s.now })
 }
 
 func (s *State) deleteMemberRow(id string) {
@@ -87,7 +87,7 @@
 		[]platform.Condition{platform.NewCondition(memberPrefix+id, version)},
 		[]platform.Write{platform.NewDelete(memberPrefix + id)},
 	)
-	s.commit(t, UrgencyHigh, s.now.Add(readTimeout), func(platform.CommitOutcome) { s.reads.configDue = s.now })
+	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(platform.CommitOutcome) { s.reads.configDue = s.now })
 }
 
 // isLive reports whether an entry VM is live as seen from here.
@@ -130,7 +130,7 @@
 		WithFreeSlots(free).WithRunning(running).WithWanted(wanted).WithUncovered(uncovered).WithLeaving(s.drain.started)
 }
 
-// Digest returns the answer to a heartbeat of another entry VM.
+// digestFor returns the answer to a heartbeat of another entry VM.
 func (s *State) digestFor(member string) peer.Digest {
 	return s.digest().WithRecognized(s.Grant.Recognizes(member))
 }
@@ -371,7 +371,7 @@
 func (s *State) peerWithCapacity(pool string) string {
 	zones := make(map[string]bool)
 	for id, v := range s.vms {
-		if s.poolOf(id) == pool && !s.config.VM(id).Out() && !s.config.Zone(v.Zone()).Out() && !v.Leaving() {
+		if s.serves(id, pool) {
 			zones[v.Zone()] = true
 		}
 	}
@@ -393,7 +393,7 @@
 	var near, far []string
 	live := make(map[string][]string)
 	for server, v := range s.vms {
-		if s.poolOf(server) != pool || s.config.VM(server).Out() || s.config.Zone(v.Zone()).Out() || v.Leaving() {
+		if !s.serves(server, pool) {
 			continue
 		}
 		members, ok := live[v.Zone()]
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -53,8 +53,6 @@
 	claimVersion uint64
 	// asked are the entry VMs that were asked about the claim.
 	asked []string
-	// refusal is what the caller is told once the refusal is certain.
-	refusal NotRun
 	// heldSince is when the call was first kept for want of an owner of its pool.
 	heldSince time.Time
 	// reroutes counts how often the call was sent elsewhere after a refusal.
