--- a/catalogue/configuration.go
+++ b/catalogue/configuration.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Configuration is an immutable snapshot of all rows of the table under Prefix, plus take-outs and revocations that
@@ -49,7 +49,7 @@
 // With returns the snapshot with these rows applied. A row that is no newer than the one held is ignored, and so are
 // rows outside of Prefix. The rows must be all that changed since an earlier read, otherwise Version can name a change
 // whose other rows are missing. An error, for a row that can't be read, leaves nothing applied.
-func (c *Configuration) With(rows []platform.Row) (*Configuration, error) {
+func (c *Configuration) With(rows []provider.Row) (*Configuration, error) {
 	n := c
 	for _, r := range rows {
 		if !strings.HasPrefix(r.Key(), Prefix) || r.Version() <= n.rows[r.Key()].version {
@@ -78,7 +78,7 @@
 	return &n
 }
 
-func (c *Configuration) apply(r platform.Row) error {
+func (c *Configuration) apply(r provider.Row) error {
 	c.rows[r.Key()] = rowState{version: r.Version(), deleted: r.Deleted()}
 	if name, ok := strings.CutPrefix(r.Key(), zonePrefix); ok {
 		return c.applyZone(name, r)
@@ -99,7 +99,7 @@
 	}
 }
 
-func (c *Configuration) applyRevision(r platform.Row) error {
+func (c *Configuration) applyRevision(r provider.Row) error {
 	if r.Deleted() {
 		return errors.New("the configuration version was deleted")
 	}
@@ -114,7 +114,7 @@
 	return nil
 }
 
-func (c *Configuration) applyCatalogue(r platform.Row) error {
+func (c *Configuration) applyCatalogue(r provider.Row) error {
 	if r.Deleted() {
 		return errors.New("the catalogue was deleted")
 	}
@@ -126,7 +126,7 @@
 	return nil
 }
 
-func (c *Configuration) applyZone(name string, r platform.Row) error {
+func (c *Configuration) applyZone(name string, r provider.Row) error {
 	if r.Deleted() {
 		delete(c.zones, name)
 		return nil
@@ -139,7 +139,7 @@
 	return nil
 }
 
-func (c *Configuration) applyVM(id string, r platform.Row) error {
+func (c *Configuration) applyVM(id string, r provider.Row) error {
 	if r.Deleted() {
 		delete(c.vms, id)
 		return nil
@@ -152,7 +152,7 @@
 	return nil
 }
 
-func (c *Configuration) applyKey(id string, r platform.Row) error {
+func (c *Configuration) applyKey(id string, r provider.Row) error {
 	if r.Deleted() {
 		delete(c.keys, id)
 		return nil
--- a/catalogue/configuration_test.go
+++ b/catalogue/configuration_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // drawHistory commits some changes and returns the table with the snapshot after the last one.
@@ -116,20 +116,20 @@
 	b, c := newTable(), catalogue.NewConfiguration()
 	x, err := catalogue.SetZone(c, "zone-a", catalogue.NewZoneState(true, "ana", start))
 	c = b.mustApply(t, c, x, err)
-	c, err = c.With([]platform.Row{platform.NewDeletedRow("config/zone/zone-a", 2)})
+	c, err = c.With([]provider.Row{provider.NewDeletedRow("config/zone/zone-a", 2)})
 	assert.NilError(t, err)
 	c, err = c.With(b.history)
 	assert.NilError(t, err)
 	assert.Assert(t, !c.Zone("zone-a").Out())
 	x, err = catalogue.SetZone(c, "zone-a", catalogue.NewZoneState(true, "ana", start))
 	assert.NilError(t, err)
-	assert.Assert(t, reflect.DeepEqual(x.Conditions(), []platform.Condition{
-		platform.NewCondition(catalogue.VersionKey, 1), platform.NewCondition("config/zone/zone-a", 0),
+	assert.Assert(t, reflect.DeepEqual(x.Conditions(), []provider.Condition{
+		provider.NewCondition(catalogue.VersionKey, 1), provider.NewCondition("config/zone/zone-a", 0),
 	}))
 
-	_, err = c.With([]platform.Row{platform.NewRow(catalogue.VersionKey, []byte(`{"version": 1}`), 9)})
+	_, err = c.With([]provider.Row{provider.NewRow(catalogue.VersionKey, []byte(`{"version": 1}`), 9)})
 	assert.ErrorContains(t, err, "row config/version at table version 9: configuration version 1 follows version 1")
-	_, err = c.With([]platform.Row{platform.NewRow("config/key/k", []byte(`{"role": "admin", "secret-hash": "00"}`), 9)})
+	_, err = c.With([]provider.Row{provider.NewRow("config/key/k", []byte(`{"role": "admin", "secret-hash": "00"}`), 9)})
 	assert.ErrorContains(t, err, "secret-hash")
 }
 
@@ -142,8 +142,8 @@
 	second, err := catalogue.SetVM(c, "vm-1", catalogue.NewVMState("", true, "", "ben", start))
 	assert.NilError(t, err)
 
-	assert.Equal(t, b.commit(first), platform.CommitOutcome(platform.NewCommitted(1)))
-	lost, ok := b.commit(second).(platform.Conflict)
+	assert.Equal(t, b.commit(first), provider.CommitOutcome(provider.NewCommitted(1)))
+	lost, ok := b.commit(second).(provider.Conflict)
 	assert.Assert(t, ok)
 	assert.Error(t, catalogue.ConflictError(lost.Row()),
 		"conflict with version 1 by ana at 2026-01-02T03:04:05Z: availability zone zone-a out")
--- a/catalogue/encode.go
+++ b/catalogue/encode.go
@@ -4,7 +4,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/pistachiolead/pistachiolead/document"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 type catalogueDocument struct {
@@ -88,7 +88,7 @@
 	}
 }
 
-func documentOfShape(s platform.Shape) shapeDocument {
+func documentOfShape(s provider.Shape) shapeDocument {
 	return shapeDocument{
 		Processors: s.Processors(), Memory: document.FormatSize(int64(s.MemoryMiB()) << 20),
 		Accelerators: s.Accelerators(), Slots: s.Slots(),
--- a/catalogue/entry.go
+++ b/catalogue/entry.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Entry describes one kind of work that callers can submit. Its methods that start with With return a changed copy.
@@ -13,7 +13,7 @@
 	owner       string
 	class       Class
 	pool        string
-	shape       platform.Shape
+	shape       provider.Shape
 	teams       []string
 	open        bool
 	idempotent  bool
@@ -42,7 +42,7 @@
 func (o Objective) StartDelay() time.Duration { return o.startDelay }
 
 // NewEntry returns an entry that isn't idempotent, is for its owner only, and has the default limits.
-func NewEntry(name, owner string, class Class, pool string, shape platform.Shape) Entry {
+func NewEntry(name, owner string, class Class, pool string, shape provider.Shape) Entry {
 	return Entry{
 		name: name, owner: owner, class: class, pool: pool, shape: shape,
 		maxDeadline: DefaultDeadline, maxPayload: DefaultPayloadBytes,
@@ -90,7 +90,7 @@
 func (e Entry) Pool() string { return e.pool }
 
 // Shape returns the declared size of one task.
-func (e Entry) Shape() platform.Shape { return e.shape }
+func (e Entry) Shape() provider.Shape { return e.shape }
 
 // Teams returns the teams that may submit besides the owner, sorted. Callers must not modify the slice.
 func (e Entry) Teams() []string { return e.teams }
--- a/catalogue/fixtures_test.go
+++ b/catalogue/fixtures_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -53,7 +53,7 @@
 
 func drawEntry(t *rapid.T, name string) catalogue.Entry {
 	order := rapid.Permutation(teamNames).Draw(t, "teams")
-	shape := platform.NewShape(
+	shape := provider.NewShape(
 		rapid.IntRange(0, catalogue.MaxProcessors).Draw(t, "processors"),
 		rapid.IntRange(0, catalogue.MaxMemoryMiB).Draw(t, "memory"),
 		rapid.IntRange(0, catalogue.MaxAccelerators).Draw(t, "accelerators"),
@@ -86,37 +86,37 @@
 // table is a table that holds what was committed, and the history of all rows.
 type table struct {
 	versions map[string]uint64
-	current  map[string]platform.Row
-	history  []platform.Row
+	current  map[string]provider.Row
+	history  []provider.Row
 	version  uint64
 }
 
 func newTable() *table {
-	return &table{versions: make(map[string]uint64), current: make(map[string]platform.Row)}
+	return &table{versions: make(map[string]uint64), current: make(map[string]provider.Row)}
 }
 
-func (b *table) commit(t platform.Transaction) platform.CommitOutcome {
+func (b *table) commit(t provider.Transaction) provider.CommitOutcome {
 	for _, c := range t.Conditions() {
 		if b.versions[c.Key()] != c.Version() {
-			return platform.NewConflict(b.current[c.Key()])
+			return provider.NewConflict(b.current[c.Key()])
 		}
 	}
 	b.version++
 	for _, w := range t.Writes() {
-		r := platform.NewRow(w.Key(), w.Value(), b.version)
+		r := provider.NewRow(w.Key(), w.Value(), b.version)
 		b.versions[w.Key()], b.current[w.Key()] = b.version, r
 		b.history = append(b.history, r)
 	}
-	return platform.NewCommitted(b.version)
+	return provider.NewCommitted(b.version)
 }
 
 // mustApply commits a transaction and returns the snapshot that includes it.
 func (b *table) mustApply(
-	t testing.TB, c *catalogue.Configuration, x platform.Transaction, err error,
+	t testing.TB, c *catalogue.Configuration, x provider.Transaction, err error,
 ) *catalogue.Configuration {
 	t.Helper()
 	assert.NilError(t, err)
-	_, ok := b.commit(x).(platform.Committed)
+	_, ok := b.commit(x).(provider.Committed)
 	assert.Assert(t, ok)
 	n, err := c.With(b.history)
 	assert.NilError(t, err)
--- a/catalogue/parse.go
+++ b/catalogue/parse.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/document"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Parse reads a YAML document. The error is a *document.Error with all problems of the document; file is the name
@@ -140,9 +140,9 @@
 }
 
 // ReadShape reads a shape: processors, memory, accelerators, and slots, which may be left out for a default.
-func ReadShape(s *document.Section, slots int) platform.Shape {
+func ReadShape(s *document.Section, slots int) provider.Shape {
 	const mebibyte = 1 << 20
-	return platform.NewShape(
+	return provider.NewShape(
 		s.Int("processors", 0, 0, MaxProcessors),
 		int(s.Size("memory", 0, 0, MaxMemoryMiB*mebibyte, mebibyte)/mebibyte),
 		s.Int("accelerators", 0, 0, MaxAccelerators),
--- a/catalogue/revision.go
+++ b/catalogue/revision.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Revision is the content of the row config/version: the number of the last configuration change, and who made it.
@@ -36,7 +36,7 @@
 }
 
 // ConflictError returns an error that names the change that won, from the row config/version that a conflict returned.
-func ConflictError(row platform.Row) error {
+func ConflictError(row provider.Row) error {
 	if row.Key() != VersionKey {
 		return errors.Errorf("conflict: row %s was changed by someone else", row.Key())
 	}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/claim"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Guards against a second start of a request (R8) and against a false "not run" (R7) under duplicates through several
@@ -62,20 +62,20 @@
 	abandoned, _ := claim.Abandon(first, 3, now)
 	second, _ := claim.Retry(abandoned, 4, "vm2", "b2", now)
 	assert.Equal(t, second.Attempt(), 2)
-	row := func(c claim.Claim) platform.Row { return platform.NewRow(claim.RowKey(c.ID()), c.Encode(), 7) }
+	row := func(c claim.Claim) provider.Row { return provider.NewRow(claim.RowKey(c.ID()), c.Encode(), 7) }
 	stored := func(c claim.Claim) claim.Claim {
 		d, err := claim.Decode(c.Encode())
 		assert.NilError(t, err)
 		return d
 	}
 
-	decide := func(r platform.Row, team, entry, payload string) claim.Decision {
+	decide := func(r provider.Row, team, entry, payload string) claim.Decision {
 		d, err := claim.Decide(r, "r.1", team, entry, claim.Hash([]byte(payload)))
 		assert.NilError(t, err)
 		return d
 	}
-	assert.Equal(t, decide(platform.Row{}, "a", "sale", "seat 1"), claim.Fresh{})
-	assert.Equal(t, decide(platform.NewDeletedRow("claim/r.1/", 9), "a", "sale", "seat 1"), claim.Fresh{})
+	assert.Equal(t, decide(provider.Row{}, "a", "sale", "seat 1"), claim.Fresh{})
+	assert.Equal(t, decide(provider.NewDeletedRow("claim/r.1/", 9), "a", "sale", "seat 1"), claim.Fresh{})
 	assert.Equal(t, decide(row(first), "b", "sale", "seat 1"), claim.Mismatch{})
 	assert.Equal(t, decide(row(done), "a", "refund", "seat 1"), claim.Mismatch{})
 	assert.Equal(t, decide(row(done), "a", "sale", "seat 2"), claim.Mismatch{})
@@ -83,7 +83,7 @@
 	assert.Equal(t, decide(row(abandoned), "a", "sale", "seat 1").(claim.MayRetry).Version(), uint64(7))
 	progress := decide(row(second), "a", "sale", "seat 1").(claim.InProgress)
 	assert.Equal(t, progress.Holder()+progress.Server(), "vm2b2")
-	_, err := claim.Decide(platform.NewRow("claim/r.1/", []byte("{}"), 7), "r.1", "a", "sale", "")
+	_, err := claim.Decide(provider.NewRow("claim/r.1/", []byte("{}"), 7), "r.1", "a", "sale", "")
 	assert.ErrorContains(t, err, "row claim/r.1/: claim: request id has 0 characters")
 }
 
@@ -108,9 +108,9 @@
 	now := time.Unix(1_000_000, 0)
 	open := claim.New("open", "a", "sale", "vm1", "b1", "", now)
 	done, _ := claim.Finish(claim.New("done", "a", "sale", "vm1", "b1", "", now), 1, "", now)
-	rows := []platform.Row{
-		platform.NewRow("claim/done/", done.Encode(), 5), platform.NewRow("claim/open/", open.Encode(), 6),
-		platform.NewRow("claim/broken/", nil, 7), platform.NewDeletedRow("claim/gone/", 8),
+	rows := []provider.Row{
+		provider.NewRow("claim/done/", done.Encode(), 5), provider.NewRow("claim/open/", open.Encode(), 6),
+		provider.NewRow("claim/broken/", nil, 7), provider.NewDeletedRow("claim/gone/", 8),
 	}
 	for _, c := range []struct {
 		age         time.Duration
@@ -125,7 +125,7 @@
 		got := claim.Expired(rows, now.Add(c.age), c.limit)
 		assert.Equal(t, len(got), c.want, "%v", c)
 		if len(got) > 0 {
-			assert.Equal(t, got[0].Conditions()[0], platform.NewCondition("claim/done/", 5))
+			assert.Equal(t, got[0].Conditions()[0], provider.NewCondition("claim/done/", 5))
 		}
 	}
 }
--- a/claim/decision.go
+++ b/claim/decision.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Decision is what to do with a request that arrives: Fresh, AlreadyDone, InProgress, MayRetry or Mismatch.
@@ -60,7 +60,7 @@
 
 // Decide returns what to do with a request, given the claim's row as read or as named in a conflict. The error tells that
 // the row can't be decoded; the request must then not run.
-func Decide(row platform.Row, id, team, entry, hash string) (Decision, error) {
+func Decide(row provider.Row, id, team, entry, hash string) (Decision, error) {
 	if row.Version() == 0 || row.Deleted() {
 		return Fresh{}, nil
 	}
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/claim"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const requestID, servers = "sale-1", 2
@@ -17,9 +17,9 @@
 	noClaim bool
 	noClose bool
 
-	row      platform.Row
+	row      provider.Row
 	version  uint64
-	delayed  []platform.Transaction
+	delayed  []provider.Transaction
 	servers  [servers]map[int]string
 	starts   []start
 	arrivals []*arrival
@@ -96,7 +96,7 @@
 	s.decide(a, s.row)
 }
 
-func (s *simulation) decide(a *arrival, row platform.Row) {
+func (s *simulation) decide(a *arrival, row provider.Row) {
 	d, err := claim.Decide(row, requestID, "team", "sale", claim.Hash(nil))
 	if err != nil {
 		s.fault = err.Error()
@@ -141,7 +141,7 @@
 }
 
 // store commits a transaction. After an unknown outcome or a conflict the arrival looks at the row again.
-func (s *simulation) store(a *arrival, t platform.Transaction, committed func()) {
+func (s *simulation) store(a *arrival, t provider.Transaction, committed func()) {
 	again := func(a *arrival) { s.decide(a, s.row) }
 	switch s.pick(6) {
 	case 0:
@@ -159,12 +159,12 @@
 	}
 }
 
-func (s *simulation) apply(t platform.Transaction) bool {
+func (s *simulation) apply(t provider.Transaction) bool {
 	if t.Conditions()[0].Version() != s.row.Version() {
 		return false
 	}
 	s.version++
-	s.row = platform.NewRow(t.Writes()[0].Key(), t.Writes()[0].Value(), s.version)
+	s.row = provider.NewRow(t.Writes()[0].Key(), t.Writes()[0].Value(), s.version)
 	return true
 }
 
--- a/command/init.go
+++ b/command/init.go
@@ -9,7 +9,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/local"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
 	"github.com/pistachiolead/pistachiolead/settings"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
--- a/command/local.go
+++ b/command/local.go
@@ -17,7 +17,7 @@
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/local"
 	"github.com/pistachiolead/pistachiolead/metrics"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const (
@@ -94,7 +94,7 @@
 	}
 	f := &local.Fleet{
 		EntryVMs: localEntryVMs, BackendServers: localBackendServers, Catalogue: cat,
-		Shape: platform.NewShape(64, 256<<10, 0, 8), NewMetrics: newMetrics,
+		Shape: provider.NewShape(64, 256<<10, 0, 8), NewMetrics: newMetrics,
 	}
 	for i := range c.Int("zones") {
 		f.Zones = append(f.Zones, fmt.Sprintf("zone-%c", 'a'+i))
--- a/command/platform.go
+++ b/command/platform.go
@@ -8,8 +8,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/pistachiolead/pistachiolead/platform/remote"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/settings"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
--- a/command/serve.go
+++ b/command/serve.go
@@ -21,8 +21,8 @@
 	"github.com/pistachiolead/pistachiolead/entry"
 	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/metrics"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
 	"github.com/pistachiolead/pistachiolead/settings"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
@@ -89,7 +89,7 @@
 		Table:      &remote.Table{Address: set.Platform()},
 		Objects:    &remote.Objects{Address: set.Platform()},
 		List:       &remote.VMs{Address: set.Platform()},
-		Connect:    func(v platform.VM) platform.BackendServer { return &remote.Backend{Address: v.Address()} },
+		Connect:    func(v provider.VM) provider.BackendServer { return &remote.Backend{Address: v.Address()} },
 		QueueBound: set.QueueBound(), Freshness: set.Freshness(), Guard: set.Guard(),
 	}, nil
 }
--- a/commit/committer.go
+++ b/commit/committer.go
@@ -11,14 +11,14 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
 // Committer commits submitted transactions to the table.
 type Committer struct {
 	// Table is the platform's table.
-	Table platform.Table
+	Table provider.Table
 	// Timer defaults to the system's.
 	Timer timer.Service
 	// Name is the id of the entry VM. Only one committer may use it at a time.
@@ -39,14 +39,14 @@
 
 	once    sync.Once
 	wake    chan struct{}
-	waiting map[uint64]func(platform.CommitOutcome)
+	waiting map[uint64]func(provider.CommitOutcome)
 	metrics metrics
 }
 
 type submission struct {
-	transaction platform.Transaction
+	transaction provider.Transaction
 	options     []Option
-	done        func(platform.CommitOutcome)
+	done        func(provider.CommitOutcome)
 }
 
 // Submit queues a transaction. Done is called exactly once:
@@ -58,11 +58,11 @@
 //
 // Transactions that touch a common key are applied in the order of their Submit calls. Done is called on the
 // committer's goroutine, or on the caller's if the queue is full, and must not block.
-func (c *Committer) Submit(t platform.Transaction, done func(platform.CommitOutcome), options ...Option) {
+func (c *Committer) Submit(t provider.Transaction, done func(provider.CommitOutcome), options ...Option) {
 	c.init()
 	if refusal := c.accept(submission{transaction: t, options: options, done: done}); refusal != "" {
 		c.metrics.refused.Inc(1)
-		done(platform.NewUnavailable(refusal))
+		done(provider.NewUnavailable(refusal))
 		return
 	}
 	c.notify()
@@ -92,7 +92,7 @@
 	defer tick.Stop()
 
 	attempts, attemptCtx := group.New(ctx)
-	outcomes := make(chan platform.CommitOutcome, 1)
+	outcomes := make(chan provider.CommitOutcome, 1)
 	token := newToken()
 	var alarm timer.Subscription
 	for {
@@ -132,7 +132,7 @@
 func (c *Committer) init() {
 	c.once.Do(func() {
 		c.wake = make(chan struct{}, 1)
-		c.waiting = make(map[uint64]func(platform.CommitOutcome))
+		c.waiting = make(map[uint64]func(provider.CommitOutcome))
 		if c.Timer == nil {
 			c.Timer = timer.System{}
 		}
@@ -200,7 +200,7 @@
 	}
 }
 
-func (c *Committer) attempt(ctx context.Context, t platform.Transaction) platform.CommitOutcome {
+func (c *Committer) attempt(ctx context.Context, t provider.Transaction) provider.CommitOutcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := c.Timer.After(attemptTimeout, func(time.Time) { cancel() })
@@ -208,7 +208,7 @@
 	return c.Table.Commit(ctx, t)
 }
 
-func (c *Committer) stop(state *State, attempts *group.Group, outcomes <-chan platform.CommitOutcome) error {
+func (c *Committer) stop(state *State, attempts *group.Group, outcomes <-chan provider.CommitOutcome) error {
 	err := attempts.Wait()
 	select {
 	case o := <-outcomes:
--- a/commit/committer_test.go
+++ b/commit/committer_test.go
@@ -13,13 +13,13 @@
 
 	"github.com/pistachiolead/pistachiolead/commit"
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
 // lossyTable loses every fourth reply and refuses every fifth transaction.
 type lossyTable struct {
-	platform.Table
+	provider.Table
 	mu    sync.Mutex
 	calls int
 	model *model
@@ -28,30 +28,30 @@
 	once sync.Once
 }
 
-func (l *lossyTable) Commit(ctx context.Context, t platform.Transaction) platform.CommitOutcome {
+func (l *lossyTable) Commit(ctx context.Context, t provider.Transaction) provider.CommitOutcome {
 	first := false
 	l.once.Do(func() { first = l.hung != nil })
 	if first {
 		close(l.hung)
 		<-ctx.Done()
-		return platform.NewUnknown("no reply")
+		return provider.NewUnknown("no reply")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.calls%5 == 0 {
-		return platform.NewUnavailable("down")
+		return provider.NewUnavailable("down")
 	}
 	o := l.model.commit(t)
 	if l.calls%4 == 0 {
-		return platform.NewUnknown("reply lost")
+		return provider.NewUnknown("reply lost")
 	}
 	return o
 }
 
-func mark(id int) platform.Transaction {
+func mark(id int) provider.Transaction {
 	k := fmt.Sprintf("mark/%d", id)
-	return platform.NewTransaction(nil, []platform.Write{platform.NewPut(k, []byte(k))})
+	return provider.NewTransaction(nil, []provider.Write{provider.NewPut(k, []byte(k))})
 }
 
 // start runs a committer and returns a function that stops it.
@@ -75,9 +75,9 @@
 	for i := range 20 {
 		submitters.Go(func() error {
 			for j := range 20 {
-				done := make(chan platform.CommitOutcome, 2)
-				c.Submit(mark(i*20+j), func(o platform.CommitOutcome) { done <- o })
-				if o, ok := (<-done).(platform.Committed); !ok {
+				done := make(chan provider.CommitOutcome, 2)
+				c.Submit(mark(i*20+j), func(o provider.CommitOutcome) { done <- o })
+				if o, ok := (<-done).(provider.Committed); !ok {
 					return fmt.Errorf("%d: %v", i, o)
 				}
 			}
@@ -96,20 +96,20 @@
 func TestCommitterRefusesWhenFullOrStopped(t *testing.T) {
 	table := &lossyTable{model: newModel(), hung: make(chan struct{})}
 	c := &commit.Committer{Table: table, Name: "vm", MaxQueued: 2, MaxRows: 1}
-	var outcomes [4]platform.CommitOutcome
-	submit := func(i int) { c.Submit(mark(i), func(o platform.CommitOutcome) { outcomes[i] = o }) }
+	var outcomes [4]provider.CommitOutcome
+	submit := func(i int) { c.Submit(mark(i), func(o provider.CommitOutcome) { outcomes[i] = o }) }
 	submit(0)
 	submit(1)
 	submit(2)
-	assert.Equal(t, outcomes[2], platform.NewUnavailable("the commit queue is full"))
+	assert.Equal(t, outcomes[2], provider.NewUnavailable("the commit queue is full"))
 
 	stop := start(t, c)
 	<-table.hung
 	stop()
 	submit(3)
-	assert.Equal(t, outcomes[0], platform.NewUnknown("the committer stopped during the commit"))
-	assert.Equal(t, outcomes[1], platform.NewUnavailable("the committer stopped"))
-	assert.Equal(t, outcomes[3], platform.NewUnavailable("the committer has stopped"))
+	assert.Equal(t, outcomes[0], provider.NewUnknown("the committer stopped during the commit"))
+	assert.Equal(t, outcomes[1], provider.NewUnavailable("the committer stopped"))
+	assert.Equal(t, outcomes[3], provider.NewUnavailable("the committer has stopped"))
 	assert.Equal(t, c.Pending(), 0)
 }
 
@@ -120,14 +120,14 @@
 	c := &commit.Committer{Table: table, Timer: clock, Name: "vm"}
 	stop := start(t, c)
 
-	done := make(chan platform.CommitOutcome, 1)
-	c.Submit(mark(1), func(o platform.CommitOutcome) { done <- o })
+	done := make(chan provider.CommitOutcome, 1)
+	c.Submit(mark(1), func(o provider.CommitOutcome) { done <- o })
 	<-table.hung
 	for len(done) == 0 {
 		clock.Advance(50 * time.Millisecond)
 		runtime.Gosched()
 	}
-	_, ok := (<-done).(platform.Committed)
+	_, ok := (<-done).(provider.Committed)
 	assert.Assert(t, ok)
 	stop()
 }
@@ -138,11 +138,11 @@
 	version, transactions, rows uint64
 }
 
-func (f *instantTable) Commit(_ context.Context, t platform.Transaction) platform.CommitOutcome {
+func (f *instantTable) Commit(_ context.Context, t provider.Transaction) provider.CommitOutcome {
 	f.version++
 	f.transactions++
 	f.rows += uint64(len(t.Writes()))
-	return platform.NewCommitted(f.version)
+	return provider.NewCommitted(f.version)
 }
 
 // BenchmarkControlCommit measures the rows and transactions a second that one committer reaches without a rate
@@ -159,9 +159,9 @@
 			b.ResetTimer()
 			for range n {
 				submitters.Go(func() error {
-					done := make(chan platform.CommitOutcome, 1)
+					done := make(chan provider.CommitOutcome, 1)
 					for i := left.Add(-1); i >= 0; i = left.Add(-1) {
-						c.Submit(mark(int(i)), func(o platform.CommitOutcome) { done <- o })
+						c.Submit(mark(int(i)), func(o provider.CommitOutcome) { done <- o })
 						<-done
 					}
 					return nil
--- a/commit/flight.go
+++ b/commit/flight.go
@@ -1,13 +1,13 @@
 package commit
 
-import "github.com/pistachiolead/pistachiolead/platform"
+import "github.com/pistachiolead/pistachiolead/provider"
 
 // flight is the packed transaction that is under way. There is at most one, because each requires the version of the
 // committer's own row that the one before has written.
 type flight struct {
 	items       []*item
 	token       string
-	transaction platform.Transaction
+	transaction provider.Transaction
 	rows        int
 	// sending is set from Send until the outcome is handled.
 	sending bool
@@ -16,7 +16,7 @@
 	// fence is the token of a transaction that writes only the committer's own row, empty if none was sent. It is
 	// sent instead of the items if they must not be tried again before it is known that they weren't applied.
 	fence            string
-	fenceTransaction platform.Transaction
+	fenceTransaction provider.Transaction
 	needsFence       bool
 }
 
@@ -28,18 +28,18 @@
 		writes = append(writes, m.transaction.Writes()...)
 	}
 	f.rows = len(writes)
-	f.transaction = platform.NewTransaction(conditions, writes)
+	f.transaction = provider.NewTransaction(conditions, writes)
 	return f
 }
 
 // next returns the transaction to send. Token is used for a new fence.
-func (f *flight) next(ownKey string, version uint64, token string) platform.Transaction {
+func (f *flight) next(ownKey string, version uint64, token string) provider.Transaction {
 	if f.fence == "" && !f.needsFence && !f.anyAnswered() {
 		return f.transaction
 	}
 	if f.fence == "" {
 		f.fence = token
-		f.fenceTransaction = platform.NewTransaction(ownRow(ownKey, version, token))
+		f.fenceTransaction = provider.NewTransaction(ownRow(ownKey, version, token))
 		f.rows = 1
 	}
 	return f.fenceTransaction
@@ -54,7 +54,7 @@
 	return false
 }
 
-func ownRow(key string, version uint64, token string) ([]platform.Condition, []platform.Write) {
-	return []platform.Condition{platform.NewCondition(key, version)},
-		[]platform.Write{platform.NewPut(key, []byte(token))}
+func ownRow(key string, version uint64, token string) ([]provider.Condition, []provider.Write) {
+	return []provider.Condition{provider.NewCondition(key, version)},
+		[]provider.Write{provider.NewPut(key, []byte(token))}
 }
--- a/commit/item.go
+++ b/commit/item.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // item is one submitted transaction.
 type item struct {
 	id          uint64
-	transaction platform.Transaction
+	transaction provider.Transaction
 	keys        []string
 	rows        int
 	urgent      bool
@@ -20,7 +20,7 @@
 	alone bool
 }
 
-func newItem(id uint64, t platform.Transaction, options []Option) *item {
+func newItem(id uint64, t provider.Transaction, options []Option) *item {
 	m := &item{id: id, transaction: t, rows: max(1, len(t.Writes()))}
 	for _, o := range options {
 		switch o := o.(type) {
@@ -51,7 +51,7 @@
 }
 
 // conflicts reports whether the item's condition on the row doesn't hold.
-func (m *item) conflicts(row platform.Row) bool {
+func (m *item) conflicts(row provider.Row) bool {
 	for _, c := range m.transaction.Conditions() {
 		if c.Key() == row.Key() && c.Version() != liveVersion(row) {
 			return true
@@ -61,7 +61,7 @@
 }
 
 // liveVersion returns the version that a condition on the row must have, 0 if the row doesn't exist.
-func liveVersion(row platform.Row) uint64 {
+func liveVersion(row provider.Row) uint64 {
 	if row.Deleted() {
 		return 0
 	}
--- a/commit/metrics.go
+++ b/commit/metrics.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 type metrics struct {
@@ -29,15 +29,15 @@
 	}
 }
 
-func (m metrics) count(o platform.CommitOutcome) {
+func (m metrics) count(o provider.CommitOutcome) {
 	switch o.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		m.committed.Inc(1)
-	case platform.Conflict:
+	case provider.Conflict:
 		m.conflicts.Inc(1)
-	case platform.Unavailable:
+	case provider.Unavailable:
 		m.unavailable.Inc(1)
-	case platform.Unknown:
+	case provider.Unknown:
 		m.unknown.Inc(1)
 	}
 }
--- a/commit/model_test.go
+++ b/commit/model_test.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/commit"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // model is a table that counts, by rows named mark/<id>, how often each submitted transaction was applied.
 type model struct {
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	version uint64
 	// unguarded ignores conditions on commit/ rows.
 	unguarded bool
@@ -24,11 +24,11 @@
 }
 
 func newModel() *model {
-	return &model{rows: map[string]platform.Row{}, applied: map[uint64]int{}, order: map[string][]uint64{}}
+	return &model{rows: map[string]provider.Row{}, applied: map[uint64]int{}, order: map[string][]uint64{}}
 }
 
-func (m *model) commit(t platform.Transaction) platform.CommitOutcome {
-	conditions := append([]platform.Condition(nil), t.Conditions()...)
+func (m *model) commit(t provider.Transaction) provider.CommitOutcome {
+	conditions := append([]provider.Condition(nil), t.Conditions()...)
 	// The interface doesn't say which of several failed conditions a conflict names.
 	sort.Slice(conditions, func(i, j int) bool { return (conditions[i].Key() < conditions[j].Key()) != m.reversed })
 	for _, c := range conditions {
@@ -37,9 +37,9 @@
 		}
 		if r := m.rows[c.Key()]; r.Version() != c.Version() {
 			if r.Version() == 0 {
-				r = platform.NewRow(c.Key(), nil, 0)
+				r = provider.NewRow(c.Key(), nil, 0)
 			}
-			return platform.NewConflict(r)
+			return provider.NewConflict(r)
 		}
 	}
 	m.version++
@@ -48,14 +48,14 @@
 			delete(m.rows, w.Key())
 			continue
 		}
-		m.rows[w.Key()] = platform.NewRow(w.Key(), w.Value(), m.version)
+		m.rows[w.Key()] = provider.NewRow(w.Key(), w.Value(), m.version)
 		var id uint64
 		if n, _ := fmt.Sscanf(w.Key(), "mark/%d", &id); n == 1 {
 			m.applied[id]++
 			m.order[string(w.Value())] = append(m.order[string(w.Value())], id)
 		}
 	}
-	return platform.NewCommitted(m.version)
+	return provider.NewCommitted(m.version)
 }
 
 const simRate, simRowRate, simMaxRows = 20, 60, 12
@@ -74,12 +74,12 @@
 	outage bool
 	// strangers lets another process write the committer's own row, as one of the same name would.
 	strangers bool
-	sent      *platform.Transaction
+	sent      *provider.Transaction
 	sentAt    time.Time
-	delayed   []platform.Transaction
-	told      map[uint64]platform.CommitOutcome
+	delayed   []provider.Transaction
+	told      map[uint64]provider.CommitOutcome
 	deadlines map[uint64]time.Time
-	items     map[uint64]platform.Transaction
+	items     map[uint64]provider.Transaction
 	writes    []write
 	tokens    int
 	fault     string
@@ -90,7 +90,7 @@
 	return &simulation{
 		pick: pick, table: newModel(), now: now,
 		state: commit.NewState("vm", commit.NewLimits(simMaxRows, simRate, simRowRate), rand.New(rand.NewPCG(1, 2)), now),
-		told:  map[uint64]platform.CommitOutcome{}, items: map[uint64]platform.Transaction{},
+		told:  map[uint64]provider.CommitOutcome{}, items: map[uint64]provider.Transaction{},
 		deadlines: map[uint64]time.Time{},
 	}
 }
@@ -115,7 +115,7 @@
 			if s.strangers && s.pick(3) == 0 {
 				k = "commit/vm"
 			}
-			s.table.commit(platform.NewTransaction(nil, []platform.Write{platform.NewPut(k, nil)}))
+			s.table.commit(provider.NewTransaction(nil, []provider.Write{provider.NewPut(k, nil)}))
 		default:
 			s.exchange()
 		}
@@ -138,17 +138,17 @@
 func (s *simulation) submit() {
 	id := uint64(len(s.items) + 1)
 	k := fmt.Sprintf("k%d", s.pick(4))
-	writes := []platform.Write{platform.NewPut(fmt.Sprintf("mark/%d", id), []byte(k)), platform.NewPut(k, nil)}
-	var conditions []platform.Condition
+	writes := []provider.Write{provider.NewPut(fmt.Sprintf("mark/%d", id), []byte(k)), provider.NewPut(k, nil)}
+	var conditions []provider.Condition
 	switch s.pick(4) {
 	case 0:
-		conditions = append(conditions, platform.NewCondition(k, 0))
+		conditions = append(conditions, provider.NewCondition(k, 0))
 	case 1:
-		conditions = append(conditions, platform.NewCondition(k, s.table.rows[k].Version()))
+		conditions = append(conditions, provider.NewCondition(k, s.table.rows[k].Version()))
 	case 2:
-		writes[1] = platform.NewDelete(k)
+		writes[1] = provider.NewDelete(k)
 	}
-	t := platform.NewTransaction(conditions, writes)
+	t := provider.NewTransaction(conditions, writes)
 	var options []commit.Option
 	if s.pick(3) == 0 {
 		options = append(options, commit.Urgent{})
@@ -192,27 +192,27 @@
 	if s.outage {
 		fate = 3 + fate%3
 	}
-	var o platform.CommitOutcome
+	var o provider.CommitOutcome
 	switch fate {
 	case 0, 1:
 		o = s.apply(t)
 	case 2:
 		s.apply(t)
-		o = platform.NewUnknown("reply lost")
+		o = provider.NewUnknown("reply lost")
 	case 3:
 		s.delayed = append(s.delayed, t)
-		o = platform.NewUnknown("delayed")
+		o = provider.NewUnknown("delayed")
 	case 4:
-		o = platform.NewUnknown("lost")
+		o = provider.NewUnknown("lost")
 	default:
-		o = platform.NewUnavailable("down")
+		o = provider.NewUnavailable("down")
 	}
 	s.complete(s.state.Handle(o, s.now))
 }
 
-func (s *simulation) apply(t platform.Transaction) platform.CommitOutcome {
+func (s *simulation) apply(t provider.Transaction) provider.CommitOutcome {
 	o := s.table.commit(t)
-	if _, ok := o.(platform.Committed); ok {
+	if _, ok := o.(provider.Committed); ok {
 		s.writes = append(s.writes, write{at: s.sentAt, rows: len(t.Writes())})
 	}
 	return o
@@ -234,10 +234,10 @@
 		}
 		s.told[d.ID()] = d.Outcome()
 		switch o := d.Outcome().(type) {
-		case platform.Conflict:
+		case provider.Conflict:
 			s.checkConflict(d.ID(), o)
-		case platform.Unavailable, platform.Unknown:
-			_, unknown := o.(platform.Unknown)
+		case provider.Unavailable, provider.Unknown:
+			_, unknown := o.(provider.Unknown)
 			if at, ok := s.deadlines[d.ID()]; (!ok || s.now.Before(at)) && (!unknown || !s.strangers) {
 				s.fault = fmt.Sprintf("%d was given up before its deadline", d.ID())
 			}
@@ -245,7 +245,7 @@
 	}
 }
 
-func (s *simulation) checkConflict(id uint64, o platform.Conflict) {
+func (s *simulation) checkConflict(id uint64, o provider.Conflict) {
 	for _, c := range s.items[id].Conditions() {
 		if c.Key() == o.Row().Key() && c.Version() != o.Row().Version() {
 			return
@@ -264,11 +264,11 @@
 			return fmt.Sprintf("double application: %d", id)
 		}
 		switch s.told[id].(type) {
-		case platform.Committed:
+		case provider.Committed:
 			if n != 1 {
 				return fmt.Sprintf("%d was told Committed and wasn't applied", id)
 			}
-		case platform.Conflict, platform.Unavailable:
+		case provider.Conflict, provider.Unavailable:
 			if n != 0 {
 				return fmt.Sprintf("%d was told that it wasn't applied and was", id)
 			}
--- a/commit/state.go
+++ b/commit/state.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // State decides what a committer sends and what the outcomes mean. It is a deterministic function of its calls, and
@@ -55,7 +55,7 @@
 
 // Add queues a transaction and returns the number that its completion will have. The transaction must not touch the
 // committer's own row.
-func (s *State) Add(t platform.Transaction, options ...Option) uint64 {
+func (s *State) Add(t provider.Transaction, options ...Option) uint64 {
 	s.last++
 	m := newItem(s.last, t, options)
 	for _, k := range m.keys {
@@ -102,10 +102,10 @@
 }
 
 // Handle takes the outcome of the transaction that was sent last, and returns the completions that follow from it.
-func (s *State) Handle(outcome platform.CommitOutcome, now time.Time) []Completion {
+func (s *State) Handle(outcome provider.CommitOutcome, now time.Time) []Completion {
 	s.flight.sending = false
 	switch o := outcome.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		s.failures = 0
 		s.version = o.Version()
 		if s.flight.fence != "" {
@@ -113,16 +113,16 @@
 			return nil
 		}
 		return s.applied(o.Version())
-	case platform.Conflict:
+	case provider.Conflict:
 		return s.conflict(o, now)
-	case platform.Unavailable:
+	case provider.Unavailable:
 		s.rows.putBack(float64(s.flight.rows))
 		s.backOff(now)
 		if !s.flight.doubt {
 			s.requeue()
 		}
 		return nil
-	case platform.Unknown:
+	case provider.Unknown:
 		s.flight.doubt = true
 		s.backOff(now)
 		return nil
@@ -139,7 +139,7 @@
 		for _, m := range s.flight.items {
 			if !m.answered && m.expired(now) {
 				m.answered = true
-				done = append(done, Completion{id: m.id, outcome: platform.NewUnknown("the deadline passed during the commit")})
+				done = append(done, Completion{id: m.id, outcome: provider.NewUnknown("the deadline passed during the commit")})
 			}
 		}
 	}
@@ -152,7 +152,7 @@
 			}
 			s.queuedRows -= m.rows
 			s.forget(m)
-			done = append(done, Completion{id: m.id, outcome: platform.NewUnavailable("the deadline passed before the commit")})
+			done = append(done, Completion{id: m.id, outcome: provider.NewUnavailable("the deadline passed before the commit")})
 		}
 		clear(items[len(kept):])
 		return kept
@@ -167,11 +167,11 @@
 func (s *State) Stop() []Completion {
 	var done []Completion
 	if s.flight != nil {
-		done = s.complete(platform.NewUnknown("the committer stopped during the commit"))
+		done = s.complete(provider.NewUnknown("the committer stopped during the commit"))
 	}
 	for _, q := range [][]*item{s.urgent, s.normal} {
 		for _, m := range q {
-			done = append(done, Completion{id: m.id, outcome: platform.NewUnavailable("the committer stopped")})
+			done = append(done, Completion{id: m.id, outcome: provider.NewUnavailable("the committer stopped")})
 		}
 	}
 	s.urgent, s.normal = nil, nil
@@ -240,7 +240,7 @@
 	return true
 }
 
-func (s *State) conflict(o platform.Conflict, now time.Time) []Completion {
+func (s *State) conflict(o provider.Conflict, now time.Time) []Completion {
 	f := s.flight
 	if o.Row().Key() == s.ownKey {
 		return s.ownConflict(o.Row())
@@ -282,7 +282,7 @@
 }
 
 // ownConflict handles a conflict on the committer's own row, whose value shows which transaction wrote it.
-func (s *State) ownConflict(row platform.Row) []Completion {
+func (s *State) ownConflict(row provider.Row) []Completion {
 	f := s.flight
 	s.failures = 0
 	s.rows.putBack(float64(f.rows))
@@ -293,18 +293,18 @@
 	}
 	if f.doubt && (f.fence == "" || token != f.fence) {
 		// A stranger has written the row, so it doesn't show whether an attempt was applied before.
-		return s.complete(platform.NewUnknown("another committer uses the same name"))
+		return s.complete(provider.NewUnknown("another committer uses the same name"))
 	}
 	s.requeue()
 	return nil
 }
 
 func (s *State) applied(version uint64) []Completion {
-	return s.complete(platform.NewCommitted(version))
+	return s.complete(provider.NewCommitted(version))
 }
 
 // complete ends the flight with one outcome for all of its items.
-func (s *State) complete(o platform.CommitOutcome) []Completion {
+func (s *State) complete(o provider.CommitOutcome) []Completion {
 	done := make([]Completion, 0, len(s.flight.items))
 	for _, m := range s.flight.items {
 		s.forget(m)
--- a/commit/state_test.go
+++ b/commit/state_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/commit"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Guards against double or missing application, false refusals, broken order per key, starvation and rates above the
@@ -73,6 +73,6 @@
 			got = append(got, p.Key())
 		}
 		assert.DeepEqual(t, got, w)
-		s.Handle(platform.NewCommitted(uint64(i+1)), now)
+		s.Handle(provider.NewCommitted(uint64(i+1)), now)
 	}
 }
--- a/commit/step.go
+++ b/commit/step.go
@@ -3,17 +3,17 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Step is what State.Next asks for: Send, Wait or Idle.
 type Step interface{ step() }
 
 // Send asks to commit a transaction to the table and to give the outcome to State.Handle.
-type Send struct{ transaction platform.Transaction }
+type Send struct{ transaction provider.Transaction }
 
 // Transaction returns the transaction to commit.
-func (s Send) Transaction() platform.Transaction { return s.transaction }
+func (s Send) Transaction() provider.Transaction { return s.transaction }
 
 // Wait says that nothing may be sent before a time.
 type Wait struct{ until time.Time }
@@ -31,11 +31,11 @@
 // Completion is the outcome of one submitted transaction.
 type Completion struct {
 	id      uint64
-	outcome platform.CommitOutcome
+	outcome provider.CommitOutcome
 }
 
 // ID returns the number that State.Add returned.
 func (c Completion) ID() uint64 { return c.id }
 
 // Outcome returns the outcome for the submitter.
-func (c Completion) Outcome() platform.CommitOutcome { return c.outcome }
+func (c Completion) Outcome() provider.CommitOutcome { return c.outcome }
--- a/dispatch/adoption.go
+++ b/dispatch/adoption.go
@@ -4,11 +4,11 @@
 	"slices"
 
 	"github.com/pistachiolead/pistachiolead/ownership"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // jobsScanned takes over the changed rows of unfinished jobs.
-func (s *State) jobsScanned(rows []platform.Row) {
+func (s *State) jobsScanned(rows []provider.Row) {
 	for _, row := range rows {
 		id := row.Key()[len(jobPrefix):]
 		if row.Deleted() {
@@ -147,15 +147,15 @@
 
 // writeJob changes the row of a job, conditional on the version known here.
 func (s *State) writeJob(row *jobRow, f jobFields, done func(ok bool)) {
-	t := platform.NewTransaction(
-		[]platform.Condition{platform.NewCondition(JobKey(row.id), row.version)},
-		[]platform.Write{platform.NewPut(JobKey(row.id), f.encode())},
+	t := provider.NewTransaction(
+		[]provider.Condition{provider.NewCondition(JobKey(row.id), row.version)},
+		[]provider.Write{provider.NewPut(JobKey(row.id), f.encode())},
 	)
-	s.commit(t, UrgencyHigh, s.now.Add(taskLease), func(o platform.CommitOutcome) {
+	s.commit(t, UrgencyHigh, s.now.Add(taskLease), func(o provider.CommitOutcome) {
 		if current, ok := s.jobs[row.id]; ok {
 			current.busy = false
 		}
-		c, ok := o.(platform.Committed)
+		c, ok := o.(provider.Committed)
 		if ok {
 			s.rememberJob(&jobRow{id: row.id, version: c.Version(), fields: f})
 		}
@@ -173,7 +173,7 @@
 			return
 		}
 		current.busy = false
-		rows, ok := e.outcome.(platform.Rows)
+		rows, ok := e.outcome.(provider.Rows)
 		if !ok || current.version != row.version || len(rows.Rows()) == 0 || s.drain.started {
 			return
 		}
@@ -254,15 +254,15 @@
 }
 
 // resolved handles the answer to a Close that asked about the attempt of a work.
-func (s *State) resolved(w *work, o platform.CloseOutcome) {
+func (s *State) resolved(w *work, o provider.CloseOutcome) {
 	switch o := o.(type) {
-	case platform.NeverStarted:
-		w.started = w.ranBefore || !platform.SameProcess(w.sentEpoch, w.epoch)
+	case provider.NeverStarted:
+		w.started = w.ranBefore || !provider.SameProcess(w.sentEpoch, w.epoch)
 		w.attempt++
 		s.requeue(w)
-	case platform.StillRunning:
+	case provider.StillRunning:
 		s.join(w)
-	case platform.Answer:
+	case provider.Answer:
 		switch {
 		case !whole(o, w.id(), w.attempt):
 			s.join(w)
@@ -296,8 +296,8 @@
 	k := runKey{server: w.server, id: w.id(), attempt: w.attempt}
 	r, ok := s.runs[k]
 	if !ok {
-		task := platform.NewTask(w.id(), w.attempt, w.request.entry, w.request.team, w.shape, nil)
-		s.adopt(w.server, platform.NewTaskStatus(task, false))
+		task := provider.NewTask(w.id(), w.attempt, w.request.entry, w.request.team, w.shape, nil)
+		s.adopt(w.server, provider.NewTaskStatus(task, false))
 		r = s.runs[k]
 	}
 	r.orphan, r.adopted = false, true
--- a/dispatch/carry_test.go
+++ b/dispatch/carry_test.go
@@ -12,7 +12,7 @@
 	"github.com/pistachiolead/pistachiolead/commit"
 	"github.com/pistachiolead/pistachiolead/dispatch"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const (
@@ -39,9 +39,9 @@
 // waiter is a Run whose task is running.
 type waiter struct {
 	server  string
-	task    platform.Task
+	task    provider.Task
 	process int
-	reply   func(platform.RunOutcome)
+	reply   func(provider.RunOutcome)
 }
 
 // request sends a request of a node. Serve runs when it arrives and passes what the node does with the reply to its
@@ -142,8 +142,8 @@
 
 func (r *rig) deleteJobs() {
 	ctx := context.Background()
-	for _, row := range r.platform.Table.Scan(ctx, "job/", 0).(platform.Rows).Rows() {
-		r.platform.Table.Commit(ctx, platform.NewTransaction(nil, []platform.Write{platform.NewDelete(row.Key())}))
+	for _, row := range r.platform.Table.Scan(ctx, "job/", 0).(provider.Rows).Rows() {
+		r.platform.Table.Commit(ctx, provider.NewTransaction(nil, []provider.Write{provider.NewDelete(row.Key())}))
 	}
 }
 
@@ -153,7 +153,7 @@
 	if !f.Deadline().IsZero() {
 		timeout = max(0, f.Deadline().Sub(r.now()))
 	}
-	ended := func(o platform.RunOutcome) {
+	ended := func(o provider.RunOutcome) {
 		r.record.note("%s: run of %s#%d on %s ends as %T %+v", n.id, f.Task().ID(), f.Task().Attempt(), f.Server(), o, o)
 		r.handle(n, dispatch.NewRunEnded(f.Server(), f.Epoch(), f.Task().ID(), f.Task().Attempt(), o))
 	}
@@ -171,8 +171,8 @@
 					at: r.now(), decided: decided, node: n.id, server: f.Server(), task: f.Task(), config: config,
 				})
 			}
-			answer := func(o platform.RunOutcome) { reply(func() { ended(o) }) }
-			if _, running := o.(platform.Unknown); running {
+			answer := func(o provider.RunOutcome) { reply(func() { ended(o) }) }
+			if _, running := o.(provider.Unknown); running {
 				r.waiters = append(r.waiters, &waiter{
 					server: f.Server(), task: f.Task(), process: r.restarted[f.Server()], reply: answer,
 				})
@@ -181,10 +181,10 @@
 			answer(o)
 		}, func(sent bool) {
 			if sent {
-				ended(platform.NewUnknown("lost"))
+				ended(provider.NewUnknown("lost"))
 				return
 			}
-			ended(platform.NewUnavailable("cut off"))
+			ended(provider.NewUnavailable("cut off"))
 		})
 	})
 }
@@ -200,7 +200,7 @@
 	kept := r.waiters[:0]
 	for _, w := range r.waiters {
 		if w.process != r.restarted[w.server] {
-			w.reply(platform.NewUnknown("the connection broke"))
+			w.reply(provider.NewUnknown("the connection broke"))
 			continue
 		}
 		if running[fmt.Sprintf("%s/%s/%d", w.server, w.task.ID(), w.task.Attempt())] {
@@ -208,7 +208,7 @@
 			continue
 		}
 		o := r.platform.Backends[w.server].Run(started{context.Background()}, r.record.epochs[w.server], w.task)
-		if a, ok := o.(platform.Answer); ok {
+		if a, ok := o.(provider.Answer); ok {
 			w.reply(a)
 			continue
 		}
@@ -221,8 +221,8 @@
 	const timeout = 2 * time.Second
 	ctx := context.Background()
 	sent := r.now()
-	unavailable, unknown := platform.NewUnavailable("cut off"), platform.NewUnknown("lost")
-	send := func(server string, serve func(b platform.BackendServer) dispatch.Event, lost func(sent bool) dispatch.Event) {
+	unavailable, unknown := provider.NewUnavailable("cut off"), provider.NewUnknown("lost")
+	send := func(server string, serve func(b provider.BackendServer) dispatch.Event, lost func(sent bool) dispatch.Event) {
 		b := r.platform.Backends[server]
 		r.request(n, server, timeout, true, func(reply func(func())) {
 			e := serve(b)
@@ -231,11 +231,11 @@
 	}
 	switch f := f.(type) {
 	case dispatch.Close:
-		ended := func(o platform.CloseOutcome) dispatch.Event {
+		ended := func(o provider.CloseOutcome) dispatch.Event {
 			r.record.note("close by %s of %s#%d on %s ends as %T", n.id, f.ID(), f.Attempt(), f.Server(), o)
 			return dispatch.NewCloseEnded(f.Server(), f.Epoch(), f.ID(), f.Attempt(), o)
 		}
-		send(f.Server(), func(b platform.BackendServer) dispatch.Event {
+		send(f.Server(), func(b provider.BackendServer) dispatch.Event {
 			return ended(b.Close(ctx, f.Epoch(), f.ID(), f.Attempt()))
 		}, func(sent bool) dispatch.Event {
 			if sent {
@@ -244,26 +244,26 @@
 			return ended(unavailable)
 		})
 	case dispatch.Signal:
-		ended := func(o platform.SignalOutcome) dispatch.Event {
+		ended := func(o provider.SignalOutcome) dispatch.Event {
 			return dispatch.NewSignalEnded(f.Server(), f.ID(), f.Attempt(), o)
 		}
-		send(f.Server(), func(b platform.BackendServer) dispatch.Event {
+		send(f.Server(), func(b provider.BackendServer) dispatch.Event {
 			return ended(b.Signal(ctx, f.Epoch(), f.ID(), f.Attempt(), f.Signal()))
 		}, func(bool) dispatch.Event { return ended(unknown) })
 	case dispatch.Acquire:
-		send(f.Server(), func(b platform.BackendServer) dispatch.Event {
+		send(f.Server(), func(b provider.BackendServer) dispatch.Event {
 			o := b.Acquire(ctx, n.id, n.zone)
-			if g, ok := o.(platform.Granted); ok {
+			if g, ok := o.(provider.Granted); ok {
 				r.record.epochs[f.Server()] = g.Epoch()
 			}
 			return dispatch.NewAcquireEnded(f.Server(), sent, o)
 		}, func(bool) dispatch.Event { return dispatch.NewAcquireEnded(f.Server(), sent, unknown) })
 	case dispatch.Report:
-		send(f.Server(), func(b platform.BackendServer) dispatch.Event {
+		send(f.Server(), func(b provider.BackendServer) dispatch.Event {
 			return dispatch.NewReportEnded(f.Server(), f.Epoch(), sent, b.Report(ctx, f.Epoch()))
 		}, func(bool) dispatch.Event { return dispatch.NewReportEnded(f.Server(), f.Epoch(), sent, unknown) })
 	case dispatch.Release:
-		send(f.Server(), func(b platform.BackendServer) dispatch.Event {
+		send(f.Server(), func(b provider.BackendServer) dispatch.Event {
 			return dispatch.NewReleaseEnded(f.Server(), f.Epoch(), b.Release(ctx, f.Epoch()))
 		}, func(bool) dispatch.Event { return dispatch.NewReleaseEnded(f.Server(), f.Epoch(), unknown) })
 	}
@@ -272,7 +272,7 @@
 // carryCommit hands a transaction to the real group commit.
 func (r *rig) carryCommit(n *node, f dispatch.Commit) {
 	if r.broken.claimsAlwaysSucceed && isClaim(f.Transaction()) {
-		r.after(shortDelay, func() { r.post(n, dispatch.NewCommitEnded(f.Ticket(), platform.NewCommitted(1))) })
+		r.after(shortDelay, func() { r.post(n, dispatch.NewCommitEnded(f.Ticket(), provider.NewCommitted(1))) })
 		return
 	}
 	var options []commit.Option
@@ -292,7 +292,7 @@
 	n.token++
 	switch s := n.committer.Next(now, fmt.Sprintf("%s.%d.%d", n.id, r.added, n.token)).(type) {
 	case commit.Send:
-		handle := func(o platform.CommitOutcome) {
+		handle := func(o provider.CommitOutcome) {
 			r.completed(n, n.committer.Handle(o, r.now()))
 			r.pump(n)
 		}
@@ -302,10 +302,10 @@
 			reply(func() { handle(o) })
 		}, func(sent bool) {
 			if sent {
-				handle(platform.NewUnknown("lost"))
+				handle(provider.NewUnknown("lost"))
 				return
 			}
-			handle(platform.NewUnavailable("cut off"))
+			handle(provider.NewUnavailable("cut off"))
 		})
 	case commit.Wait:
 		if n.wake.After(now) && !s.Until().Before(n.wake) {
@@ -347,43 +347,43 @@
 	sent := r.now()
 	switch f := f.(type) {
 	case dispatch.Scan:
-		ended := func(o platform.ScanOutcome) {
+		ended := func(o provider.ScanOutcome) {
 			r.handle(n, dispatch.NewScanEnded(f.Ticket(), f.Prefix(), sent, o))
 		}
 		r.request(n, tableName, 3*time.Second, false, func(reply func(func())) {
 			o := r.platform.Table.Scan(ctx, f.Prefix(), f.Since())
 			reply(func() { ended(o) })
-		}, func(bool) { ended(platform.NewUnavailable("lost")) })
+		}, func(bool) { ended(provider.NewUnavailable("lost")) })
 	case dispatch.Put:
-		ended := func(o platform.PutOutcome) { r.handle(n, dispatch.NewPutEnded(f.Ticket(), o)) }
+		ended := func(o provider.PutOutcome) { r.handle(n, dispatch.NewPutEnded(f.Ticket(), o)) }
 		r.request(n, objectsName, 10*time.Second, true, func(reply func(func())) {
 			o := r.platform.Objects.Put(ctx, f.Name(), f.Data())
 			reply(func() { ended(o) })
-		}, func(bool) { ended(platform.NewUnknown("lost")) })
+		}, func(bool) { ended(provider.NewUnknown("lost")) })
 	case dispatch.Get:
-		ended := func(o platform.GetOutcome) { r.handle(n, dispatch.NewGetEnded(f.Ticket(), o)) }
+		ended := func(o provider.GetOutcome) { r.handle(n, dispatch.NewGetEnded(f.Ticket(), o)) }
 		r.request(n, objectsName, 10*time.Second, true, func(reply func(func())) {
 			o := r.platform.Objects.Get(ctx, f.Name())
 			reply(func() { ended(o) })
-		}, func(bool) { ended(platform.NewUnavailable("lost")) })
+		}, func(bool) { ended(provider.NewUnavailable("lost")) })
 	case dispatch.List:
-		ended := func(o platform.ListOutcome) { r.handle(n, dispatch.NewListed(o)) }
+		ended := func(o provider.ListOutcome) { r.handle(n, dispatch.NewListed(o)) }
 		r.request(n, listName, 2*time.Second, false, func(reply func(func())) {
 			o := r.platform.VMs.List(ctx)
 			if r.broken.hideLeaving {
 				o = withoutLeaving(o)
 			}
 			reply(func() { ended(o) })
-		}, func(bool) { ended(platform.NewUnavailable("lost")) })
+		}, func(bool) { ended(provider.NewUnavailable("lost")) })
 	}
 }
 
-func withoutLeaving(o platform.ListOutcome) platform.ListOutcome {
-	var vms []platform.VM
-	for _, v := range o.(platform.VMs).VMs() {
-		vms = append(vms, platform.NewVM(v.ID(), v.Role(), v.Zone(), v.Rack(), v.Address(), v.Shape(), false))
+func withoutLeaving(o provider.ListOutcome) provider.ListOutcome {
+	var vms []provider.VM
+	for _, v := range o.(provider.VMs).VMs() {
+		vms = append(vms, provider.NewVM(v.ID(), v.Role(), v.Zone(), v.Rack(), v.Address(), v.Shape(), false))
 	}
-	return platform.NewVMs(vms)
+	return provider.NewVMs(vms)
 }
 
 func (r *rig) carryHeartbeat(n *node, f dispatch.Heartbeat) {
--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -8,7 +8,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Codes of rejected changes.
@@ -59,14 +59,14 @@
 		return
 	}
 	t = s.asMember(t)
-	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(o platform.CommitOutcome) { s.changeCommitted(e, t, o) })
+	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(o provider.CommitOutcome) { s.changeCommitted(e, t, o) })
 }
 
 // asMember makes a configuration change conditional on the own member row: an entry VM that was removed from the members
 // must not commit changes, because the others no longer take it into account.
-func (s *State) asMember(t platform.Transaction) platform.Transaction {
-	own := platform.NewCondition(memberPrefix+s.Self, s.reads.memberVersions[s.Self])
-	return platform.NewTransaction(append(slices.Clone(t.Conditions()), own), t.Writes())
+func (s *State) asMember(t provider.Transaction) provider.Transaction {
+	own := provider.NewCondition(memberPrefix+s.Self, s.reads.memberVersions[s.Self])
+	return provider.NewTransaction(append(slices.Clone(t.Conditions()), own), t.Writes())
 }
 
 // planned reports whether a change is a take-out of an availability zone within the budgets.
@@ -126,10 +126,10 @@
 }
 
 // changeTransaction returns the transaction of a change, or why it can't be made.
-func (s *State) changeTransaction(c Change, author string) (platform.Transaction, *Rejected) {
-	reject := func(code, message string) (platform.Transaction, *Rejected) {
+func (s *State) changeTransaction(c Change, author string) (provider.Transaction, *Rejected) {
+	reject := func(code, message string) (provider.Transaction, *Rejected) {
 		r := NewRejected(code, message, 0)
-		return platform.Transaction{}, &r
+		return provider.Transaction{}, &r
 	}
 	switch c := c.(type) {
 	case CatalogueChange:
@@ -147,7 +147,7 @@
 	case ZoneChange:
 		if c.out {
 			if r := s.zoneOverBudget(c.zone); r != nil && !c.force {
-				return platform.Transaction{}, r
+				return provider.Transaction{}, r
 			}
 		}
 		return built(catalogue.SetZone(s.config, c.zone, catalogue.NewZoneState(c.out, author, s.now)))
@@ -159,7 +159,7 @@
 }
 
 // built maps the error of a transaction that can't be built to a rejection.
-func built(t platform.Transaction, err error) (platform.Transaction, *Rejected) {
+func built(t provider.Transaction, err error) (provider.Transaction, *Rejected) {
 	if err == nil {
 		return t, nil
 	}
@@ -167,10 +167,10 @@
 	return t, &r
 }
 
-func (s *State) vmTransaction(c VMChange, author string) (platform.Transaction, *Rejected) {
-	reject := func(code, message string) (platform.Transaction, *Rejected) {
+func (s *State) vmTransaction(c VMChange, author string) (provider.Transaction, *Rejected) {
+	reject := func(code, message string) (provider.Transaction, *Rejected) {
 		r := NewRejected(code, message, 0)
-		return platform.Transaction{}, &r
+		return provider.Transaction{}, &r
 	}
 	if _, ok := s.vms[c.vm]; !ok {
 		return reject(CodeInvalid, fmt.Sprintf("there is no backend server %q", c.vm))
@@ -184,7 +184,7 @@
 	}
 	if !c.force {
 		if r := s.vmOverBudget(c.vm, pool, c.out); r != nil {
-			return platform.Transaction{}, r
+			return provider.Transaction{}, r
 		}
 	}
 	return built(catalogue.SetVM(s.config, c.vm, catalogue.NewVMState(pool, c.out, c.reason, author, s.now)))
@@ -296,19 +296,19 @@
 }
 
 // changeCommitted applies and pushes a change that is in the table, and has the operator wait until it is in force.
-func (s *State) changeCommitted(e ChangeRequested, t platform.Transaction, o platform.CommitOutcome) {
+func (s *State) changeCommitted(e ChangeRequested, t provider.Transaction, o provider.CommitOutcome) {
 	switch o := o.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		s.count("configuration_changes")
 		rows := RowsOf(t, o.Version())
 		s.applyRows(rows)
 		s.pushToAll(peer.NewConfiguration(s.config.Version(), rows))
 		s.waitInForce(e.ticket, s.config.Version())
-	case platform.Conflict:
+	case provider.Conflict:
 		s.changeConflict(e, o.Row())
-	case platform.Unavailable:
+	case provider.Unavailable:
 		s.changeDelayed(e, NewRejected(CodeStoreUnavailable, "the change could not be stored", retryAfterBusy))
-	case platform.Unknown:
+	case provider.Unknown:
 		s.changeDelayed(e, NewRejected(CodeStoreUnavailable,
 			"whether the change was stored isn't known; read the configuration before repeating it", retryAfterBusy))
 	}
@@ -316,7 +316,7 @@
 
 // changeConflict tells the operator whose change came first. A take-out or revocation applies whatever came first,
 // so it is tried again on the new version.
-func (s *State) changeConflict(e ChangeRequested, row platform.Row) {
+func (s *State) changeConflict(e ChangeRequested, row provider.Row) {
 	s.count("configuration_conflicts")
 	s.reads.configDue = s.now
 	if row.Key() == memberPrefix+s.Self {
@@ -418,14 +418,14 @@
 }
 
 // RowsOf returns the rows that a committed transaction wrote.
-func RowsOf(t platform.Transaction, version uint64) []platform.Row {
-	rows := make([]platform.Row, 0, len(t.Writes()))
+func RowsOf(t provider.Transaction, version uint64) []provider.Row {
+	rows := make([]provider.Row, 0, len(t.Writes()))
 	for _, w := range t.Writes() {
 		if w.Delete() {
-			rows = append(rows, platform.NewDeletedRow(w.Key(), version))
+			rows = append(rows, provider.NewDeletedRow(w.Key(), version))
 			continue
 		}
-		rows = append(rows, platform.NewRow(w.Key(), w.Value(), version))
+		rows = append(rows, provider.NewRow(w.Key(), w.Value(), version))
 	}
 	return rows
 }
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/pistachiolead/pistachiolead/claim"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // readClaim finds out whether a non-idempotent request arrived before.
@@ -13,7 +13,7 @@
 		if s.works[w.id()] != w {
 			return
 		}
-		rows, ok := e.outcome.(platform.Rows)
+		rows, ok := e.outcome.(provider.Rows)
 		if !ok {
 			s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the table can't be read", retryAfterBusy))
 			return
@@ -29,7 +29,7 @@
 }
 
 // claimFound decides about a request whose claim row existed when it arrived.
-func (s *State) claimFound(w *work, row platform.Row) {
+func (s *State) claimFound(w *work, row provider.Row) {
 	switch d := s.decide(w, row).(type) {
 	case claim.Fresh:
 		s.enqueue(w)
@@ -43,7 +43,7 @@
 }
 
 // claimLost decides about a request whose claim another entry VM wrote first.
-func (s *State) claimLost(w *work, row platform.Row) {
+func (s *State) claimLost(w *work, row provider.Row) {
 	switch d := s.decide(w, row).(type) {
 	case claim.Fresh, claim.MayRetry:
 		// The request was refused elsewhere, after it arrived here. It must not run here any more.
@@ -53,7 +53,7 @@
 	}
 }
 
-func (s *State) decide(w *work, row platform.Row) claim.Decision {
+func (s *State) decide(w *work, row provider.Row) claim.Decision {
 	r := w.request
 	d, err := claim.Decide(row, r.id, r.team, r.entry, claim.Hash(r.payload))
 	if err != nil {
@@ -86,11 +86,11 @@
 		return
 	}
 	w.phase = phaseRefusing
-	s.get(c.Answer(), func(o platform.GetOutcome) {
+	s.get(c.Answer(), func(o provider.GetOutcome) {
 		if s.works[w.id()] != w {
 			return
 		}
-		object, ok := o.(platform.Object)
+		object, ok := o.(provider.Object)
 		if !ok {
 			s.finishUnresolved(w, CodeStoreUnavailable, "the request has run; its answer can't be read now")
 			return
@@ -109,11 +109,11 @@
 		return
 	}
 	next, t := s.nextClaim(w)
-	s.commit(t, UrgencyHigh, w.request.deadline, func(o platform.CommitOutcome) { s.claimed(w, next, o) })
+	s.commit(t, UrgencyHigh, w.request.deadline, func(o provider.CommitOutcome) { s.claimed(w, next, o) })
 }
 
 // nextClaim returns the claim of the attempt that is about to start.
-func (s *State) nextClaim(w *work) (claim.Claim, platform.Transaction) {
+func (s *State) nextClaim(w *work) (claim.Claim, provider.Transaction) {
 	if w.claimVersion == 0 {
 		c := claim.New(w.id(), w.request.team, w.request.entry, s.Self, w.server, claim.Hash(w.request.payload), s.now)
 		c = c.WithEpoch(w.epoch)
@@ -129,23 +129,23 @@
 	return c, claim.Update(c, w.claimVersion)
 }
 
-func (s *State) claimed(w *work, next claim.Claim, o platform.CommitOutcome) {
+func (s *State) claimed(w *work, next claim.Claim, o provider.CommitOutcome) {
 	if s.works[w.id()] != w {
 		s.unreserve(w)
 		return
 	}
 	switch o := o.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		s.rekey(w, next.Attempt())
 		w.claim, w.claimVersion = next, o.Version()
 		s.startClaimed(w)
-	case platform.Conflict:
+	case provider.Conflict:
 		s.unreserve(w)
 		s.claimLost(w, o.Row())
-	case platform.Unavailable:
+	case provider.Unavailable:
 		s.unreserve(w)
 		s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the request could not be recorded", retryAfterBusy))
-	case platform.Unknown:
+	case provider.Unknown:
 		// The claim may be in the table, but nothing was sent and nothing will be sent under it.
 		s.unreserve(w)
 		s.finishUnresolved(w, CodeStoreUnavailable, "whether the request can be repeated isn't known yet")
@@ -193,15 +193,15 @@
 	}
 	w.phase = phaseRefusing
 	next, t := claim.Abandon(w.claim, w.claimVersion, s.now)
-	s.commit(t, UrgencyHigh, w.request.deadline.Add(closeClaimSlack), func(o platform.CommitOutcome) {
+	s.commit(t, UrgencyHigh, w.request.deadline.Add(closeClaimSlack), func(o provider.CommitOutcome) {
 		if s.works[w.id()] != w {
 			return
 		}
 		switch o := o.(type) {
-		case platform.Committed:
+		case provider.Committed:
 			w.claim, w.claimVersion = next, o.Version()
 			s.requeue(w)
-		case platform.Conflict:
+		case provider.Conflict:
 			s.claimLost(w, o.Row())
 		default:
 			s.finishUnresolved(w, CodeStoreUnavailable, "whether the request can be repeated isn't known yet")
@@ -222,14 +222,14 @@
 		return
 	}
 	_, t := claim.Abandon(c, w.claimVersion, s.now)
-	s.commit(t, UrgencyLow, w.request.deadline.Add(closeClaimSlack), func(o platform.CommitOutcome) {
+	s.commit(t, UrgencyLow, w.request.deadline.Add(closeClaimSlack), func(o provider.CommitOutcome) {
 		if s.works[w.id()] != w {
 			return
 		}
 		switch o := o.(type) {
-		case platform.Committed:
+		case provider.Committed:
 			s.finishRefused(w, n)
-		case platform.Conflict:
+		case provider.Conflict:
 			s.claimLost(w, o.Row())
 		default:
 			s.finishUnresolved(w, CodeStoreUnavailable, "whether the request ran can't be confirmed now")
@@ -238,21 +238,21 @@
 }
 
 // recordClaim stores the answer of a non-idempotent call, so that a repeated request gets it. Nobody waits for it.
-func (s *State) recordClaim(w *work, a platform.Answer) {
+func (s *State) recordClaim(w *work, a provider.Answer) {
 	s.finishClaim(w.id(), w.claim, w.claimVersion, a)
 }
 
 // finishClaim stores an answer, then the claim that names it.
-func (s *State) finishClaim(id string, c claim.Claim, version uint64, a platform.Answer) {
+func (s *State) finishClaim(id string, c claim.Claim, version uint64, a provider.Answer) {
 	name := answerPrefix + id
-	s.put(name, EncodeAnswer(a.OK(), a.Output()), func(o platform.PutOutcome) {
-		if _, ok := o.(platform.Stored); !ok {
+	s.put(name, EncodeAnswer(a.OK(), a.Output()), func(o provider.PutOutcome) {
+		if _, ok := o.(provider.Stored); !ok {
 			s.count("answers_not_stored")
 			name = ""
 		}
 		_, t := claim.Finish(c, version, name, s.now)
-		s.commit(t, UrgencyLow, s.now.Add(taskLease), func(o platform.CommitOutcome) {
-			if _, ok := o.(platform.Committed); !ok {
+		s.commit(t, UrgencyLow, s.now.Add(taskLease), func(o provider.CommitOutcome) {
+			if _, ok := o.(provider.Committed); !ok {
 				s.count("claim_results_not_stored")
 			}
 		})
@@ -261,13 +261,13 @@
 
 // recordOrphan stores the answer of a non-idempotent call that nobody here waits for, because its caller left or the
 // entry VM that started it was lost. The caller can then resolve the unknown outcome by the request id.
-func (s *State) recordOrphan(k runKey, a platform.Answer) {
+func (s *State) recordOrphan(k runKey, a provider.Answer) {
 	if !whole(a, k.id, k.attempt) {
 		return
 	}
 	key := claim.RowKey(k.id)
 	s.scan(key, 0, func(e ScanEnded) {
-		rows, ok := e.outcome.(platform.Rows)
+		rows, ok := e.outcome.(provider.Rows)
 		if !ok {
 			return
 		}
--- a/dispatch/control_rig_test.go
+++ b/dispatch/control_rig_test.go
@@ -19,8 +19,8 @@
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/peer"
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/queue"
 	"github.com/pistachiolead/pistachiolead/quota"
 	"github.com/pistachiolead/pistachiolead/retry"
@@ -50,13 +50,13 @@
 	state    *dispatch.State
 	clock    *timer.Manual
 	platform *standin.Platform
-	listed   platform.VMs
+	listed   provider.VMs
 	listSize float64
 	filled   bool // whether backend servers are granted to this entry VM
 	events   []dispatch.Event
-	ends     map[int64][]platform.TaskStatus // by time in units of the tick
+	ends     map[int64][]provider.TaskStatus // by time in units of the tick
 	runs     map[string]dispatch.Run
-	running  map[string]map[string]platform.TaskStatus
+	running  map[string]map[string]provider.TaskStatus
 	peers    []*benchPeer
 	keys     []string
 	round    int
@@ -77,7 +77,7 @@
 	id      string
 	asking  link // heartbeats of the measured entry VM, and the replies
 	asked   link // heartbeats of the peer, and the replies
-	running map[string]platform.Shape
+	running map[string]provider.Shape
 	free    map[string]int
 }
 
@@ -91,29 +91,29 @@
 	runtime.LockOSThread()
 	c := &controlRig{
 		size: size, clock: timer.NewManual(time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)),
-		ends: make(map[int64][]platform.TaskStatus), runs: make(map[string]dispatch.Run),
-		running: make(map[string]map[string]platform.TaskStatus),
+		ends: make(map[int64][]provider.TaskStatus), runs: make(map[string]dispatch.Run),
+		running: make(map[string]map[string]provider.TaskStatus),
 	}
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range size.entries {
 		id, zone := fmt.Sprintf("entry-%d", i), fmt.Sprintf("zone-%d", i%controlZones)
-		vms = append(vms, platform.NewVM(id, platform.RoleEntry, zone, "rack-entry", "10.0.0.1:7001", platform.Shape{}, false))
+		vms = append(vms, provider.NewVM(id, provider.RoleEntry, zone, "rack-entry", "10.0.0.1:7001", provider.Shape{}, false))
 		if id != selfID {
 			c.peers = append(c.peers, &benchPeer{
-				id: id, running: make(map[string]platform.Shape), free: make(map[string]int),
+				id: id, running: make(map[string]provider.Shape), free: make(map[string]int),
 			})
 		}
 	}
 	for i := range size.servers {
 		zone := i % controlZones
-		vms = append(vms, platform.NewVM(
-			fmt.Sprintf("backend-%04d", i), platform.RoleBackend, fmt.Sprintf("zone-%d", zone),
+		vms = append(vms, provider.NewVM(
+			fmt.Sprintf("backend-%04d", i), provider.RoleBackend, fmt.Sprintf("zone-%d", zone),
 			fmt.Sprintf("rack-%d-%02d", zone, i/controlZones/4), fmt.Sprintf("10.0.%d.%d:7000", zone, i/controlZones),
-			platform.NewShape(64, 256<<10, 2, 8), false,
+			provider.NewShape(64, 256<<10, 2, 8), false,
 		))
 	}
 	c.platform = standin.NewPlatform(nil, c.clock)
-	c.listed = platform.NewVMs(vms)
+	c.listed = provider.NewVMs(vms)
 	c.listSize = listBytes(vms)
 	c.configure(vms)
 	c.state = &dispatch.State{
@@ -135,14 +135,14 @@
 }
 
 // configure stores the configuration, the member rows and the unfinished jobs of other holders.
-func (c *controlRig) configure(vms []platform.VM) {
+func (c *controlRig) configure(vms []provider.VM) {
 	var entries []catalogue.Entry
 	var teams []catalogue.Team
 	var pools []catalogue.Pool
 	for i := range c.size.pools {
 		pools = append(pools, catalogue.NewPool(fmt.Sprintf("pool-%02d", i), i == c.size.pools-1, 2))
 	}
-	shape := platform.NewShape(4, 8<<10, 0, 1)
+	shape := provider.NewShape(4, 8<<10, 0, 1)
 	for i := range c.size.teams {
 		team, pool := teamName(i), pools[i%(len(pools)-1)].Name()
 		teams = append(teams, catalogue.NewTeam(team, 1, 400))
@@ -151,11 +151,11 @@
 			catalogue.NewEntry("job-"+team, team, catalogue.ClassArchive, pool, shape).WithIdempotent(true))
 	}
 	config := catalogue.NewConfiguration()
-	step := func(t platform.Transaction, err error) {
+	step := func(t provider.Transaction, err error) {
 		if err != nil {
 			panic(err)
 		}
-		o := c.platform.Table.Commit(context.Background(), t).(platform.Committed)
+		o := c.platform.Table.Commit(context.Background(), t).(provider.Committed)
 		if config, err = config.With(dispatch.RowsOf(t, o.Version())); err != nil {
 			panic(err)
 		}
@@ -178,17 +178,17 @@
 		c.keys = append(c.keys, k.ID())
 		step(catalogue.GrantKey(config, k))
 	}
-	var rows []platform.Write
+	var rows []provider.Write
 	for _, v := range vms[:c.size.entries] {
-		rows = append(rows, platform.NewPut("member/"+v.ID(), []byte(`{"zone":"zone-0","address":"10.0.0.1:7001"}`)))
+		rows = append(rows, provider.NewPut("member/"+v.ID(), []byte(`{"zone":"zone-0","address":"10.0.0.1:7001"}`)))
 	}
 	for i := range c.size.backlog {
 		id := fmt.Sprintf("%s.backlog-%d", teamName(i%c.size.teams), i)
-		rows = append(rows, platform.NewPut(dispatch.JobKey(id), fmt.Appendf(nil,
+		rows = append(rows, provider.NewPut(dispatch.JobKey(id), fmt.Appendf(nil,
 			`{"entry":"job-%s","team":"%s","key":"k","payload-hash":1,"holder":"entry-1","state":"waiting","attempt":1}`,
 			teamName(i%c.size.teams), teamName(i%c.size.teams))))
 	}
-	c.platform.Table.Commit(context.Background(), platform.NewTransaction(nil, rows))
+	c.platform.Table.Commit(context.Background(), provider.NewTransaction(nil, rows))
 }
 
 func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
@@ -207,7 +207,7 @@
 			delete(c.runs, t.ID())
 			delete(c.running[f.Server()], t.ID())
 			c.handle(dispatch.NewRunEnded(f.Server(), f.Epoch(), t.ID(), t.Attempt(),
-				platform.NewAnswer(t.ID(), t.Attempt(), true, 0, xxhash.Sum64(nil), nil)))
+				provider.NewAnswer(t.ID(), t.Attempt(), true, 0, xxhash.Sum64(nil), nil)))
 		}
 		delete(c.ends, c.ticks())
 		for j := range calls {
@@ -247,7 +247,7 @@
 	for i := range c.size.teams {
 		if len(p.running) < c.size.teams || (c.size.calls+c.size.jobs > 0 && i%4 == c.round%4) {
 			n := 1 + (i+c.round)%7
-			p.running[teamName(i)] = platform.NewShape(4*n, n*8<<10, 0, n)
+			p.running[teamName(i)] = provider.NewShape(4*n, n*8<<10, 0, n)
 		}
 	}
 	for i := range c.size.pools {
@@ -322,9 +322,9 @@
 			c.run(f)
 		case dispatch.Acquire:
 			c.count("acquire", 60, 60)
-			o := platform.AcquireOutcome(platform.NewHeld("entry-5", standin.LeaseDuration))
+			o := provider.AcquireOutcome(provider.NewHeld("entry-5", standin.LeaseDuration))
 			if !c.filled && c.round < 3 {
-				o = platform.NewGranted(uint64(now.UnixMilli())<<20, standin.LeaseDuration, nil)
+				o = provider.NewGranted(uint64(now.UnixMilli())<<20, standin.LeaseDuration, nil)
 			}
 			c.events = append(c.events, dispatch.NewAcquireEnded(f.Server(), now, o))
 		case dispatch.Report:
@@ -369,9 +369,9 @@
 	t := f.Task()
 	c.count("run", 250, 150)
 	if c.running[f.Server()] == nil {
-		c.running[f.Server()] = make(map[string]platform.TaskStatus)
+		c.running[f.Server()] = make(map[string]provider.TaskStatus)
 	}
-	status := platform.NewTaskStatus(t, false)
+	status := provider.NewTaskStatus(t, false)
 	c.running[f.Server()][t.ID()], c.runs[t.ID()] = status, f
 	d := jobTime
 	if t.Entry()[:4] == "call" {
@@ -382,13 +382,13 @@
 }
 
 func (c *controlRig) report(f dispatch.Report) {
-	var tasks []platform.TaskStatus
+	var tasks []provider.TaskStatus
 	for _, t := range c.running[f.Server()] {
 		tasks = append(tasks, t)
 	}
 	c.count("report", 30, reportBytes(tasks))
 	c.events = append(c.events, dispatch.NewReportEnded(
-		f.Server(), f.Epoch(), c.clock.Now(), platform.NewReport(platform.Shape{}, tasks)))
+		f.Server(), f.Epoch(), c.clock.Now(), provider.NewReport(provider.Shape{}, tasks)))
 }
 
 func (c *controlRig) beat(f dispatch.Heartbeat) {
@@ -425,13 +425,13 @@
 }
 
 // shapeJSON, listBytes and reportBytes follow the wire types of package remote.
-func shapeJSON(s platform.Shape) map[string]int {
+func shapeJSON(s provider.Shape) map[string]int {
 	return map[string]int{
 		"processors": s.Processors(), "memory-mib": s.MemoryMiB(), "accelerators": s.Accelerators(), "slots": s.Slots(),
 	}
 }
 
-func listBytes(vms []platform.VM) float64 {
+func listBytes(vms []provider.VM) float64 {
 	var all []any
 	for _, v := range vms {
 		all = append(all, map[string]any{
@@ -442,7 +442,7 @@
 	return jsonBytes(map[string]any{"vms": all})
 }
 
-func reportBytes(tasks []platform.TaskStatus) float64 {
+func reportBytes(tasks []provider.TaskStatus) float64 {
 	var all []any
 	for _, t := range tasks {
 		all = append(all, map[string]any{
@@ -450,10 +450,10 @@
 			"holder": selfID,
 		})
 	}
-	return jsonBytes(map[string]any{"outcome": "report", "usage": shapeJSON(platform.Shape{}), "tasks": all})
+	return jsonBytes(map[string]any{"outcome": "report", "usage": shapeJSON(provider.Shape{}), "tasks": all})
 }
 
-func transactionBytes(t platform.Transaction) float64 {
+func transactionBytes(t provider.Transaction) float64 {
 	n := 40.0
 	for _, c := range t.Conditions() {
 		n += float64(len(c.Key())) + 30
@@ -464,8 +464,8 @@
 	return n
 }
 
-func rowsBytes(o platform.ScanOutcome) float64 {
-	rows, ok := o.(platform.Rows)
+func rowsBytes(o provider.ScanOutcome) float64 {
+	rows, ok := o.(provider.Rows)
 	if !ok {
 		return 0
 	}
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -5,7 +5,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Effect is something to be done outside the control state: one of the types of this file.
@@ -15,7 +15,7 @@
 type Run struct {
 	server   string
 	epoch    uint64
-	task     platform.Task
+	task     provider.Task
 	delay    time.Duration
 	deadline time.Time
 }
@@ -27,7 +27,7 @@
 func (r Run) Epoch() uint64 { return r.epoch }
 
 // Task returns the task.
-func (r Run) Task() platform.Task { return r.task }
+func (r Run) Task() provider.Task { return r.task }
 
 // Delay returns how long to wait before the request is sent.
 func (r Run) Delay() time.Duration { return r.delay }
@@ -61,7 +61,7 @@
 	epoch   uint64
 	id      string
 	attempt int
-	signal  platform.Signal
+	signal  provider.Signal
 }
 
 // Server returns the id of the backend server.
@@ -77,7 +77,7 @@
 func (s Signal) Attempt() int { return s.attempt }
 
 // Signal returns the signal.
-func (s Signal) Signal() platform.Signal { return s.signal }
+func (s Signal) Signal() provider.Signal { return s.signal }
 
 // Acquire asks a backend server for its lease. AcquireEnded follows.
 type Acquire struct{ server string }
@@ -123,7 +123,7 @@
 // Commit hands a transaction to the group commit. CommitEnded follows.
 type Commit struct {
 	ticket      uint64
-	transaction platform.Transaction
+	transaction provider.Transaction
 	urgency     Urgency
 	deadline    time.Time
 }
@@ -132,7 +132,7 @@
 func (c Commit) Ticket() uint64 { return c.ticket }
 
 // Transaction returns the transaction.
-func (c Commit) Transaction() platform.Transaction { return c.transaction }
+func (c Commit) Transaction() provider.Transaction { return c.transaction }
 
 // Urgency returns its place in the queue of the group commit.
 func (c Commit) Urgency() Urgency { return c.urgency }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -5,7 +5,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Event is something that happened: one of the types of this file.
@@ -39,11 +39,11 @@
 	epoch   uint64
 	id      string
 	attempt int
-	outcome platform.RunOutcome
+	outcome provider.RunOutcome
 }
 
 // NewRunEnded returns a RunEnded event.
-func NewRunEnded(server string, epoch uint64, id string, attempt int, o platform.RunOutcome) RunEnded {
+func NewRunEnded(server string, epoch uint64, id string, attempt int, o provider.RunOutcome) RunEnded {
 	return RunEnded{server: server, epoch: epoch, id: id, attempt: attempt, outcome: o}
 }
 
@@ -53,11 +53,11 @@
 	epoch   uint64
 	id      string
 	attempt int
-	outcome platform.CloseOutcome
+	outcome provider.CloseOutcome
 }
 
 // NewCloseEnded returns a CloseEnded event.
-func NewCloseEnded(server string, epoch uint64, id string, attempt int, o platform.CloseOutcome) CloseEnded {
+func NewCloseEnded(server string, epoch uint64, id string, attempt int, o provider.CloseOutcome) CloseEnded {
 	return CloseEnded{server: server, epoch: epoch, id: id, attempt: attempt, outcome: o}
 }
 
@@ -66,11 +66,11 @@
 	server  string
 	id      string
 	attempt int
-	outcome platform.SignalOutcome
+	outcome provider.SignalOutcome
 }
 
 // NewSignalEnded returns a SignalEnded event.
-func NewSignalEnded(server, id string, attempt int, o platform.SignalOutcome) SignalEnded {
+func NewSignalEnded(server, id string, attempt int, o provider.SignalOutcome) SignalEnded {
 	return SignalEnded{server: server, id: id, attempt: attempt, outcome: o}
 }
 
@@ -78,11 +78,11 @@
 type AcquireEnded struct {
 	server  string
 	sent    time.Time
-	outcome platform.AcquireOutcome
+	outcome provider.AcquireOutcome
 }
 
 // NewAcquireEnded returns an AcquireEnded event. Sent is the time right before the request was sent.
-func NewAcquireEnded(server string, sent time.Time, o platform.AcquireOutcome) AcquireEnded {
+func NewAcquireEnded(server string, sent time.Time, o provider.AcquireOutcome) AcquireEnded {
 	return AcquireEnded{server: server, sent: sent, outcome: o}
 }
 
@@ -91,11 +91,11 @@
 	server  string
 	epoch   uint64
 	sent    time.Time
-	outcome platform.ReportOutcome
+	outcome provider.ReportOutcome
 }
 
 // NewReportEnded returns a ReportEnded event. Sent is the time right before the request was sent.
-func NewReportEnded(server string, epoch uint64, sent time.Time, o platform.ReportOutcome) ReportEnded {
+func NewReportEnded(server string, epoch uint64, sent time.Time, o provider.ReportOutcome) ReportEnded {
 	return ReportEnded{server: server, epoch: epoch, sent: sent, outcome: o}
 }
 
@@ -103,22 +103,22 @@
 type ReleaseEnded struct {
 	server  string
 	epoch   uint64
-	outcome platform.ReleaseOutcome
+	outcome provider.ReleaseOutcome
 }
 
 // NewReleaseEnded returns a ReleaseEnded event.
-func NewReleaseEnded(server string, epoch uint64, o platform.ReleaseOutcome) ReleaseEnded {
+func NewReleaseEnded(server string, epoch uint64, o provider.ReleaseOutcome) ReleaseEnded {
 	return ReleaseEnded{server: server, epoch: epoch, outcome: o}
 }
 
 // CommitEnded says that a Commit effect came back.
 type CommitEnded struct {
 	ticket  uint64
-	outcome platform.CommitOutcome
+	outcome provider.CommitOutcome
 }
 
 // NewCommitEnded returns a CommitEnded event.
-func NewCommitEnded(ticket uint64, o platform.CommitOutcome) CommitEnded {
+func NewCommitEnded(ticket uint64, o provider.CommitOutcome) CommitEnded {
 	return CommitEnded{ticket: ticket, outcome: o}
 }
 
@@ -127,41 +127,41 @@
 	ticket  uint64
 	prefix  string
 	sent    time.Time
-	outcome platform.ScanOutcome
+	outcome provider.ScanOutcome
 }
 
 // NewScanEnded returns a ScanEnded event. Sent is the time right before the request was sent.
-func NewScanEnded(ticket uint64, prefix string, sent time.Time, o platform.ScanOutcome) ScanEnded {
+func NewScanEnded(ticket uint64, prefix string, sent time.Time, o provider.ScanOutcome) ScanEnded {
 	return ScanEnded{ticket: ticket, prefix: prefix, sent: sent, outcome: o}
 }
 
 // PutEnded says that a Put effect came back.
 type PutEnded struct {
 	ticket  uint64
-	outcome platform.PutOutcome
+	outcome provider.PutOutcome
 }
 
 // NewPutEnded returns a PutEnded event.
-func NewPutEnded(ticket uint64, o platform.PutOutcome) PutEnded {
+func NewPutEnded(ticket uint64, o provider.PutOutcome) PutEnded {
 	return PutEnded{ticket: ticket, outcome: o}
 }
 
 // GetEnded says that a Get effect came back.
 type GetEnded struct {
 	ticket  uint64
-	outcome platform.GetOutcome
+	outcome provider.GetOutcome
 }
 
 // NewGetEnded returns a GetEnded event.
-func NewGetEnded(ticket uint64, o platform.GetOutcome) GetEnded {
+func NewGetEnded(ticket uint64, o provider.GetOutcome) GetEnded {
 	return GetEnded{ticket: ticket, outcome: o}
 }
 
 // Listed says that a List effect came back.
-type Listed struct{ outcome platform.ListOutcome }
+type Listed struct{ outcome provider.ListOutcome }
 
 // NewListed returns a Listed event.
-func NewListed(o platform.ListOutcome) Listed { return Listed{outcome: o} }
+func NewListed(o provider.ListOutcome) Listed { return Listed{outcome: o} }
 
 // HeartbeatEnded says that a heartbeat to another entry VM was answered or failed.
 type HeartbeatEnded struct {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // storeJob writes the row of a new job. The job is accepted once the row is in the table.
@@ -14,20 +14,20 @@
 		Entry: r.entry, Team: r.team, Key: r.key, Hash: payloadHash(r.payload), Submitted: s.now.UnixMilli(),
 		Holder: s.holderFor(w), State: jobWaiting, Attempt: 1,
 	}
-	t := platform.NewTransaction(
-		[]platform.Condition{platform.NewCondition(JobKey(r.id), 0), platform.NewCondition(DoneKey(r.id), 0)},
-		[]platform.Write{platform.NewPut(JobKey(r.id), f.encode()), platform.NewPut(inputKey(r.id), r.payload)},
+	t := provider.NewTransaction(
+		[]provider.Condition{provider.NewCondition(JobKey(r.id), 0), provider.NewCondition(DoneKey(r.id), 0)},
+		[]provider.Write{provider.NewPut(JobKey(r.id), f.encode()), provider.NewPut(inputKey(r.id), r.payload)},
 	)
 	deadline := s.now.Add(submitTimeout)
 	if !r.deadline.IsZero() && r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
-	s.commit(t, UrgencyLow, deadline, func(o platform.CommitOutcome) { s.jobStored(w, f, o) })
+	s.commit(t, UrgencyLow, deadline, func(o provider.CommitOutcome) { s.jobStored(w, f, o) })
 }
 
-func (s *State) jobStored(w *work, f jobFields, o platform.CommitOutcome) {
+func (s *State) jobStored(w *work, f jobFields, o provider.CommitOutcome) {
 	switch o := o.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		s.count("jobs_accepted")
 		s.reply(w.ticket, NewAccepted(w.id()))
 		// The deadline was that of the submission. It must not end the waits for the answers of the job's attempts.
@@ -38,17 +38,17 @@
 			return
 		}
 		s.enqueueHere(w)
-	case platform.Conflict:
+	case provider.Conflict:
 		s.jobExists(w, o.Row())
-	case platform.Unavailable:
+	case provider.Unavailable:
 		s.finishRefused(w, NewNotRun(CodeStoreUnavailable, "the job could not be stored", retryAfterBusy))
-	case platform.Unknown:
+	case provider.Unknown:
 		s.finishUnresolved(w, CodeStoreUnavailable, "whether the job was stored isn't known yet")
 	}
 }
 
 // jobExists answers a repeated submission. The same job is accepted again, another one under the same id isn't.
-func (s *State) jobExists(w *work, row platform.Row) {
+func (s *State) jobExists(w *work, row provider.Row) {
 	s.forget(w)
 	var same struct {
 		Entry string `json:"entry"`
@@ -161,11 +161,11 @@
 		return
 	}
 	name := outputPrefix + w.id()
-	s.put(name, result.output, func(o platform.PutOutcome) {
+	s.put(name, result.output, func(o provider.PutOutcome) {
 		if s.works[w.id()] != w {
 			return
 		}
-		if _, ok := o.(platform.Stored); !ok {
+		if _, ok := o.(provider.Stored); !ok {
 			s.later(w, recordRetryDelay, func() { s.recordJob(w, result) })
 			return
 		}
@@ -187,20 +187,20 @@
 	if object == "" {
 		f.Output = result.output
 	}
-	t := platform.NewTransaction(
-		[]platform.Condition{platform.NewCondition(JobKey(w.id()), row.version)},
-		[]platform.Write{
-			platform.NewDelete(JobKey(w.id())), platform.NewDelete(inputKey(w.id())),
-			platform.NewPut(DoneKey(w.id()), f.encode()),
+	t := provider.NewTransaction(
+		[]provider.Condition{provider.NewCondition(JobKey(w.id()), row.version)},
+		[]provider.Write{
+			provider.NewDelete(JobKey(w.id())), provider.NewDelete(inputKey(w.id())),
+			provider.NewPut(DoneKey(w.id()), f.encode()),
 		},
 	)
 	row.busy = true
-	s.commit(t, UrgencyLow, zeroTime, func(o platform.CommitOutcome) {
+	s.commit(t, UrgencyLow, zeroTime, func(o provider.CommitOutcome) {
 		s.jobRecorded(w, result, o)
 	})
 }
 
-func (s *State) jobRecorded(w *work, result jobResult, o platform.CommitOutcome) {
+func (s *State) jobRecorded(w *work, result jobResult, o provider.CommitOutcome) {
 	if row, ok := s.jobs[w.id()]; ok {
 		row.busy = false
 	}
@@ -208,11 +208,11 @@
 		return
 	}
 	switch o.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		s.count("jobs_finished")
 		delete(s.jobs, w.id())
 		s.forget(w)
-	case platform.Conflict:
+	case provider.Conflict:
 		s.count("jobs_taken_over")
 		s.forget(w)
 	default:
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -52,11 +52,11 @@
 	}
 }
 
-func (s *State) membersListed(vms []platform.VM) {
+func (s *State) membersListed(vms []provider.VM) {
 	s.members(membership.NewListed(vms))
 	present := make(map[string]bool, len(vms))
 	for _, v := range vms {
-		if v.Role() == platform.RoleEntry {
+		if v.Role() == provider.RoleEntry {
 			present[v.ID()] = true
 		}
 	}
@@ -74,8 +74,8 @@
 	if err != nil {
 		panic(err) // a struct of strings and numbers always encodes
 	}
-	t := platform.NewTransaction(nil, []platform.Write{platform.NewPut(memberPrefix+s.Self, data)})
-	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(platform.CommitOutcome) { s.reads.configDue = s.now })
+	t := provider.NewTransaction(nil, []provider.Write{provider.NewPut(memberPrefix+s.Self, data)})
+	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(provider.CommitOutcome) { s.reads.configDue = s.now })
 }
 
 func (s *State) deleteMemberRow(id string) {
@@ -83,11 +83,11 @@
 	if !ok {
 		return
 	}
-	t := platform.NewTransaction(
-		[]platform.Condition{platform.NewCondition(memberPrefix+id, version)},
-		[]platform.Write{platform.NewDelete(memberPrefix + id)},
+	t := provider.NewTransaction(
+		[]provider.Condition{provider.NewCondition(memberPrefix+id, version)},
+		[]provider.Write{provider.NewDelete(memberPrefix + id)},
 	)
-	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(platform.CommitOutcome) { s.reads.configDue = s.now })
+	s.commit(t, UrgencyHigh, s.now.Add(changeTimeout), func(provider.CommitOutcome) { s.reads.configDue = s.now })
 }
 
 // isLive reports whether an entry VM is live as seen from here.
@@ -107,7 +107,7 @@
 // digest describes this entry VM to its peers.
 func (s *State) digest() peer.Digest {
 	free := make(map[string]int)
-	running := make(map[string]platform.Shape)
+	running := make(map[string]provider.Shape)
 	wanted := make(map[string]int)
 	startable := s.startable()
 	uncovered := 0
@@ -118,7 +118,7 @@
 		}
 	}
 	for _, team := range s.Ledger.Teams() {
-		if shape := s.running[team]; shape != (platform.Shape{}) {
+		if shape := s.running[team]; shape != (provider.Shape{}) {
 			running[team] = shape
 		}
 		if n := startable[team]; n > 0 {
@@ -185,7 +185,7 @@
 		}
 	}
 	for _, t := range s.config.Catalogue().Teams() {
-		var sum platform.Shape
+		var sum provider.Shape
 		for _, d := range digests {
 			sum = sum.Plus(d.Running(t.Name()))
 		}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/dispatch"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 )
 
 const (
--- a/dispatch/reads.go
+++ b/dispatch/reads.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/freshness"
 	"github.com/pistachiolead/pistachiolead/membership"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/quota"
 )
 
@@ -55,7 +55,7 @@
 // before the configuration was read isn't missed.
 func (s *State) readConfig() {
 	s.scan(configPrefix, s.reads.configSince, func(e ScanEnded) {
-		rows, ok := e.outcome.(platform.Rows)
+		rows, ok := e.outcome.(provider.Rows)
 		if !ok {
 			s.configReadFailed()
 			return
@@ -80,7 +80,7 @@
 
 func (s *State) readMembers(sent time.Time) {
 	s.scan(memberPrefix, s.reads.memberSince, func(e ScanEnded) {
-		rows, ok := e.outcome.(platform.Rows)
+		rows, ok := e.outcome.(provider.Rows)
 		if !ok {
 			s.configReadFailed()
 			return
@@ -109,7 +109,7 @@
 
 func (s *State) slicesRead(e ScanEnded) {
 	s.reads.sliceBusy, s.reads.sliceDue = false, s.now.Add(sliceInterval)
-	rows, ok := e.outcome.(platform.Rows)
+	rows, ok := e.outcome.(provider.Rows)
 	if !ok {
 		return
 	}
@@ -121,7 +121,7 @@
 	s.planSlices()
 }
 
-func (s *State) setSlices(team string, row platform.Row) {
+func (s *State) setSlices(team string, row provider.Row) {
 	sl, err := quota.DecodeSlices(row.Value())
 	if err != nil {
 		s.count("slice_row_invalid")
@@ -132,7 +132,7 @@
 
 func (s *State) jobsRead(e ScanEnded) {
 	s.reads.jobBusy, s.reads.jobDue = false, s.now.Add(jobInterval)
-	rows, ok := e.outcome.(platform.Rows)
+	rows, ok := e.outcome.(provider.Rows)
 	if !ok {
 		return
 	}
@@ -141,7 +141,7 @@
 }
 
 // applyRows takes over configuration rows that were read, committed or pushed. It reports false if they can't be read.
-func (s *State) applyRows(rows []platform.Row) bool {
+func (s *State) applyRows(rows []provider.Row) bool {
 	next, err := s.config.With(rows)
 	if err != nil {
 		s.count("configuration_rows_invalid")
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/dispatch"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const (
@@ -29,7 +29,7 @@
 type start struct {
 	at, decided  time.Time
 	node, server string
-	task         platform.Task
+	task         provider.Task
 	config       *catalogue.Configuration
 }
 
@@ -93,8 +93,8 @@
 }
 
 // committed looks at the configuration that the table has accepted.
-func (c *record) committed(t platform.Transaction, o platform.CommitOutcome) {
-	if _, ok := o.(platform.Committed); !ok {
+func (c *record) committed(t provider.Transaction, o provider.CommitOutcome) {
+	if _, ok := o.(provider.Committed); !ok {
 		return
 	}
 	for _, w := range t.Writes() {
@@ -106,7 +106,7 @@
 }
 
 func (c *record) accepted() {
-	rows := c.rig.platform.Table.Scan(context.Background(), catalogue.Prefix, 0).(platform.Rows)
+	rows := c.rig.platform.Table.Scan(context.Background(), catalogue.Prefix, 0).(provider.Rows)
 	next, err := c.truth.With(rows.Rows())
 	if err != nil {
 		c.violate("R11", "the accepted configuration is invalid: %v", err)
@@ -317,7 +317,7 @@
 		}
 		c.note("%s, commits %d", text, n.committer.Pending())
 	}
-	rows := c.rig.platform.Table.Scan(context.Background(), "slice/", 0).(platform.Rows)
+	rows := c.rig.platform.Table.Scan(context.Background(), "slice/", 0).(provider.Rows)
 	for _, row := range rows.Rows() {
 		c.note("%s: %s", row.Key(), row.Value())
 	}
@@ -334,7 +334,7 @@
 			open = append(open, fmt.Sprintf("submission %s at %s has no reply", s.request.ID(), s.node))
 		}
 	}
-	jobs := c.rig.platform.Table.Scan(context.Background(), "job/", 0).(platform.Rows)
+	jobs := c.rig.platform.Table.Scan(context.Background(), "job/", 0).(provider.Rows)
 	for _, row := range jobs.Rows() {
 		if !row.Deleted() {
 			open = append(open, fmt.Sprintf("job %s is %s", row.Key(), row.Value()))
@@ -394,7 +394,7 @@
 
 // jobOutcome returns the stored outcome of a job, nil if it hasn't ended.
 func (c *record) jobOutcome(id string) dispatch.Outcome {
-	rows := c.rig.platform.Table.Scan(context.Background(), dispatch.DoneKey(id), 0).(platform.Rows)
+	rows := c.rig.platform.Table.Scan(context.Background(), dispatch.DoneKey(id), 0).(provider.Rows)
 	for _, row := range rows.Rows() {
 		if row.Key() != dispatch.DoneKey(id) {
 			continue
@@ -407,7 +407,7 @@
 		if j.Object() == "" {
 			return j.Outcome()
 		}
-		o, ok := c.rig.platform.Objects.Get(context.Background(), j.Object()).(platform.Object)
+		o, ok := c.rig.platform.Objects.Get(context.Background(), j.Object()).(provider.Object)
 		if !ok {
 			c.violate("R6", "the output of job %s is missing", id)
 			return j.Outcome()
@@ -438,11 +438,11 @@
 }
 
 func (c *record) hasRow(key string) bool {
-	rows := c.rig.platform.Table.Scan(context.Background(), key, 0).(platform.Rows)
-	return slices.ContainsFunc(rows.Rows(), func(row platform.Row) bool { return row.Key() == key })
+	rows := c.rig.platform.Table.Scan(context.Background(), key, 0).(provider.Rows)
+	return slices.ContainsFunc(rows.Rows(), func(row provider.Row) bool { return row.Key() == key })
 }
 
-func isClaim(t platform.Transaction) bool {
+func isClaim(t provider.Transaction) bool {
 	for _, w := range t.Writes() {
 		if strings.HasPrefix(w.Key(), "claim/") {
 			return true
--- a/dispatch/resolve.go
+++ b/dispatch/resolve.go
@@ -5,7 +5,7 @@
 
 	"github.com/pistachiolead/pistachiolead/claim"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // resolveClaim finds out about the attempt of a request that is repeated: the owner of its backend server closes the
@@ -18,7 +18,7 @@
 		s.askOwner(w)
 		return
 	}
-	if !platform.SameProcess(c.Epoch(), epoch) {
+	if !provider.SameProcess(c.Epoch(), epoch) {
 		// The process that may have run the attempt has ended, and its successor doesn't know of it.
 		s.finishUnresolved(w, CodeLostContact, "the backend server was restarted while the request may have run")
 		return
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // runEnded handles the end of a Run. The attempt's slot is freed only when the attempt has provably ended.
@@ -14,7 +14,7 @@
 		w = nil
 	}
 	switch o := e.outcome.(type) {
-	case platform.Answer:
+	case provider.Answer:
 		if !whole(o, e.id, e.attempt) {
 			s.count("answers_dropped")
 			s.runUnknown(k, w)
@@ -23,20 +23,20 @@
 		entry := s.entryOf(w, k)
 		s.end(k)
 		s.answered(w, entry, k, o)
-	case platform.Refused, platform.StaleEpoch, platform.Unavailable:
+	case provider.Refused, provider.StaleEpoch, provider.Unavailable:
 		s.runNotStarted(k, w, e.outcome)
-	case platform.Unknown:
+	case provider.Unknown:
 		s.runUnknown(k, w)
 	}
 }
 
 // whole reports whether an answer is complete and belongs to the attempt.
-func whole(a platform.Answer, id string, attempt int) bool {
+func whole(a provider.Answer, id string, attempt int) bool {
 	return a.ID() == id && a.Attempt() == attempt && a.Length() == len(a.Output()) &&
 		a.Checksum() == xxhash.Sum64(a.Output())
 }
 
-func (s *State) answered(w *work, entry string, k runKey, a platform.Answer) {
+func (s *State) answered(w *work, entry string, k runKey, a provider.Answer) {
 	if w == nil {
 		s.recordOrphan(k, a)
 	}
@@ -88,7 +88,7 @@
 }
 
 // settle hands the answer to whoever waits for it and records it where that is owed.
-func (s *State) settle(w *work, a platform.Answer) {
+func (s *State) settle(w *work, a provider.Answer) {
 	if !w.isCall() {
 		s.recordJob(w, jobResult{state: doneAnswered, ok: a.OK(), output: a.Output()})
 		return
@@ -101,7 +101,7 @@
 
 // runNotStarted handles a Run that the backend server certainly didn't start. A joined attempt may still be running
 // there, so it is looked up again.
-func (s *State) runNotStarted(k runKey, w *work, o platform.RunOutcome) {
+func (s *State) runNotStarted(k runKey, w *work, o provider.RunOutcome) {
 	r, ok := s.runs[k]
 	if !ok || w == nil || w.resends > 0 || r.adopted {
 		s.runUnknown(k, w)
@@ -110,7 +110,7 @@
 	s.end(k)
 	s.count("runs_not_started")
 	w.started = w.ranBefore
-	if _, refused := o.(platform.Refused); refused && w.idempotent {
+	if _, refused := o.(provider.Refused); refused && w.idempotent {
 		w.attempt++ // an attempt that is closed there would be refused again
 	}
 	s.requeue(w)
@@ -151,7 +151,7 @@
 // mayJoin reports whether the attempt can be sent again. A backend server process that was started since doesn't know
 // the attempt and would start it a second time.
 func (s *State) mayJoin(w *work, epoch uint64) bool {
-	return w.idempotent || platform.SameProcess(w.sentEpoch, epoch)
+	return w.idempotent || provider.SameProcess(w.sentEpoch, epoch)
 }
 
 // abandonAttempt decides what happens to work whose attempt can't be followed any more.
@@ -223,7 +223,7 @@
 	if held && w.phase == phaseResolving && w.server == e.server && w.attempt == e.attempt && w.epoch == e.epoch {
 		s.resolved(w, e.outcome)
 	}
-	if a, ended := e.outcome.(platform.Answer); ended && !held {
+	if a, ended := e.outcome.(provider.Answer); ended && !held {
 		s.recordOrphan(k, a)
 	}
 	r, ok := s.runs[k]
@@ -235,10 +235,10 @@
 		return
 	}
 	switch e.outcome.(type) {
-	case platform.NeverStarted, platform.Answer:
+	case provider.NeverStarted, provider.Answer:
 		// A new server process doesn't know the attempt; those of the old one ended with it.
 		s.end(k)
-	case platform.StillRunning:
+	case provider.StillRunning:
 		s.stopRun(r)
 	}
 }
@@ -252,7 +252,7 @@
 	}
 	r.signalled = s.now
 	s.emit(Signal{
-		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: platform.SignalStop,
+		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: provider.SignalStop,
 	})
 }
 
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -15,8 +15,8 @@
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/queue"
 	"github.com/pistachiolead/pistachiolead/quota"
 	"github.com/pistachiolead/pistachiolead/retry"
@@ -115,12 +115,12 @@
 		answers: make(map[uint64]func(dispatch.Outcome)), greetings: make(map[uint64]func(dispatch.Greet)),
 	}
 	r.record = newRecord(r)
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, zone := range []string{"a", "b"} {
 		for i := range 3 {
 			id := fmt.Sprintf("backend-%s-%d", zone, i+1)
 			rack := fmt.Sprintf("rack-%s-%d", zone, i%2)
-			vms = append(vms, platform.NewVM(id, platform.RoleBackend, zone, rack, id, platform.NewShape(4, 4096, 0, 3), false))
+			vms = append(vms, provider.NewVM(id, provider.RoleBackend, zone, rack, id, provider.NewShape(4, 4096, 0, 3), false))
 		}
 	}
 	for i := range p.nodes {
@@ -132,15 +132,15 @@
 	r.platform.VMs.Lag = listLag
 	r.storeFirstConfiguration(vms)
 	for _, v := range vms {
-		if v.Role() == platform.RoleEntry {
+		if v.Role() == provider.RoleEntry {
 			r.start(v.ID(), v.Zone())
 		}
 	}
 	return r
 }
 
-func entryVM(id, zone string) platform.VM {
-	return platform.NewVM(id, platform.RoleEntry, zone, "rack-entry", id, platform.Shape{}, false)
+func entryVM(id, zone string) provider.VM {
+	return provider.NewVM(id, provider.RoleEntry, zone, "rack-entry", id, provider.Shape{}, false)
 }
 
 // start starts the process of an entry VM, with the parts that entry.VM gives it.
@@ -267,20 +267,20 @@
 }
 
 // storeFirstConfiguration fills the table as local.Initialize does.
-func (r *rig) storeFirstConfiguration(vms []platform.VM) {
+func (r *rig) storeFirstConfiguration(vms []provider.VM) {
 	config := catalogue.NewConfiguration()
-	step := func(t platform.Transaction, err error) {
+	step := func(t provider.Transaction, err error) {
 		if err != nil {
 			panic(err)
 		}
-		o := r.platform.Table.Commit(context.Background(), t).(platform.Committed)
+		o := r.platform.Table.Commit(context.Background(), t).(provider.Committed)
 		if config, err = config.With(dispatch.RowsOf(t, o.Version())); err != nil {
 			panic(err)
 		}
 	}
 	step(catalogue.ChangeCatalogue(config, testCatalogue(3, 2, false), "init", r.now()))
 	for i, v := range vms {
-		if v.Role() != platform.RoleBackend {
+		if v.Role() != provider.RoleBackend {
 			continue
 		}
 		pool := []string{"main", "main", "side"}[i%3]
@@ -310,7 +310,7 @@
 
 // testCatalogue returns the catalogue of the rig with the limits of both teams.
 func testCatalogue(red, blue int, open bool) *catalogue.Catalogue {
-	shape := platform.NewShape(1, 256, 0, 1)
+	shape := provider.NewShape(1, 256, 0, 1)
 	c, err := catalogue.New(
 		[]catalogue.Entry{
 			catalogue.NewEntry("proofs", "red", catalogue.ClassInteractive, "main", shape).WithIdempotent(true).WithOpen(true),
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -8,7 +8,7 @@
 
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // owners passes an event to the ownership decisions and maps their effects.
@@ -33,7 +33,7 @@
 }
 
 // gained takes a backend server into use together with the tasks that it runs already.
-func (s *State) gained(server string, tasks []platform.TaskStatus) {
+func (s *State) gained(server string, tasks []provider.TaskStatus) {
 	s.count("servers_gained")
 	s.setServer(server)
 	s.setCapacity()
@@ -44,7 +44,7 @@
 }
 
 // adopt counts a task that another entry VM, or this one under an earlier lease, started.
-func (s *State) adopt(server string, t platform.TaskStatus) {
+func (s *State) adopt(server string, t provider.TaskStatus) {
 	k := runKey{server: server, id: t.ID(), attempt: t.Attempt()}
 	if _, held := s.works[t.ID()]; !held {
 		epoch, _ := s.Owners.Epoch(server)
@@ -70,7 +70,7 @@
 }
 
 // fetchOrphan asks for the answer of a finished non-idempotent call that nobody here waits for.
-func (s *State) fetchOrphan(server string, t platform.TaskStatus) {
+func (s *State) fetchOrphan(server string, t provider.TaskStatus) {
 	entry, known := s.config.Catalogue().Entry(t.Entry())
 	_, isJob := s.jobs[t.ID()]
 	epoch, owned := s.Owners.Epoch(server)
@@ -141,7 +141,7 @@
 }
 
 // reported compares what a backend server runs with what is counted for it.
-func (s *State) reported(server string, report platform.Report) {
+func (s *State) reported(server string, report provider.Report) {
 	present := make(map[runKey]bool, len(report.Tasks()))
 	for _, t := range report.Tasks() {
 		k := runKey{server: server, id: t.ID(), attempt: t.Attempt()}
@@ -239,7 +239,7 @@
 
 // setCapacity tells the shares what this entry VM and the others place work on.
 func (s *State) setCapacity() {
-	var own, remote platform.Shape
+	var own, remote provider.Shape
 	for id, v := range s.vms {
 		if _, held := s.Owners.Epoch(id); held {
 			own = own.Plus(v.Shape())
@@ -263,7 +263,7 @@
 // listEnded takes over a new VM list.
 func (s *State) listEnded(e Listed) {
 	s.reads.listBusy = false
-	list, ok := e.outcome.(platform.VMs)
+	list, ok := e.outcome.(provider.VMs)
 	if !ok {
 		s.count("list_unavailable")
 		return
@@ -271,10 +271,10 @@
 	s.listed = true
 	s.neverFit = make(map[string]bool)
 	former := s.vms
-	s.vms = make(map[string]platform.VM)
-	var own []platform.VM
+	s.vms = make(map[string]provider.VM)
+	var own []provider.VM
 	for _, v := range list.VMs() {
-		if v.Role() != platform.RoleBackend {
+		if v.Role() != provider.RoleBackend {
 			continue
 		}
 		s.vms[v.ID()] = v
--- a/dispatch/slices.go
+++ b/dispatch/slices.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/quota"
 )
 
@@ -70,26 +70,26 @@
 
 func (s *State) commitSlices(c quota.Change) {
 	key := slicePrefix + c.Team()
-	conditions := []platform.Condition{platform.NewCondition(key, c.Version())}
+	conditions := []provider.Condition{provider.NewCondition(key, c.Version())}
 	if c.Grows() {
 		// A holder with an old configuration must not grow beyond a limit that was lowered.
-		conditions = append(conditions, platform.NewCondition(versionKey, s.config.RowVersion(versionKey)))
+		conditions = append(conditions, provider.NewCondition(versionKey, s.config.RowVersion(versionKey)))
 	}
-	t := platform.NewTransaction(conditions, []platform.Write{platform.NewPut(key, c.Slices().Encode())})
+	t := provider.NewTransaction(conditions, []provider.Write{provider.NewPut(key, c.Slices().Encode())})
 	// Without a deadline the group commit always finds out whether the change was applied. With one the outcome can be
 	// unknown, and the change would stay under way until another entry VM changes the row.
-	s.commit(t, UrgencyHigh, zeroTime, func(o platform.CommitOutcome) {
+	s.commit(t, UrgencyHigh, zeroTime, func(o provider.CommitOutcome) {
 		switch o := o.(type) {
-		case platform.Committed:
+		case provider.Committed:
 			s.count("slices_changed")
 			s.Ledger.Applied(c, o.Version())
-		case platform.Conflict:
+		case provider.Conflict:
 			s.Ledger.Failed(c)
 			if o.Row().Key() == key && !o.Row().Deleted() && o.Row().Version() > 0 {
 				s.setSlices(c.Team(), o.Row())
 			}
 			s.reads.sliceDue, s.reads.planDue = s.now, s.now
-		case platform.Unavailable:
+		case provider.Unavailable:
 			s.Ledger.Failed(c)
 		}
 	})
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -120,7 +120,7 @@
 func (s *State) send(w *work, again bool) {
 	r := Run{
 		server: w.server, epoch: w.epoch, deadline: w.request.deadline,
-		task: platform.NewTask(w.id(), w.attempt, w.request.entry, w.request.team, w.shape, w.request.payload),
+		task: provider.NewTask(w.id(), w.attempt, w.request.entry, w.request.team, w.shape, w.request.payload),
 	}
 	if again {
 		r.delay = rejoinDelay
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -10,7 +10,7 @@
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 	"github.com/pistachiolead/pistachiolead/quota"
 	"github.com/pistachiolead/pistachiolead/retry"
@@ -43,7 +43,7 @@
 	effects []Effect
 
 	config *catalogue.Configuration
-	vms    map[string]platform.VM // backend servers of all zones, as last listed
+	vms    map[string]provider.VM // backend servers of all zones, as last listed
 	listed bool
 
 	neverFit map[string]bool // by entry, until the configuration or the VM list changes
@@ -51,7 +51,7 @@
 	works   map[string]*work          // by request id
 	onHold  map[string]*work          // calls kept for want of an owner of their pool, by request id
 	runs    map[runKey]*run           // attempts that may occupy a slot
-	running map[string]platform.Shape // by team, what runs occupy
+	running map[string]provider.Shape // by team, what runs occupy
 	jobs    map[string]*jobRow        // rows of unfinished jobs, by request id
 	due     dueHeap
 	// dueBound is the length of due at which ended requests are removed from it.
@@ -64,10 +64,10 @@
 	downSince map[string]time.Time // backend servers of the own zone that can't be reached
 
 	nextTicket uint64
-	commits    map[uint64]func(platform.CommitOutcome)
+	commits    map[uint64]func(provider.CommitOutcome)
 	scans      map[uint64]func(ScanEnded)
-	puts       map[uint64]func(platform.PutOutcome)
-	gets       map[uint64]func(platform.GetOutcome)
+	puts       map[uint64]func(provider.PutOutcome)
+	gets       map[uint64]func(provider.GetOutcome)
 
 	changes []changeWaiter
 	early   map[string]*earlyChange
@@ -86,11 +86,11 @@
 // Start initializes the state and returns the first effects.
 func (s *State) Start(now time.Time) []Effect {
 	s.config = catalogue.NewConfiguration()
-	s.vms = make(map[string]platform.VM)
+	s.vms = make(map[string]provider.VM)
 	s.works = make(map[string]*work)
 	s.runs = make(map[runKey]*run)
 	s.onHold = make(map[string]*work)
-	s.running = make(map[string]platform.Shape)
+	s.running = make(map[string]provider.Shape)
 	s.neverFit = make(map[string]bool)
 	s.entryVMs = make(map[string]bool)
 	s.goneSince = make(map[string]time.Time)
@@ -103,10 +103,10 @@
 	s.Ledger.Demand = s.demand
 	s.jobs = make(map[string]*jobRow)
 	s.peers = make(map[string]*peerState)
-	s.commits = make(map[uint64]func(platform.CommitOutcome))
+	s.commits = make(map[uint64]func(provider.CommitOutcome))
 	s.scans = make(map[uint64]func(ScanEnded))
-	s.puts = make(map[uint64]func(platform.PutOutcome))
-	s.gets = make(map[uint64]func(platform.GetOutcome))
+	s.puts = make(map[uint64]func(provider.PutOutcome))
+	s.gets = make(map[uint64]func(provider.GetOutcome))
 	s.early = make(map[string]*earlyChange)
 	s.reads.memberVersions = make(map[string]uint64)
 	return s.Handle(Tick{}, now)
@@ -209,7 +209,7 @@
 }
 
 func (s *State) commit(
-	t platform.Transaction, u Urgency, deadline time.Time, done func(platform.CommitOutcome),
+	t provider.Transaction, u Urgency, deadline time.Time, done func(provider.CommitOutcome),
 ) {
 	s.nextTicket++
 	s.commits[s.nextTicket] = done
@@ -240,7 +240,7 @@
 	done(e)
 }
 
-func (s *State) put(name string, data []byte, done func(platform.PutOutcome)) {
+func (s *State) put(name string, data []byte, done func(provider.PutOutcome)) {
 	s.nextTicket++
 	s.puts[s.nextTicket] = done
 	s.emit(Put{ticket: s.nextTicket, name: name, data: data})
@@ -255,7 +255,7 @@
 	done(e.outcome)
 }
 
-func (s *State) get(name string, done func(platform.GetOutcome)) {
+func (s *State) get(name string, done func(provider.GetOutcome)) {
 	s.nextTicket++
 	s.gets[s.nextTicket] = done
 	s.emit(Get{ticket: s.nextTicket, name: name})
--- a/dispatch/stopped_test.go
+++ b/dispatch/stopped_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/dispatch"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // A job that isn't idempotent is stopped on its backend server, and its entry VM is killed before it hears of that. The
@@ -19,8 +19,8 @@
 	n := r.nodes[s.node]
 	epoch, held := n.state.Owners.Epoch(s.server)
 	assert.Assert(t, held)
-	o := r.platform.Backends[s.server].Signal(context.Background(), epoch, "stopped", s.task.Attempt(), platform.SignalStop)
-	assert.Equal(t, o, platform.SignalOutcome(platform.Signalled{}))
+	o := r.platform.Backends[s.server].Signal(context.Background(), epoch, "stopped", s.task.Attempt(), provider.SignalStop)
+	assert.Equal(t, o, provider.SignalOutcome(provider.Signalled{}))
 	r.kill(n)
 	r.platform.VMs.Remove(n.id)
 
--- a/dispatch/urgent.go
+++ b/dispatch/urgent.go
@@ -6,7 +6,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -77,12 +77,12 @@
 		if !ok {
 			continue
 		}
-		if v.Signal() == platform.SignalThrottle {
+		if v.Signal() == provider.SignalThrottle {
 			s.Chooser.Throttled(plan.Server(), v.Key())
 		} else if !r.signalled.IsZero() {
 			continue
 		}
-		if v.Signal() != platform.SignalThrottle {
+		if v.Signal() != provider.SignalThrottle {
 			r.signalled = s.now
 		}
 		// Without traits the task isn't chosen again while it ends.
@@ -95,7 +95,7 @@
 // signalEnded notes that a signal didn't reach its task, so that it is sent again.
 func (s *State) signalEnded(e SignalEnded) {
 	switch e.outcome.(type) {
-	case platform.Signalled, platform.NotRunning:
+	case provider.Signalled, provider.NotRunning:
 		return
 	}
 	r, ok := s.runs[runKey{server: e.server, id: e.id, attempt: e.attempt}]
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -5,7 +5,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/claim"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // phase is where a request stands.
@@ -30,7 +30,7 @@
 	ticket  uint64
 	class   catalogue.Class
 	pool    string
-	shape   platform.Shape
+	shape   provider.Shape
 	// idempotent is false for work that must not run twice.
 	idempotent bool
 
@@ -84,7 +84,7 @@
 	key   runKey
 	team  string
 	entry string
-	shape platform.Shape
+	shape provider.Shape
 	// sent is when the Run was sent last.
 	sent time.Time
 	// adopted is set for a run that another entry VM started.
--- a/dispatch/zoneout.go
+++ b/dispatch/zoneout.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // drainZone moves jobs that can be checkpointed out of an availability zone that operators took out, once its drain
@@ -36,7 +36,7 @@
 	r.signalled = s.now
 	s.count("checkpoints")
 	s.emit(Signal{
-		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: platform.SignalCheckpoint,
+		server: r.key.server, epoch: epoch, id: r.key.id, attempt: r.key.attempt, signal: provider.SignalCheckpoint,
 	})
 }
 
--- a/entry/disconnected.go
+++ b/entry/disconnected.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const reasonNotListed = "the backend server isn't in the VM list"
@@ -11,34 +11,34 @@
 // disconnected stands for a backend server that the VM list doesn't have.
 type disconnected struct{}
 
-var _ platform.BackendServer = disconnected{}
+var _ provider.BackendServer = disconnected{}
 
-// Acquire implements platform.BackendServer.
-func (disconnected) Acquire(context.Context, string, string) platform.AcquireOutcome {
-	return platform.NewUnavailable(reasonNotListed)
+// Acquire implements provider.BackendServer.
+func (disconnected) Acquire(context.Context, string, string) provider.AcquireOutcome {
+	return provider.NewUnavailable(reasonNotListed)
 }
 
-// Release implements platform.BackendServer.
-func (disconnected) Release(context.Context, uint64) platform.ReleaseOutcome {
-	return platform.NewUnavailable(reasonNotListed)
+// Release implements provider.BackendServer.
+func (disconnected) Release(context.Context, uint64) provider.ReleaseOutcome {
+	return provider.NewUnavailable(reasonNotListed)
 }
 
-// Report implements platform.BackendServer.
-func (disconnected) Report(context.Context, uint64) platform.ReportOutcome {
-	return platform.NewUnavailable(reasonNotListed)
+// Report implements provider.BackendServer.
+func (disconnected) Report(context.Context, uint64) provider.ReportOutcome {
+	return provider.NewUnavailable(reasonNotListed)
 }
 
-// Run implements platform.BackendServer.
-func (disconnected) Run(context.Context, uint64, platform.Task) platform.RunOutcome {
-	return platform.NewUnavailable(reasonNotListed)
+// Run implements provider.BackendServer.
+func (disconnected) Run(context.Context, uint64, provider.Task) provider.RunOutcome {
+	return provider.NewUnavailable(reasonNotListed)
 }
 
-// Close implements platform.BackendServer.
-func (disconnected) Close(context.Context, uint64, string, int) platform.CloseOutcome {
-	return platform.NewUnavailable(reasonNotListed)
+// Close implements provider.BackendServer.
+func (disconnected) Close(context.Context, uint64, string, int) provider.CloseOutcome {
+	return provider.NewUnavailable(reasonNotListed)
 }
 
-// Signal implements platform.BackendServer.
-func (disconnected) Signal(context.Context, uint64, string, int, platform.Signal) platform.SignalOutcome {
-	return platform.NewUnavailable(reasonNotListed)
+// Signal implements provider.BackendServer.
+func (disconnected) Signal(context.Context, uint64, string, int, provider.Signal) provider.SignalOutcome {
+	return provider.NewUnavailable(reasonNotListed)
 }
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiolead/pistachiolead/commit"
 	"github.com/pistachiolead/pistachiolead/dispatch"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // carryOut does what the control state decided. It never blocks the control goroutine.
@@ -19,27 +19,27 @@
 		case dispatch.Run:
 			v.run(f)
 		case dispatch.Close:
-			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b provider.BackendServer) {
 				o := b.Close(ctx, f.Epoch(), f.ID(), f.Attempt())
 				v.mail.post(dispatch.NewCloseEnded(f.Server(), f.Epoch(), f.ID(), f.Attempt(), o))
 			})
 		case dispatch.Signal:
-			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b provider.BackendServer) {
 				o := b.Signal(ctx, f.Epoch(), f.ID(), f.Attempt(), f.Signal())
 				v.mail.post(dispatch.NewSignalEnded(f.Server(), f.ID(), f.Attempt(), o))
 			})
 		case dispatch.Acquire:
 			sent := v.Timer.Now()
-			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b provider.BackendServer) {
 				v.mail.post(dispatch.NewAcquireEnded(f.Server(), sent, b.Acquire(ctx, v.ID, v.Zone)))
 			})
 		case dispatch.Report:
 			sent := v.Timer.Now()
-			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b provider.BackendServer) {
 				v.mail.post(dispatch.NewReportEnded(f.Server(), f.Epoch(), sent, b.Report(ctx, f.Epoch())))
 			})
 		case dispatch.Release:
-			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b platform.BackendServer) {
+			v.onServer(f.Server(), controlTimeout, func(ctx context.Context, b provider.BackendServer) {
 				v.mail.post(dispatch.NewReleaseEnded(f.Server(), f.Epoch(), b.Release(ctx, f.Epoch())))
 			})
 		case dispatch.Commit:
@@ -87,7 +87,7 @@
 }
 
 // onServer runs fn with the client of a backend server.
-func (v *VM) onServer(id string, timeout time.Duration, fn func(ctx context.Context, b platform.BackendServer)) {
+func (v *VM) onServer(id string, timeout time.Duration, fn func(ctx context.Context, b provider.BackendServer)) {
 	b := v.backend(id)
 	v.async(timeout, func(ctx context.Context) { fn(ctx, b) })
 }
@@ -119,7 +119,7 @@
 	if !f.Deadline().IsZero() {
 		options = append(options, commit.NewDeadline(f.Deadline()))
 	}
-	v.committer.Submit(f.Transaction(), func(o platform.CommitOutcome) {
+	v.committer.Submit(f.Transaction(), func(o provider.CommitOutcome) {
 		v.mail.post(dispatch.NewCommitEnded(f.Ticket(), o))
 	}, options...)
 }
@@ -134,9 +134,9 @@
 // list reads the VM list and connects the backend servers in it.
 func (v *VM) list(ctx context.Context) {
 	o := v.List.List(ctx)
-	if vms, ok := o.(platform.VMs); ok {
+	if vms, ok := o.(provider.VMs); ok {
 		for _, m := range vms.VMs() {
-			if m.Role() != platform.RoleBackend {
+			if m.Role() != provider.RoleBackend {
 				continue
 			}
 			if s, ok := v.servers.Load(m.ID()); !ok || s.(server).address != m.Address() {
@@ -148,7 +148,7 @@
 }
 
 // backend returns the client of a backend server.
-func (v *VM) backend(id string) platform.BackendServer {
+func (v *VM) backend(id string) provider.BackendServer {
 	s, ok := v.servers.Load(id)
 	if !ok {
 		return disconnected{}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -10,7 +10,7 @@
 	"github.com/pistachiolead/pistachiolead/claim"
 	"github.com/pistachiolead/pistachiolead/dispatch"
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 var _ peer.Handler = (*VM)(nil)
@@ -82,7 +82,7 @@
 func (v *VM) readJob(ctx context.Context, id string) (job dispatch.JobStatus, found, readable bool) {
 	// The unfinished row is read first: a job that finishes in between is then found by the second read.
 	for _, key := range []string{dispatch.JobKey(id), dispatch.DoneKey(id)} {
-		rows, ok := v.table.Scan(ctx, key, 0).(platform.Rows)
+		rows, ok := v.table.Scan(ctx, key, 0).(provider.Rows)
 		if !ok {
 			return dispatch.JobStatus{}, false, false
 		}
@@ -103,7 +103,7 @@
 	if !ok || j.Object() == "" {
 		return j
 	}
-	object, ok := v.Objects.Get(ctx, j.Object()).(platform.Object)
+	object, ok := v.Objects.Get(ctx, j.Object()).(provider.Object)
 	if !ok {
 		return j.WithOutcome(dispatch.NewRejected(
 			dispatch.CodeStoreUnavailable, "the job has finished; its output can't be read now", time.Second))
@@ -167,7 +167,7 @@
 // and the third if the table couldn't be read.
 func (v *VM) Request(ctx context.Context, id string) (o dispatch.Outcome, found, readable bool) {
 	key := claim.RowKey(id)
-	rows, ok := v.table.Scan(ctx, key, 0).(platform.Rows)
+	rows, ok := v.table.Scan(ctx, key, 0).(provider.Rows)
 	if !ok {
 		return nil, false, false
 	}
@@ -189,7 +189,7 @@
 	if name == "" {
 		return o
 	}
-	object, ok := v.Objects.Get(ctx, name).(platform.Object)
+	object, ok := v.Objects.Get(ctx, name).(provider.Object)
 	if !ok {
 		return dispatch.NewRejected(
 			dispatch.CodeStoreUnavailable, "the request has run; its answer can't be read now", time.Second)
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -24,7 +24,7 @@
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/peer"
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 	"github.com/pistachiolead/pistachiolead/quota"
 	"github.com/pistachiolead/pistachiolead/retry"
@@ -40,11 +40,11 @@
 	// PeerSecret is shared by all entry VMs. It may be empty on loopback only.
 	PeerSecret string
 	// Table, Objects and List are the platform.
-	Table   platform.Table
-	Objects platform.ObjectStore
-	List    platform.VMList
+	Table   provider.Table
+	Objects provider.ObjectStore
+	List    provider.VMList
 	// Connect returns the client of a backend server.
-	Connect func(platform.VM) platform.BackendServer
+	Connect func(provider.VM) provider.BackendServer
 	// QueueBound is the largest number of waiting requests of one team.
 	QueueBound int
 	// Freshness and Guard are the durations of package freshness.
@@ -75,7 +75,7 @@
 // server is a backend server and the address that its client uses.
 type server struct {
 	address string
-	client  platform.BackendServer
+	client  provider.BackendServer
 }
 
 // Init prepares the VM for calls of its methods. Run calls it if it wasn't called before.
@@ -92,7 +92,7 @@
 	v.mail, v.tickets = newMailbox(), newTickets()
 	v.drained, v.ready = make(chan struct{}), make(chan struct{})
 	v.configuration.Store(catalogue.NewConfiguration())
-	v.table = &relayedTable{direct: v.Table, relays: make(map[string]platform.Table)}
+	v.table = &relayedTable{direct: v.Table, relays: make(map[string]provider.Table)}
 	v.committer = &commit.Committer{Table: v.table, Timer: v.Timer, Name: v.ID, Scope: v.Scope.SubScope("commit")}
 	v.control = v.newControl()
 }
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -8,16 +8,16 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/settings"
 )
 
 // Guards against example files that no longer load, that don't match each other, or that differ from R18, R19, R21 and
 // R22.
 func TestExamplesMatchRequirements(t *testing.T) {
-	shapes := map[string]platform.Shape{
-		"omotnica":  platform.NewShape(64, 256<<10, 0, 8),
-		"harmattan": platform.NewShape(32, 64<<10, 0, 8),
+	shapes := map[string]provider.Shape{
+		"omotnica":  provider.NewShape(64, 256<<10, 0, 8),
+		"harmattan": provider.NewShape(32, 64<<10, 0, 8),
 	}
 	for dir, shape := range shapes {
 		t.Run(dir, func(t *testing.T) {
@@ -39,12 +39,12 @@
 	}
 }
 
-func checkFleet(t *testing.T, c *catalogue.Catalogue, s *settings.Settings, p *settings.StandIn, shape platform.Shape) {
+func checkFleet(t *testing.T, c *catalogue.Catalogue, s *settings.Settings, p *settings.StandIn, shape provider.Shape) {
 	t.Helper()
 	entries, racks, pools := make(map[string]int), make(map[string]int), make(map[string]int)
 	listed := false
 	for _, v := range p.VMs() {
-		if v.Role() == platform.RoleEntry {
+		if v.Role() == provider.RoleEntry {
 			entries[v.Zone()]++
 			listed = listed || (v.ID() == s.Name() && v.Zone() == s.Zone() && v.Address() == s.PeerListen())
 			continue
--- a/local/callpath_bench_test.go
+++ b/local/callpath_bench_test.go
@@ -15,7 +15,7 @@
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/local"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -135,7 +135,7 @@
 	assert.NilError(b, err)
 	f := &local.Fleet{
 		Zones: []string{"a"}, EntryVMs: 1, BackendServers: 2 * servers, // every other one is in the spare pool
-		Catalogue: c, Shape: platform.NewShape(512/servers, 1<<20, 0, 512/servers),
+		Catalogue: c, Shape: provider.NewShape(512/servers, 1<<20, 0, 512/servers),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/local/cut_test.go
+++ b/local/cut_test.go
@@ -13,26 +13,26 @@
 	"github.com/pistachiolead/pistachiolead/api"
 	"github.com/pistachiolead/pistachiolead/dispatch"
 	"github.com/pistachiolead/pistachiolead/freshness"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
 // cuttable is the table as seen by entry VMs that can be cut off from it.
 type cuttable struct {
-	platform.Table
+	provider.Table
 	cut *atomic.Bool
 }
 
-func (c cuttable) Commit(ctx context.Context, t platform.Transaction) platform.CommitOutcome {
+func (c cuttable) Commit(ctx context.Context, t provider.Transaction) provider.CommitOutcome {
 	if c.cut.Load() {
-		return platform.NewUnavailable("cut off")
+		return provider.NewUnavailable("cut off")
 	}
 	return c.Table.Commit(ctx, t)
 }
 
-func (c cuttable) Scan(ctx context.Context, prefix string, since uint64) platform.ScanOutcome {
+func (c cuttable) Scan(ctx context.Context, prefix string, since uint64) provider.ScanOutcome {
 	if c.cut.Load() {
-		return platform.NewUnavailable("cut off")
+		return provider.NewUnavailable("cut off")
 	}
 	return c.Table.Scan(ctx, prefix, since)
 }
@@ -42,7 +42,7 @@
 func TestEntryVMCutOffFromTheTableGoesOnThroughPeers(t *testing.T) {
 	const alone = "entry-a-1"
 	var cut atomic.Bool
-	f := startFleetWith(t, func(id string, table platform.Table) platform.Table {
+	f := startFleetWith(t, func(id string, table provider.Table) provider.Table {
 		if id == alone {
 			return cuttable{Table: table, cut: &cut}
 		}
@@ -72,7 +72,7 @@
 // configuration fresh, idempotent calls run, and what needs the table is refused as not run.
 func TestTableDownForAll(t *testing.T) {
 	var cut atomic.Bool
-	f := startFleetWith(t, func(_ string, table platform.Table) platform.Table { return cuttable{Table: table, cut: &cut} })
+	f := startFleetWith(t, func(_ string, table provider.Table) provider.Table { return cuttable{Table: table, cut: &cut} })
 	admin := &api.Client{Key: f.AdminKey()}
 	for _, m := range f.Members() {
 		admin.Addresses = append(admin.Addresses, m.Address())
--- a/local/fleet.go
+++ b/local/fleet.go
@@ -19,8 +19,8 @@
 	"github.com/pistachiolead/pistachiolead/entry"
 	"github.com/pistachiolead/pistachiolead/freshness"
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -33,11 +33,11 @@
 	// Catalogue is the first catalogue.
 	Catalogue *catalogue.Catalogue
 	// Shape is the capacity of a backend server.
-	Shape platform.Shape
+	Shape provider.Shape
 	// Timer defaults to the system's.
 	Timer timer.Service
 	// WrapTable returns the table as one entry VM reaches it. It may be nil, which is the platform's table itself.
-	WrapTable func(id string, t platform.Table) platform.Table
+	WrapTable func(id string, t provider.Table) provider.Table
 	// NewMetrics returns the scope of an entry VM and the writer of its metrics. It may be nil.
 	NewMetrics func() (tally.Scope, func(io.Writer) error)
 
@@ -93,7 +93,7 @@
 	f.tasks, _ = group.New(running)
 	f.servers, _ = group.New(running)
 	for _, v := range vms {
-		if v.Role() == platform.RoleEntry {
+		if v.Role() == provider.RoleEntry {
 			f.startEntry(running, v, listeners[v.ID()])
 		}
 	}
@@ -125,9 +125,9 @@
 type listenerPair struct{ callers, peers net.Listener }
 
 // plan opens the listeners of the entry VMs and lists all VMs.
-func (f *Fleet) plan() (map[string]listenerPair, []platform.VM, error) {
+func (f *Fleet) plan() (map[string]listenerPair, []provider.VM, error) {
 	listeners := make(map[string]listenerPair)
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, zone := range f.Zones {
 		for i := range f.EntryVMs {
 			id := fmt.Sprintf("entry-%s-%d", zone, i+1)
@@ -136,14 +136,14 @@
 				return nil, nil, err
 			}
 			listeners[id] = pair
-			vms = append(vms, platform.NewVM(id, platform.RoleEntry, zone, zone+"-entry", pair.peers.Addr().String(),
-				platform.Shape{}, false))
+			vms = append(vms, provider.NewVM(id, provider.RoleEntry, zone, zone+"-entry", pair.peers.Addr().String(),
+				provider.Shape{}, false))
 			f.members = append(f.members, Member{id: id, zone: zone, address: pair.callers.Addr().String()})
 		}
 		for i := range f.BackendServers {
 			id := fmt.Sprintf("backend-%s-%02d", zone, i+1)
 			rack := fmt.Sprintf("%s-rack-%d", zone, i/serversPerRack+1)
-			vms = append(vms, platform.NewVM(id, platform.RoleBackend, zone, rack, id, f.Shape, false))
+			vms = append(vms, provider.NewVM(id, provider.RoleBackend, zone, rack, id, f.Shape, false))
 		}
 	}
 	return listeners, vms, nil
@@ -162,12 +162,12 @@
 }
 
 // initialize stores the first configuration: an administrator's key, the catalogue, and the pools of the VMs.
-func (f *Fleet) initialize(ctx context.Context, vms []platform.VM) error {
+func (f *Fleet) initialize(ctx context.Context, vms []provider.VM) error {
 	pools := make(map[string]string)
 	names := f.Catalogue.Pools()
 	i := 0
 	for _, v := range vms {
-		if v.Role() == platform.RoleBackend {
+		if v.Role() == provider.RoleBackend {
 			pools[v.ID()] = names[i%len(names)].Name()
 			i++
 		}
@@ -177,11 +177,11 @@
 	return err
 }
 
-func (f *Fleet) startEntry(ctx context.Context, listed platform.VM, pair listenerPair) {
+func (f *Fleet) startEntry(ctx context.Context, listed provider.VM, pair listenerPair) {
 	v := &entry.VM{
 		ID: listed.ID(), Zone: listed.Zone(), PeerListener: pair.peers, Timer: f.Timer,
 		Table: f.platform.Table, Objects: f.platform.Objects, List: f.platform.VMs,
-		Connect:   func(b platform.VM) platform.BackendServer { return f.platform.Backends[b.ID()] },
+		Connect:   func(b provider.VM) provider.BackendServer { return f.platform.Backends[b.ID()] },
 		Freshness: freshness.DefaultDuration, Guard: freshness.DefaultGuard,
 	}
 	server := &api.Server{VM: v, Listener: pair.callers, Random: rand.Reader}
@@ -200,19 +200,19 @@
 // Initialize stores the first configuration in an empty table: a key of an administrator, a catalogue and the pools of
 // VMs. It returns the secret of the key. The catalogue may be nil.
 func Initialize(
-	ctx context.Context, t platform.Table, c *catalogue.Catalogue, pools map[string]string, now time.Time,
+	ctx context.Context, t provider.Table, c *catalogue.Catalogue, pools map[string]string, now time.Time,
 ) (secret string, err error) {
 	key, secret, err := catalogue.NewKey("", catalogue.RoleAdmin, initAuthor, now, time.Time{}, rand.Reader)
 	if err != nil {
 		return "", err
 	}
 	config := catalogue.NewConfiguration()
-	step := func(tr platform.Transaction, err error) error {
+	step := func(tr provider.Transaction, err error) error {
 		if err != nil {
 			return err
 		}
 		o := t.Commit(ctx, tr)
-		committed, ok := o.(platform.Committed)
+		committed, ok := o.(provider.Committed)
 		if !ok {
 			return errors.Errorf("the first configuration can't be stored: %s", describe(o))
 		}
@@ -237,13 +237,13 @@
 	return secret, nil
 }
 
-func describe(o platform.CommitOutcome) string {
+func describe(o provider.CommitOutcome) string {
 	switch o := o.(type) {
-	case platform.Conflict:
+	case provider.Conflict:
 		return "the table has a configuration already: " + catalogue.ConflictError(o.Row()).Error()
-	case platform.Unavailable:
+	case provider.Unavailable:
 		return o.Reason()
-	case platform.Unknown:
+	case provider.Unknown:
 		return o.Reason()
 	default:
 		return "unexpected outcome"
--- a/local/fleet_test.go
+++ b/local/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/pistachiolead/pistachiolead/api"
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/local"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const document = `
@@ -56,12 +56,12 @@
 	return startFleetWith(t, nil)
 }
 
-func startFleetWith(t testing.TB, wrap func(id string, t platform.Table) platform.Table) *local.Fleet {
+func startFleetWith(t testing.TB, wrap func(id string, t provider.Table) provider.Table) *local.Fleet {
 	t.Helper()
 	c, err := catalogue.Parse([]byte(document), "catalogue.yaml")
 	assert.NilError(t, err)
 	f := &local.Fleet{
-		Zones: []string{"a", "b"}, EntryVMs: 2, BackendServers: 4, Catalogue: c, Shape: platform.NewShape(8, 16<<10, 0, 8),
+		Zones: []string{"a", "b"}, EntryVMs: 2, BackendServers: 4, Catalogue: c, Shape: provider.NewShape(8, 16<<10, 0, 8),
 		WrapTable: wrap,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
--- a/membership/event.go
+++ b/membership/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Event is an input of State.Handle: Listed, HeartbeatEnded, Heard, PeerLeaving, MemberRows, Tick or
@@ -11,13 +11,13 @@
 type Event interface{ event() }
 
 // Listed is the content of the VM list, read successfully.
-type Listed struct{ vms []platform.VM }
+type Listed struct{ vms []provider.VM }
 
 // NewListed returns a Listed event.
-func NewListed(vms []platform.VM) Listed { return Listed{vms: vms} }
+func NewListed(vms []provider.VM) Listed { return Listed{vms: vms} }
 
 // VMs returns the VMs of the list.
-func (e Listed) VMs() []platform.VM { return e.vms }
+func (e Listed) VMs() []provider.VM { return e.vms }
 
 // HeartbeatEnded is the result of a SendHeartbeat effect. An answer of an entry VM with another id than peer, which
 // can have taken over the address, isn't ok.
--- a/membership/state.go
+++ b/membership/state.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // State is the view of one entry VM. It isn't safe for concurrent use. Set the exported fields before use.
@@ -103,12 +103,12 @@
 	s.started = now
 }
 
-func (s *State) list(vms []platform.VM, now time.Time) []Effect {
+func (s *State) list(vms []provider.VM, now time.Time) []Effect {
 	present := make(map[string]bool)
 	addresses := make(map[string]string)
 	var effects []Effect
 	for _, v := range vms {
-		if v.Role() != platform.RoleEntry {
+		if v.Role() != provider.RoleEntry {
 			continue
 		}
 		present[v.ID()] = true
@@ -135,7 +135,7 @@
 	return effects
 }
 
-func (s *State) listPeer(v platform.VM, now time.Time) []Effect {
+func (s *State) listPeer(v provider.VM, now time.Time) []Effect {
 	p := s.peer(v.ID(), now)
 	fresh := !p.listed && !p.everUp
 	p.zone, p.address, p.leaving = v.Zone(), v.Address(), v.Leaving() || p.leaving
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -11,15 +11,15 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/membership"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 const step = 100 * time.Millisecond
 
 var start = time.Unix(1e6, 0)
 
-func entryVM(id string, leaving bool) platform.VM {
-	return platform.NewVM(id, platform.RoleEntry, "za", "", id+":1", platform.Shape{}, leaving)
+func entryVM(id string, leaving bool) provider.VM {
+	return provider.NewVM(id, provider.RoleEntry, "za", "", id+":1", provider.Shape{}, leaving)
 }
 
 // view is one entry VM with a single peer, whose heartbeats are answered as the test says.
@@ -32,7 +32,7 @@
 
 func newView() *view {
 	v := &view{state: membership.State{Self: "e0", Zone: "za"}, now: start}
-	v.handle(membership.NewListed([]platform.VM{entryVM("e0", false), entryVM("e1", false)}))
+	v.handle(membership.NewListed([]provider.VM{entryVM("e0", false), entryVM("e1", false)}))
 	return v
 }
 
@@ -114,7 +114,7 @@
 		for range 60 {
 			gap := time.Duration(rapid.SampledFrom([]int{500, 1000, 1000, 1000, 9000}).Draw(t, "gap")) * time.Millisecond
 			v.now = v.now.Add(gap)
-			vms := []platform.VM{entryVM("e0", false)}
+			vms := []provider.VM{entryVM("e0", false)}
 			present := rapid.IntRange(0, 40).Draw(t, "present") == 0
 			if present {
 				vms = append(vms, entryVM("e1", false))
@@ -142,8 +142,8 @@
 // Guards against a reused address: heartbeats to a VM that left mustn't reach the VM that took its address over.
 func TestReusedAddress(t *testing.T) {
 	v := newView()
-	other := platform.NewVM("e2", platform.RoleEntry, "za", "", "e1:1", platform.Shape{}, false)
-	v.handle(membership.NewListed([]platform.VM{entryVM("e0", true), other}))
+	other := provider.NewVM("e2", provider.RoleEntry, "za", "", "e1:1", provider.Shape{}, false)
+	v.handle(membership.NewListed([]provider.VM{entryVM("e0", true), other}))
 	assert.Equal(t, v.state.Address("e1"), "")
 	assert.Equal(t, v.state.Address("e2"), "e1:1")
 	assert.DeepEqual(t, v.state.LiveInZone("za"), []string{"e1", "e2"}) // e0 is leaving
@@ -170,12 +170,12 @@
 	for _, n := range []int{50, 200, 530} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			s := membership.State{Self: "e0", Zone: "za"}
-			var vms []platform.VM
+			var vms []provider.VM
 			for i := range 8 {
 				vms = append(vms, entryVM("e"+strconv.Itoa(i), false))
 			}
 			for i := range n {
-				vms = append(vms, platform.NewVM("w"+strconv.Itoa(i), platform.RoleBackend, "za", "", "", platform.Shape{}, false))
+				vms = append(vms, provider.NewVM("w"+strconv.Itoa(i), provider.RoleBackend, "za", "", "", provider.Shape{}, false))
 			}
 			now, messages, bytes := start, 0, 0
 			b.ReportAllocs()
--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/ownership"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // BenchmarkControlOwnership measures one second of control time of one of 8 entry VMs of an availability zone. Bytes
@@ -47,12 +47,12 @@
 func newFleet(servers int) *fleet {
 	f := &fleet{own: ownership.State{Self: "e0", Zone: zone}, now: time.Unix(1e6, 0), held: map[string]bool{}}
 	var members []string
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range 8 {
 		members = append(members, "e"+strconv.Itoa(i))
 	}
 	for i := range servers {
-		vms = append(vms, platform.NewVM(fmt.Sprintf("worker-%04d", i), platform.RoleBackend, zone, "", "", platform.Shape{}, false))
+		vms = append(vms, provider.NewVM(fmt.Sprintf("worker-%04d", i), provider.RoleBackend, zone, "", "", provider.Shape{}, false))
 	}
 	f.handle(ownership.NewMembersChanged(members))
 	f.handle(ownership.NewServersListed(vms))
@@ -81,16 +81,16 @@
 			f.handle(ownership.NewAcquireEnded(x.Server(), f.now, f.acquire(x.Server())))
 		case ownership.Report:
 			f.count(x.Server(), x.Epoch())
-			f.handle(ownership.NewReportEnded(x.Server(), x.Epoch(), f.now, platform.NewReport(platform.Shape{}, nil)))
+			f.handle(ownership.NewReportEnded(x.Server(), x.Epoch(), f.now, provider.NewReport(provider.Shape{}, nil)))
 		}
 	}
 }
 
-func (f *fleet) acquire(server string) platform.AcquireOutcome {
+func (f *fleet) acquire(server string) provider.AcquireOutcome {
 	if f.held[server] || len(f.held) == 0 {
-		return platform.NewGranted(uint64(f.now.UnixMilli())<<20, lease, nil)
+		return provider.NewGranted(uint64(f.now.UnixMilli())<<20, lease, nil)
 	}
-	return platform.NewHeld("e1", lease-time.Second)
+	return provider.NewHeld("e1", lease-time.Second)
 }
 
 func (f *fleet) count(server string, epoch uint64) {
--- a/ownership/effect.go
+++ b/ownership/effect.go
@@ -1,6 +1,6 @@
 package ownership
 
-import "github.com/pistachiolead/pistachiolead/platform"
+import "github.com/pistachiolead/pistachiolead/provider"
 
 // Effect is an output of State.Handle: Acquire, Report, Release, Gained, Lost or Reported.
 type Effect interface{ effect() }
@@ -48,11 +48,11 @@
 type Gained struct {
 	server string
 	epoch  uint64
-	tasks  []platform.TaskStatus
+	tasks  []provider.TaskStatus
 }
 
 // NewGained returns a Gained effect.
-func NewGained(server string, epoch uint64, tasks []platform.TaskStatus) Gained {
+func NewGained(server string, epoch uint64, tasks []provider.TaskStatus) Gained {
 	return Gained{server: server, epoch: epoch, tasks: tasks}
 }
 
@@ -63,7 +63,7 @@
 func (e Gained) Epoch() uint64 { return e.epoch }
 
 // Tasks returns the tasks that the server runs or keeps answers of.
-func (e Gained) Tasks() []platform.TaskStatus { return e.tasks }
+func (e Gained) Tasks() []provider.TaskStatus { return e.tasks }
 
 // Lost says that this entry VM no longer owns a server. Every Gained is followed by one Lost, also before a Release.
 type Lost struct {
@@ -83,11 +83,11 @@
 // Reported passes on the report of an owned server.
 type Reported struct {
 	server string
-	report platform.Report
+	report provider.Report
 }
 
 // NewReported returns a Reported effect.
-func NewReported(server string, report platform.Report) Reported {
+func NewReported(server string, report provider.Report) Reported {
 	return Reported{server: server, report: report}
 }
 
@@ -95,7 +95,7 @@
 func (e Reported) Server() string { return e.server }
 
 // Report returns what the server runs and how busy it is.
-func (e Reported) Report() platform.Report { return e.report }
+func (e Reported) Report() provider.Report { return e.report }
 
 func (Acquire) effect()  {}
 func (Report) effect()   {}
--- a/ownership/event.go
+++ b/ownership/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Event is an input of State.Handle: ServersListed, MembersChanged, AcquireEnded, ReportEnded, ReleaseEnded, Tick or
@@ -11,13 +11,13 @@
 type Event interface{ event() }
 
 // ServersListed lists the backend servers of the own availability zone that exist, leaving ones included.
-type ServersListed struct{ servers []platform.VM }
+type ServersListed struct{ servers []provider.VM }
 
 // NewServersListed returns a ServersListed event.
-func NewServersListed(servers []platform.VM) ServersListed { return ServersListed{servers: servers} }
+func NewServersListed(servers []provider.VM) ServersListed { return ServersListed{servers: servers} }
 
 // Servers returns the backend servers.
-func (e ServersListed) Servers() []platform.VM { return e.servers }
+func (e ServersListed) Servers() []provider.VM { return e.servers }
 
 // MembersChanged lists the live entry VMs of the own availability zone that may own servers. This entry VM is one of
 // them unless it is leaving.
@@ -33,11 +33,11 @@
 type AcquireEnded struct {
 	server  string
 	sent    time.Time
-	outcome platform.AcquireOutcome
+	outcome provider.AcquireOutcome
 }
 
 // NewAcquireEnded returns an AcquireEnded event for a request that was sent no earlier than sent.
-func NewAcquireEnded(server string, sent time.Time, outcome platform.AcquireOutcome) AcquireEnded {
+func NewAcquireEnded(server string, sent time.Time, outcome provider.AcquireOutcome) AcquireEnded {
 	return AcquireEnded{server: server, sent: sent, outcome: outcome}
 }
 
@@ -48,18 +48,18 @@
 func (e AcquireEnded) Sent() time.Time { return e.sent }
 
 // Outcome returns the backend server's answer.
-func (e AcquireEnded) Outcome() platform.AcquireOutcome { return e.outcome }
+func (e AcquireEnded) Outcome() provider.AcquireOutcome { return e.outcome }
 
 // ReportEnded is the result of a Report effect.
 type ReportEnded struct {
 	server  string
 	epoch   uint64
 	sent    time.Time
-	outcome platform.ReportOutcome
+	outcome provider.ReportOutcome
 }
 
 // NewReportEnded returns a ReportEnded event for a request that was sent no earlier than sent.
-func NewReportEnded(server string, epoch uint64, sent time.Time, outcome platform.ReportOutcome) ReportEnded {
+func NewReportEnded(server string, epoch uint64, sent time.Time, outcome provider.ReportOutcome) ReportEnded {
 	return ReportEnded{server: server, epoch: epoch, sent: sent, outcome: outcome}
 }
 
@@ -73,17 +73,17 @@
 func (e ReportEnded) Sent() time.Time { return e.sent }
 
 // Outcome returns the backend server's answer.
-func (e ReportEnded) Outcome() platform.ReportOutcome { return e.outcome }
+func (e ReportEnded) Outcome() provider.ReportOutcome { return e.outcome }
 
 // ReleaseEnded is the result of a Release effect.
 type ReleaseEnded struct {
 	server  string
 	epoch   uint64
-	outcome platform.ReleaseOutcome
+	outcome provider.ReleaseOutcome
 }
 
 // NewReleaseEnded returns a ReleaseEnded event.
-func NewReleaseEnded(server string, epoch uint64, outcome platform.ReleaseOutcome) ReleaseEnded {
+func NewReleaseEnded(server string, epoch uint64, outcome provider.ReleaseOutcome) ReleaseEnded {
 	return ReleaseEnded{server: server, epoch: epoch, outcome: outcome}
 }
 
@@ -94,7 +94,7 @@
 func (e ReleaseEnded) Epoch() uint64 { return e.epoch }
 
 // Outcome returns the backend server's answer.
-func (e ReleaseEnded) Outcome() platform.ReleaseOutcome { return e.outcome }
+func (e ReleaseEnded) Outcome() provider.ReleaseOutcome { return e.outcome }
 
 // Tick says that time has passed. It is due every TickInterval.
 type Tick struct{}
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 func (s *State) acquireEnded(e AcquireEnded, now time.Time) []Effect {
@@ -12,24 +12,24 @@
 		return nil
 	}
 	current := v.answered(requestAcquire, e.sent)
-	if g, ok := e.outcome.(platform.Granted); ok {
+	if g, ok := e.outcome.(provider.Granted); ok {
 		return s.granted(v, g, e.sent, now)
 	}
 	if !current || v.held {
 		return nil
 	}
 	switch o := e.outcome.(type) {
-	case platform.Held:
+	case provider.Held:
 		s.heldElsewhere(v, o, now)
-	case platform.Refused:
+	case provider.Refused:
 		v.due = now.Add(refusedInterval + jitter(s.Self, v.id, takeOverSpread))
-	case platform.Unavailable, platform.Unknown:
+	case provider.Unavailable, provider.Unknown:
 		s.retry(v, now)
 	}
 	return nil
 }
 
-func (s *State) granted(v *server, g platform.Granted, sent, now time.Time) []Effect {
+func (s *State) granted(v *server, g provider.Granted, sent, now time.Time) []Effect {
 	if v.held || v.asking != requestNone {
 		return nil // of a request that was given up; the one under way decides
 	}
@@ -59,7 +59,7 @@
 
 // heldElsewhere waits until the lease of another entry VM may have ended. The preferred owner asks more often, as the
 // server may be handed over at any time.
-func (s *State) heldElsewhere(v *server, h platform.Held, now time.Time) {
+func (s *State) heldElsewhere(v *server, h provider.Held, now time.Time) {
 	if h.Holder() == v.pref.preferred {
 		v.holdOff = 0
 	}
@@ -90,11 +90,11 @@
 		return nil
 	}
 	switch o := e.outcome.(type) {
-	case platform.Report:
+	case provider.Report:
 		return s.renewed(v, o, e.sent)
-	case platform.StaleEpoch:
+	case provider.StaleEpoch:
 		return s.lose(v, now)
-	case platform.Unavailable, platform.Unknown:
+	case provider.Unavailable, provider.Unknown:
 		if current {
 			v.due = now.Add(v.backoff())
 		}
@@ -102,7 +102,7 @@
 	return nil
 }
 
-func (s *State) renewed(v *server, r platform.Report, sent time.Time) []Effect {
+func (s *State) renewed(v *server, r provider.Report, sent time.Time) []Effect {
 	if sent.After(v.sent) {
 		v.sent = sent
 		v.due = sent.Add(renewInterval + jitter(s.Self, v.id, renewSpread))
@@ -139,7 +139,7 @@
 	}
 	v.asking = requestNone
 	switch e.outcome.(type) {
-	case platform.Unavailable, platform.Unknown:
+	case provider.Unavailable, provider.Unknown:
 		s.releaseMissed(v, now)
 	default:
 		s.releaseDone(v, now)
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -12,7 +12,7 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // State is the view of one entry VM. It isn't safe for concurrent use. Set the exported fields before use.
@@ -78,13 +78,13 @@
 	return ids
 }
 
-func (s *State) list(vms []platform.VM, now time.Time) []Effect {
+func (s *State) list(vms []provider.VM, now time.Time) []Effect {
 	if s.servers == nil {
 		s.servers = make(map[string]*server)
 	}
 	present := make(map[string]bool, len(vms))
 	for _, m := range vms {
-		if m.Role() != platform.RoleBackend || m.Zone() != s.Zone {
+		if m.Role() != provider.RoleBackend || m.Zone() != s.Zone {
 			continue
 		}
 		present[m.ID()] = true
--- a/ownership/world_test.go
+++ b/ownership/world_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -185,30 +185,30 @@
 	return b.holder != "" && epoch == b.epoch && b.clock().Before(b.until)
 }
 
-func (b *backend) acquire(holder string) platform.AcquireOutcome {
+func (b *backend) acquire(holder string) provider.AcquireOutcome {
 	now := b.clock()
 	if b.holder != "" && b.holder != holder && now.Before(b.until) {
-		return platform.NewHeld(b.holder, b.until.Sub(now))
+		return provider.NewHeld(b.holder, b.until.Sub(now))
 	}
 	b.count++
 	b.holder, b.epoch, b.until = holder, b.started+b.count, now.Add(lease)
-	return platform.NewGranted(b.epoch, lease, nil)
+	return provider.NewGranted(b.epoch, lease, nil)
 }
 
-func (b *backend) report(epoch uint64) platform.ReportOutcome {
+func (b *backend) report(epoch uint64) provider.ReportOutcome {
 	if !b.current(epoch) {
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	}
 	b.until = b.clock().Add(lease)
-	return platform.NewReport(platform.Shape{}, nil)
+	return provider.NewReport(provider.Shape{}, nil)
 }
 
-func (b *backend) release(epoch uint64) platform.ReleaseOutcome {
+func (b *backend) release(epoch uint64) provider.ReleaseOutcome {
 	if !b.current(epoch) {
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	}
 	b.holder = ""
-	return platform.Released{}
+	return provider.Released{}
 }
 
 // start is the arrival of a Run message. Its acceptance is checked against the lease, not against the fence.
@@ -253,14 +253,14 @@
 }
 
 func (p *proc) list() {
-	var vms, servers []platform.VM
+	var vms, servers []provider.VM
 	for _, q := range p.w.procs {
 		if !q.dead {
-			vms = append(vms, platform.NewVM(q.id, platform.RoleEntry, zone, "", q.id+":1", platform.Shape{}, q.leaving))
+			vms = append(vms, provider.NewVM(q.id, provider.RoleEntry, zone, "", q.id+":1", provider.Shape{}, q.leaving))
 		}
 	}
 	for _, b := range p.w.servers {
-		servers = append(servers, platform.NewVM(b.id, platform.RoleBackend, zone, "", b.id, platform.Shape{}, false))
+		servers = append(servers, provider.NewVM(b.id, provider.RoleBackend, zone, "", b.id, provider.Shape{}, false))
 	}
 	p.member(membership.NewListed(vms))
 	p.handle(ownership.NewServersListed(servers))
@@ -315,18 +315,18 @@
 		case ownership.Acquire:
 			p.once(f.Server())
 			p.call(f.Server(), func(b *backend) any { return b.acquire(p.id) }, func(sent time.Time, out any) ownership.Event {
-				return ownership.NewAcquireEnded(f.Server(), sent, out.(platform.AcquireOutcome))
+				return ownership.NewAcquireEnded(f.Server(), sent, out.(provider.AcquireOutcome))
 			})
 		case ownership.Report:
 			p.once(f.Server())
 			p.call(f.Server(), func(b *backend) any { return b.report(f.Epoch()) }, func(sent time.Time, out any) ownership.Event {
-				return ownership.NewReportEnded(f.Server(), f.Epoch(), sent, out.(platform.ReportOutcome))
+				return ownership.NewReportEnded(f.Server(), f.Epoch(), sent, out.(provider.ReportOutcome))
 			})
 		case ownership.Release:
 			p.pace(f)
 			p.releases[f.Server()] = p.w.now()
 			p.call(f.Server(), func(b *backend) any { return b.release(f.Epoch()) }, func(_ time.Time, out any) ownership.Event {
-				return ownership.NewReleaseEnded(f.Server(), f.Epoch(), out.(platform.ReleaseOutcome))
+				return ownership.NewReleaseEnded(f.Server(), f.Epoch(), out.(provider.ReleaseOutcome))
 			})
 		}
 	}
@@ -375,7 +375,7 @@
 	p.w.after(ownership.RequestTimeout, func() {
 		p.do(func() {
 			if !ended {
-				end(platform.NewUnknown("time-out"))
+				end(provider.NewUnknown("time-out"))
 			}
 		})
 	})
--- a/peer/change.go
+++ b/peer/change.go
@@ -1,6 +1,6 @@
 package peer
 
-import "github.com/pistachiolead/pistachiolead/platform"
+import "github.com/pistachiolead/pistachiolead/provider"
 
 // Change is what one entry VM pushes to another: Configuration, TakeOut or Revocation.
 type Change interface{ change() }
@@ -8,11 +8,11 @@
 // Configuration is a committed configuration change.
 type Configuration struct {
 	version uint64
-	rows    []platform.Row
+	rows    []provider.Row
 }
 
 // NewConfiguration returns the rows that changed, deletions included, and the configuration version they make up.
-func NewConfiguration(version uint64, rows []platform.Row) Configuration {
+func NewConfiguration(version uint64, rows []provider.Row) Configuration {
 	return Configuration{version: version, rows: rows}
 }
 
@@ -20,7 +20,7 @@
 func (c Configuration) Version() uint64 { return c.version }
 
 // Rows returns the changed rows. Callers must not modify the slice.
-func (c Configuration) Rows() []platform.Row { return c.rows }
+func (c Configuration) Rows() []provider.Row { return c.rows }
 
 // TakeOut takes an availability zone or a VM out of service, and may come before it is in the table.
 type TakeOut struct {
--- a/peer/client.go
+++ b/peer/client.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -116,7 +116,7 @@
 }
 
 // Relay returns the platform's table as the peer reaches it.
-func (c *Client) Relay() platform.Table {
+func (c *Client) Relay() provider.Table {
 	c.init()
 	return relay{client: c}
 }
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Digest is what an entry VM tells its peers once a second. Names without a value and names with the value zero are
@@ -15,7 +15,7 @@
 	version        uint64
 	tableReachable bool
 	free           map[string]int
-	running        map[string]platform.Shape
+	running        map[string]provider.Shape
 	wanted         map[string]int
 	oldest         map[string]time.Duration
 	uncovered      int
@@ -37,10 +37,10 @@
 }
 
 // WithRunning returns the digest with the summed shape of the running tasks of each team.
-func (d Digest) WithRunning(running map[string]platform.Shape) Digest {
-	d.running = make(map[string]platform.Shape, len(running))
+func (d Digest) WithRunning(running map[string]provider.Shape) Digest {
+	d.running = make(map[string]provider.Shape, len(running))
 	for t, s := range running {
-		if s != (platform.Shape{}) {
+		if s != (provider.Shape{}) {
 			d.running[t] = s
 		}
 	}
@@ -119,7 +119,7 @@
 func (d Digest) FreeSlots(pool string) int { return d.free[pool] }
 
 // Running returns the summed shape of the tasks that the member runs for a team.
-func (d Digest) Running(team string) platform.Shape { return d.running[team] }
+func (d Digest) Running(team string) provider.Shape { return d.running[team] }
 
 // Wanted returns the number of slots that the member's backlog of a team could use.
 func (d Digest) Wanted(team string) int { return d.wanted[team] }
--- a/peer/digest_tables.go
+++ b/peer/digest_tables.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // digestTables is the part of a digest that is sent as changes.
@@ -43,9 +43,9 @@
 	for p, v := range t.pools {
 		free[p] = int(v[0])
 	}
-	running, wanted := make(map[string]platform.Shape, len(t.teams)), make(map[string]int, len(t.teams))
+	running, wanted := make(map[string]provider.Shape, len(t.teams)), make(map[string]int, len(t.teams))
 	for n, v := range t.teams {
-		running[n] = platform.NewShape(int(v[0]), int(v[1]), int(v[2]), int(v[3]))
+		running[n] = provider.NewShape(int(v[0]), int(v[1]), int(v[2]), int(v[3]))
 		wanted[n] = int(v[teamColumns-1])
 	}
 	oldest := make(map[string]time.Duration, len(t.waits))
--- a/peer/harness_test.go
+++ b/peer/harness_test.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -47,17 +47,17 @@
 
 // table records the last transaction and answers as set.
 type table struct {
-	transaction platform.Transaction
-	commit      platform.CommitOutcome
-	scan        platform.ScanOutcome
+	transaction provider.Transaction
+	commit      provider.CommitOutcome
+	scan        provider.ScanOutcome
 }
 
-func (t *table) Commit(_ context.Context, tx platform.Transaction) platform.CommitOutcome {
+func (t *table) Commit(_ context.Context, tx provider.Transaction) provider.CommitOutcome {
 	t.transaction = tx
 	return t.commit
 }
 
-func (t *table) Scan(context.Context, string, uint64) platform.ScanOutcome { return t.scan }
+func (t *table) Scan(context.Context, string, uint64) provider.ScanOutcome { return t.scan }
 
 type fault int
 
--- a/peer/heartbeat_test.go
+++ b/peer/heartbeat_test.go
@@ -15,16 +15,16 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/peer"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
 func drawDigest(t *rapid.T, member string, incarnation uint64) peer.Digest {
 	names := rapid.SampledFrom([]string{"p", "q", "r", "s"})
 	counts := rapid.MapOf(names, rapid.IntRange(-1, 2))
-	shapes, waits := map[string]platform.Shape{}, map[string]time.Duration{}
+	shapes, waits := map[string]provider.Shape{}, map[string]time.Duration{}
 	for k, n := range counts.Draw(t, "running and waits") {
-		shapes[k] = platform.NewShape(n, 1024*n, 0, n)
+		shapes[k] = provider.NewShape(n, 1024*n, 0, n)
 		waits[k] = time.Duration(n) * 1500 * time.Microsecond
 	}
 	d := peer.NewDigest(member, incarnation, rapid.Uint64().Draw(t, "version"), rapid.Bool().Draw(t, "reachable")).
@@ -122,7 +122,7 @@
 }
 
 func sizedDigest(member string, pools, teams, round int, changed bool) peer.Digest {
-	free, running, wanted := map[string]int{}, map[string]platform.Shape{}, map[string]int{}
+	free, running, wanted := map[string]int{}, map[string]provider.Shape{}, map[string]int{}
 	// When only changes are sent, every fourth value changes in each round.
 	at := func(i int) int {
 		if changed && i%4 != round%4 {
@@ -135,7 +135,7 @@
 	}
 	for i := range teams {
 		n := at(i)
-		running[fmt.Sprintf("team-%02d", i)] = platform.NewShape(4*n, 16384*n, n, n)
+		running[fmt.Sprintf("team-%02d", i)] = provider.NewShape(4*n, 16384*n, n, n)
 		wanted[fmt.Sprintf("team-%02d", i)] = n / 2
 	}
 	wait := time.Duration(round) * time.Millisecond
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/pistachiolead/pistachiolead/peer"
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // opaque compares the unexported fields of data types.
@@ -122,15 +122,15 @@
 	assert.NilError(t, l.Close())
 	c := &peer.Client{Address: l.Addr().String()}
 	assert.Equal(t, fmt.Sprintf("%T", c.Forward(t.Context(), request(nil))), "peer.Unreachable")
-	assert.Equal(t, fmt.Sprintf("%T", c.Relay().Commit(t.Context(), platform.Transaction{})), "platform.Unavailable")
+	assert.Equal(t, fmt.Sprintf("%T", c.Relay().Commit(t.Context(), provider.Transaction{})), "provider.Unavailable")
 }
 
-func drawRow(t *rapid.T) platform.Row {
+func drawRow(t *rapid.T) provider.Row {
 	key, version := rapid.String().Draw(t, "key"), rapid.Uint64().Draw(t, "version")
 	if rapid.Bool().Draw(t, "deleted") {
-		return platform.NewDeletedRow(key, version)
+		return provider.NewDeletedRow(key, version)
 	}
-	return platform.NewRow(key, rapid.SliceOfN(rapid.Byte(), 1, 8).Draw(t, "value"), version)
+	return provider.NewRow(key, rapid.SliceOfN(rapid.Byte(), 1, 8).Draw(t, "value"), version)
 }
 
 // Guards against changes, transactions and outcomes that differ after the way through a peer, and against a lost reply of
@@ -138,7 +138,7 @@
 func TestApplyAndRelayKeepMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPair()
-		rows := []platform.Row{drawRow(t), drawRow(t)}
+		rows := []provider.Row{drawRow(t), drawRow(t)}
 		for _, c := range []peer.Change{
 			peer.NewConfiguration(rapid.Uint64().Draw(t, "version"), rows), peer.NewZoneTakeOut("a"),
 			peer.NewVMTakeOut("vm"), peer.NewRevocation("key"),
@@ -147,25 +147,25 @@
 			assert.DeepEqual(t, p.handler.change, c, opaque)
 		}
 
-		tx := platform.NewTransaction(
-			[]platform.Condition{platform.NewCondition("k", rapid.Uint64().Draw(t, "condition"))},
-			[]platform.Write{platform.NewPut("k", []byte("v")), platform.NewDelete("l")},
+		tx := provider.NewTransaction(
+			[]provider.Condition{provider.NewCondition("k", rapid.Uint64().Draw(t, "condition"))},
+			[]provider.Write{provider.NewPut("k", []byte("v")), provider.NewDelete("l")},
 		)
-		for _, o := range []platform.CommitOutcome{
-			platform.NewCommitted(7), platform.NewConflict(rows[0]), platform.NewUnavailable("a"), platform.NewUnknown("b"),
+		for _, o := range []provider.CommitOutcome{
+			provider.NewCommitted(7), provider.NewConflict(rows[0]), provider.NewUnavailable("a"), provider.NewUnknown("b"),
 		} {
 			p.table.commit = o
 			assert.DeepEqual(t, p.client.Relay().Commit(t.Context(), tx), o, opaque)
 			assert.DeepEqual(t, p.table.transaction, tx, opaque)
 		}
-		for _, o := range []platform.ScanOutcome{platform.NewRows(rows, 9), platform.NewUnavailable("a")} {
+		for _, o := range []provider.ScanOutcome{provider.NewRows(rows, 9), provider.NewUnavailable("a")} {
 			p.table.scan = o
 			assert.DeepEqual(t, p.client.Relay().Scan(t.Context(), "p", 3), o, opaque)
 		}
 
 		p.network.fault = replyLost
-		assert.Equal(t, fmt.Sprintf("%T", p.client.Relay().Commit(t.Context(), tx)), "platform.Unknown")
-		assert.Equal(t, fmt.Sprintf("%T", p.client.Relay().Scan(t.Context(), "p", 3)), "platform.Unavailable")
+		assert.Equal(t, fmt.Sprintf("%T", p.client.Relay().Commit(t.Context(), tx)), "provider.Unknown")
+		assert.Equal(t, fmt.Sprintf("%T", p.client.Relay().Scan(t.Context(), "p", 3)), "provider.Unavailable")
 		assert.Equal(t, fmt.Sprintf("%T", p.client.Apply(t.Context(), peer.NewRevocation("key"))), "peer.Unknown")
 	})
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -6,37 +6,37 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // relay is the platform's table as a peer reaches it.
 type relay struct{ client *Client }
 
-var _ platform.Table = relay{}
+var _ provider.Table = relay{}
 
-// Commit implements platform.Table.
-func (r relay) Commit(ctx context.Context, t platform.Transaction) platform.CommitOutcome {
+// Commit implements provider.Table.
+func (r relay) Commit(ctx context.Context, t provider.Transaction) provider.CommitOutcome {
 	w := transactionToWire(t)
 	if proto.Size(w) > MaxMessageBytes {
-		return platform.NewUnavailable("the transaction is too large to relay")
+		return provider.NewUnavailable("the transaction is too large to relay")
 	}
 	reply, err := r.client.rpc.Commit(ctx, w)
 	if err != nil {
 		if r.client.undelivered(err) {
-			return platform.NewUnavailable(err.Error())
+			return provider.NewUnavailable(err.Error())
 		}
-		return platform.NewUnknown(err.Error())
+		return provider.NewUnknown(err.Error())
 	}
 	return commitFromWire(reply)
 }
 
-// Scan implements platform.Table.
-func (r relay) Scan(ctx context.Context, prefix string, since uint64) platform.ScanOutcome {
+// Scan implements provider.Table.
+func (r relay) Scan(ctx context.Context, prefix string, since uint64) provider.ScanOutcome {
 	reply, err := r.client.rpc.Scan(ctx, &peerwire.ScanRequest{Prefix: prefix, Since: since})
 	if err != nil {
 		// A scan has no effect, so a lost reply is no different.
 		r.client.undelivered(err)
-		return platform.NewUnavailable(err.Error())
+		return provider.NewUnavailable(err.Error())
 	}
 	return scanFromWire(reply)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -24,7 +24,7 @@
 	Handler Handler
 	// Table is the platform's table, for peers that can't reach it. It must be direct access to the platform, never
 	// the relay of another peer, so that relayed operations can't circulate. Without it the relay is unavailable.
-	Table platform.Table
+	Table provider.Table
 	// Secret is required of every peer. If it is empty, only peers on the loopback interface are served.
 	Secret string
 	// Timer defaults to the system's.
@@ -178,7 +178,7 @@
 
 func (s service) Commit(ctx context.Context, w *peerwire.CommitRequest) (*peerwire.CommitReply, error) {
 	if s.server.Table == nil {
-		return commitToWire(platform.NewUnavailable("no relay")), nil
+		return commitToWire(provider.NewUnavailable("no relay")), nil
 	}
 	s.server.metrics.relayed.Inc(1)
 	return commitToWire(s.server.Table.Commit(ctx, transactionFromWire(w))), nil
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 func requestToWire(r Request) *peerwire.ForwardRequest {
@@ -89,18 +89,18 @@
 	}
 }
 
-func rowToWire(r platform.Row) *peerwire.Row {
+func rowToWire(r provider.Row) *peerwire.Row {
 	return &peerwire.Row{Key: r.Key(), Value: r.Value(), Version: r.Version(), Deleted: r.Deleted()}
 }
 
-func rowFromWire(w *peerwire.Row) platform.Row {
+func rowFromWire(w *peerwire.Row) provider.Row {
 	if w.GetDeleted() {
-		return platform.NewDeletedRow(w.GetKey(), w.GetVersion())
+		return provider.NewDeletedRow(w.GetKey(), w.GetVersion())
 	}
-	return platform.NewRow(w.GetKey(), w.GetValue(), w.GetVersion())
+	return provider.NewRow(w.GetKey(), w.GetValue(), w.GetVersion())
 }
 
-func rowsToWire(rows []platform.Row) []*peerwire.Row {
+func rowsToWire(rows []provider.Row) []*peerwire.Row {
 	w := make([]*peerwire.Row, 0, len(rows))
 	for _, r := range rows {
 		w = append(w, rowToWire(r))
@@ -108,15 +108,15 @@
 	return w
 }
 
-func rowsFromWire(w []*peerwire.Row) []platform.Row {
-	rows := make([]platform.Row, 0, len(w))
+func rowsFromWire(w []*peerwire.Row) []provider.Row {
+	rows := make([]provider.Row, 0, len(w))
 	for _, r := range w {
 		rows = append(rows, rowFromWire(r))
 	}
 	return rows
 }
 
-func transactionToWire(t platform.Transaction) *peerwire.CommitRequest {
+func transactionToWire(t provider.Transaction) *peerwire.CommitRequest {
 	w := &peerwire.CommitRequest{}
 	for _, c := range t.Conditions() {
 		w.Conditions = append(w.Conditions, &peerwire.Condition{Key: c.Key(), Version: c.Version()})
@@ -127,37 +127,37 @@
 	return w
 }
 
-func transactionFromWire(w *peerwire.CommitRequest) platform.Transaction {
-	var conditions []platform.Condition
+func transactionFromWire(w *peerwire.CommitRequest) provider.Transaction {
+	var conditions []provider.Condition
 	for _, c := range w.GetConditions() {
-		conditions = append(conditions, platform.NewCondition(c.GetKey(), c.GetVersion()))
+		conditions = append(conditions, provider.NewCondition(c.GetKey(), c.GetVersion()))
 	}
-	var writes []platform.Write
+	var writes []provider.Write
 	for _, p := range w.GetWrites() {
 		if p.GetDelete() {
-			writes = append(writes, platform.NewDelete(p.GetKey()))
+			writes = append(writes, provider.NewDelete(p.GetKey()))
 			continue
 		}
-		writes = append(writes, platform.NewPut(p.GetKey(), p.GetValue()))
+		writes = append(writes, provider.NewPut(p.GetKey(), p.GetValue()))
 	}
-	return platform.NewTransaction(conditions, writes)
+	return provider.NewTransaction(conditions, writes)
 }
 
-func commitToWire(o platform.CommitOutcome) *peerwire.CommitReply {
+func commitToWire(o provider.CommitOutcome) *peerwire.CommitReply {
 	switch o := o.(type) {
-	case platform.Committed:
+	case provider.Committed:
 		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Committed{
 			Committed: &peerwire.Committed{Version: o.Version()},
 		}}
-	case platform.Conflict:
+	case provider.Conflict:
 		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Conflict{
 			Conflict: &peerwire.Conflict{Row: rowToWire(o.Row())},
 		}}
-	case platform.Unavailable:
+	case provider.Unavailable:
 		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Unavailable{
 			Unavailable: &peerwire.Unavailable{Reason: o.Reason()},
 		}}
-	case platform.Unknown:
+	case provider.Unknown:
 		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Unknown{
 			Unknown: &peerwire.Unknown{Reason: o.Reason()},
 		}}
@@ -166,28 +166,28 @@
 	}
 }
 
-func commitFromWire(w *peerwire.CommitReply) platform.CommitOutcome {
+func commitFromWire(w *peerwire.CommitReply) provider.CommitOutcome {
 	switch o := w.GetOutcome().(type) {
 	case *peerwire.CommitReply_Committed:
-		return platform.NewCommitted(o.Committed.GetVersion())
+		return provider.NewCommitted(o.Committed.GetVersion())
 	case *peerwire.CommitReply_Conflict:
-		return platform.NewConflict(rowFromWire(o.Conflict.GetRow()))
+		return provider.NewConflict(rowFromWire(o.Conflict.GetRow()))
 	case *peerwire.CommitReply_Unavailable:
-		return platform.NewUnavailable(o.Unavailable.GetReason())
+		return provider.NewUnavailable(o.Unavailable.GetReason())
 	case *peerwire.CommitReply_Unknown:
-		return platform.NewUnknown(o.Unknown.GetReason())
+		return provider.NewUnknown(o.Unknown.GetReason())
 	default:
-		return platform.NewUnknown("reply without outcome")
+		return provider.NewUnknown("reply without outcome")
 	}
 }
 
-func scanToWire(o platform.ScanOutcome) *peerwire.ScanReply {
+func scanToWire(o provider.ScanOutcome) *peerwire.ScanReply {
 	switch o := o.(type) {
-	case platform.Rows:
+	case provider.Rows:
 		return &peerwire.ScanReply{Outcome: &peerwire.ScanReply_Rows{
 			Rows: &peerwire.Rows{Rows: rowsToWire(o.Rows()), Version: o.Version()},
 		}}
-	case platform.Unavailable:
+	case provider.Unavailable:
 		return unavailableScan(o.Reason())
 	default:
 		panic("unknown type of scan outcome")
@@ -200,13 +200,13 @@
 	}}
 }
 
-func scanFromWire(w *peerwire.ScanReply) platform.ScanOutcome {
+func scanFromWire(w *peerwire.ScanReply) provider.ScanOutcome {
 	switch o := w.GetOutcome().(type) {
 	case *peerwire.ScanReply_Rows:
-		return platform.NewRows(rowsFromWire(o.Rows.GetRows()), o.Rows.GetVersion())
+		return provider.NewRows(rowsFromWire(o.Rows.GetRows()), o.Rows.GetVersion())
 	case *peerwire.ScanReply_Unavailable:
-		return platform.NewUnavailable(o.Unavailable.GetReason())
+		return provider.NewUnavailable(o.Unavailable.GetReason())
 	default:
-		return platform.NewUnavailable("reply without outcome")
+		return provider.NewUnavailable("reply without outcome")
 	}
 }
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -31,7 +31,7 @@
 type state struct {
 	server  Server
 	known   bool // false for a server that has reservations but wasn't set
-	used    platform.Shape
+	used    provider.Shape
 	tasks   map[string]*task
 	history history
 
@@ -41,12 +41,12 @@
 }
 
 type task struct {
-	shape     platform.Shape
+	shape     provider.Shape
 	traits    *Traits
 	throttled bool
 }
 
-func (s *state) free() platform.Shape { return s.server.shape.Minus(s.used) }
+func (s *state) free() provider.Shape { return s.server.shape.Minus(s.used) }
 
 // SetServer adds a server or replaces what is known of it. Reservations are kept.
 func (c *Chooser) SetServer(s Server) {
@@ -75,7 +75,7 @@
 
 // Reserve counts a task on a server, whether or not it fits: tasks that were taken over with a server are counted too.
 // A task that is reserved there already is left as it is.
-func (c *Chooser) Reserve(server, key string, shape platform.Shape) {
+func (c *Chooser) Reserve(server, key string, shape provider.Shape) {
 	st := c.state(server)
 	if _, ok := st.tasks[key]; ok {
 		return
@@ -108,7 +108,7 @@
 // Choose returns a server of the pool with room for the work, and reserves nothing. Servers out of rotation are chosen
 // only for one probe every 10 s, and not for urgent work. When a shape has found no room for 2 s, a server is held for it:
 // other shapes are not given its slots, unless they are urgent.
-func (c *Chooser) Choose(pool, entry string, shape platform.Shape, class queue.Class, now time.Time) (string, Outcome) {
+func (c *Chooser) Choose(pool, entry string, shape provider.Shape, class queue.Class, now time.Time) (string, Outcome) {
 	c.latest = now
 	shape = atLeastOneSlot(shape)
 	if c.neverFits(pool, shape) {
@@ -150,8 +150,8 @@
 }
 
 // Capacity returns the capacity of the servers of a pool that may be given work.
-func (c *Chooser) Capacity(pool string) platform.Shape {
-	var sum platform.Shape
+func (c *Chooser) Capacity(pool string) provider.Shape {
+	var sum provider.Shape
 	for _, st := range c.pools[pool] {
 		if c.inRotation(st) {
 			sum = sum.Plus(st.server.shape)
@@ -181,7 +181,7 @@
 	return slices.Sorted(maps.Keys(st.tasks))
 }
 
-func (c *Chooser) neverFits(pool string, shape platform.Shape) bool {
+func (c *Chooser) neverFits(pool string, shape provider.Shape) bool {
 	for _, st := range c.pools[pool] {
 		if shape.Fits(st.server.shape) {
 			return false
@@ -201,7 +201,7 @@
 
 // fit returns the server with the fewest slots left over in the least loaded rack with room. Servers with accelerators
 // are considered only if accelerated is set.
-func (c *Chooser) fit(pool string, shape platform.Shape, class queue.Class, accelerated bool) *state {
+func (c *Chooser) fit(pool string, shape provider.Shape, class queue.Class, accelerated bool) *state {
 	racks := make(map[string]load)
 	for _, st := range c.pools[pool] {
 		if c.inRotation(st) {
@@ -280,9 +280,9 @@
 	c.limitOut(pool)
 }
 
-func atLeastOneSlot(s platform.Shape) platform.Shape {
+func atLeastOneSlot(s provider.Shape) provider.Shape {
 	if s.Slots() > 0 {
 		return s
 	}
-	return platform.NewShape(s.Processors(), s.MemoryMiB(), s.Accelerators(), 1)
+	return provider.NewShape(s.Processors(), s.MemoryMiB(), s.Accelerators(), 1)
 }
--- a/placement/chooser_test.go
+++ b/placement/chooser_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -18,7 +18,7 @@
 
 type task struct {
 	server string
-	shape  platform.Shape
+	shape  provider.Shape
 	traits placement.Traits
 }
 
@@ -31,7 +31,7 @@
 	serial  int
 }
 
-func (m *model) free(server string) platform.Shape {
+func (m *model) free(server string) provider.Shape {
 	free := m.servers[server].Shape()
 	for _, t := range m.tasks {
 		if t.server == server {
@@ -61,8 +61,8 @@
 	return free, capacity
 }
 
-func drawShape(r *rapid.T) platform.Shape {
-	return platform.NewShape(rapid.IntRange(1, 9).Draw(r, "processors"), 1, rapid.SampledFrom([]int{0, 0, 1}).Draw(r, "acc"),
+func drawShape(r *rapid.T) provider.Shape {
+	return provider.NewShape(rapid.IntRange(1, 9).Draw(r, "processors"), 1, rapid.SampledFrom([]int{0, 0, 1}).Draw(r, "acc"),
 		rapid.IntRange(1, 3).Draw(r, "slots"))
 }
 
@@ -74,7 +74,7 @@
 	id := drawServer(r)
 	zone := rapid.SampledFrom([]string{"z1", "z1", "z1", "z2"}).Draw(r, "zone")
 	rack := rapid.SampledFrom([]string{"r1", "r2"}).Draw(r, "rack")
-	shape := platform.NewShape(8, 8, rapid.SampledFrom([]int{0, 0, 2}).Draw(r, "acc"), 8)
+	shape := provider.NewShape(8, 8, rapid.SampledFrom([]int{0, 0, 2}).Draw(r, "acc"), 8)
 	s := placement.NewServer(id, zone, rack, drawPool(r), shape, rapid.IntRange(0, 5).Draw(r, "usable") > 0)
 	m.chooser.SetServer(s)
 	m.servers[id] = s
@@ -125,7 +125,7 @@
 	}
 }
 
-func (m *model) avoidsAccelerators(r *rapid.T, chosen string, shape platform.Shape, probe bool) {
+func (m *model) avoidsAccelerators(r *rapid.T, chosen string, shape provider.Shape, probe bool) {
 	if probe || shape.Accelerators() > 0 || m.servers[chosen].Shape().Accelerators() == 0 {
 		return
 	}
@@ -135,7 +135,7 @@
 	}
 }
 
-func (m *model) reserve(r *rapid.T, server string, shape platform.Shape, class queue.Class) {
+func (m *model) reserve(r *rapid.T, server string, shape provider.Shape, class queue.Class) {
 	m.serial++
 	k := fmt.Sprint("t", m.serial)
 	t := placement.NewTraits(class, rapid.Bool().Draw(r, "idempotent"), rapid.Bool().Draw(r, "checkpointable"), m.now)
@@ -181,8 +181,8 @@
 		t := m.tasks[v.Key()]
 		assert.Equal(r, t.server, plan.Server())
 		assert.Assert(r, t.traits.Class() > class)
-		assert.Assert(r, v.Signal() != platform.SignalStop || t.traits.Idempotent())
-		assert.Assert(r, v.Signal() != platform.SignalCheckpoint || t.traits.Checkpointable())
+		assert.Assert(r, v.Signal() != provider.SignalStop || t.traits.Idempotent())
+		assert.Assert(r, v.Signal() != provider.SignalCheckpoint || t.traits.Checkpointable())
 		free = free.Plus(gain(t, v.Signal()))
 	}
 	assert.Assert(r, shape.Fits(free))
@@ -191,16 +191,16 @@
 	}
 }
 
-func strongest(t task) platform.Signal {
+func strongest(t task) provider.Signal {
 	if t.traits.Checkpointable() || t.traits.Idempotent() {
-		return platform.SignalStop
+		return provider.SignalStop
 	}
-	return platform.SignalThrottle
+	return provider.SignalThrottle
 }
 
-func gain(t task, s platform.Signal) platform.Shape {
-	if s == platform.SignalThrottle {
-		return platform.NewShape(t.shape.Processors()/2, 0, 0, 0)
+func gain(t task, s provider.Signal) provider.Shape {
+	if s == provider.SignalThrottle {
+		return provider.NewShape(t.shape.Processors()/2, 0, 0, 0)
 	}
 	return t.shape
 }
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // shortage records that work of one shape finds no room in one pool. At a full fleet smaller work takes every slot that
@@ -16,11 +16,11 @@
 
 type shortageKey struct {
 	pool  string
-	shape platform.Shape
+	shape provider.Shape
 }
 
 // refused notes that a shape found no room and holds a server for it when that has lasted.
-func (c *Chooser) refused(pool string, shape platform.Shape, now time.Time) {
+func (c *Chooser) refused(pool string, shape provider.Shape, now time.Time) {
 	c.expireShortages(pool, now)
 	k := shortageKey{pool: pool, shape: shape}
 	s, ok := c.shortages[k]
@@ -38,12 +38,12 @@
 }
 
 // placed ends the shortage of a shape.
-func (c *Chooser) placed(pool string, shape platform.Shape) {
+func (c *Chooser) placed(pool string, shape provider.Shape) {
 	delete(c.shortages, shortageKey{pool: pool, shape: shape})
 }
 
 // heldForOther reports whether a server is held for another shape.
-func (c *Chooser) heldForOther(st *state, shape platform.Shape) bool {
+func (c *Chooser) heldForOther(st *state, shape provider.Shape) bool {
 	for k, s := range c.shortages {
 		if s.held == st && k.shape != shape {
 			return true
@@ -79,7 +79,7 @@
 }
 
 // nearest returns the server with the most free slots among those that the shape fits when they are idle.
-func (c *Chooser) nearest(pool string, shape platform.Shape) *state {
+func (c *Chooser) nearest(pool string, shape provider.Shape) *state {
 	var best *state
 	for _, st := range c.pools[pool] {
 		if !c.inRotation(st) || !shape.Fits(st.server.shape) || c.heldForOther(st, shape) {
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
@@ -43,7 +43,7 @@
 	entry   int
 	class   queue.Class
 	server  string
-	shape   platform.Shape
+	shape   provider.Shape
 	left    float64 // seconds of work at full speed
 	whole   float64
 	began   time.Time
@@ -90,25 +90,25 @@
 		f.members = append(f.members, n)
 	}
 	for i := range serverN {
-		s := placement.NewServer(fmt.Sprint("s", i), "z", fmt.Sprint("r", i/4), "p", platform.NewShape(cores, 1, 0, 8), true)
+		s := placement.NewServer(fmt.Sprint("s", i), "z", fmt.Sprint("r", i/4), "p", provider.NewShape(cores, 1, 0, 8), true)
 		f.members[i%p.nodes].chooser.SetServer(s)
 	}
 	for _, n := range f.members {
 		n.queue.Shares.SetCapacity(n.chooser.Capacity("p"))
 		n.queue.Shares.RemoteWeight = p.remote
-		n.queue.Shares.SetRemoteCapacity(platform.NewShape(cores*serverN, 1, 0, 8*serverN).Minus(n.chooser.Capacity("p")))
+		n.queue.Shares.SetRemoteCapacity(provider.NewShape(cores*serverN, 1, 0, 8*serverN).Minus(n.chooser.Capacity("p")))
 	}
 	return f
 }
 
 func realCores(entry int) int { return 1 + entry*5%7 }
 
-func (f *fleet) size(entry int) platform.Shape {
+func (f *fleet) size(entry int) provider.Shape {
 	n := float64(realCores(entry)) * math.Pow(10, float64(entry*7%9)/4-1) // a tenth to ten times
 	if f.learned {
 		n = f.sizes.Quantile(fmt.Sprint(entry), 0.5, n)
 	}
-	return platform.NewShape(min(max(int(math.Round(n)), 1), cores), 0, 0, 1)
+	return provider.NewShape(min(max(int(math.Round(n)), 1), cores), 0, 0, 1)
 }
 
 func (f *fleet) arrive() {
@@ -194,10 +194,10 @@
 	for _, v := range plan.Victims() {
 		j := f.jobs[v.Key()]
 		switch v.Signal() {
-		case platform.SignalThrottle:
+		case provider.SignalThrottle:
 			n.chooser.Throttled(plan.Server(), v.Key())
 			continue
-		case platform.SignalStop:
+		case provider.SignalStop:
 			f.redone += j.whole - j.left
 			j.left = j.whole
 		}
@@ -272,7 +272,7 @@
 // exchange sets what the other entry VMs run.
 func (f *fleet) exchange() {
 	for _, n := range f.members {
-		var sums [teams]platform.Shape
+		var sums [teams]provider.Shape
 		for _, o := range f.members {
 			for _, j := range o.running {
 				if o != n {
--- a/placement/rotation.go
+++ b/placement/rotation.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Observe records how a task of an entry ended on a server, and takes the server out of rotation or back into it. Only
@@ -90,7 +90,7 @@
 
 // probe returns a server out of rotation that is due for a probe and has room. Entries that fail elsewhere too are no
 // use as a probe.
-func (c *Chooser) probe(pool, entry string, shape platform.Shape, now time.Time) *state {
+func (c *Chooser) probe(pool, entry string, shape provider.Shape, now time.Time) *state {
 	for _, st := range c.pools[pool] {
 		if !st.out || !c.usable(st) || now.Sub(st.probed) < probeInterval || !shape.Fits(st.free()) {
 			continue
--- a/placement/rotation_test.go
+++ b/placement/rotation_test.go
@@ -10,14 +10,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/placement"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
 func pool(n int) *placement.Chooser {
 	c := &placement.Chooser{}
 	for i := range n {
-		c.SetServer(placement.NewServer(fmt.Sprint("s", i), "z", fmt.Sprint("r", i/4), "p", platform.NewShape(8, 8, 0, 8), true))
+		c.SetServer(placement.NewServer(fmt.Sprint("s", i), "z", fmt.Sprint("r", i/4), "p", provider.NewShape(8, 8, 0, 8), true))
 	}
 	return c
 }
@@ -63,7 +63,7 @@
 	}
 	assert.DeepEqual(t, c.OutOfRotation("p"), []string{"s3"})
 	choose := func(class queue.Class, after time.Duration) string {
-		server, _ := c.Choose("p", "e", platform.NewShape(1, 1, 0, 1), class, start.Add(after))
+		server, _ := c.Choose("p", "e", provider.NewShape(1, 1, 0, 1), class, start.Add(after))
 		return server
 	}
 	assert.Assert(t, choose(queue.Archive, 9*time.Second) != "s3")
@@ -88,7 +88,7 @@
 		{"given up", 2100 * time.Millisecond, false},
 	} {
 		chooser, tasks, placed, held := pool(2), map[int]string{}, false, false
-		large, small := platform.NewShape(8, 1, 0, 1), platform.NewShape(1, 1, 0, 1)
+		large, small := provider.NewShape(8, 1, 0, 1), provider.NewShape(1, 1, 0, 1)
 		for i := -15; i < 200 && !placed; i++ { // the pool fills up, then one task ends every 100 ms
 			now := start.Add(time.Duration(max(i, 0)) * 100 * time.Millisecond)
 			if i >= 0 {
--- a/placement/server.go
+++ b/placement/server.go
@@ -1,6 +1,6 @@
 package placement
 
-import "github.com/pistachiolead/pistachiolead/platform"
+import "github.com/pistachiolead/pistachiolead/provider"
 
 // Server is a backend server as the Chooser knows it.
 type Server struct {
@@ -8,12 +8,12 @@
 	zone   string
 	rack   string
 	pool   string
-	shape  platform.Shape
+	shape  provider.Shape
 	usable bool
 }
 
 // NewServer returns a server. Only a usable server is given work; one that isn't still counts for what fits its pool.
-func NewServer(id, zone, rack, pool string, shape platform.Shape, usable bool) Server {
+func NewServer(id, zone, rack, pool string, shape provider.Shape, usable bool) Server {
 	return Server{id: id, zone: zone, rack: rack, pool: pool, shape: shape, usable: usable}
 }
 
@@ -30,7 +30,7 @@
 func (s Server) Pool() string { return s.pool }
 
 // Shape returns the capacity.
-func (s Server) Shape() platform.Shape { return s.shape }
+func (s Server) Shape() provider.Shape { return s.shape }
 
 // Usable reports whether the server may be given work.
 func (s Server) Usable() bool { return s.usable }
--- a/placement/victims.go
+++ b/placement/victims.go
@@ -5,21 +5,21 @@
 	"maps"
 	"slices"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
 // Victim is one running task and the signal that makes room.
 type Victim struct {
 	key    string
-	signal platform.Signal
+	signal provider.Signal
 }
 
 // Key returns the key that the task was reserved under.
 func (v Victim) Key() string { return v.key }
 
 // Signal returns what to ask of the task.
-func (v Victim) Signal() platform.Signal { return v.signal }
+func (v Victim) Signal() provider.Signal { return v.signal }
 
 // Interruption is a plan that makes room for one piece of urgent work on one server.
 type Interruption struct {
@@ -36,14 +36,14 @@
 // option is one way to interrupt one task.
 type option struct {
 	victim Victim
-	gain   platform.Shape
+	gain   provider.Shape
 	cost   float64 // seconds of work lost
 }
 
 // Victims plans the cheapest interruption that makes room for work of the given shape and class, and reports whether
 // there is one. Tasks of the same or a higher class are never interrupted; a task is throttled if only processors are
 // short, checkpointed if it can be, and stopped only if it is idempotent.
-func (c *Chooser) Victims(pool string, shape platform.Shape, class queue.Class) (Interruption, bool) {
+func (c *Chooser) Victims(pool string, shape provider.Shape, class queue.Class) (Interruption, bool) {
 	shape = atLeastOneSlot(shape)
 	var best Interruption
 	lowest, found := 0.0, false
@@ -73,7 +73,7 @@
 }
 
 // plan interrupts the cheapest tasks of one server until the shape fits, then drops those that turned out unnecessary.
-func (c *Chooser) plan(st *state, shape platform.Shape, class queue.Class) ([]Victim, float64, bool) {
+func (c *Chooser) plan(st *state, shape provider.Shape, class queue.Class) ([]Victim, float64, bool) {
 	free := st.free()
 	var chosen []option
 	for _, o := range c.options(st, class) {
@@ -117,7 +117,7 @@
 		if t.traits == nil || t.traits.class <= class {
 			continue
 		}
-		add := func(s platform.Signal, gain platform.Shape, cost float64) {
+		add := func(s provider.Signal, gain provider.Shape, cost float64) {
 			v := Victim{key: k, signal: s}
 			if t.traits.class != queue.Archive {
 				cost += costWaitingCaller
@@ -125,14 +125,14 @@
 			options = append(options, option{victim: v, gain: gain, cost: cost})
 		}
 		if gain := throttleGain(t.shape); !t.throttled && gain.Processors() > 0 {
-			add(platform.SignalThrottle, gain, costThrottle)
+			add(provider.SignalThrottle, gain, costThrottle)
 		}
 		switch {
 		case t.traits.checkpointable:
-			add(platform.SignalCheckpoint, t.shape, costCheckpoint)
+			add(provider.SignalCheckpoint, t.shape, costCheckpoint)
 		case t.traits.idempotent:
 			done := max(c.latest.Sub(t.traits.started).Seconds(), 0)
-			add(platform.SignalStop, t.shape, costStop+done)
+			add(provider.SignalStop, t.shape, costStop+done)
 		}
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
@@ -140,7 +140,7 @@
 }
 
 // helps reports whether a gain covers some of what is missing.
-func helps(gain, missing platform.Shape) bool {
+func helps(gain, missing provider.Shape) bool {
 	return (missing.Processors() > 0 && gain.Processors() > 0) ||
 		(missing.MemoryMiB() > 0 && gain.MemoryMiB() > 0) ||
 		(missing.Accelerators() > 0 && gain.Accelerators() > 0) ||
@@ -148,6 +148,6 @@
 }
 
 // throttleGain returns what a task gives up when it is throttled.
-func throttleGain(s platform.Shape) platform.Shape {
-	return platform.NewShape(s.Processors()/throttleDivisor, 0, 0, 0)
+func throttleGain(s provider.Shape) provider.Shape {
+	return provider.NewShape(s.Processors()/throttleDivisor, 0, 0, 0)
 }
