--- a/platform/remote/backend.go
+++ b/provider/remote/backend.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Backend is a client of one backend server. It opens at most 60 connections (R18).
@@ -16,7 +16,7 @@
 	control caller
 }
 
-var _ platform.BackendServer = (*Backend)(nil)
+var _ provider.BackendServer = (*Backend)(nil)
 
 // Names of outcomes in JSON.
 const (
@@ -34,10 +34,10 @@
 )
 
 // signalNames are the names of signals in JSON.
-var signalNames = map[platform.Signal]string{
-	platform.SignalCheckpoint: "checkpoint",
-	platform.SignalThrottle:   "throttle",
-	platform.SignalStop:       "stop",
+var signalNames = map[provider.Signal]string{
+	provider.SignalCheckpoint: "checkpoint",
+	provider.SignalThrottle:   "throttle",
+	provider.SignalStop:       "stop",
 }
 
 type (
@@ -96,66 +96,66 @@
 	}
 )
 
-// Acquire implements platform.BackendServer.
-func (b *Backend) Acquire(ctx context.Context, holder, zone string) platform.AcquireOutcome {
+// Acquire implements provider.BackendServer.
+func (b *Backend) Acquire(ctx context.Context, holder, zone string) provider.AcquireOutcome {
 	if !encodable(holder, zone) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 	resp, r := b.controlCall(ctx, "/acquire", acquireRequest{Holder: holder, Zone: zone})
 	switch {
 	case r.state == noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case r.state == noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	case resp.Outcome == outcomeGranted:
-		return platform.NewGranted(resp.Epoch, time.Duration(resp.DurationNs), resp.statuses())
+		return provider.NewGranted(resp.Epoch, time.Duration(resp.DurationNs), resp.statuses())
 	case resp.Outcome == outcomeHeld:
-		return platform.NewHeld(resp.Holder, time.Duration(resp.DurationNs))
+		return provider.NewHeld(resp.Holder, time.Duration(resp.DurationNs))
 	case resp.Outcome == outcomeRefused:
-		return platform.NewRefused(resp.Reason)
+		return provider.NewRefused(resp.Reason)
 	default:
-		return platform.NewUnknown(unexpected(resp))
+		return provider.NewUnknown(unexpected(resp))
 	}
 }
 
-// Release implements platform.BackendServer.
-func (b *Backend) Release(ctx context.Context, epoch uint64) platform.ReleaseOutcome {
+// Release implements provider.BackendServer.
+func (b *Backend) Release(ctx context.Context, epoch uint64) provider.ReleaseOutcome {
 	resp, r := b.controlCall(ctx, "/release", epochRequest{Epoch: epoch})
 	switch {
 	case r.state == noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case r.state == noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	case resp.Outcome == outcomeReleased:
-		return platform.Released{}
+		return provider.Released{}
 	case resp.Outcome == outcomeStaleEpoch:
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	default:
-		return platform.NewUnknown(unexpected(resp))
+		return provider.NewUnknown(unexpected(resp))
 	}
 }
 
-// Report implements platform.BackendServer.
-func (b *Backend) Report(ctx context.Context, epoch uint64) platform.ReportOutcome {
+// Report implements provider.BackendServer.
+func (b *Backend) Report(ctx context.Context, epoch uint64) provider.ReportOutcome {
 	resp, r := b.controlCall(ctx, "/report", epochRequest{Epoch: epoch})
 	switch {
 	case r.state == noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case r.state == noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	case resp.Outcome == outcomeReport && resp.Usage != nil:
-		return platform.NewReport(resp.Usage.shape(), resp.statuses())
+		return provider.NewReport(resp.Usage.shape(), resp.statuses())
 	case resp.Outcome == outcomeStaleEpoch:
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	default:
-		return platform.NewUnknown(unexpected(resp))
+		return provider.NewUnknown(unexpected(resp))
 	}
 }
 
-// Run implements platform.BackendServer. It sends the task once and never again.
-func (b *Backend) Run(ctx context.Context, epoch uint64, t platform.Task) platform.RunOutcome {
+// Run implements provider.BackendServer. It sends the task once and never again.
+func (b *Backend) Run(ctx context.Context, epoch uint64, t provider.Task) provider.RunOutcome {
 	if !encodable(t.ID(), t.Entry(), t.Team()) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 	b.runs.load(b.Address, MaxRunConnections, 0)
 	var resp backendResponse
@@ -165,67 +165,67 @@
 	}, &resp)
 	switch {
 	case r.state == noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case r.state == noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	case resp.Outcome == outcomeAnswer && resp.Answer != nil:
 		return resp.Answer.answer()
 	case resp.Outcome == outcomeRefused:
-		return platform.NewRefused(resp.Reason)
+		return provider.NewRefused(resp.Reason)
 	case resp.Outcome == outcomeStaleEpoch:
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	default:
-		return platform.NewUnknown(unexpected(resp))
+		return provider.NewUnknown(unexpected(resp))
 	}
 }
 
-// Close implements platform.BackendServer.
-func (b *Backend) Close(ctx context.Context, epoch uint64, id string, attempt int) platform.CloseOutcome {
+// Close implements provider.BackendServer.
+func (b *Backend) Close(ctx context.Context, epoch uint64, id string, attempt int) provider.CloseOutcome {
 	if !encodable(id) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 	resp, r := b.controlCall(ctx, "/close", attemptRequest{Epoch: epoch, ID: id, Attempt: attempt})
 	switch {
 	case r.state == noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case r.state == noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	case resp.Outcome == outcomeNever:
-		return platform.NeverStarted{}
+		return provider.NeverStarted{}
 	case resp.Outcome == outcomeRunning:
-		return platform.StillRunning{}
+		return provider.StillRunning{}
 	case resp.Outcome == outcomeAnswer && resp.Answer != nil:
 		return resp.Answer.answer()
 	case resp.Outcome == outcomeStaleEpoch:
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	default:
-		return platform.NewUnknown(unexpected(resp))
+		return provider.NewUnknown(unexpected(resp))
 	}
 }
 
-// Signal implements platform.BackendServer.
+// Signal implements provider.BackendServer.
 func (b *Backend) Signal(
-	ctx context.Context, epoch uint64, id string, attempt int, s platform.Signal,
-) platform.SignalOutcome {
+	ctx context.Context, epoch uint64, id string, attempt int, s provider.Signal,
+) provider.SignalOutcome {
 	if !encodable(id) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 	resp, r := b.controlCall(ctx, "/signal", attemptRequest{
 		Epoch: epoch, ID: id, Attempt: attempt, Signal: signalNames[s],
 	})
 	switch {
 	case r.state == noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case r.state == noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	case resp.Outcome == outcomeSignalled:
-		return platform.Signalled{}
+		return provider.Signalled{}
 	case resp.Outcome == outcomeNotRunning:
-		return platform.NotRunning{}
+		return provider.NotRunning{}
 	case resp.Outcome == outcomeStaleEpoch:
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	default:
-		return platform.NewUnknown(unexpected(resp))
+		return provider.NewUnknown(unexpected(resp))
 	}
 }
 
@@ -238,16 +238,16 @@
 
 func unexpected(resp backendResponse) string { return "unexpected outcome " + resp.Outcome }
 
-func (w backendResponse) statuses() []platform.TaskStatus {
-	statuses := make([]platform.TaskStatus, 0, len(w.Tasks))
+func (w backendResponse) statuses() []provider.TaskStatus {
+	statuses := make([]provider.TaskStatus, 0, len(w.Tasks))
 	for _, t := range w.Tasks {
-		task := platform.NewTask(t.ID, t.Attempt, t.Entry, t.Team, t.Shape.shape(), nil)
-		statuses = append(statuses, platform.NewTaskStatus(task, t.Finished).WithHolder(t.Holder))
+		task := provider.NewTask(t.ID, t.Attempt, t.Entry, t.Team, t.Shape.shape(), nil)
+		statuses = append(statuses, provider.NewTaskStatus(task, t.Finished).WithHolder(t.Holder))
 	}
 	return statuses
 }
 
-func newStatusWires(statuses []platform.TaskStatus) []statusWire {
+func newStatusWires(statuses []provider.TaskStatus) []statusWire {
 	wires := make([]statusWire, 0, len(statuses))
 	for _, s := range statuses {
 		wires = append(wires, statusWire{
@@ -258,16 +258,16 @@
 	return wires
 }
 
-func newAnswerWire(a platform.Answer) *answerWire {
+func newAnswerWire(a provider.Answer) *answerWire {
 	return &answerWire{
 		ID: a.ID(), Attempt: a.Attempt(), OK: a.OK(), Stopped: a.Stopped(),
 		Length: a.Length(), Checksum: a.Checksum(), Output: a.Output(),
 	}
 }
 
-func (w *answerWire) answer() platform.Answer {
+func (w *answerWire) answer() provider.Answer {
 	if w.Stopped {
-		return platform.NewStoppedAnswer(w.ID, w.Attempt, string(w.Output))
+		return provider.NewStoppedAnswer(w.ID, w.Attempt, string(w.Output))
 	}
-	return platform.NewAnswer(w.ID, w.Attempt, w.OK, w.Length, w.Checksum, w.Output)
+	return provider.NewAnswer(w.ID, w.Attempt, w.OK, w.Length, w.Checksum, w.Output)
 }
--- a/platform/remote/backendhandler.go
+++ b/provider/remote/backendhandler.go
@@ -6,13 +6,13 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // backendHandler serves one backend server.
 type backendHandler struct {
 	server  *Server
-	backend platform.BackendServer
+	backend provider.BackendServer
 }
 
 func (h backendHandler) handler() fasthttp.RequestHandler {
@@ -38,16 +38,16 @@
 	ctx, cancel := h.context(c)
 	defer cancel()
 	switch o := h.backend.Acquire(ctx, req.Holder, req.Zone).(type) {
-	case platform.Granted:
+	case provider.Granted:
 		reply(c, backendResponse{
 			Outcome: outcomeGranted, Epoch: o.Epoch(), DurationNs: o.Duration().Nanoseconds(),
 			Tasks: newStatusWires(o.Tasks()),
 		})
-	case platform.Held:
+	case provider.Held:
 		reply(c, backendResponse{Outcome: outcomeHeld, Holder: o.Holder(), DurationNs: o.Remaining().Nanoseconds()})
-	case platform.Refused:
+	case provider.Refused:
 		reply(c, backendResponse{Outcome: outcomeRefused, Reason: o.Reason()})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -62,11 +62,11 @@
 	ctx, cancel := h.context(c)
 	defer cancel()
 	switch o := h.backend.Release(ctx, req.Epoch).(type) {
-	case platform.Released:
+	case provider.Released:
 		reply(c, backendResponse{Outcome: outcomeReleased})
-	case platform.StaleEpoch:
+	case provider.StaleEpoch:
 		reply(c, backendResponse{Outcome: outcomeStaleEpoch})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -81,12 +81,12 @@
 	ctx, cancel := h.context(c)
 	defer cancel()
 	switch o := h.backend.Report(ctx, req.Epoch).(type) {
-	case platform.Report:
+	case provider.Report:
 		usage := newShapeWire(o.Usage())
 		reply(c, backendResponse{Outcome: outcomeReport, Usage: &usage, Tasks: newStatusWires(o.Tasks())})
-	case platform.StaleEpoch:
+	case provider.StaleEpoch:
 		reply(c, backendResponse{Outcome: outcomeStaleEpoch})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -100,15 +100,15 @@
 	}
 	ctx, cancel := h.context(c)
 	defer cancel()
-	t := platform.NewTask(req.ID, req.Attempt, req.Entry, req.Team, req.Shape.shape(), req.Payload)
+	t := provider.NewTask(req.ID, req.Attempt, req.Entry, req.Team, req.Shape.shape(), req.Payload)
 	switch o := h.backend.Run(ctx, req.Epoch, t).(type) {
-	case platform.Answer:
+	case provider.Answer:
 		reply(c, backendResponse{Outcome: outcomeAnswer, Answer: newAnswerWire(o)})
-	case platform.Refused:
+	case provider.Refused:
 		reply(c, backendResponse{Outcome: outcomeRefused, Reason: o.Reason()})
-	case platform.StaleEpoch:
+	case provider.StaleEpoch:
 		reply(c, backendResponse{Outcome: outcomeStaleEpoch})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -123,15 +123,15 @@
 	ctx, cancel := h.context(c)
 	defer cancel()
 	switch o := h.backend.Close(ctx, req.Epoch, req.ID, req.Attempt).(type) {
-	case platform.NeverStarted:
+	case provider.NeverStarted:
 		reply(c, backendResponse{Outcome: outcomeNever})
-	case platform.StillRunning:
+	case provider.StillRunning:
 		reply(c, backendResponse{Outcome: outcomeRunning})
-	case platform.Answer:
+	case provider.Answer:
 		reply(c, backendResponse{Outcome: outcomeAnswer, Answer: newAnswerWire(o)})
-	case platform.StaleEpoch:
+	case provider.StaleEpoch:
 		reply(c, backendResponse{Outcome: outcomeStaleEpoch})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -151,20 +151,20 @@
 	ctx, cancel := h.context(c)
 	defer cancel()
 	switch o := h.backend.Signal(ctx, req.Epoch, req.ID, req.Attempt, s).(type) {
-	case platform.Signalled:
+	case provider.Signalled:
 		reply(c, backendResponse{Outcome: outcomeSignalled})
-	case platform.NotRunning:
+	case provider.NotRunning:
 		reply(c, backendResponse{Outcome: outcomeNotRunning})
-	case platform.StaleEpoch:
+	case provider.StaleEpoch:
 		reply(c, backendResponse{Outcome: outcomeStaleEpoch})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
 	}
 }
 
-func parseSignal(name string) (platform.Signal, bool) {
+func parseSignal(name string) (provider.Signal, bool) {
 	for s, n := range signalNames {
 		if n == name {
 			return s, true
--- a/platform/remote/client_test.go
+++ b/provider/remote/client_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -52,14 +52,14 @@
 					return nil
 				})
 			}
-			call(c.want, func(ctx context.Context) any { return table.Commit(ctx, platform.Transaction{}) })
+			call(c.want, func(ctx context.Context) any { return table.Commit(ctx, provider.Transaction{}) })
 			call(c.want, func(ctx context.Context) any { return objects.Put(ctx, "o", nil) })
 			call(c.want, func(ctx context.Context) any { return backend.Acquire(ctx, "e1", "a") })
 			call(c.want, func(ctx context.Context) any { return backend.Release(ctx, 1) })
 			call(c.want, func(ctx context.Context) any { return backend.Report(ctx, 1) })
 			call(c.want, func(ctx context.Context) any { return backend.Run(ctx, 1, task("x", 1, "")) })
 			call(c.want, func(ctx context.Context) any { return backend.Close(ctx, 1, "x", 1) })
-			call(c.want, func(ctx context.Context) any { return backend.Signal(ctx, 1, "x", 1, platform.SignalStop) })
+			call(c.want, func(ctx context.Context) any { return backend.Signal(ctx, 1, "x", 1, provider.SignalStop) })
 			call(c.read, func(ctx context.Context) any { return table.Scan(ctx, "", 0) })
 			call(c.read, func(ctx context.Context) any { return objects.Get(ctx, "o") })
 			call(c.read, func(ctx context.Context) any { return (&remote.VMs{Address: c.address}).List(ctx) })
@@ -79,8 +79,8 @@
 	assert.Equal(t, describe(objects.Put(ctx, "\xff", nil)), "unavailable")
 	assert.Equal(t, describe(objects.Put(ctx, "large", make([]byte, remote.MaxBodyBytes))), "unavailable")
 	data := bytes.Repeat([]byte{1}, 6_000_000)
-	assert.Equal(t, describe(objects.Put(ctx, "o", data)), describe(platform.Stored{}))
-	assert.Assert(t, bytes.Equal(objects.Get(ctx, "o").(platform.Object).Data(), data))
+	assert.Equal(t, describe(objects.Put(ctx, "o", data)), describe(provider.Stored{}))
+	assert.Assert(t, bytes.Equal(objects.Get(ctx, "o").(provider.Object).Data(), data))
 }
 
 // Guards against a caller that waits for an answer after its context was cancelled, and against a run whose task ends
@@ -91,7 +91,7 @@
 	_, stop := serve(t, p)
 	defer stop()
 	backend := &remote.Backend{Address: p.Backends["b1"].VM.Address()}
-	epoch := backend.Acquire(context.Background(), "e1", "a").(platform.Granted).Epoch()
+	epoch := backend.Acquire(context.Background(), "e1", "a").(provider.Granted).Epoch()
 
 	ctx, cancel := context.WithCancel(context.Background())
 	g, _ := group.New(context.Background())
@@ -105,7 +105,7 @@
 	assert.NilError(t, g.Wait())
 
 	manual.Advance(time.Second)
-	a, ok := backend.Run(context.Background(), epoch, task("x", 1, "")).(platform.Answer)
+	a, ok := backend.Run(context.Background(), epoch, task("x", 1, "")).(provider.Answer)
 	assert.Assert(t, ok && a.OK())
 	assert.Equal(t, p.Counters.Starts("x"), 1)
 }
@@ -149,11 +149,11 @@
 	table := &remote.Table{Address: server.Address}
 	const rows = 7
 	commit := func(b byte) {
-		var writes []platform.Write
+		var writes []provider.Write
 		for i := range rows {
-			writes = append(writes, platform.NewPut(fmt.Sprintf("%02d", i), bytes.Repeat([]byte{b}, 1<<20)))
+			writes = append(writes, provider.NewPut(fmt.Sprintf("%02d", i), bytes.Repeat([]byte{b}, 1<<20)))
 		}
-		p.Table.Commit(ctx, platform.NewTransaction(nil, writes))
+		p.Table.Commit(ctx, provider.NewTransaction(nil, writes))
 	}
 
 	commit(0)
@@ -166,7 +166,7 @@
 		return nil
 	})
 	for range 2 {
-		o, ok := table.Scan(ctx, "", 0).(platform.Rows)
+		o, ok := table.Scan(ctx, "", 0).(provider.Rows)
 		assert.Assert(t, ok)
 		assert.Equal(t, len(o.Rows()), rows)
 		for _, r := range o.Rows() {
--- a/platform/remote/equal_test.go
+++ b/provider/remote/equal_test.go
@@ -9,9 +9,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 )
 
 // Guards against an outcome that changes on its way through HTTP: a field that is lost, a lost reply that is taken for
@@ -78,9 +78,9 @@
 			},
 			"commit": func(t *rapid.T) {
 				version := rapid.Uint64Range(0, near.Table.Version()).Draw(t, "version")
-				x := platform.NewTransaction(
-					[]platform.Condition{platform.NewCondition(drawKey(t), version)},
-					[]platform.Write{platform.NewDelete(drawKey(t)), platform.NewPut(drawKey(t), drawBytes(t))},
+				x := provider.NewTransaction(
+					[]provider.Condition{provider.NewCondition(drawKey(t), version)},
+					[]provider.Write{provider.NewDelete(drawKey(t)), provider.NewPut(drawKey(t), drawBytes(t))},
 				)
 				equal(t, near.Table.Commit(ctx, x), table.Commit(ctx, x))
 			},
@@ -103,7 +103,7 @@
 				zone := rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "zone")
 				o := nearBackend.Acquire(ctx, holder, zone)
 				equal(t, o, backend.Acquire(ctx, holder, zone))
-				if g, ok := o.(platform.Granted); ok {
+				if g, ok := o.(provider.Granted); ok {
 					epoch = g.Epoch()
 				}
 			},
@@ -138,15 +138,15 @@
 			"signal": func(t *rapid.T) {
 				id, n := drawAttempt(t)
 				e := drawEpoch(t)
-				s := platform.Signal(rapid.IntRange(1, 3).Draw(t, "signal"))
+				s := provider.Signal(rapid.IntRange(1, 3).Draw(t, "signal"))
 				equal(t, nearBackend.Signal(ctx, e, id, n, s), backend.Signal(ctx, e, id, n, s))
 			},
 			"stop": func(t *rapid.T) {
 				id, n := drawAttempt(t)
 				x := task(id, n, `{"run-ms": 3000}`)
 				equal(t, nearBackend.Run(impatient{ctx}, epoch, x), farBackend.Run(impatient{ctx}, epoch, x))
-				equal(t, nearBackend.Signal(ctx, epoch, id, n, platform.SignalStop),
-					backend.Signal(ctx, epoch, id, n, platform.SignalStop))
+				equal(t, nearBackend.Signal(ctx, epoch, id, n, provider.SignalStop),
+					backend.Signal(ctx, epoch, id, n, provider.SignalStop))
 				equal(t, nearBackend.Close(ctx, epoch, id, n), backend.Close(ctx, epoch, id, n))
 			},
 			"restart": func(*rapid.T) {
--- a/platform/remote/faults.go
+++ b/provider/remote/faults.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 )
 
 // triggerWire is a standin.Trigger in JSON: a boolean, a number of operations, or a probability with a seed.
--- a/platform/remote/faults_test.go
+++ b/provider/remote/faults_test.go
@@ -7,8 +7,8 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
 )
 
 // Guards against fault requests that are accepted and have no effect, or that hit another service.
@@ -22,19 +22,19 @@
 	backend := &remote.Backend{Address: p.Backends["b1"].VM.Address()}
 	acquire := func() any {
 		o := backend.Acquire(ctx, "e1", "a")
-		if _, ok := o.(platform.Granted); ok {
+		if _, ok := o.(provider.Granted); ok {
 			return "granted"
 		}
 		return describe(o)
 	}
-	commit := func() any { return describe(table.Commit(ctx, platform.Transaction{})) }
+	commit := func() any { return describe(table.Commit(ctx, provider.Transaction{})) }
 	run := func() any {
-		g := backend.Acquire(ctx, "e1", "a").(platform.Granted)
-		return backend.Run(ctx, g.Epoch(), task("x", 1, "")).(platform.Answer).OK()
+		g := backend.Acquire(ctx, "e1", "a").(provider.Granted)
+		return backend.Run(ctx, g.Epoch(), task("x", 1, "")).(provider.Answer).OK()
 	}
 	listed := func() any {
 		s := ""
-		for _, v := range vms.List(ctx).(platform.VMs).VMs() {
+		for _, v := range vms.List(ctx).(provider.VMs).VMs() {
 			s += v.ID()
 			if v.Leaving() {
 				s += "-"
--- a/platform/remote/objects.go
+++ b/provider/remote/objects.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Objects is a client of a platform's object store. An object has to fit into a body as base64, which allows about
@@ -17,7 +17,7 @@
 	caller caller
 }
 
-var _ platform.ObjectStore = (*Objects)(nil)
+var _ provider.ObjectStore = (*Objects)(nil)
 
 type (
 	putRequest struct {
@@ -34,36 +34,36 @@
 	}
 )
 
-// Put implements platform.ObjectStore. Names have to be valid UTF-8.
-func (s *Objects) Put(ctx context.Context, name string, data []byte) platform.PutOutcome {
+// Put implements provider.ObjectStore. Names have to be valid UTF-8.
+func (s *Objects) Put(ctx context.Context, name string, data []byte) provider.PutOutcome {
 	s.caller.load(s.Address, maxServiceConnections, DefaultTimeout)
 	if !encodable(name) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 	req := putRequest{Name: name, Data: data}
 	switch r := s.caller.call(ctx, DefaultTimeout, "/objects/put", req, &putResponse{}); r.state {
 	case noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	}
-	return platform.Stored{}
+	return provider.Stored{}
 }
 
-// Get implements platform.ObjectStore.
-func (s *Objects) Get(ctx context.Context, name string) platform.GetOutcome {
+// Get implements provider.ObjectStore.
+func (s *Objects) Get(ctx context.Context, name string) provider.GetOutcome {
 	s.caller.load(s.Address, maxServiceConnections, DefaultTimeout)
 	if !encodable(name) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 	var resp getResponse
 	if r := s.caller.call(ctx, DefaultTimeout, "/objects/get", getRequest{Name: name}, &resp); r.state != replied {
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	}
 	if !resp.Found {
-		return platform.Absent{}
+		return provider.Absent{}
 	}
-	return platform.NewObject(resp.Data)
+	return provider.NewObject(resp.Data)
 }
 
 func (s *Server) put(c *fasthttp.RequestCtx) {
@@ -74,9 +74,9 @@
 	ctx, cancel := s.requestContext(c)
 	defer cancel()
 	switch o := s.Platform.Objects.Put(ctx, req.Name, req.Data).(type) {
-	case platform.Stored:
+	case provider.Stored:
 		reply(c, putResponse{})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -91,11 +91,11 @@
 	ctx, cancel := s.requestContext(c)
 	defer cancel()
 	switch o := s.Platform.Objects.Get(ctx, req.Name).(type) {
-	case platform.Object:
+	case provider.Object:
 		reply(c, getResponse{Found: true, Data: o.Data()})
-	case platform.Absent:
+	case provider.Absent:
 		reply(c, getResponse{})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
--- a/platform/remote/rig_test.go
+++ b/provider/remote/rig_test.go
@@ -11,9 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -29,10 +29,10 @@
 func (impatient) Err() error { return nil }
 
 func newPlatform(t timer.Service) *standin.Platform {
-	shape := platform.NewShape(8, 1024, 2, 4)
-	return standin.NewPlatform([]platform.VM{
-		platform.NewVM("b1", platform.RoleBackend, "a", "r1", "127.0.0.1:0", shape, false),
-		platform.NewVM("e1", platform.RoleEntry, "a", "r1", "127.0.0.1:1", platform.Shape{}, true),
+	shape := provider.NewShape(8, 1024, 2, 4)
+	return standin.NewPlatform([]provider.VM{
+		provider.NewVM("b1", provider.RoleBackend, "a", "r1", "127.0.0.1:0", shape, false),
+		provider.NewVM("e1", provider.RoleEntry, "a", "r1", "127.0.0.1:1", provider.Shape{}, true),
 	}, t)
 }
 
@@ -89,17 +89,17 @@
 // describe gives equal texts for equal outcomes. The texts of reasons may differ.
 func describe(outcome any) string {
 	switch o := outcome.(type) {
-	case platform.Unavailable:
+	case provider.Unavailable:
 		return "unavailable"
-	case platform.Unknown:
+	case provider.Unknown:
 		return "unknown"
 	default:
 		return fmt.Sprintf("%T %+v", o, o)
 	}
 }
 
-func task(id string, attempt int, payload string) platform.Task {
-	return platform.NewTask(id, attempt, "entry", "team", platform.NewShape(1, 1, 0, 1), []byte(payload))
+func task(id string, attempt int, payload string) provider.Task {
+	return provider.NewTask(id, attempt, "entry", "team", provider.NewShape(1, 1, 0, 1), []byte(payload))
 }
 
 func start() *timer.Manual { return timer.NewManual(time.UnixMilli(1_000_000)) }
--- a/platform/remote/server.go
+++ b/provider/remote/server.go
@@ -16,8 +16,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/pistachiolead/pistachiolead/group"
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 )
 
 // Server offers a stand-in platform over HTTP: the table, the object store, the VM list and the faults at one address,
@@ -118,8 +118,8 @@
 	return address, nil
 }
 
-func withAddress(v platform.VM, address string) platform.VM {
-	return platform.NewVM(v.ID(), v.Role(), v.Zone(), v.Rack(), address, v.Shape(), v.Leaving())
+func withAddress(v provider.VM, address string) provider.VM {
+	return provider.NewVM(v.ID(), v.Role(), v.Zone(), v.Rack(), address, v.Shape(), v.Leaving())
 }
 
 func (s *Server) closeListeners() {
--- a/platform/remote/shape.go
+++ b/provider/remote/shape.go
@@ -1,6 +1,6 @@
 package remote
 
-import "github.com/pistachiolead/pistachiolead/platform"
+import "github.com/pistachiolead/pistachiolead/provider"
 
 type shapeWire struct {
 	Processors   int `json:"processors,omitempty"`
@@ -9,12 +9,12 @@
 	Slots        int `json:"slots,omitempty"`
 }
 
-func newShapeWire(s platform.Shape) shapeWire {
+func newShapeWire(s provider.Shape) shapeWire {
 	return shapeWire{
 		Processors: s.Processors(), MemoryMiB: s.MemoryMiB(), Accelerators: s.Accelerators(), Slots: s.Slots(),
 	}
 }
 
-func (w shapeWire) shape() platform.Shape {
-	return platform.NewShape(w.Processors, w.MemoryMiB, w.Accelerators, w.Slots)
+func (w shapeWire) shape() provider.Shape {
+	return provider.NewShape(w.Processors, w.MemoryMiB, w.Accelerators, w.Slots)
 }
--- a/platform/remote/table.go
+++ b/provider/remote/table.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Table is a client of a platform's table.
@@ -16,7 +16,7 @@
 	caller caller
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 type (
 	rowWire struct {
@@ -57,19 +57,19 @@
 	}
 )
 
-// Commit implements platform.Table. Keys have to be valid UTF-8.
-func (t *Table) Commit(ctx context.Context, x platform.Transaction) platform.CommitOutcome {
+// Commit implements provider.Table. Keys have to be valid UTF-8.
+func (t *Table) Commit(ctx context.Context, x provider.Transaction) provider.CommitOutcome {
 	t.caller.load(t.Address, maxServiceConnections, DefaultTimeout)
 	var req commitRequest
 	for _, c := range x.Conditions() {
 		if !encodable(c.Key()) {
-			return platform.NewUnavailable(reasonNotText)
+			return provider.NewUnavailable(reasonNotText)
 		}
 		req.Conditions = append(req.Conditions, conditionWire{Key: c.Key(), Version: c.Version()})
 	}
 	for _, w := range x.Writes() {
 		if !encodable(w.Key()) {
-			return platform.NewUnavailable(reasonNotText)
+			return provider.NewUnavailable(reasonNotText)
 		}
 		req.Writes = append(req.Writes, writeWire{Key: w.Key(), Value: w.Value(), Delete: w.Delete()})
 	}
@@ -77,49 +77,49 @@
 	var resp commitResponse
 	switch r := t.caller.call(ctx, DefaultTimeout, "/table/commit", req, &resp); r.state {
 	case noEffect:
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	case noReply:
-		return platform.NewUnknown(r.reason)
+		return provider.NewUnknown(r.reason)
 	}
 	if resp.Row != nil {
-		return platform.NewConflict(resp.Row.row())
+		return provider.NewConflict(resp.Row.row())
 	}
-	return platform.NewCommitted(resp.Version)
+	return provider.NewCommitted(resp.Version)
 }
 
-// Scan implements platform.Table. A long scan arrives in pages of one snapshot.
-func (t *Table) Scan(ctx context.Context, prefix string, since uint64) platform.ScanOutcome {
+// Scan implements provider.Table. A long scan arrives in pages of one snapshot.
+func (t *Table) Scan(ctx context.Context, prefix string, since uint64) provider.ScanOutcome {
 	t.caller.load(t.Address, maxServiceConnections, DefaultTimeout)
 	if !encodable(prefix) {
-		return platform.NewUnavailable(reasonNotText)
+		return provider.NewUnavailable(reasonNotText)
 	}
 
-	var rows []platform.Row
+	var rows []provider.Row
 	req := scanRequest{Prefix: prefix, Since: since}
 	for {
 		var resp scanResponse
 		if r := t.caller.call(ctx, DefaultTimeout, "/table/scan", req, &resp); r.state != replied {
-			return platform.NewUnavailable(r.reason)
+			return provider.NewUnavailable(r.reason)
 		}
 		for _, w := range resp.Rows {
 			rows = append(rows, w.row())
 		}
 		if resp.Cursor == 0 {
-			return platform.NewRows(rows, resp.Version)
+			return provider.NewRows(rows, resp.Version)
 		}
 		req.Cursor = resp.Cursor
 	}
 }
 
-func newRowWire(r platform.Row) rowWire {
+func newRowWire(r provider.Row) rowWire {
 	return rowWire{Key: r.Key(), Value: r.Value(), Version: r.Version(), Deleted: r.Deleted()}
 }
 
-func (w rowWire) row() platform.Row {
+func (w rowWire) row() provider.Row {
 	if w.Deleted {
-		return platform.NewDeletedRow(w.Key, w.Version)
+		return provider.NewDeletedRow(w.Key, w.Version)
 	}
-	return platform.NewRow(w.Key, w.Value, w.Version)
+	return provider.NewRow(w.Key, w.Value, w.Version)
 }
 
 func (s *Server) commit(c *fasthttp.RequestCtx) {
@@ -127,28 +127,28 @@
 	if !decode(c, &req) {
 		return
 	}
-	conditions := make([]platform.Condition, 0, len(req.Conditions))
+	conditions := make([]provider.Condition, 0, len(req.Conditions))
 	for _, w := range req.Conditions {
-		conditions = append(conditions, platform.NewCondition(w.Key, w.Version))
+		conditions = append(conditions, provider.NewCondition(w.Key, w.Version))
 	}
-	writes := make([]platform.Write, 0, len(req.Writes))
+	writes := make([]provider.Write, 0, len(req.Writes))
 	for _, w := range req.Writes {
 		if w.Delete {
-			writes = append(writes, platform.NewDelete(w.Key))
+			writes = append(writes, provider.NewDelete(w.Key))
 			continue
 		}
-		writes = append(writes, platform.NewPut(w.Key, w.Value))
+		writes = append(writes, provider.NewPut(w.Key, w.Value))
 	}
 
 	ctx, cancel := s.requestContext(c)
 	defer cancel()
-	switch o := s.Platform.Table.Commit(ctx, platform.NewTransaction(conditions, writes)).(type) {
-	case platform.Committed:
+	switch o := s.Platform.Table.Commit(ctx, provider.NewTransaction(conditions, writes)).(type) {
+	case provider.Committed:
 		reply(c, commitResponse{Version: o.Version()})
-	case platform.Conflict:
+	case provider.Conflict:
 		w := newRowWire(o.Row())
 		reply(c, commitResponse{Row: &w})
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -173,9 +173,9 @@
 	ctx, cancel := s.requestContext(c)
 	defer cancel()
 	switch o := s.Platform.Table.Scan(ctx, req.Prefix, req.Since).(type) {
-	case platform.Rows:
+	case provider.Rows:
 		s.replyPage(c, o)
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
@@ -183,14 +183,14 @@
 }
 
 // replyPage replies with as many rows as fit into a page, and keeps the others for the next one.
-func (s *Server) replyPage(c *fasthttp.RequestCtx, o platform.Rows) {
+func (s *Server) replyPage(c *fasthttp.RequestCtx, o provider.Rows) {
 	resp := scanResponse{Version: o.Version(), Rows: []rowWire{}}
 	size := 0
 	for i, r := range o.Rows() {
 		// Base64 takes 4 bytes for 3.
 		size += rowOverheadBytes + len(r.Key()) + len(r.Value())*4/3
 		if i > 0 && size > maxPageBytes {
-			resp.Cursor = s.cursors.put(platform.NewRows(o.Rows()[i:], o.Version()))
+			resp.Cursor = s.cursors.put(provider.NewRows(o.Rows()[i:], o.Version()))
 			break
 		}
 		resp.Rows = append(resp.Rows, newRowWire(r))
--- a/platform/remote/vms.go
+++ b/provider/remote/vms.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // VMs is a client of a platform's list of VMs. It keeps the last list and asks for it only if it has changed: at 538 VMs
@@ -21,10 +21,10 @@
 	caller caller
 	mu     sync.Mutex
 	tag    string
-	last   []platform.VM // the list with the tag
+	last   []provider.VM // the list with the tag
 }
 
-var _ platform.VMList = (*VMs)(nil)
+var _ provider.VMList = (*VMs)(nil)
 
 type (
 	vmWire struct {
@@ -49,52 +49,52 @@
 )
 
 // roleNames are the names of roles in JSON.
-var roleNames = map[platform.Role]string{platform.RoleEntry: "entry", platform.RoleBackend: "backend"}
+var roleNames = map[provider.Role]string{provider.RoleEntry: "entry", provider.RoleBackend: "backend"}
 
-// List implements platform.VMList.
-func (l *VMs) List(ctx context.Context) platform.ListOutcome {
+// List implements provider.VMList.
+func (l *VMs) List(ctx context.Context) provider.ListOutcome {
 	l.caller.load(l.Address, maxServiceConnections, DefaultTimeout)
 	known, last := l.known()
 	var resp listResponse
 	if r := l.caller.call(ctx, DefaultTimeout, "/vms/list", listRequest{Known: known}, &resp); r.state != replied {
-		return platform.NewUnavailable(r.reason)
+		return provider.NewUnavailable(r.reason)
 	}
 	if resp.Unchanged {
-		return platform.NewVMs(last)
+		return provider.NewVMs(last)
 	}
-	vms := make([]platform.VM, 0, len(resp.VMs))
+	vms := make([]provider.VM, 0, len(resp.VMs))
 	for _, w := range resp.VMs {
 		vms = append(vms, w.vm())
 	}
 	l.keep(resp.Tag, vms)
-	return platform.NewVMs(vms)
+	return provider.NewVMs(vms)
 }
 
-func (l *VMs) known() (string, []platform.VM) {
+func (l *VMs) known() (string, []provider.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.tag, l.last
 }
 
-func (l *VMs) keep(tag string, vms []platform.VM) {
+func (l *VMs) keep(tag string, vms []provider.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tag, l.last = tag, vms
 }
 
-func newVMWire(v platform.VM) vmWire {
+func newVMWire(v provider.VM) vmWire {
 	return vmWire{
 		ID: v.ID(), Role: roleNames[v.Role()], Zone: v.Zone(), Rack: v.Rack(), Address: v.Address(),
 		Shape: newShapeWire(v.Shape()), Leaving: v.Leaving(),
 	}
 }
 
-func (w vmWire) vm() platform.VM {
-	role := platform.RoleEntry
-	if w.Role == roleNames[platform.RoleBackend] {
-		role = platform.RoleBackend
+func (w vmWire) vm() provider.VM {
+	role := provider.RoleEntry
+	if w.Role == roleNames[provider.RoleBackend] {
+		role = provider.RoleBackend
 	}
-	return platform.NewVM(w.ID, role, w.Zone, w.Rack, w.Address, w.Shape.shape(), w.Leaving)
+	return provider.NewVM(w.ID, role, w.Zone, w.Rack, w.Address, w.Shape.shape(), w.Leaving)
 }
 
 func (s *Server) list(c *fasthttp.RequestCtx) {
@@ -105,16 +105,16 @@
 	ctx, cancel := s.requestContext(c)
 	defer cancel()
 	switch o := s.Platform.VMs.List(ctx).(type) {
-	case platform.VMs:
+	case provider.VMs:
 		reply(c, listSince(req.Known, o.VMs()))
-	case platform.Unavailable:
+	case provider.Unavailable:
 		refuse(c, o.Reason())
 	default:
 		loseReply(c)
 	}
 }
 
-func listSince(known string, vms []platform.VM) listResponse {
+func listSince(known string, vms []provider.VM) listResponse {
 	wires := make([]vmWire, 0, len(vms))
 	for _, v := range vms {
 		wires = append(wires, newVMWire(v))
--- a/platform/remote/vms_test.go
+++ b/provider/remote/vms_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/remote"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/remote"
 )
 
 // Guards against a client that keeps a list after it has changed, also when it changes back or the platform restarts.
@@ -28,7 +28,7 @@
 				p.VMs.Remove(id)
 			} else {
 				leaving := rapid.Bool().Draw(rt, "leaving")
-				p.VMs.Set(platform.NewVM(id, platform.RoleBackend, "a", "r", "x:1", platform.Shape{}, leaving))
+				p.VMs.Set(provider.NewVM(id, provider.RoleBackend, "a", "r", "x:1", provider.Shape{}, leaving))
 			}
 			want := p.VMs.List(context.Background())
 			for range 2 {
--- a/platform/standin/attempt.go
+++ b/provider/standin/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // attemptKey identifies an attempt of a request.
@@ -28,7 +28,7 @@
 type attempt struct {
 	key   attemptKey
 	state attemptState
-	task  platform.Task
+	task  provider.Task
 	work  work
 	// remaining is the run time left at since, at full speed.
 	remaining time.Duration
@@ -42,7 +42,7 @@
 	// done is closed when the attempt has ended or its process was lost.
 	done    chan struct{}
 	lost    bool
-	answer  platform.Answer
+	answer  provider.Answer
 	ended   time.Time
 	fetched bool
 	// delivered is set by a report that came after the answer was fetched.
@@ -79,10 +79,10 @@
 }
 
 // slots returns the slots that a task takes, at least one.
-func slots(t platform.Task) int { return max(1, t.Shape().Slots()) }
+func slots(t provider.Task) int { return max(1, t.Shape().Slots()) }
 
 // footprint returns the shape of a task with the slots that it takes.
-func footprint(t platform.Task) platform.Shape {
+func footprint(t provider.Task) provider.Shape {
 	s := t.Shape()
-	return platform.NewShape(s.Processors(), s.MemoryMiB(), s.Accelerators(), slots(t))
+	return provider.NewShape(s.Processors(), s.MemoryMiB(), s.Accelerators(), slots(t))
 }
--- a/platform/standin/backend.go
+++ b/provider/standin/backend.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
-// Backend is an in-process platform.BackendServer. Its process starts when NewPlatform returns it, or else at the first call.
+// Backend is an in-process provider.BackendServer. Its process starts when NewPlatform returns it, or else at the first call.
 //
 // Its tasks only pass time. A payload may be a JSON object with these optional fields; the rest is echoed in the output:
 //
@@ -28,7 +28,7 @@
 // and the finished ones whose answer nobody has fetched; a fetched answer can be fetched again by Run or Close.
 type Backend struct {
 	// VM is required. Its zone decides who gets leases, and its shape how many tasks run at once.
-	VM platform.VM
+	VM provider.VM
 	// Timer is required.
 	Timer timer.Service
 	// Faults and TaskFaults may be changed while the server is in use.
@@ -50,66 +50,66 @@
 	wake  timer.Subscription
 	wakes time.Time
 	// delivered is the answer that was sent last.
-	delivered platform.Answer
+	delivered provider.Answer
 	usage     usage
 }
 
-var _ platform.BackendServer = (*Backend)(nil)
+var _ provider.BackendServer = (*Backend)(nil)
 
-// Acquire implements platform.BackendServer.
-func (b *Backend) Acquire(ctx context.Context, holder, zone string) platform.AcquireOutcome {
-	var o platform.AcquireOutcome
+// Acquire implements provider.BackendServer.
+func (b *Backend) Acquire(ctx context.Context, holder, zone string) provider.AcquireOutcome {
+	var o provider.AcquireOutcome
 	switch b.Faults.apply(ctx, b.Timer, false, func(now time.Time) { o = b.acquire(now, holder, zone) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	return o
 }
 
-// Release implements platform.BackendServer.
-func (b *Backend) Release(ctx context.Context, epoch uint64) platform.ReleaseOutcome {
-	var o platform.ReleaseOutcome
+// Release implements provider.BackendServer.
+func (b *Backend) Release(ctx context.Context, epoch uint64) provider.ReleaseOutcome {
+	var o provider.ReleaseOutcome
 	switch b.Faults.apply(ctx, b.Timer, false, func(now time.Time) { o = b.release(now, epoch) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	return o
 }
 
-// Report implements platform.BackendServer. The usage is the sum of the declared shapes, UsageLag old.
-func (b *Backend) Report(ctx context.Context, epoch uint64) platform.ReportOutcome {
-	var o platform.ReportOutcome
+// Report implements provider.BackendServer. The usage is the sum of the declared shapes, UsageLag old.
+func (b *Backend) Report(ctx context.Context, epoch uint64) provider.ReportOutcome {
+	var o provider.ReportOutcome
 	switch b.Faults.apply(ctx, b.Timer, false, func(now time.Time) { o = b.report(now, epoch) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	return o
 }
 
-// Run implements platform.BackendServer. It refuses an attempt that was closed, and a new one if too few slots are
+// Run implements provider.BackendServer. It refuses an attempt that was closed, and a new one if too few slots are
 // free.
-func (b *Backend) Run(ctx context.Context, epoch uint64, t platform.Task) platform.RunOutcome {
+func (b *Backend) Run(ctx context.Context, epoch uint64, t provider.Task) provider.RunOutcome {
 	var (
 		a *attempt
-		o platform.RunOutcome
+		o provider.RunOutcome
 	)
 	switch b.Faults.apply(ctx, b.Timer, true, func(now time.Time) { a, o = b.start(now, epoch, t) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	if a != nil && !b.await(ctx, a) {
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	if b.Faults.losesReply() {
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	if a != nil {
 		return b.deliver(a)
@@ -117,31 +117,31 @@
 	return o
 }
 
-// Close implements platform.BackendServer.
-func (b *Backend) Close(ctx context.Context, epoch uint64, id string, attempt int) platform.CloseOutcome {
-	var o platform.CloseOutcome
+// Close implements provider.BackendServer.
+func (b *Backend) Close(ctx context.Context, epoch uint64, id string, attempt int) provider.CloseOutcome {
+	var o provider.CloseOutcome
 	k := attemptKey{id: id, attempt: attempt}
 	switch b.Faults.apply(ctx, b.Timer, false, func(now time.Time) { o = b.closeAttempt(now, epoch, k) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	return o
 }
 
-// Signal implements platform.BackendServer. A checkpoint ends the task and keeps its progress, a throttle halves its
+// Signal implements provider.BackendServer. A checkpoint ends the task and keeps its progress, a throttle halves its
 // speed once, and a stop ends it. A task that can't be checkpointed ignores the checkpoint signal.
 func (b *Backend) Signal(
-	ctx context.Context, epoch uint64, id string, attempt int, s platform.Signal,
-) platform.SignalOutcome {
-	var o platform.SignalOutcome
+	ctx context.Context, epoch uint64, id string, attempt int, s provider.Signal,
+) provider.SignalOutcome {
+	var o provider.SignalOutcome
 	k := attemptKey{id: id, attempt: attempt}
 	switch b.Faults.apply(ctx, b.Timer, false, func(now time.Time) { o = b.signal(now, epoch, k, s) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	return o
 }
@@ -170,7 +170,7 @@
 	}
 	b.tasks = newTasks()
 	b.lease = b.lease.restarted(now)
-	b.delivered = platform.Answer{}
+	b.delivered = provider.Answer{}
 	b.usage = usage{}
 	b.arm(now)
 }
@@ -186,14 +186,14 @@
 }
 
 // Running returns the status of the running tasks, in order of id and attempt. No fault affects it.
-func (b *Backend) Running() []platform.TaskStatus {
+func (b *Backend) Running() []provider.TaskStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(b.Timer.Now())
 	running := b.tasks.inOrder(b.tasks.running)
-	statuses := make([]platform.TaskStatus, 0, len(running))
+	statuses := make([]provider.TaskStatus, 0, len(running))
 	for _, a := range running {
-		statuses = append(statuses, platform.NewTaskStatus(a.task, false))
+		statuses = append(statuses, provider.NewTaskStatus(a.task, false))
 	}
 	return statuses
 }
@@ -228,14 +228,14 @@
 	}
 }
 
-func (b *Backend) deliver(a *attempt) platform.Answer {
+func (b *Backend) deliver(a *attempt) provider.Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.deliverLocked(a)
 }
 
 // deliverLocked returns the answer as the caller receives it.
-func (b *Backend) deliverLocked(a *attempt) platform.Answer {
+func (b *Backend) deliverLocked(a *attempt) provider.Answer {
 	if a.answer.Stopped() {
 		return a.answer
 	}
@@ -248,7 +248,7 @@
 	}
 	if f.hits(&f.truncate) {
 		n := a.answer
-		return platform.NewAnswer(n.ID(), n.Attempt(), n.OK(), n.Length(), n.Checksum(), n.Output()[:len(n.Output())/2])
+		return provider.NewAnswer(n.ID(), n.Attempt(), n.OK(), n.Length(), n.Checksum(), n.Output()[:len(n.Output())/2])
 	}
 	a.fetched = true
 	b.delivered = a.answer
--- a/platform/standin/backend_test.go
+++ b/provider/standin/backend_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 )
 
 type attempt struct {
@@ -56,16 +56,16 @@
 				zone := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "zone")
 				before, live := b.Holder()
 				switch o := b.Acquire(r.ctx, holder, zone).(type) {
-				case platform.Granted:
+				case provider.Granted:
 					assert.Assert(t, !live || before == holder)
 					assert.Equal(t, zone, "a")
 					assert.Assert(t, !granted[o.Epoch()], "epoch granted twice")
 					granted[o.Epoch()] = true
 					epochs = append(epochs, o.Epoch())
-				case platform.Held:
+				case provider.Held:
 					assert.Assert(t, live && before != holder && o.Holder() == before)
 					assert.Assert(t, o.Remaining() > 0 && o.Remaining() <= standin.LeaseDuration)
-				case platform.Refused:
+				case provider.Refused:
 					assert.Equal(t, zone, "b")
 				}
 			},
@@ -88,10 +88,10 @@
 				b.Faults.SetDelay(0)
 				b.Faults.SetLoseReplies(standin.Never{})
 				switch o := o.(type) {
-				case platform.Answer:
+				case provider.Answer:
 					assert.Assert(t, whole(o, a.id, a.number))
 					assert.Equal(t, started(a), 1)
-				case platform.Refused, platform.StaleEpoch, platform.Unavailable:
+				case provider.Refused, provider.StaleEpoch, provider.Unavailable:
 					assert.Equal(t, started(a), before)
 				}
 				if _, live := b.Holder(); !live || epoch != epochs[len(epochs)-1] {
@@ -101,19 +101,19 @@
 			"close": func(t *rapid.T) {
 				a := drawAttempt(t)
 				switch o := b.Close(r.ctx, drawEpoch(t), a.id, a.number).(type) {
-				case platform.NeverStarted:
+				case provider.NeverStarted:
 					assert.Equal(t, started(a), 0)
 					never[a] = true
-				case platform.StillRunning:
+				case provider.StillRunning:
 					assert.Equal(t, started(a), 1)
-				case platform.Answer:
+				case provider.Answer:
 					assert.Equal(t, started(a), 1)
 					assert.Assert(t, whole(o, a.id, a.number))
 				}
 			},
 			"signal": func(t *rapid.T) {
 				a := drawAttempt(t)
-				s := platform.Signal(rapid.IntRange(1, 3).Draw(t, "signal"))
+				s := provider.Signal(rapid.IntRange(1, 3).Draw(t, "signal"))
 				b.Signal(r.ctx, drawEpoch(t), a.id, a.number, s)
 			},
 			"": func(t *rapid.T) {
@@ -135,7 +135,7 @@
 func TestBackendTasks(t *testing.T) {
 	type signal struct {
 		atMs   int
-		signal platform.Signal
+		signal provider.Signal
 	}
 	for _, c := range []struct {
 		name    string
@@ -156,19 +156,19 @@
 		{name: "longer than the task lease", payload: `{"run-ms": 50000}`, endMs: 50000, ok: true},
 		{
 			name: "stopped", payload: `{"run-ms": 1000}`,
-			signals: []signal{{300, platform.SignalStop}}, endMs: 300, stopped: true,
+			signals: []signal{{300, provider.SignalStop}}, endMs: 300, stopped: true,
 		},
 		{
 			name: "throttled, the second time without effect", payload: `{"run-ms": 1000}`,
-			signals: []signal{{200, platform.SignalThrottle}, {400, platform.SignalThrottle}}, endMs: 1800, ok: true,
+			signals: []signal{{200, provider.SignalThrottle}, {400, provider.SignalThrottle}}, endMs: 1800, ok: true,
 		},
 		{
 			name: "checkpointed", payload: `{"run-ms": 1000}`,
-			signals: []signal{{300, platform.SignalCheckpoint}}, endMs: 300, stopped: true,
+			signals: []signal{{300, provider.SignalCheckpoint}}, endMs: 300, stopped: true,
 		},
 		{
 			name: "not checkpointable", payload: `{"run-ms": 1000, "checkpointable": false}`,
-			signals: []signal{{300, platform.SignalCheckpoint}}, endMs: 1000, ok: true,
+			signals: []signal{{300, provider.SignalCheckpoint}}, endMs: 1000, ok: true,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -179,18 +179,18 @@
 			for _, s := range c.signals {
 				r.keep(t, epoch, time.Duration(s.atMs-now)*time.Millisecond)
 				now = s.atMs
-				_, ok := r.backend.Signal(r.ctx, epoch, "x", 1, s.signal).(platform.Signalled)
+				_, ok := r.backend.Signal(r.ctx, epoch, "x", 1, s.signal).(provider.Signalled)
 				assert.Assert(t, ok)
 			}
 			if c.endMs > now {
 				r.keep(t, epoch, time.Duration(c.endMs-now-1)*time.Millisecond)
-				_, ok := r.backend.Close(r.ctx, epoch, "x", 1).(platform.StillRunning)
+				_, ok := r.backend.Close(r.ctx, epoch, "x", 1).(provider.StillRunning)
 				assert.Assert(t, ok)
 				r.keep(t, epoch, time.Millisecond)
 			}
 			assert.Equal(t, len(r.backend.Running()), 0)
 
-			a, ok := r.backend.Run(r.ctx, epoch, task("x", 1, "")).(platform.Answer)
+			a, ok := r.backend.Run(r.ctx, epoch, task("x", 1, "")).(provider.Answer)
 			assert.Assert(t, ok)
 			assert.Assert(t, whole(a, "x", 1))
 			assert.Equal(t, a.OK(), c.ok)
@@ -204,7 +204,7 @@
 func TestBackendOutput(t *testing.T) {
 	r := newRig()
 	payload := `{"output-bytes": 1000, "seat": 7}`
-	a := r.backend.Run(r.ctx, r.acquire(t), task("x", 2, payload)).(platform.Answer)
+	a := r.backend.Run(r.ctx, r.acquire(t), task("x", 2, payload)).(provider.Answer)
 	assert.Equal(t, a.Length(), 1000)
 	var output map[string]any
 	assert.NilError(t, json.Unmarshal(a.Output(), &output))
@@ -222,14 +222,14 @@
 	payload := `{"run-ms": 10000}`
 	r.backend.Run(r.send, epoch, task("x", 1, payload))
 	r.keep(t, epoch, 7*time.Second)
-	r.backend.Signal(r.ctx, epoch, "x", 1, platform.SignalCheckpoint)
+	r.backend.Signal(r.ctx, epoch, "x", 1, provider.SignalCheckpoint)
 	remaining, ok := r.fleet.Checkpoints.Remaining("x")
 	assert.Assert(t, ok)
 	assert.Equal(t, remaining, 3*time.Second)
 
 	r.backend.Run(r.send, epoch, task("x", 2, payload))
 	r.keep(t, epoch, 3*time.Second)
-	assert.Assert(t, r.backend.Run(r.send, epoch, task("x", 2, payload)).(platform.Answer).OK())
+	assert.Assert(t, r.backend.Run(r.send, epoch, task("x", 2, payload)).(provider.Answer).OK())
 	_, ok = r.fleet.Checkpoints.Remaining("x")
 	assert.Assert(t, !ok)
 }
@@ -240,7 +240,7 @@
 	b := r.backend
 	b.Run(r.send, r.acquire(t), task("x", 1, `{"run-ms": 3600000}`))
 	r.timer.Advance(standin.TaskLease - time.Millisecond)
-	g := b.Acquire(r.ctx, "e2", "a").(platform.Granted)
+	g := b.Acquire(r.ctx, "e2", "a").(provider.Granted)
 	assert.Equal(t, len(g.Tasks()), 1)
 	assert.Assert(t, !g.Tasks()[0].Finished())
 
@@ -250,7 +250,7 @@
 	assert.Equal(t, r.fleet.Counters.Running("team"), 0)
 	assert.Equal(t, r.fleet.Counters.MaxRunning("team"), 1)
 	epoch := r.acquire(t)
-	assert.Assert(t, b.Close(r.ctx, epoch, "x", 1).(platform.Answer).Stopped())
+	assert.Assert(t, b.Close(r.ctx, epoch, "x", 1).(provider.Answer).Stopped())
 }
 
 // Guards against epochs that don't come from the start time of the process, against a process restart that keeps
@@ -266,7 +266,7 @@
 	b.Restart()
 	b.Restart()
 	assert.Equal(t, r.fleet.Counters.Running("team"), 0)
-	_, ok := b.Run(r.send, old, task("y", 1, "")).(platform.StaleEpoch)
+	_, ok := b.Run(r.send, old, task("y", 1, "")).(provider.StaleEpoch)
 	assert.Assert(t, ok)
 	epoch := r.acquire(t)
 	assert.Equal(t, epoch>>20, uint64(1_001_001))
@@ -288,24 +288,24 @@
 			epoch := r.acquire(t)
 			r.backend.Run(r.send, epoch, task("w", 1, ""))
 			set(&r.backend.TaskFaults)
-			a, ok := r.backend.Run(r.send, epoch, task("x", 1, "")).(platform.Answer)
+			a, ok := r.backend.Run(r.send, epoch, task("x", 1, "")).(provider.Answer)
 			assert.Assert(t, !ok || !whole(a, "x", 1))
-			tasks := r.backend.Report(r.ctx, epoch).(platform.Report).Tasks()
+			tasks := r.backend.Report(r.ctx, epoch).(provider.Report).Tasks()
 			assert.Equal(t, len(tasks), 1)
 			assert.Assert(t, tasks[0].Finished())
 
 			r.backend.TaskFaults.SetLate(0)
-			a = r.backend.Run(r.ctx, epoch, task("x", 1, "")).(platform.Answer)
+			a = r.backend.Run(r.ctx, epoch, task("x", 1, "")).(provider.Answer)
 			assert.Assert(t, whole(a, "x", 1))
 			assert.Equal(t, r.backend.Starts("x"), 1)
-			assert.Equal(t, len(r.backend.Report(r.ctx, epoch).(platform.Report).Tasks()), 0)
+			assert.Equal(t, len(r.backend.Report(r.ctx, epoch).(provider.Report).Tasks()), 0)
 		})
 	}
 
 	r := newRig()
 	epoch := r.acquire(t)
 	r.backend.TaskFaults.SetFail(standin.Always{})
-	a := r.backend.Run(r.ctx, epoch, task("x", 1, `{"run-ms": 1000}`)).(platform.Answer)
+	a := r.backend.Run(r.ctx, epoch, task("x", 1, `{"run-ms": 1000}`)).(provider.Answer)
 	assert.Assert(t, !a.OK() && !a.Stopped())
 }
 
@@ -314,7 +314,7 @@
 	r := newRig()
 	epoch := r.acquire(t)
 	stopped := func(id string) bool {
-		return r.backend.Run(r.ctx, epoch, task(id, 1, "")).(platform.Answer).Stopped()
+		return r.backend.Run(r.ctx, epoch, task(id, 1, "")).(provider.Answer).Stopped()
 	}
 	for i := range standin.MaxAnswers + 1 {
 		stopped(fmt.Sprint(i))
@@ -333,7 +333,7 @@
 	epoch := r.acquire(t)
 	r.backend.Run(r.send, epoch, task("x", 1, `{"run-ms": 5000}`))
 	for at := time.Duration(0); at < 10*time.Second; at += time.Second {
-		u := r.backend.Report(r.ctx, epoch).(platform.Report).Usage()
+		u := r.backend.Report(r.ctx, epoch).(provider.Report).Usage()
 		want := 0
 		if at >= standin.UsageLag && at < 5*time.Second+standin.UsageLag {
 			want = 1
--- a/platform/standin/objects.go
+++ b/provider/standin/objects.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
-// Objects is an in-memory platform.ObjectStore.
+// Objects is an in-memory provider.ObjectStore.
 type Objects struct {
 	// Timer is required.
 	Timer timer.Service
@@ -22,28 +22,28 @@
 	puts    map[string]int
 }
 
-var _ platform.ObjectStore = (*Objects)(nil)
+var _ provider.ObjectStore = (*Objects)(nil)
 
-// Put implements platform.ObjectStore.
-func (s *Objects) Put(ctx context.Context, name string, data []byte) platform.PutOutcome {
+// Put implements provider.ObjectStore.
+func (s *Objects) Put(ctx context.Context, name string, data []byte) provider.PutOutcome {
 	data = bytes.Clone(data)
 	switch s.Faults.apply(ctx, s.Timer, false, func(time.Time) { s.put(name, data) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
-	return platform.Stored{}
+	return provider.Stored{}
 }
 
-// Get implements platform.ObjectStore.
-func (s *Objects) Get(ctx context.Context, name string) platform.GetOutcome {
-	var o platform.GetOutcome
+// Get implements provider.ObjectStore.
+func (s *Objects) Get(ctx context.Context, name string) provider.GetOutcome {
+	var o provider.GetOutcome
 	switch s.Faults.apply(ctx, s.Timer, false, func(time.Time) { o = s.get(name) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnavailable(reasonLost)
+		return provider.NewUnavailable(reasonLost)
 	}
 	return o
 }
@@ -66,12 +66,12 @@
 	s.puts[name]++
 }
 
-func (s *Objects) get(name string) platform.GetOutcome {
+func (s *Objects) get(name string) provider.GetOutcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data, ok := s.objects[name]
 	if !ok {
-		return platform.Absent{}
+		return provider.Absent{}
 	}
-	return platform.NewObject(data)
+	return provider.NewObject(data)
 }
--- a/platform/standin/operations.go
+++ b/provider/standin/operations.go
@@ -4,54 +4,54 @@
 	"sort"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
-func (b *Backend) acquire(now time.Time, holder, zone string) platform.AcquireOutcome {
+func (b *Backend) acquire(now time.Time, holder, zone string) provider.AcquireOutcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 
 	if holder == "" {
-		return platform.NewRefused("the holder has no name")
+		return provider.NewRefused("the holder has no name")
 	}
 	if zone != b.VM.Zone() {
-		return platform.NewRefused("the holder is in another availability zone")
+		return provider.NewRefused("the holder is in another availability zone")
 	}
 	if b.lease.live(now) && b.lease.holder != holder {
-		return platform.NewHeld(b.lease.holder, b.lease.until.Sub(now))
+		return provider.NewHeld(b.lease.holder, b.lease.until.Sub(now))
 	}
 	b.lease = b.lease.granted(now, holder, b.leaseDuration())
 	b.renewTasks(now)
-	return platform.NewGranted(b.lease.epoch, b.leaseDuration(), b.tasks.listed())
+	return provider.NewGranted(b.lease.epoch, b.leaseDuration(), b.tasks.listed())
 }
 
-func (b *Backend) release(now time.Time, epoch uint64) platform.ReleaseOutcome {
+func (b *Backend) release(now time.Time, epoch uint64) provider.ReleaseOutcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	if !b.lease.current(now, epoch) {
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	}
 	b.lease = b.lease.released()
-	return platform.Released{}
+	return provider.Released{}
 }
 
-func (b *Backend) report(now time.Time, epoch uint64) platform.ReportOutcome {
+func (b *Backend) report(now time.Time, epoch uint64) provider.ReportOutcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	if !b.lease.current(now, epoch) {
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	}
 	b.lease = b.lease.renewed(now, b.leaseDuration())
 	b.renewTasks(now)
 	b.tasks.coverBy(b.lease.holder)
-	return platform.NewReport(b.usage.lagging(now), b.tasks.listed())
+	return provider.NewReport(b.usage.lagging(now), b.tasks.listed())
 }
 
 // start returns the attempt to wait for, or the outcome if there is none.
-func (b *Backend) start(now time.Time, epoch uint64, t platform.Task) (*attempt, platform.RunOutcome) {
+func (b *Backend) start(now time.Time, epoch uint64, t provider.Task) (*attempt, provider.RunOutcome) {
 	w, err := parseWork(t.Payload()) // before the lock, which all tasks of the server share
 
 	b.mu.Lock()
@@ -59,17 +59,17 @@
 	b.advance(now)
 
 	if !b.lease.current(now, epoch) {
-		return nil, platform.StaleEpoch{}
+		return nil, provider.StaleEpoch{}
 	}
 	k := attemptKey{id: t.ID(), attempt: t.Attempt()}
 	if a, ok := b.tasks.records[k]; ok {
 		if a.state == attemptClosed {
-			return nil, platform.NewRefused("the attempt is closed")
+			return nil, provider.NewRefused("the attempt is closed")
 		}
 		return a, nil
 	}
 	if b.tasks.usage().Slots()+slots(t) > b.VM.Shape().Slots() {
-		return nil, platform.NewRefused("too few free slots")
+		return nil, provider.NewRefused("too few free slots")
 	}
 
 	a := b.begin(now, k, t, w, err)
@@ -78,7 +78,7 @@
 }
 
 // begin starts a task. The error is that of its payload, with which it fails.
-func (b *Backend) begin(now time.Time, k attemptKey, t platform.Task, w work, err error) *attempt {
+func (b *Backend) begin(now time.Time, k attemptKey, t provider.Task, w work, err error) *attempt {
 	a := &attempt{
 		key: k, state: attemptRunning, task: t, work: w,
 		remaining: w.runTime(), since: now, renewed: now, holder: b.lease.holder, done: make(chan struct{}),
@@ -105,55 +105,55 @@
 	return a
 }
 
-func (b *Backend) closeAttempt(now time.Time, epoch uint64, k attemptKey) platform.CloseOutcome {
+func (b *Backend) closeAttempt(now time.Time, epoch uint64, k attemptKey) provider.CloseOutcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 
 	if !b.lease.current(now, epoch) {
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	}
 	a, ok := b.tasks.records[k]
 	if !ok {
 		b.tasks.add(&attempt{key: k, state: attemptClosed})
-		return platform.NeverStarted{}
+		return provider.NeverStarted{}
 	}
 	switch a.state {
 	case attemptRunning:
-		return platform.StillRunning{}
+		return provider.StillRunning{}
 	case attemptEnded:
 		return b.deliverLocked(a)
 	default:
-		return platform.NeverStarted{}
+		return provider.NeverStarted{}
 	}
 }
 
-func (b *Backend) signal(now time.Time, epoch uint64, k attemptKey, s platform.Signal) platform.SignalOutcome {
+func (b *Backend) signal(now time.Time, epoch uint64, k attemptKey, s provider.Signal) provider.SignalOutcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 
 	if !b.lease.current(now, epoch) {
-		return platform.StaleEpoch{}
+		return provider.StaleEpoch{}
 	}
 	a, ok := b.tasks.running[k]
 	if !ok {
-		return platform.NotRunning{}
+		return provider.NotRunning{}
 	}
 	a.progress(now)
 	switch s {
-	case platform.SignalThrottle:
+	case provider.SignalThrottle:
 		a.throttled = true
-	case platform.SignalStop:
+	case provider.SignalStop:
 		b.stop(now, a, "the task was stopped")
-	case platform.SignalCheckpoint:
+	case provider.SignalCheckpoint:
 		if b.Checkpoints != nil && a.work.checkpointable() {
 			b.Checkpoints.save(checkpoint{id: k.id, attempt: k.attempt, remaining: a.remaining})
 			b.stop(now, a, "the task was checkpointed")
 		}
 	}
 	b.arm(now)
-	return platform.Signalled{}
+	return provider.Signalled{}
 }
 
 // advance brings the tasks up to now and arms the timer for the next end.
@@ -216,12 +216,12 @@
 	})
 }
 
-func (b *Backend) end(at time.Time, a *attempt, answer platform.Answer) {
+func (b *Backend) end(at time.Time, a *attempt, answer provider.Answer) {
 	a.state = attemptEnded
 	a.answer = answer
 	a.ended = at
 	// The payload isn't needed any more, and the record outlives the answer.
-	a.task = platform.NewTask(a.task.ID(), a.task.Attempt(), a.task.Entry(), a.task.Team(), a.task.Shape(), nil)
+	a.task = provider.NewTask(a.task.ID(), a.task.Attempt(), a.task.Entry(), a.task.Team(), a.task.Shape(), nil)
 	delete(b.tasks.running, a.key)
 	b.usage.record(at, b.tasks.usage())
 	b.countEnd(a)
@@ -236,7 +236,7 @@
 }
 
 func (b *Backend) stop(at time.Time, a *attempt, reason string) {
-	b.end(at, a, platform.NewStoppedAnswer(a.key.id, a.key.attempt, reason))
+	b.end(at, a, provider.NewStoppedAnswer(a.key.id, a.key.attempt, reason))
 }
 
 func (b *Backend) countEnd(a *attempt) {
--- a/platform/standin/platform.go
+++ b/provider/standin/platform.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -20,7 +20,7 @@
 }
 
 // NewPlatform returns a platform with the given VMs, which its VM list shows at once.
-func NewPlatform(vms []platform.VM, t timer.Service) *Platform {
+func NewPlatform(vms []provider.VM, t timer.Service) *Platform {
 	p := &Platform{
 		Table:       &Table{Timer: t},
 		Objects:     &Objects{Timer: t},
@@ -31,7 +31,7 @@
 	}
 	p.VMs.Load(vms)
 	for _, vm := range vms {
-		if vm.Role() != platform.RoleBackend {
+		if vm.Role() != provider.RoleBackend {
 			continue
 		}
 		b := &Backend{VM: vm, Timer: t, Checkpoints: p.Checkpoints, Fleet: p.Counters}
--- a/platform/standin/rig_test.go
+++ b/provider/standin/rig_test.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -36,15 +36,15 @@
 
 func newRig() *rig {
 	m := timer.NewManual(time.UnixMilli(1_000_000))
-	vm := platform.NewVM("b1", platform.RoleBackend, "a", "r1", "", platform.NewShape(8, 1024, 0, 2), false)
-	p := standin.NewPlatform([]platform.VM{vm}, m)
+	vm := provider.NewVM("b1", provider.RoleBackend, "a", "r1", "", provider.NewShape(8, 1024, 0, 2), false)
+	p := standin.NewPlatform([]provider.VM{vm}, m)
 	ctx := context.Background()
 	return &rig{timer: m, backend: p.Backends["b1"], fleet: p, ctx: ctx, send: impatient{ctx}}
 }
 
 func (r *rig) acquire(t *testing.T) uint64 {
 	t.Helper()
-	g, ok := r.backend.Acquire(r.ctx, "e1", "a").(platform.Granted)
+	g, ok := r.backend.Acquire(r.ctx, "e1", "a").(provider.Granted)
 	assert.Assert(t, ok)
 	return g.Epoch()
 }
@@ -55,16 +55,16 @@
 	const step = 100 * time.Millisecond
 	for ; d > 0; d -= step {
 		r.timer.Advance(min(d, step))
-		_, ok := r.backend.Report(r.ctx, epoch).(platform.Report)
+		_, ok := r.backend.Report(r.ctx, epoch).(provider.Report)
 		assert.Assert(t, ok)
 	}
 }
 
-func task(id string, attempt int, payload string) platform.Task {
-	return platform.NewTask(id, attempt, "entry", "team", platform.NewShape(1, 1, 0, 1), []byte(payload))
+func task(id string, attempt int, payload string) provider.Task {
+	return provider.NewTask(id, attempt, "entry", "team", provider.NewShape(1, 1, 0, 1), []byte(payload))
 }
 
-func whole(a platform.Answer, id string, attempt int) bool {
+func whole(a provider.Answer, id string, attempt int) bool {
 	return a.ID() == id && a.Attempt() == attempt && a.Length() == len(a.Output()) &&
 		a.Checksum() == xxhash.Sum64(a.Output())
 }
--- a/platform/standin/services_test.go
+++ b/provider/standin/services_test.go
@@ -7,8 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -16,14 +16,14 @@
 func TestVMsLag(t *testing.T) {
 	ctx := context.Background()
 	manual := timer.NewManual(time.Unix(1000, 0))
-	vm := func(id string) platform.VM {
-		return platform.NewVM(id, platform.RoleEntry, "a", "r", "", platform.Shape{}, false)
+	vm := func(id string) provider.VM {
+		return provider.NewVM(id, provider.RoleEntry, "a", "r", "", provider.Shape{}, false)
 	}
-	p := standin.NewPlatform([]platform.VM{vm("2"), vm("1")}, manual)
+	p := standin.NewPlatform([]provider.VM{vm("2"), vm("1")}, manual)
 	p.VMs.Lag = 5 * time.Second
 	shown := func() string {
 		s := ""
-		for _, v := range p.VMs.List(ctx).(platform.VMs).VMs() {
+		for _, v := range p.VMs.List(ctx).(provider.VMs).VMs() {
 			s += v.ID()
 			if v.Leaving() {
 				s += "-"
@@ -53,18 +53,18 @@
 	data := []byte("whole")
 
 	s.Faults.SetDown(standin.NewNext(1))
-	_, ok := s.Put(ctx, "o", data).(platform.Unavailable)
+	_, ok := s.Put(ctx, "o", data).(provider.Unavailable)
 	assert.Assert(t, ok)
-	_, ok = s.Get(ctx, "o").(platform.Absent)
+	_, ok = s.Get(ctx, "o").(provider.Absent)
 	assert.Assert(t, ok)
 
 	s.Faults.SetLoseReplies(standin.NewNext(2))
-	_, ok = s.Put(ctx, "o", data).(platform.Unknown)
+	_, ok = s.Put(ctx, "o", data).(provider.Unknown)
 	assert.Assert(t, ok)
-	_, ok = s.Get(ctx, "o").(platform.Unavailable)
+	_, ok = s.Get(ctx, "o").(provider.Unavailable)
 	assert.Assert(t, ok)
 	data[0] = 'x'
-	assert.Equal(t, string(s.Get(ctx, "o").(platform.Object).Data()), "whole")
+	assert.Equal(t, string(s.Get(ctx, "o").(provider.Object).Data()), "whole")
 	assert.Equal(t, s.Puts("o"), 1)
 }
 
@@ -77,7 +77,7 @@
 		s := make([]byte, 1000)
 		for i := range s {
 			s[i] = '0'
-			if _, ok := l.List(ctx).(platform.Unavailable); ok {
+			if _, ok := l.List(ctx).(provider.Unavailable); ok {
 				s[i] = '1'
 			}
 		}
--- a/platform/standin/table.go
+++ b/provider/standin/table.go
@@ -11,11 +11,11 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
-// Table is an in-memory platform.Table.
+// Table is an in-memory provider.Table.
 //
 // The record of a deletion is forgotten after DeletionRetention later versions. A reader that is further behind
 // misses the deletion and has to scan from version 0.
@@ -41,34 +41,34 @@
 	limitersLoaded bool
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 type tableRow struct {
-	row      platform.Row
+	row      provider.Row
 	deletion *list.Element
 }
 
-// Commit implements platform.Table. The writes of one transaction apply in order. Deleting a row that doesn't exist
+// Commit implements provider.Table. The writes of one transaction apply in order. Deleting a row that doesn't exist
 // leaves no record.
-func (t *Table) Commit(ctx context.Context, x platform.Transaction) platform.CommitOutcome {
-	var o platform.CommitOutcome
+func (t *Table) Commit(ctx context.Context, x provider.Transaction) provider.CommitOutcome {
+	var o provider.CommitOutcome
 	switch t.Faults.apply(ctx, t.Timer, false, func(now time.Time) { o = t.commit(now, x) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnknown(reasonLost)
+		return provider.NewUnknown(reasonLost)
 	}
 	return o
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix string, since uint64) platform.ScanOutcome {
-	var o platform.ScanOutcome
+// Scan implements provider.Table.
+func (t *Table) Scan(ctx context.Context, prefix string, since uint64) provider.ScanOutcome {
+	var o provider.ScanOutcome
 	switch t.Faults.apply(ctx, t.Timer, false, func(now time.Time) { o = t.scan(now, prefix, since) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnavailable(reasonLost)
+		return provider.NewUnavailable(reasonLost)
 	}
 	return o
 }
@@ -80,17 +80,17 @@
 	return t.version
 }
 
-func (t *Table) commit(now time.Time, x platform.Transaction) platform.CommitOutcome {
+func (t *Table) commit(now time.Time, x provider.Transaction) provider.CommitOutcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load()
 
 	if t.writes != nil && !t.writes.AllowN(now, len(x.Writes())) {
-		return platform.NewUnavailable("too many writes")
+		return provider.NewUnavailable("too many writes")
 	}
 	for _, c := range x.Conditions() {
 		if r := t.current(c.Key()); r.Version() != c.Version() {
-			return platform.NewConflict(r)
+			return provider.NewConflict(r)
 		}
 	}
 
@@ -99,7 +99,7 @@
 		t.write(w)
 	}
 	t.forgetDeletions()
-	return platform.NewCommitted(t.version)
+	return provider.NewCommitted(t.version)
 }
 
 func (t *Table) load() {
@@ -120,19 +120,19 @@
 }
 
 // current returns the row, with version 0 if it doesn't exist.
-func (t *Table) current(key string) platform.Row {
+func (t *Table) current(key string) provider.Row {
 	e, ok := t.rows[key]
 	if !ok {
-		return platform.NewRow(key, nil, 0)
+		return provider.NewRow(key, nil, 0)
 	}
 	r := e.Value.(*tableRow).row
 	if r.Deleted() {
-		return platform.NewRow(key, nil, 0)
+		return provider.NewRow(key, nil, 0)
 	}
 	return r
 }
 
-func (t *Table) write(w platform.Write) {
+func (t *Table) write(w provider.Write) {
 	if w.Delete() && t.current(w.Key()).Version() == 0 {
 		return
 	}
@@ -141,11 +141,11 @@
 	}
 
 	if !w.Delete() {
-		row := platform.NewRow(w.Key(), bytes.Clone(w.Value()), t.version)
+		row := provider.NewRow(w.Key(), bytes.Clone(w.Value()), t.version)
 		t.rows[w.Key()] = t.byVersion.PushBack(&tableRow{row: row})
 		return
 	}
-	r := &tableRow{row: platform.NewDeletedRow(w.Key(), t.version)}
+	r := &tableRow{row: provider.NewDeletedRow(w.Key(), t.version)}
 	e := t.byVersion.PushBack(r)
 	r.deletion = t.deletions.PushBack(e)
 	t.rows[w.Key()] = e
@@ -170,15 +170,15 @@
 	}
 }
 
-func (t *Table) scan(now time.Time, prefix string, since uint64) platform.ScanOutcome {
+func (t *Table) scan(now time.Time, prefix string, since uint64) provider.ScanOutcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load()
 
 	if t.reads != nil && !t.reads.AllowN(now, 1) {
-		return platform.NewUnavailable("too many reads")
+		return provider.NewUnavailable("too many reads")
 	}
-	var rows []platform.Row
+	var rows []provider.Row
 	for e := t.byVersion.Back(); e != nil; e = e.Prev() {
 		r := e.Value.(*tableRow).row
 		if r.Version() <= since {
@@ -189,5 +189,5 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key() < rows[j].Key() })
-	return platform.NewRows(rows, t.version)
+	return provider.NewRows(rows, t.version)
 }
--- a/platform/standin/table_test.go
+++ b/provider/standin/table_test.go
@@ -11,15 +11,15 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/pistachiolead/pistachiolead/platform"
-	"github.com/pistachiolead/pistachiolead/platform/standin"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/provider/standin"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
 // tableModel is a table as a plain map of the last state of every row ever written.
 type tableModel struct {
 	version uint64
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 }
 
 func (m *tableModel) current(key string) uint64 {
@@ -30,7 +30,7 @@
 }
 
 // commit returns the key of the first condition that fails, or "".
-func (m *tableModel) commit(x platform.Transaction) string {
+func (m *tableModel) commit(x provider.Transaction) string {
 	for _, c := range x.Conditions() {
 		if m.current(c.Key()) != c.Version() {
 			return c.Key()
@@ -40,9 +40,9 @@
 	for _, w := range x.Writes() {
 		switch {
 		case !w.Delete():
-			m.rows[w.Key()] = platform.NewRow(w.Key(), w.Value(), m.version)
+			m.rows[w.Key()] = provider.NewRow(w.Key(), w.Value(), m.version)
 		case m.current(w.Key()) != 0:
-			m.rows[w.Key()] = platform.NewDeletedRow(w.Key(), m.version)
+			m.rows[w.Key()] = provider.NewDeletedRow(w.Key(), m.version)
 		}
 	}
 	return ""
@@ -67,28 +67,28 @@
 		ctx := context.Background()
 		manual := timer.NewManual(time.Unix(1000, 0))
 		table := &standin.Table{Timer: manual}
-		model := &tableModel{rows: make(map[string]platform.Row)}
+		model := &tableModel{rows: make(map[string]provider.Row)}
 
-		drawTransaction := func(t *rapid.T) platform.Transaction {
-			var conditions []platform.Condition
+		drawTransaction := func(t *rapid.T) provider.Transaction {
+			var conditions []provider.Condition
 			for range rapid.IntRange(0, 2).Draw(t, "conditions") {
 				k := keys.Draw(t, "key")
 				v := model.current(k)
 				if rapid.IntRange(0, 4).Draw(t, "wrong") == 0 {
 					v = rapid.Uint64Range(0, model.version+1).Draw(t, "version")
 				}
-				conditions = append(conditions, platform.NewCondition(k, v))
+				conditions = append(conditions, provider.NewCondition(k, v))
 			}
-			var writes []platform.Write
+			var writes []provider.Write
 			for range rapid.IntRange(0, 3).Draw(t, "writes") {
 				k := keys.Draw(t, "key")
 				if rapid.Bool().Draw(t, "delete") {
-					writes = append(writes, platform.NewDelete(k))
+					writes = append(writes, provider.NewDelete(k))
 					continue
 				}
-				writes = append(writes, platform.NewPut(k, rapid.SliceOfN(rapid.Byte(), 0, 2).Draw(t, "value")))
+				writes = append(writes, provider.NewPut(k, rapid.SliceOfN(rapid.Byte(), 0, 2).Draw(t, "value")))
 			}
-			return platform.NewTransaction(conditions, writes)
+			return provider.NewTransaction(conditions, writes)
 		}
 
 		t.Repeat(map[string]func(*rapid.T){
@@ -96,10 +96,10 @@
 				x := drawTransaction(t)
 				failed := model.commit(x)
 				switch o := table.Commit(ctx, x).(type) {
-				case platform.Committed:
+				case provider.Committed:
 					assert.Equal(t, failed, "")
 					assert.Equal(t, o.Version(), model.version)
-				case platform.Conflict:
+				case provider.Conflict:
 					assert.Equal(t, o.Row().Key(), failed)
 					assert.Equal(t, o.Row().Version(), model.current(failed))
 				default:
@@ -110,18 +110,18 @@
 				x := drawTransaction(t)
 				model.commit(x)
 				table.Faults.SetLoseReplies(standin.NewNext(1))
-				_, ok := table.Commit(ctx, x).(platform.Unknown)
+				_, ok := table.Commit(ctx, x).(provider.Unknown)
 				assert.Assert(t, ok)
 			},
 			"commit while down": func(t *rapid.T) {
 				table.Faults.SetDown(standin.NewNext(1))
-				_, ok := table.Commit(ctx, drawTransaction(t)).(platform.Unavailable)
+				_, ok := table.Commit(ctx, drawTransaction(t)).(provider.Unavailable)
 				assert.Assert(t, ok)
 			},
 			"commit with a delay beyond the caller's patience": func(t *rapid.T) {
 				x := drawTransaction(t)
 				table.Faults.SetDelay(time.Second)
-				_, ok := table.Commit(impatient{ctx}, x).(platform.Unknown)
+				_, ok := table.Commit(impatient{ctx}, x).(provider.Unknown)
 				assert.Assert(t, ok)
 				assert.Equal(t, table.Version(), model.version)
 				table.Faults.SetDelay(0)
@@ -131,7 +131,7 @@
 			"": func(t *rapid.T) {
 				prefix := rapid.SampledFrom([]string{"", "a/", "b", "d"}).Draw(t, "prefix")
 				since := rapid.Uint64Range(0, model.version+1).Draw(t, "since")
-				o, ok := table.Scan(ctx, prefix, since).(platform.Rows)
+				o, ok := table.Scan(ctx, prefix, since).(provider.Rows)
 				assert.Assert(t, ok)
 				assert.Equal(t, o.Version(), model.version)
 				lines := make([]string, 0, len(o.Rows()))
@@ -149,26 +149,26 @@
 func TestTableForgetsDeletions(t *testing.T) {
 	ctx := context.Background()
 	table := &standin.Table{Timer: timer.NewManual(time.Unix(1000, 0))}
-	commit := func(w platform.Write) {
-		table.Commit(ctx, platform.NewTransaction(nil, []platform.Write{w}))
+	commit := func(w provider.Write) {
+		table.Commit(ctx, provider.NewTransaction(nil, []provider.Write{w}))
 	}
-	commit(platform.NewPut("back", nil))
-	commit(platform.NewDelete("back"))
-	commit(platform.NewPut("back", nil))
-	commit(platform.NewPut("gone", nil))
-	commit(platform.NewDelete("gone"))
+	commit(provider.NewPut("back", nil))
+	commit(provider.NewDelete("back"))
+	commit(provider.NewPut("back", nil))
+	commit(provider.NewPut("gone", nil))
+	commit(provider.NewDelete("gone"))
 	deleted := func() bool {
-		return len(table.Scan(ctx, "gone", 1).(platform.Rows).Rows()) == 1
+		return len(table.Scan(ctx, "gone", 1).(provider.Rows).Rows()) == 1
 	}
 
 	for range standin.DeletionRetention {
-		commit(platform.NewPut("other", nil))
+		commit(provider.NewPut("other", nil))
 	}
 	assert.Assert(t, deleted())
-	commit(platform.NewPut("other", nil))
+	commit(provider.NewPut("other", nil))
 	assert.Assert(t, !deleted())
-	absent := platform.NewTransaction([]platform.Condition{platform.NewCondition("back", 0)}, nil)
-	_, ok := table.Commit(ctx, absent).(platform.Conflict)
+	absent := provider.NewTransaction([]provider.Condition{provider.NewCondition("back", 0)}, nil)
+	_, ok := table.Commit(ctx, absent).(provider.Conflict)
 	assert.Assert(t, ok)
 }
 
@@ -177,15 +177,15 @@
 	ctx := context.Background()
 	manual := timer.NewManual(time.Unix(1000, 0))
 	table := &standin.Table{Timer: manual, MaxWritesPerSecond: 3, MaxReadsPerSecond: 2}
-	two := platform.NewTransaction(nil, []platform.Write{platform.NewPut("a", nil), platform.NewPut("b", nil)})
+	two := provider.NewTransaction(nil, []provider.Write{provider.NewPut("a", nil), provider.NewPut("b", nil)})
 
 	for range 3 {
-		_, ok := table.Commit(ctx, two).(platform.Committed)
+		_, ok := table.Commit(ctx, two).(provider.Committed)
 		assert.Assert(t, ok)
-		_, ok = table.Commit(ctx, two).(platform.Unavailable)
+		_, ok = table.Commit(ctx, two).(provider.Unavailable)
 		assert.Assert(t, ok)
 		for i := range 3 {
-			_, ok = table.Scan(ctx, "", 0).(platform.Rows)
+			_, ok = table.Scan(ctx, "", 0).(provider.Rows)
 			assert.Equal(t, ok, i < 2)
 		}
 		manual.Advance(time.Second)
--- a/platform/standin/tasks.go
+++ b/provider/standin/tasks.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // tasks are the attempts that one process of a backend server knows.
@@ -50,13 +50,13 @@
 			return
 		}
 		s.answers.Remove(e)
-		a.answer = platform.NewStoppedAnswer(a.key.id, a.key.attempt, "the answer is no longer kept")
+		a.answer = provider.NewStoppedAnswer(a.key.id, a.key.attempt, "the answer is no longer kept")
 	}
 }
 
 // listed returns the status of the running tasks and of the finished ones whose answer wasn't fetched, in order of id
 // and attempt.
-func (s *tasks) listed() []platform.TaskStatus {
+func (s *tasks) listed() []provider.TaskStatus {
 	shown := make(map[attemptKey]*attempt, len(s.running))
 	for k, a := range s.running {
 		shown[k] = a
@@ -66,22 +66,22 @@
 			shown[a.key] = a
 		}
 	}
-	statuses := make([]platform.TaskStatus, 0, len(shown))
+	statuses := make([]provider.TaskStatus, 0, len(shown))
 	for _, a := range s.inOrder(shown) {
-		statuses = append(statuses, platform.NewTaskStatus(a.task, a.state == attemptEnded).WithHolder(a.holder))
+		statuses = append(statuses, provider.NewTaskStatus(a.task, a.state == attemptEnded).WithHolder(a.holder))
 	}
 	return statuses
 }
 
 // crossed returns an answer for another request than that of a: the latest one that is kept, or a made-up one.
-func (s *tasks) crossed(a *attempt) platform.Answer {
+func (s *tasks) crossed(a *attempt) provider.Answer {
 	for e := s.answers.Back(); e != nil; e = e.Prev() {
 		if o := e.Value.(*attempt); o.key.id != a.key.id {
 			return o.answer
 		}
 	}
 	n := a.answer
-	return platform.NewAnswer("not-"+n.ID(), n.Attempt(), n.OK(), n.Length(), n.Checksum(), n.Output())
+	return provider.NewAnswer("not-"+n.ID(), n.Attempt(), n.OK(), n.Length(), n.Checksum(), n.Output())
 }
 
 // coverBy records the holder of the lease for all running tasks, and that it has the answers fetched so far: an answer
@@ -97,8 +97,8 @@
 	}
 }
 
-func (s *tasks) usage() platform.Shape {
-	var sum platform.Shape
+func (s *tasks) usage() provider.Shape {
+	var sum provider.Shape
 	for _, a := range s.running {
 		sum = sum.Plus(footprint(a.task))
 	}
--- a/platform/standin/usage.go
+++ b/provider/standin/usage.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // usage is a history of measured use, as long as UsageLag.
@@ -11,19 +11,19 @@
 
 type usageSample struct {
 	at    time.Time
-	shape platform.Shape
+	shape provider.Shape
 }
 
-func (u *usage) record(now time.Time, s platform.Shape) {
+func (u *usage) record(now time.Time, s provider.Shape) {
 	u.samples = append(u.samples, usageSample{at: now, shape: s})
 	u.trim(now)
 }
 
 // lagging returns the use at UsageLag before now.
-func (u *usage) lagging(now time.Time) platform.Shape {
+func (u *usage) lagging(now time.Time) provider.Shape {
 	u.trim(now)
 	if len(u.samples) == 0 || u.samples[0].at.After(now.Add(-UsageLag)) {
-		return platform.Shape{}
+		return provider.Shape{}
 	}
 	return u.samples[0].shape
 }
--- a/platform/standin/vms.go
+++ b/provider/standin/vms.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
-// VMs is an in-memory platform.VMList. Changes become visible to List after Lag.
+// VMs is an in-memory provider.VMList. Changes become visible to List after Lag.
 type VMs struct {
 	// Timer is required.
 	Timer timer.Service
@@ -20,22 +20,22 @@
 	Lag time.Duration
 
 	mu      sync.Mutex
-	actual  map[string]platform.VM
-	visible map[string]platform.VM
+	actual  map[string]provider.VM
+	visible map[string]provider.VM
 	pending []vmChange
 }
 
-var _ platform.VMList = (*VMs)(nil)
+var _ provider.VMList = (*VMs)(nil)
 
 // vmChange replaces the VM of an id, or removes it if gone is set.
 type vmChange struct {
 	due  time.Time
-	vm   platform.VM
+	vm   provider.VM
 	gone bool
 }
 
 // Set adds or replaces a VM.
-func (l *VMs) Set(vm platform.VM) { l.change(vmChange{vm: vm}) }
+func (l *VMs) Set(vm provider.VM) { l.change(vmChange{vm: vm}) }
 
 // SetLeaving sets whether the platform is about to take the VM away. It returns false if there is no such VM.
 func (l *VMs) SetLeaving(id string, leaving bool) bool {
@@ -43,7 +43,7 @@
 	if !ok {
 		return false
 	}
-	l.Set(platform.NewVM(vm.ID(), vm.Role(), vm.Zone(), vm.Rack(), vm.Address(), vm.Shape(), leaving))
+	l.Set(provider.NewVM(vm.ID(), vm.Role(), vm.Zone(), vm.Rack(), vm.Address(), vm.Shape(), leaving))
 	return true
 }
 
@@ -58,30 +58,30 @@
 }
 
 // Actual returns the VMs without lag, in order of their ids. No fault affects it.
-func (l *VMs) Actual() []platform.VM {
+func (l *VMs) Actual() []provider.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return sortedVMs(l.actual)
 }
 
-// List implements platform.VMList.
-func (l *VMs) List(ctx context.Context) platform.ListOutcome {
-	var o platform.ListOutcome
+// List implements provider.VMList.
+func (l *VMs) List(ctx context.Context) provider.ListOutcome {
+	var o provider.ListOutcome
 	switch l.Faults.apply(ctx, l.Timer, false, func(now time.Time) { o = l.list(now) }) {
 	case unreachable:
-		return platform.NewUnavailable(reasonDown)
+		return provider.NewUnavailable(reasonDown)
 	case lost:
-		return platform.NewUnavailable(reasonLost)
+		return provider.NewUnavailable(reasonLost)
 	}
 	return o
 }
 
 // Load replaces the list at once, without lag.
-func (l *VMs) Load(vms []platform.VM) {
+func (l *VMs) Load(vms []provider.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.actual = make(map[string]platform.VM)
-	l.visible = make(map[string]platform.VM)
+	l.actual = make(map[string]provider.VM)
+	l.visible = make(map[string]provider.VM)
 	l.pending = nil
 	for _, vm := range vms {
 		l.actual[vm.ID()] = vm
@@ -89,7 +89,7 @@
 	}
 }
 
-func (l *VMs) find(id string) (platform.VM, bool) {
+func (l *VMs) find(id string) (provider.VM, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	vm, ok := l.actual[id]
@@ -100,27 +100,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.actual == nil {
-		l.actual = make(map[string]platform.VM)
+		l.actual = make(map[string]provider.VM)
 	}
 	c.apply(l.actual)
 	c.due = l.Timer.Now().Add(l.Lag)
 	l.pending = append(l.pending, c)
 }
 
-func (l *VMs) list(now time.Time) platform.ListOutcome {
+func (l *VMs) list(now time.Time) provider.ListOutcome {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.visible == nil {
-		l.visible = make(map[string]platform.VM)
+		l.visible = make(map[string]provider.VM)
 	}
 	for len(l.pending) > 0 && !l.pending[0].due.After(now) {
 		l.pending[0].apply(l.visible)
 		l.pending = l.pending[1:]
 	}
-	return platform.NewVMs(sortedVMs(l.visible))
+	return provider.NewVMs(sortedVMs(l.visible))
 }
 
-func (c vmChange) apply(vms map[string]platform.VM) {
+func (c vmChange) apply(vms map[string]provider.VM) {
 	if c.gone {
 		delete(vms, c.vm.ID())
 		return
@@ -128,8 +128,8 @@
 	vms[c.vm.ID()] = c.vm
 }
 
-func sortedVMs(vms map[string]platform.VM) []platform.VM {
-	sorted := make([]platform.VM, 0, len(vms))
+func sortedVMs(vms map[string]provider.VM) []provider.VM {
+	sorted := make([]provider.VM, 0, len(vms))
 	for _, vm := range vms {
 		sorted = append(sorted, vm)
 	}
--- a/platform/standin/work.go
+++ b/provider/standin/work.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // work is what a task's payload asks the stand-in to do. Every field is optional, and other fields are echoed in the
@@ -65,7 +65,7 @@
 func (w work) checkpointable() bool { return w.Checkpointable == nil || *w.Checkpointable }
 
 // answer returns the answer of a task that has run to its end.
-func (w work) answer(t platform.Task) platform.Answer {
+func (w work) answer(t provider.Task) provider.Answer {
 	if w.Fail {
 		return failedAnswer(t, "the payload asked for a failure")
 	}
@@ -81,12 +81,12 @@
 	return newAnswer(t, true, output)
 }
 
-func failedAnswer(t platform.Task, reason string) platform.Answer {
+func failedAnswer(t provider.Task, reason string) provider.Answer {
 	return newAnswer(t, false, []byte(reason))
 }
 
-func newAnswer(t platform.Task, ok bool, output []byte) platform.Answer {
-	return platform.NewAnswer(t.ID(), t.Attempt(), ok, len(output), xxhash.Sum64(output), output)
+func newAnswer(t provider.Task, ok bool, output []byte) provider.Answer {
+	return provider.NewAnswer(t.ID(), t.Attempt(), ok, len(output), xxhash.Sum64(output), output)
 }
 
 // echo returns the part of the payload that doesn't control the work: the other fields of an object, or any other
--- a/platform/vms.go
+++ b/provider/vms.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import "context"
 
--- a/queue/lane.go
+++ b/queue/lane.go
@@ -5,7 +5,7 @@
 	"container/list"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // laneKey names the requests of one team, class and shape in one pool. Shapes have lanes of their own because requests
@@ -13,7 +13,7 @@
 type laneKey struct {
 	team  string
 	class Class
-	shape platform.Shape
+	shape provider.Shape
 }
 
 // lane holds waiting requests in order of arrival.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -8,13 +8,13 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
 
 var start = time.Unix(1000, 0)
 
-func slots(n int) platform.Shape { return platform.NewShape(n, n, 0, n) }
+func slots(n int) provider.Shape { return provider.NewShape(n, n, 0, n) }
 
 // model is the plain set of waiting requests that the queue must agree with.
 type model struct {
@@ -132,7 +132,7 @@
 	type kind struct {
 		team  string
 		class queue.Class
-		shape platform.Shape
+		shape provider.Shape
 	}
 	offered := make(map[kind]bool)
 	var last *queue.Request
--- a/queue/request.go
+++ b/queue/request.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Request is a call or job that waits for a start.
@@ -13,13 +13,13 @@
 	entry    string
 	team     string
 	class    Class
-	shape    platform.Shape
+	shape    provider.Shape
 	arrived  time.Time
 	deadline time.Time
 }
 
 // NewRequest returns a request. A zero deadline never passes.
-func NewRequest(id, pool, entry, team string, class Class, shape platform.Shape, arrived, deadline time.Time) Request {
+func NewRequest(id, pool, entry, team string, class Class, shape provider.Shape, arrived, deadline time.Time) Request {
 	return Request{
 		id: id, pool: pool, entry: entry, team: team, class: class, shape: shape, arrived: arrived, deadline: deadline,
 	}
@@ -41,7 +41,7 @@
 func (r Request) Class() Class { return r.class }
 
 // Shape returns the declared size.
-func (r Request) Shape() platform.Shape { return r.shape }
+func (r Request) Shape() provider.Shape { return r.shape }
 
 // Arrived returns when the request was accepted.
 func (r Request) Arrived() time.Time { return r.arrived }
--- a/queue/shares.go
+++ b/queue/shares.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // Shares computes the dominant share of each team: the largest of its shares of processors, memory, accelerators and
@@ -18,16 +18,16 @@
 	// of this one's, when teams are ranked. It is 0.5 if it is 0; a negative value ignores remote use.
 	RemoteWeight float64
 
-	capacity  platform.Shape
-	elsewhere platform.Shape
+	capacity  provider.Shape
+	elsewhere provider.Shape
 	teams     map[string]*usage
 	updated   time.Time
 }
 
 type usage struct {
 	weight float64
-	local  platform.Shape
-	remote platform.Shape
+	local  provider.Shape
+	remote provider.Shape
 	past   float64 // decayed mean of the dominant share
 }
 
@@ -40,25 +40,25 @@
 }
 
 // SetCapacity sets the capacity that this entry VM places work on. Without it all shares are 0, and Pick goes by arrival.
-func (s *Shares) SetCapacity(c platform.Shape) { s.capacity = c }
+func (s *Shares) SetCapacity(c provider.Shape) { s.capacity = c }
 
 // SetRemoteCapacity sets the capacity that other entry VMs place work on. Without it remote use is ignored.
-func (s *Shares) SetRemoteCapacity(c platform.Shape) { s.elsewhere = c }
+func (s *Shares) SetRemoteCapacity(c provider.Shape) { s.elsewhere = c }
 
 // Started adds a running task.
-func (s *Shares) Started(team string, shape platform.Shape) {
+func (s *Shares) Started(team string, shape provider.Shape) {
 	u := s.team(team)
 	u.local = u.local.Plus(shape)
 }
 
 // Ended removes a running task.
-func (s *Shares) Ended(team string, shape platform.Shape) {
+func (s *Shares) Ended(team string, shape provider.Shape) {
 	u := s.team(team)
 	u.local = u.local.Minus(shape)
 }
 
 // Remote sets what other entry VMs run for a team.
-func (s *Shares) Remote(team string, shape platform.Shape) { s.team(team).remote = shape }
+func (s *Shares) Remote(team string, shape provider.Shape) { s.team(team).remote = shape }
 
 // Dominant returns the dominant share of a team divided by its weight.
 func (s *Shares) Dominant(team string) float64 {
@@ -106,7 +106,7 @@
 }
 
 // dominant returns the largest share that used has of a part of the capacity.
-func dominant(used, capacity platform.Shape) float64 {
+func dominant(used, capacity provider.Shape) float64 {
 	return max(
 		ratio(used.Processors(), capacity.Processors()),
 		ratio(used.MemoryMiB(), capacity.MemoryMiB()),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/document"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/settings"
 )
 
@@ -84,7 +84,7 @@
 func TestParseStandInReportsPlace(t *testing.T) {
 	s, err := settings.ParseStandIn([]byte(standIn), "p.yaml")
 	assert.NilError(t, err)
-	assert.Equal(t, s.VMs()[1].Shape(), platform.NewShape(64, 256<<10, 0, 8))
+	assert.Equal(t, s.VMs()[1].Shape(), provider.NewShape(64, 256<<10, 0, 8))
 	assert.Equal(t, s.Pool("server-1"), "proofs")
 
 	for _, c := range []struct{ old, new, want string }{
--- a/settings/standin.go
+++ b/settings/standin.go
@@ -8,7 +8,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/document"
-	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/provider"
 )
 
 // StandIn is the document of the platform stand-in: where it listens, and the VMs that it lists and, for backend
@@ -17,7 +17,7 @@
 	listen    string
 	lease     time.Duration
 	taskLease time.Duration
-	vms       []platform.VM
+	vms       []provider.VM
 	pools     map[string]string
 }
 
@@ -31,7 +31,7 @@
 func (s *StandIn) TaskLease() time.Duration { return s.taskLease }
 
 // VMs returns the VMs in order of their ids. Callers must not modify the slice.
-func (s *StandIn) VMs() []platform.VM { return s.vms }
+func (s *StandIn) VMs() []provider.VM { return s.vms }
 
 // Pool returns the pool that a VM is in at first, empty if none is given. The configuration takes precedence.
 func (s *StandIn) Pool(id string) string { return s.pools[id] }
@@ -68,7 +68,7 @@
 			s.pools[vm.ID()] = pool
 		}
 	}
-	slices.SortFunc(s.vms, func(a, b platform.VM) int { return cmp.Compare(a.ID(), b.ID()) })
+	slices.SortFunc(s.vms, func(a, b provider.VM) int { return cmp.Compare(a.ID(), b.ID()) })
 	return s
 }
 
@@ -79,7 +79,7 @@
 	racks     map[string]string
 }
 
-func (r *fleetReader) readVM(s *document.Section) platform.VM {
+func (r *fleetReader) readVM(s *document.Section) provider.VM {
 	s.Require("id", "role", "zone", "rack", "address")
 	id := s.Checked("id", "", nameRule, catalogue.ValidName)
 	zone := s.Checked("zone", "", nameRule, catalogue.ValidName)
@@ -87,7 +87,7 @@
 	address := s.Checked("address", "", addressRule, validAddress)
 	role := readRole(s)
 	shape := s.Section("shape")
-	if role == platform.RoleBackend {
+	if role == provider.RoleBackend {
 		shape.Require("processors", "memory", "slots")
 	}
 
@@ -97,12 +97,12 @@
 		s.Report("rack", fmt.Sprintf("rack %q, which is in availability zone %q", rack, z), "racks of one zone")
 	}
 	r.racks[rack] = zone
-	return platform.NewVM(id, role, zone, rack, address, catalogue.ReadShape(shape, 0), false)
+	return provider.NewVM(id, role, zone, rack, address, catalogue.ReadShape(shape, 0), false)
 }
 
-func (r *fleetReader) readPool(s *document.Section, vm platform.VM) string {
+func (r *fleetReader) readPool(s *document.Section, vm provider.VM) string {
 	pool := s.Checked("pool", "", nameRule, catalogue.ValidName)
-	if pool != "" && vm.Role() == platform.RoleEntry {
+	if pool != "" && vm.Role() == provider.RoleEntry {
 		s.Report("pool", fmt.Sprintf("pool %q", pool), "no pool for an entry VM")
 	}
 	return pool
@@ -118,12 +118,12 @@
 	seen[value] = struct{}{}
 }
 
-func readRole(s *document.Section) platform.Role {
+func readRole(s *document.Section) provider.Role {
 	switch s.Choice("role", "", "entry", "backend") {
 	case "entry":
-		return platform.RoleEntry
+		return provider.RoleEntry
 	case "backend":
-		return platform.RoleBackend
+		return provider.RoleBackend
 	default:
 		return 0
 	}
