Add an entry VM for the users' platform: adapter, intake, control state

The whole path, kept thin: jobs are accepted and stored, placed on backend servers by the one entry VM that holds the term row, and their ends are stored before servers forget them.

--- a/command/command.go
+++ b/command/command.go
@@ -51,7 +51,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			newLocal(), newServe(), newPlatform(), newInit(), newCheck(),
+			newLocal(), newServe(), newEntry(), newPlatform(), newInit(), newCheck(),
 			newApply(), newGet(), newDiff(), newKey(), newZone(), newVM(), newChange(),
 			newCall(), newSubmit(), newWait(), newCancel(), newStatus(),
 		},
--- /dev/null
+++ b/command/entry.go
@@ -0,0 +1,130 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/dig"
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/deployment"
+	"github.com/pistachiolead/pistachiolead/group"
+	"github.com/pistachiolead/pistachiolead/logbook"
+	"github.com/pistachiolead/pistachiolead/metrics"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+const (
+	collectAtPercent = 60 // the collector's target: memory at its peak is priced, and the live heap is small
+	memoryHeadroom   = 4  // the collector works harder when the heap reaches a quarter of the VM's memory
+)
+
+func newEntry() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "runs an entry VM on the users' platform",
+		Description: "The environment variable " + platform.SettingsVariable + " names the platform's settings file.\n" +
+			"SIGTERM starts a planned stop; SIGHUP reads the settings again.\n\nExample: pistachiolead entry",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.IntFlag{Name: "verbosity", Usage: "0 logs changes and failures, 1 each run of a task"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := c.String("settings")
+			set, err := platform.LoadSettings(path)
+			if err != nil {
+				return usageError{err}
+			}
+			return runEntry(ctx, set, path, c.Int("verbosity"))
+		},
+	}
+}
+
+// entryProcess is what runs in the process.
+type entryProcess struct {
+	dig.In
+
+	Timer   timer.Service
+	Metrics *metrics.Registry
+	VM      *deployment.VM
+	Path    string
+}
+
+func runEntry(ctx context.Context, set *platform.Settings, path string, verbosity int) error {
+	debug.SetGCPercent(collectAtPercent)
+	if set.MemoryMB() > 0 {
+		debug.SetMemoryLimit(set.MemoryMB() << 20 / memoryHeadroom)
+	}
+	book := &logbook.Book{Output: os.Stdout, Timer: timer.NewBoot()}
+	defer book.Open(verbosity)()
+	c := dig.New()
+	providers := []any{
+		func() *platform.Settings { return set },
+		func() timer.Service { return timer.NewBoot() },
+		func() *metrics.Registry { return metrics.New(metricsInterval) },
+		func(m *metrics.Registry) tally.Scope { return m.Scope() },
+		func() string { return path },
+		func(s *platform.Settings, t timer.Service, m *metrics.Registry) *deployment.VM {
+			return &deployment.VM{Settings: s, Timer: t, Scope: m.Scope(), WriteMetrics: m.WriteText}
+		},
+	}
+	for _, p := range providers {
+		if err := c.Provide(p); err != nil {
+			return errors.Wrap(err, "wire the entry VM")
+		}
+	}
+	err := c.Invoke(func(p entryProcess) error { return p.run(ctx) })
+	if err = dig.RootCause(err); err != nil {
+		klog.ErrorS(err, "Entry VM failed", "vm", set.Name())
+	}
+	return errors.WithMessage(err, "entry VM "+set.Name())
+}
+
+// run runs the entry VM until a planned stop is complete.
+func (p entryProcess) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	tasks, ctx := group.New(ctx)
+	tasks.Go(func() error {
+		defer cancel()
+		return p.VM.Run(ctx)
+	})
+	tasks.Go(func() error {
+		for {
+			select {
+			case s := <-signals:
+				p.handle(s)
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	err := tasks.Wait()
+	if closeErr := p.Metrics.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func (p entryProcess) handle(s os.Signal) {
+	if s != syscall.SIGHUP {
+		p.VM.Drain()
+		return
+	}
+	set, err := platform.LoadSettings(p.Path)
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded", "path", p.Path)
+		return
+	}
+	p.VM.Reload(set)
+}
--- /dev/null
+++ b/deployment/term.go
@@ -0,0 +1,83 @@
+package deployment
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
+)
+
+// watchTerm reads the term row and takes control when nobody has it.
+func (v *VM) watchTerm(ctx context.Context) error {
+	watch := fleet.Watch{Preference: v.preference()}
+	reachable := true
+	for ctx.Err() == nil {
+		sleep(ctx, v.Timer, termInterval)
+		if v.stopping.Load() || v.controller.Load() != nil {
+			continue
+		}
+		term, err := v.readTerm()
+		if (err == nil) != reachable {
+			reachable = err == nil
+			klog.InfoS("Term row", "readable", reachable)
+		}
+		if err != nil {
+			continue
+		}
+		now := v.Timer.Now()
+		watch.Observe(term, now)
+		if !watch.Due(now) {
+			continue
+		}
+		if c := v.takeControl(ctx, term, now); c != nil {
+			watch = fleet.Watch{Preference: v.preference()}
+		}
+	}
+	return nil
+}
+
+// preference spreads take-overs, so that VMs with much processor time go first and not all try at once.
+func (v *VM) preference() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(v.Settings.Name()))
+	steps := max(0, fullProcessor-v.Settings.Processors()) / fullProcessor * 2
+	jitter := time.Duration(h.Sum32()%100) * preferenceStep / 100
+	return time.Duration(steps*float64(preferenceStep)) + jitter
+}
+
+func (v *VM) readTerm() (fleet.Term, error) {
+	switch o := v.control.Scan(context.Background(), fleet.TermKey, 0).(type) {
+	case provider.Rows:
+		if len(o.Rows()) == 0 {
+			return fleet.Term{}, nil
+		}
+		return fleet.DecodeTerm(o.Rows()[0])
+	case provider.Unavailable:
+		return fleet.Term{}, errors.New(o.Reason())
+	}
+	return fleet.Term{}, errors.New("unexpected outcome of a scan")
+}
+
+// takeControl writes the term row and starts a controller. It returns nil if another entry VM was faster, or if the
+// outcome isn't known: the row then runs out, as its holder doesn't renew it.
+func (v *VM) takeControl(ctx context.Context, was fleet.Term, now time.Time) *controller {
+	term := fleet.Term{Holder: v.Settings.Name(), Process: v.process, Renewals: was.Renewals + 1}
+	tx := provider.NewTransaction(
+		[]provider.Condition{provider.NewCondition(fleet.TermKey, was.Version())},
+		[]provider.Write{provider.NewPut(fleet.TermKey, term.Encode())})
+	outcome, ok := v.control.Commit(ctx, tx).(provider.Committed)
+	if !ok {
+		klog.InfoS("Control not taken", "vm", v.Settings.Name(), "term-version", was.Version())
+		return nil
+	}
+	c := &controller{vm: v, term: term.WithVersion(outcome.Version()), sent: now, token: outcome.Version()}
+	klog.InfoS("Control taken", "vm", v.Settings.Name(), "token", c.token, "from", was.Holder,
+		"term-version", was.Version())
+	c.start(ctx)
+	return c
+}
--- /dev/null
+++ b/fleet/constants.go
@@ -0,0 +1,35 @@
+package fleet
+
+import "time"
+
+const (
+	// TermDuration is how long an entry VM stays in control after it asked the store to renew its term. It covers a
+	// renewal that takes as long as the store's slowest answers, and bounds the time until another entry VM takes over.
+	TermDuration = 2500 * time.Millisecond
+	// renewInterval leaves three renewals for one term.
+	renewInterval = 700 * time.Millisecond
+
+	// workLease is how long a backend server works on without word from an entry VM. It covers a term and the time that
+	// a new controller needs to read the store; what an unreachable server runs is started elsewhere only after it.
+	workLease = 5500 * time.Millisecond
+	// slowestClock is the rate of the slowest clock of a backend server, by the platform's bounds.
+	slowestClock = 0.98
+	// longestLease is what workLease may last on the slowest clock.
+	longestLease = workLease + workLease*(100-98)/98 + leaseSlack
+	// leaseSlack covers the rounding of times to milliseconds.
+	leaseSlack = 100 * time.Millisecond
+
+	lookWait  = 1200 * time.Millisecond // how long a server waits for an end before it answers
+	lookPause = 50 * time.Millisecond   // gathers ends: the shortest time between two looks at a server
+	lookRetry = 300 * time.Millisecond  // after a look that failed
+
+	startRetry = 150 * time.Millisecond // before an order without an answer is sent again
+	startTries = 3
+
+	maxRowsInCommit  = 80   // the store takes 100 entries, among them conditions and the committer's own row
+	maxIntentsInPass = 400  // starts that one commit may hold
+	statusInterval   = time.Second
+	sickFailures     = 3 // failed runs in a row after which a server rests
+	sickRest         = 4 * time.Second
+	stallTimeout     = 1800 * time.Millisecond // a run whose progress stands still for as long
+)
--- /dev/null
+++ b/fleet/effect.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/provider"
+)
+
+// Effect is what the control state wants done.
+type Effect interface{ effect() }
+
+// Commit stores rows. At most one is under way.
+type Commit struct{ Transaction provider.Transaction }
+
+// Look asks a backend server for a report.
+type Look struct {
+	Target   backend.Target
+	Order    backend.LookOrder
+	Sequence uint64
+}
+
+// Start orders a run to start.
+type Start struct {
+	Target backend.Target
+	Order  backend.StartOrder
+}
+
+// Stop orders a run to stop.
+type Stop struct {
+	Target backend.Target
+	Run    backend.Run
+	Token  uint64
+}
+
+// Pace sets the share, in percent, at which a run works.
+type Pace struct {
+	Target  backend.Target
+	Run     backend.Run
+	Percent int
+	Token   uint64
+}
+
+// ListVMs asks for the platform's list of VMs.
+type ListVMs struct{}
+
+// MaintainVM orders the maintenance of a VM.
+type MaintainVM struct {
+	VM    string
+	Wave  int64
+	Token uint64
+}
+
+// MoveVM orders a VM into a pool.
+type MoveVM struct {
+	VM    string
+	Pool  string
+	Token uint64
+}
+
+// Deposed says that another entry VM is in control. The state is of no use any more.
+type Deposed struct{ Reason string }
+
+func (Commit) effect()     {}
+func (Look) effect()       {}
+func (Start) effect()      {}
+func (Stop) effect()       {}
+func (Pace) effect()       {}
+func (ListVMs) effect()    {}
+func (MaintainVM) effect() {}
+func (MoveVM) effect()     {}
+func (Deposed) effect()    {}
--- /dev/null
+++ b/fleet/event.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// Event is what the control state reacts to.
+type Event interface{ event() }
+
+// Tick is the passing of time.
+type Tick struct{}
+
+// JobArrived is a job that was accepted and stored.
+type JobArrived struct{ Job *workload.Job }
+
+// CancelArrived is the stored wish to cancel a job.
+type CancelArrived struct{ ID string }
+
+// OperationArrived is a wish of an operator.
+type OperationArrived struct{ Operation directory.Operation }
+
+// ServerRegistered is the registration of a backend server.
+type ServerRegistered struct{ Registration backend.Registration }
+
+// ServerUnregistered is a registration that was removed or can't be used.
+type ServerUnregistered struct{ ID string }
+
+// LookEnded is the outcome of a look at a backend server.
+type LookEnded struct {
+	Server      string
+	Incarnation int64
+	Sequence    uint64
+	Outcome     backend.Outcome
+}
+
+// StartEnded is the outcome of an order to start a run.
+type StartEnded struct {
+	Server      string
+	Incarnation int64
+	Run         backend.Run
+	Sent        time.Time
+	Outcome     backend.Outcome
+}
+
+// StopEnded is the outcome of an order to stop a run.
+type StopEnded struct {
+	Server      string
+	Incarnation int64
+	Run         backend.Run
+	Outcome     backend.Outcome
+}
+
+// CommitEnded is the outcome of the commit that is under way.
+type CommitEnded struct{ Outcome provider.CommitOutcome }
+
+// VMsListed is the platform's list of VMs, as it was asked for at the given time.
+type VMsListed struct {
+	VMs   []backend.VM
+	Asked time.Time
+}
+
+// VMOrderEnded is the outcome of an order about a VM.
+type VMOrderEnded struct {
+	VM      string
+	Outcome backend.Outcome
+}
+
+// PaceEnded is the outcome of an order to pace a run.
+type PaceEnded struct {
+	Server  string
+	Run     backend.Run
+	Percent int
+	Outcome backend.Outcome
+}
+
+// Stopping is the start of a planned stop of this entry VM.
+type Stopping struct{}
+
+func (Tick) event()               {}
+func (JobArrived) event()         {}
+func (CancelArrived) event()      {}
+func (OperationArrived) event()   {}
+func (ServerRegistered) event()   {}
+func (ServerUnregistered) event() {}
+func (LookEnded) event()          {}
+func (StartEnded) event()         {}
+func (StopEnded) event()          {}
+func (CommitEnded) event()        {}
+func (VMsListed) event()          {}
+func (VMOrderEnded) event()       {}
+func (PaceEnded) event()          {}
+func (Stopping) event()           {}
--- /dev/null
+++ b/fleet/job.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// job is a job that isn't over: it has tasks to do, or runs that may exist.
+type job struct {
+	spec  *workload.Job
+	state workload.JobState
+	// tasks by their name in the job. Those of an occurrence are made when it is due.
+	tasks map[string]*task
+	// steps by occurrence and step.
+	steps   map[[2]int]*step
+	made    int // occurrences whose tasks exist
+	changed bool
+	// submitted is when the objective starts to count, by this entry VM's clock.
+	submitted time.Time
+	started   bool
+	live      int // runs that may exist
+}
+
+// step is a step of one occurrence.
+type step struct {
+	spec    workload.Step
+	tasks   []*task
+	left    int // tasks that aren't done
+	number  int
+	waiting int // tasks that could start once the steps before are done
+}
+
+// task is a task that has to be done.
+type task struct {
+	id       workload.TaskID
+	local    string
+	job      *job
+	step     *step
+	record   workload.TaskRecord
+	attempts []*attempt
+	failedOn []string // servers on which it failed
+	freeAt   time.Time
+	lastPct  int
+}
+
+// phase is how far an attempt is.
+type phase uint8
+
+const (
+	storing  phase = iota // the intent isn't stored yet, so nothing was sent
+	ordered               // the order was sent
+	running               // the server said that it runs
+	restored              // the intent was read from the store, and the server hasn't reported yet
+)
+
+// attempt is a run of a task that may exist.
+type attempt struct {
+	task        *task
+	run         int
+	server      *server
+	incarnation int64
+	phase       phase
+	reserves    workload.Resources
+	checkpoint  string
+	sent        time.Time // of the last order
+	tries       int
+	inFlight    bool // an order to start has no outcome yet
+	answered    time.Time
+	since       time.Time // when the run was seen first
+	percent     int
+	percentAt   time.Time
+	figure      int64
+	pace        int
+	pacing      bool
+	overSince   time.Time
+
+	stopWanted bool
+	stopSent   bool // an order to stop is under way
+	stopped    bool // the server took the order to stop
+	stopAt     time.Time
+	reason     string
+}
+
+func newJob(spec *workload.Job) *job {
+	return &job{
+		spec: spec, state: workload.JobQueued, tasks: make(map[string]*task), steps: make(map[[2]int]*step),
+		submitted: spec.Accepted(),
+	}
+}
+
+// makeOccurrences makes the tasks of the occurrences that are due.
+func (j *job) makeOccurrences(now time.Time) {
+	for j.made < j.spec.Occurrences() && !j.spec.Due(j.made).After(now) {
+		j.makeOccurrence(j.made)
+		j.made++
+	}
+}
+
+func (j *job) makeOccurrence(occurrence int) {
+	for number, spec := range j.spec.Steps() {
+		s := &step{spec: spec, left: spec.Count(), number: number}
+		for index := range spec.Count() {
+			id := workload.TaskID{Job: j.spec.ID(), Occurrence: occurrence, Step: number, Index: index}
+			t := &task{id: id, local: id.Local(), job: j, step: s}
+			s.tasks = append(s.tasks, t)
+			j.tasks[t.local] = t
+		}
+		j.steps[[2]int{occurrence, number}] = s
+	}
+}
+
+// mayStart reports whether all steps before are done.
+func (j *job) mayStart(occurrence int, s *step) bool {
+	for _, after := range s.spec.After() {
+		if j.steps[[2]int{occurrence, after}].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// complete reports whether all tasks are done.
+func (j *job) complete() bool {
+	if j.made < j.spec.Occurrences() {
+		return false
+	}
+	for _, s := range j.steps {
+		if s.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// progress returns what is stored of the job.
+func (j *job) progress() workload.Progress {
+	p := workload.Progress{State: j.state}
+	for _, t := range j.tasks {
+		r := t.stored()
+		if j.state.Final() && len(r.Assignments) == 0 {
+			continue
+		}
+		if r.LastRun == 0 && !r.Done {
+			continue
+		}
+		if p.Tasks == nil {
+			p.Tasks = make(map[string]workload.TaskRecord, len(j.tasks))
+		}
+		p.Tasks[t.local] = r
+	}
+	return p
+}
+
+func (t *task) stored() workload.TaskRecord {
+	r := t.record
+	r.Assignments = nil
+	for _, a := range t.attempts {
+		r.Assignments = append(r.Assignments, workload.Assignment{
+			Server: a.server.id, Incarnation: a.incarnation, Run: a.run,
+		})
+	}
+	return r
+}
+
+// wants reports whether the task waits for a start.
+func (t *task) wants(now time.Time) bool {
+	return !t.record.Done && len(t.attempts) == 0 && !t.freeAt.After(now) && !t.job.state.Final()
+}
+
+func (t *task) failedThere(server string) bool {
+	for _, s := range t.failedOn {
+		if s == server {
+			return true
+		}
+	}
+	return false
+}
+
+// remainingPath is the expected duration of the longest chain of steps that are left.
+func (j *job) remainingPath() time.Duration {
+	occurrence := max(j.made-1, 0)
+	return j.spec.RemainingPath(func(number int) bool {
+		s, made := j.steps[[2]int{occurrence, number}]
+		return made && s.left == 0
+	})
+}
--- /dev/null
+++ b/fleet/place.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/schedule"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// pool is the servers of a pool that may take work, during one placement.
+type pool struct {
+	servers []*server
+	views   []schedule.Server
+	jobs    []*job
+}
+
+// place assigns waiting tasks to servers. What it assigns starts once it is stored.
+func (s *State) place(now time.Time) {
+	pools := s.poolsInService(now)
+	for _, j := range s.jobs {
+		if !j.state.Final() {
+			name := s.poolOf(j)
+			if p, ok := pools[name]; ok {
+				p.jobs = append(p.jobs, j)
+			}
+		}
+	}
+	left := maxIntentsInPass
+	for _, p := range pools {
+		candidates := make(map[*job]schedule.Candidate, len(p.jobs))
+		for _, j := range p.jobs {
+			candidates[j] = s.candidate(j)
+		}
+		slices.SortFunc(p.jobs, func(a, b *job) int { return schedule.Compare(candidates[a], candidates[b], now) })
+		for _, j := range p.jobs {
+			if left <= 0 {
+				return
+			}
+			left -= s.placeJob(j, p, now)
+		}
+	}
+}
+
+// poolOf returns the pool that a job's queue uses now.
+func (s *State) poolOf(j *job) string {
+	if s.directory != nil {
+		if q, ok := s.directory.Queue(j.spec.Queue()); ok {
+			return q.Pool
+		}
+	}
+	return j.spec.Pool()
+}
+
+func (s *State) candidate(j *job) schedule.Candidate {
+	return schedule.Candidate{
+		ID: j.spec.ID(), Lasting: j.spec.Lasting(), Priority: j.spec.Priority(), Submitted: j.submitted,
+		Objective: j.spec.Objective(), Remaining: j.remainingPath(),
+	}
+}
+
+func (s *State) poolsInService(now time.Time) map[string]*pool {
+	pools := make(map[string]*pool)
+	ids := make([]string, 0, len(s.servers))
+	for id := range s.servers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		v := s.servers[id]
+		if !v.usable(now) || v.leaving || s.zonesOut[v.reg.Zone] {
+			continue
+		}
+		p := pools[v.reg.Pool]
+		if p == nil {
+			p = &pool{}
+			pools[v.reg.Pool] = p
+		}
+		p.servers = append(p.servers, v)
+		p.views = append(p.views, schedule.Server{
+			ID: id, Zone: v.reg.Zone, Rack: v.reg.Rack, Kind: v.reg.Kind, Capacity: v.reg.Capacity,
+			Free: v.reg.Capacity.Minus(v.reserved), Failures: v.failures,
+		})
+	}
+	return pools
+}
+
+// placeJob assigns the tasks of a job that may start, and returns their number.
+func (s *State) placeJob(j *job, p *pool, now time.Time) int {
+	placed := 0
+	for occurrence := range j.made {
+		for number := range j.spec.Steps() {
+			st := j.steps[[2]int{occurrence, number}]
+			if st.left == 0 || !j.mayStart(occurrence, st) {
+				continue
+			}
+			if st.spec.Gang() {
+				placed += s.placeGang(st, p, now)
+				continue
+			}
+			for _, t := range st.tasks {
+				if !t.wants(now) {
+					continue
+				}
+				if !s.placeTask(t, p, now) {
+					break
+				}
+				placed++
+			}
+		}
+	}
+	return placed
+}
+
+func (s *State) placeTask(t *task, p *pool, now time.Time) bool {
+	if !s.withinLimit(t, 1) {
+		return false
+	}
+	p.look(t)
+	i := schedule.Choose(t.step.spec, p.views)
+	if i < 0 {
+		if t.step.spec.LongRunning() {
+			p.reserve(t.step.spec)
+		}
+		return false
+	}
+	s.assign(t, p, i, t.record.LastRun+1, now)
+	return true
+}
+
+// look fills in what the views tell about a task.
+func (p *pool) look(t *task) {
+	onServer := make(map[*server]int)
+	onRack := make(map[string]int)
+	for _, other := range t.step.tasks {
+		for _, a := range other.attempts {
+			onServer[a.server]++
+			onRack[a.server.reg.Rack]++
+		}
+	}
+	for i, v := range p.servers {
+		p.views[i].SameStep = onServer[v]
+		p.views[i].RackSameStep = onRack[v.reg.Rack]
+		p.views[i].Avoid = t.failedThere(v.id)
+		p.views[i].Interference = v.interference(t.step.spec)
+	}
+}
+
+// interference counts the runs that a task would disturb or be disturbed by.
+func (v *server) interference(spec workload.Step) int {
+	n := 0
+	for _, a := range v.attempts {
+		other := a.task.step.spec
+		if (spec.Filler() && other.LatencyTarget() > 0) || (spec.LatencyTarget() > 0 && other.Filler()) {
+			n++
+		}
+	}
+	return n
+}
+
+// reserve keeps room for a task that lasts and doesn't fit yet, on the server that has the most.
+func (p *pool) reserve(spec workload.Step) {
+	best := -1
+	for i := range p.views {
+		if !spec.Reserves().FitsIn(p.views[i].Capacity) || (spec.PerServer() > 0 && p.views[i].SameStep >= spec.PerServer()) {
+			continue
+		}
+		if best < 0 || p.views[i].Free.MilliCores() > p.views[best].Free.MilliCores() {
+			best = i
+		}
+	}
+	if best >= 0 {
+		p.views[best].Free = p.views[best].Free.Minus(spec.Reserves())
+	}
+}
+
+// withinLimit reports whether the customer may have so many more tasks running.
+func (s *State) withinLimit(t *task, count int64) bool {
+	name := t.job.spec.Customer()
+	if name == "" || s.directory == nil {
+		return true
+	}
+	c, known := s.directory.Customer(name)
+	if !known {
+		return true
+	}
+	return s.customers[name].Plus(t.step.spec.Requests().Times(count)).Within(c.Limit)
+}
+
+func (s *State) assign(t *task, p *pool, i, run int, now time.Time) {
+	v := p.servers[i]
+	a := &attempt{run: run, phase: storing, incarnation: v.incarnation, checkpoint: t.record.Checkpoint, since: now}
+	s.addAttempt(t, v, a)
+	p.views[i].Free = p.views[i].Free.Minus(a.reserves)
+	t.job.started, t.job.changed = true, true
+	klog.V(1).InfoS("Run placed", "run", a.id(), "server", v.id, "waited", now.Sub(t.job.submitted),
+		"objective", t.job.spec.Objective(), "server-heard", now.Sub(v.clockAt))
+}
+
+// placeGang assigns all tasks of a gang at once, or none.
+func (s *State) placeGang(st *step, p *pool, now time.Time) int {
+	run := 0
+	for _, t := range st.tasks {
+		if !t.wants(now) {
+			return 0
+		}
+		run = max(run, t.record.LastRun+1)
+	}
+	if !s.withinLimit(st.tasks[0], int64(len(st.tasks))) {
+		return 0
+	}
+	before := slices.Clone(p.views)
+	chosen := make([]int, 0, len(st.tasks))
+	p.look(st.tasks[0])
+	for range st.tasks {
+		i := schedule.Choose(st.spec, p.views)
+		if i < 0 {
+			p.views = before
+			return 0
+		}
+		p.views[i].Free = p.views[i].Free.Minus(st.spec.Reserves())
+		p.views[i].SameStep++
+		for k := range p.views {
+			if p.views[k].Rack == p.views[i].Rack {
+				p.views[k].RackSameStep++
+			}
+		}
+		chosen = append(chosen, i)
+	}
+	p.views = before
+	for n, t := range st.tasks {
+		s.assign(t, p, chosen[n], run, now)
+	}
+	return len(chosen)
+}
--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,297 @@
+// Package fleet is the control state of the entry VM that is in control of the fleet: jobs, backend servers, and the
+// runs of tasks on them. It is a function of events and time, which returns the effects to carry out.
+//
+// A run is stored as an intent before its order is sent, and an end is stored before the server may forget it. All
+// writes are conditional on the term row, so that only one entry VM at a time changes them.
+package fleet
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// State is the control state of one term. Its exported fields are set before Begin.
+type State struct {
+	// Self names the entry VM.
+	Self string
+	// Term is the term row that this entry VM wrote, Token the fencing token of its orders.
+	Term  Term
+	Token uint64
+	// TermSent is when the term was asked for.
+	TermSent time.Time
+	// StopTimeout is how long a server takes to stop a run at most, DutyPause the shortest time between orders of two
+	// entry VMs for one VM.
+	StopTimeout, DutyPause time.Duration
+	// MaintenanceTime is how long the maintenance of a VM takes, MoveTime a move to another pool.
+	MaintenanceTime, MoveTime time.Duration
+	// WaveStatus returns the write that tells operators how far a wave is.
+	WaveStatus func(name string, complete bool) provider.Write
+	// Scope receives counters.
+	Scope tally.Scope
+
+	began       time.Time
+	directory   *directory.Snapshot
+	zonesOut    map[string]bool
+	jobs        map[string]*job
+	cancelled   map[string]bool // wishes to cancel jobs that aren't known
+	servers     map[string]*server
+	customers   map[string]workload.Resources // what customers have running
+	waves       map[string]*wave
+	vms         map[string]backend.VM
+	vmsAsked    time.Time
+	listingVMs  bool
+	sequence    uint64
+	schedule    bool // something changed that lets work start
+	stopping    bool
+	released    bool
+	deposed     bool
+	termUntil   time.Time
+	renewedAt   time.Time
+	commit      *commit
+	statusAt    time.Time
+	statusKnown map[string]int // waiting jobs by queue, as they were stored last
+	effects     []Effect
+	counters    counters
+}
+
+type counters struct {
+	starts, ends, failures, lost, cancels, commits tally.Counter
+	waiting                                        tally.Gauge
+}
+
+// Begin prepares the state.
+func (s *State) Begin(now time.Time) {
+	if s.Scope == nil {
+		s.Scope = tally.NoopScope
+	}
+	s.counters = counters{
+		starts: s.Scope.Counter("starts"), ends: s.Scope.Counter("ends"), failures: s.Scope.Counter("failed-runs"),
+		lost: s.Scope.Counter("lost-runs"), cancels: s.Scope.Counter("cancels"), commits: s.Scope.Counter("commits"),
+		waiting: s.Scope.Gauge("waiting-jobs"),
+	}
+	s.began = now
+	s.zonesOut = make(map[string]bool)
+	s.jobs = make(map[string]*job)
+	s.cancelled = make(map[string]bool)
+	s.servers = make(map[string]*server)
+	s.customers = make(map[string]workload.Resources)
+	s.waves = make(map[string]*wave)
+	s.vms = make(map[string]backend.VM)
+	s.statusKnown = make(map[string]int)
+	s.termUntil = s.TermSent.Add(TermDuration)
+	s.renewedAt = s.TermSent
+}
+
+// Handle takes an event and returns what to do.
+func (s *State) Handle(e Event, now time.Time) []Effect {
+	if s.deposed {
+		return nil
+	}
+	switch e := e.(type) {
+	case Tick:
+		s.tick(now)
+	case JobArrived:
+		s.addJob(e.Job, now)
+	case CancelArrived:
+		s.cancel(e.ID, now)
+	case OperationArrived:
+		s.operate(e.Operation, now)
+	case ServerRegistered:
+		s.register(e.Registration, now)
+	case ServerUnregistered:
+		s.unregister(e.ID)
+	case LookEnded:
+		s.looked(e, now)
+	case StartEnded:
+		s.startEnded(e, now)
+	case StopEnded:
+		s.stopEnded(e, now)
+	case CommitEnded:
+		s.committed(e.Outcome, now)
+	case VMsListed:
+		s.listed(e)
+	case VMOrderEnded:
+		s.vmOrderEnded(e, now)
+	case PaceEnded:
+		s.paceEnded(e)
+	case Stopping:
+		s.stopping = true
+	}
+	return nil
+}
+
+// Settle returns the effects of all events that were handled since the last call. It is called once the events at hand
+// are handled.
+func (s *State) Settle(now time.Time) []Effect {
+	if !s.deposed {
+		if s.schedule && s.mayStart(now) {
+			s.schedule = false
+			s.place(now)
+		}
+		s.look(now)
+		s.flush(now)
+	}
+	effects := s.effects
+	s.effects = nil
+	return effects
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// mayStart reports whether this entry VM is surely in control, so that new runs may be ordered.
+func (s *State) mayStart(now time.Time) bool { return !s.stopping && now.Before(s.termUntil) }
+
+func (s *State) tick(now time.Time) {
+	s.schedule = true
+	for _, j := range s.jobs {
+		if j.made < j.spec.Occurrences() {
+			j.makeOccurrences(now)
+		}
+	}
+	for _, v := range s.servers {
+		if len(v.attempts) > 0 && now.After(v.expiresAt) {
+			s.abandon(v, now, "lease-expired")
+		}
+		s.watchRuns(v, now)
+	}
+	s.upkeep(now)
+}
+
+func (s *State) depose(reason string) {
+	if s.deposed {
+		return
+	}
+	s.deposed = true
+	klog.InfoS("Control lost", "vm", s.Self, "token", s.Token, "reason", reason)
+	s.emit(Deposed{Reason: reason})
+}
+
+func (s *State) operate(o directory.Operation, now time.Time) {
+	switch o := o.(type) {
+	case directory.Configured:
+		if s.directory == nil || o.Snapshot.Version() > s.directory.Version() {
+			s.directory = o.Snapshot
+		}
+	case directory.ZoneOut:
+		s.zonesOut[o.Zone] = true
+	case directory.ZoneBack:
+		delete(s.zonesOut, o.Zone)
+	case directory.Wave:
+		s.addWave(o, now)
+	case directory.WaveDropped:
+		delete(s.waves, o.Name)
+	}
+	s.schedule = true
+}
+
+// Restore takes in the stored progress of jobs. It is called after Begin and before the first event, with the stored
+// jobs, and returns the number of jobs that aren't over.
+func (s *State) Restore(jobs []*workload.Job, progress map[string]workload.Progress, rows []provider.Row, now time.Time) int {
+	for _, spec := range jobs {
+		p, known := progress[spec.ID()]
+		if known && p.State.Final() && len(p.Tasks) == 0 {
+			continue
+		}
+		j := newJob(spec)
+		j.makeOccurrences(now)
+		s.jobs[spec.ID()] = j
+		if known {
+			s.restoreJob(j, p, now)
+		}
+	}
+	s.restoreWaves(rows)
+	s.schedule = true
+	return len(s.jobs)
+}
+
+func (s *State) restoreJob(j *job, p workload.Progress, now time.Time) {
+	j.state = p.State
+	j.started = p.State != workload.JobQueued
+	for local, record := range p.Tasks {
+		t, made := j.tasks[local]
+		if !made {
+			klog.InfoS("Stored task isn't part of its job", "job", j.spec.ID(), "task", local)
+			continue
+		}
+		t.record = record
+		t.record.Assignments = nil
+		if record.Done {
+			t.step.left--
+		}
+		for _, a := range record.Assignments {
+			v := s.server(a.Server)
+			if v.incarnation == 0 {
+				v.incarnation = a.Incarnation
+				v.expiresAt = s.restoredExpiry()
+			}
+			s.addAttempt(t, v, &attempt{run: a.Run, phase: restored, incarnation: a.Incarnation, since: now})
+		}
+	}
+	if j.state.Final() {
+		for _, t := range j.tasks {
+			for _, a := range t.attempts {
+				s.wantStop(a, "job-ended")
+			}
+		}
+	}
+}
+
+// restoredExpiry is when runs that an earlier controller started have surely ended, if their server can't be reached.
+// The earlier controller's term was over when this one began, and it grants leases only during its term.
+func (s *State) restoredExpiry() time.Time {
+	return s.began.Add(longestLease + leaseSlack)
+}
+
+func (s *State) server(id string) *server {
+	v, ok := s.servers[id]
+	if !ok {
+		v = newServer(id)
+		s.servers[id] = v
+	}
+	return v
+}
+
+// addAttempt records a run that may exist from now on.
+func (s *State) addAttempt(t *task, v *server, a *attempt) {
+	a.task, a.server, a.reserves, a.pace = t, v, t.step.spec.Reserves(), 100
+	t.attempts = append(t.attempts, a)
+	t.record.LastRun = max(t.record.LastRun, a.run)
+	v.attempts[backend.Run{Task: t.id, Number: a.run}] = a
+	v.reserved = v.reserved.Plus(a.reserves)
+	t.job.live++
+	customer := t.job.spec.Customer()
+	s.customers[customer] = s.customers[customer].Plus(t.step.spec.Requests())
+}
+
+// removeAttempt records that a run doesn't exist any more.
+func (s *State) removeAttempt(a *attempt) {
+	t, v := a.task, a.server
+	for i, other := range t.attempts {
+		if other == a {
+			t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
+			break
+		}
+	}
+	delete(v.attempts, a.id())
+	v.reserved = v.reserved.Minus(a.reserves)
+	t.job.live--
+	t.job.changed = true
+	customer := t.job.spec.Customer()
+	s.customers[customer] = s.customers[customer].Minus(t.step.spec.Requests())
+	s.schedule = true
+	if a.checkpoint != "" {
+		t.record.Checkpoint = a.checkpoint
+	}
+	if !v.registered && len(v.attempts) == 0 {
+		delete(s.servers, v.id)
+	}
+}
+
+func (a *attempt) id() backend.Run { return backend.Run{Task: a.task.id, Number: a.run} }
--- /dev/null
+++ b/workload/resources.go
@@ -0,0 +1,64 @@
+package workload
+
+// Resources is an amount of processors, memory and accelerators.
+type Resources struct {
+	milliCores   int64
+	memoryMB     int64
+	accelerators int64
+}
+
+// NewResources returns resources of thousandths of a core, megabytes of memory, and accelerators.
+func NewResources(milliCores, memoryMB, accelerators int64) Resources {
+	return Resources{milliCores: milliCores, memoryMB: memoryMB, accelerators: accelerators}
+}
+
+// MilliCores returns the processors in thousandths of a core.
+func (r Resources) MilliCores() int64 { return r.milliCores }
+
+// MemoryMB returns the memory in megabytes.
+func (r Resources) MemoryMB() int64 { return r.memoryMB }
+
+// Accelerators returns the number of accelerators.
+func (r Resources) Accelerators() int64 { return r.accelerators }
+
+// Plus returns the sum of both.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.milliCores + o.milliCores, r.memoryMB + o.memoryMB, r.accelerators + o.accelerators}
+}
+
+// Minus returns the difference of both.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.milliCores - o.milliCores, r.memoryMB - o.memoryMB, r.accelerators - o.accelerators}
+}
+
+// Times returns n times the resources.
+func (r Resources) Times(n int64) Resources {
+	return Resources{r.milliCores * n, r.memoryMB * n, r.accelerators * n}
+}
+
+// FitsIn reports whether the resources fit into what is free.
+func (r Resources) FitsIn(free Resources) bool {
+	return r.milliCores <= free.milliCores && r.memoryMB <= free.memoryMB && r.accelerators <= free.accelerators
+}
+
+// Within reports whether the resources stay within a limit, of which 0 means that there is none.
+func (r Resources) Within(limit Resources) bool {
+	return (limit.milliCores == 0 || r.milliCores <= limit.milliCores) &&
+		(limit.memoryMB == 0 || r.memoryMB <= limit.memoryMB) &&
+		(limit.accelerators == 0 || r.accelerators <= limit.accelerators)
+}
+
+// ShareOf returns the largest of the shares that the resources are of a capacity: the dominant share.
+func (r Resources) ShareOf(capacity Resources) float64 {
+	share := 0.0
+	for _, pair := range [][2]int64{
+		{r.milliCores, capacity.milliCores},
+		{r.memoryMB, capacity.memoryMB},
+		{r.accelerators, capacity.accelerators},
+	} {
+		if pair[1] > 0 {
+			share = max(share, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return share
+}
--- /dev/null
+++ b/workload/step.go
@@ -0,0 +1,93 @@
+package workload
+
+import "time"
+
+// StepOptions are the fields of a step. The zero value of a field means that the step doesn't ask for it.
+type StepOptions struct {
+	Count           int    `json:"count"`
+	MilliCores      int64  `json:"milli-cores,omitempty"`
+	MemoryMB        int64  `json:"memory-mb,omitempty"`
+	Accelerators    int64  `json:"accelerators,omitempty"`
+	EstimateMS      int64  `json:"estimate-ms,omitempty"`
+	After           []int  `json:"after,omitempty"`
+	Gang            bool   `json:"gang,omitempty"`
+	SameRack        bool   `json:"same-rack,omitempty"`
+	Label           string `json:"label,omitempty"`
+	DataRack        string `json:"data-rack,omitempty"`
+	PerServer       int    `json:"per-server,omitempty"`
+	Duplicable      bool   `json:"duplicable,omitempty"`
+	LongRunning     bool   `json:"long-running,omitempty"`
+	Checkpoints     bool   `json:"checkpoints,omitempty"`
+	Image           string `json:"image,omitempty"`
+	LatencyTargetMS int64  `json:"latency-target-ms,omitempty"`
+	Filler          bool   `json:"filler,omitempty"`
+	MayMiss         int    `json:"may-miss,omitempty"`
+}
+
+// Step is a set of like tasks of a job.
+type Step struct{ options StepOptions }
+
+// NewStep returns a step.
+func NewStep(o StepOptions) Step { return Step{options: o} }
+
+// Count returns the number of tasks.
+func (s Step) Count() int { return s.options.Count }
+
+// Requests returns what each task asks for.
+func (s Step) Requests() Resources {
+	return NewResources(s.options.MilliCores, s.options.MemoryMB, s.options.Accelerators)
+}
+
+// Reserves returns what each task takes of a backend server's capacity. Filler tasks run on processors that the other
+// tasks leave unused, so they take none.
+func (s Step) Reserves() Resources {
+	r := s.Requests()
+	if s.options.Filler {
+		r.milliCores = 0
+	}
+	return r
+}
+
+// Estimate returns the declared duration of a task.
+func (s Step) Estimate() time.Duration { return time.Duration(s.options.EstimateMS) * time.Millisecond }
+
+// After returns the numbers of the steps that have to be done first.
+func (s Step) After() []int { return s.options.After }
+
+// Gang reports whether all tasks have to run together.
+func (s Step) Gang() bool { return s.options.Gang }
+
+// SameRack reports whether the tasks are slower on more than one rack.
+func (s Step) SameRack() bool { return s.options.SameRack }
+
+// Label returns the label that a backend server needs to run the tasks, or "".
+func (s Step) Label() string { return s.options.Label }
+
+// DataRack returns the rack near which the tasks are faster, or "".
+func (s Step) DataRack() string { return s.options.DataRack }
+
+// PerServer returns how many tasks of the step may run on one backend server. 0 means any number.
+func (s Step) PerServer() int { return s.options.PerServer }
+
+// Duplicable reports whether copies of a task may run at the same time.
+func (s Step) Duplicable() bool { return s.options.Duplicable }
+
+// LongRunning reports whether the tasks run until the job is cancelled.
+func (s Step) LongRunning() bool { return s.options.LongRunning }
+
+// Checkpoints reports whether the tasks save their progress.
+func (s Step) Checkpoints() bool { return s.options.Checkpoints }
+
+// Image names what the tasks run.
+func (s Step) Image() string { return s.options.Image }
+
+// LatencyTarget returns the bound for the tail of the response times of tasks that serve, or 0.
+func (s Step) LatencyTarget() time.Duration {
+	return time.Duration(s.options.LatencyTargetMS) * time.Millisecond
+}
+
+// Filler reports whether the tasks run on processors that other tasks leave unused.
+func (s Step) Filler() bool { return s.options.Filler }
+
+// MayMiss returns how many tasks of the step may be away at the same time because of the system.
+func (s Step) MayMiss() int { return s.options.MayMiss }
--- /dev/null
+++ b/workload/task.go
@@ -0,0 +1,55 @@
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// TaskID identifies a task: one of the tasks of a step, in one occurrence of a job.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the task's name.
+func (t TaskID) String() string { return fmt.Sprintf("%s.%s", t.Job, t.Local()) }
+
+// Local returns the task's name within its job.
+func (t TaskID) Local() string {
+	return strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID reads a task's name.
+func ParseTaskID(name string) (TaskID, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return TaskID{}, errors.Errorf("task name: found %q, allowed: job.occurrence.step.index", name)
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return TaskID{}, errors.Errorf("task name: found %q, allowed: job.occurrence.step.index", name)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// EndKind tells how a run of a task ended.
+type EndKind string
+
+// Kinds of ends.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"  // through the task's own fault or the backend server's
+	EndStopped EndKind = "stopped" // on an order
+	EndExpired EndKind = "expired" // the lease of the backend server's work expired
+	EndBroken  EndKind = "broken"  // another member of the gang ended
+	EndAlone   EndKind = "alone"   // the other members of the gang didn't come
+)
