Tell operators of waves in the unnamed part of the store

Cause: the status of a wave was written with the controller's rows, in their part; operators read the unnamed part, so a wave that was done counted as a missed duty.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -46,7 +46,7 @@
 		Self: s.Name(), Term: c.term, Token: c.token, TermSent: c.sent,
 		StopTimeout: s.StopTimeout(), DutyPause: s.DutyPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(),
-		WaveStatus: platform.WaveStatusWrite, Scope: c.vm.Scope.SubScope("control"),
+		Scope: c.vm.Scope.SubScope("control"),
 	}
 	c.vm.controller.Store(c)
 	c.vm.tasks.Go(func() error {
@@ -372,6 +372,9 @@
 		return fleet.VMOrderEnded{VM: e.VM, Outcome: c.vms.Maintain(e.VM, e.Wave, e.Token)}
 	case fleet.MoveVM:
 		return fleet.VMOrderEnded{VM: e.VM, Outcome: c.vms.Move(e.VM, e.Pool, e.Token)}
+	case fleet.TellWave:
+		status := &platform.WaveStatus{Client: c.vm.client, Address: c.vm.Settings.StoreAddress()}
+		return fleet.WaveTold{Wave: e.Wave, Complete: e.Complete, Outcome: status.Write(c.ctx, e.Wave, e.Complete)}
 	case fleet.ListVMs:
 		return c.listVMs(t.Now())
 	case fleet.Commit, fleet.Deposed:
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -26,8 +26,8 @@
 	startRetry = 150 * time.Millisecond // before an order without an answer is sent again
 	startTries = 3
 
-	maxRowsInCommit  = 80   // the store takes 100 entries, among them conditions and the committer's own row
-	maxIntentsInPass = 400  // starts that one commit may hold
+	maxRowsInCommit  = 80  // the store takes 100 entries, among them conditions and the committer's own row
+	maxIntentsInPass = 400 // starts that one commit may hold
 	statusInterval   = time.Second
 	sickFailures     = 3 // failed runs in a row after which a server rests
 	sickRest         = 4 * time.Second
--- a/fleet/effect.go
+++ b/fleet/effect.go
@@ -56,6 +56,12 @@
 	Token uint64
 }
 
+// TellWave tells operators how far a wave is.
+type TellWave struct {
+	Wave     string
+	Complete bool
+}
+
 // Deposed says that another entry VM is in control. The state is of no use any more.
 type Deposed struct{ Reason string }
 
@@ -67,4 +73,5 @@
 func (ListVMs) effect()    {}
 func (MaintainVM) effect() {}
 func (MoveVM) effect()     {}
+func (TellWave) effect()   {}
 func (Deposed) effect()    {}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -78,6 +78,13 @@
 	Outcome backend.Outcome
 }
 
+// WaveTold is the outcome of telling operators how far a wave is.
+type WaveTold struct {
+	Wave     string
+	Complete bool
+	Outcome  provider.CommitOutcome
+}
+
 // Stopping is the start of a planned stop of this entry VM.
 type Stopping struct{}
 
@@ -94,4 +101,5 @@
 func (VMsListed) event()          {}
 func (VMOrderEnded) event()       {}
 func (PaceEnded) event()          {}
+func (WaveTold) event()           {}
 func (Stopping) event()           {}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -31,8 +31,6 @@
 	StopTimeout, DutyPause time.Duration
 	// MaintenanceTime is how long the maintenance of a VM takes, MoveTime a move to another pool.
 	MaintenanceTime, MoveTime time.Duration
-	// WaveStatus returns the write that tells operators how far a wave is.
-	WaveStatus func(name string, complete bool) provider.Write
 	// Scope receives counters.
 	Scope tally.Scope
 
@@ -121,6 +119,8 @@
 		s.vmOrderEnded(e, now)
 	case PaceEnded:
 		s.paceEnded(e)
+	case WaveTold:
+		s.waveTold(e)
 	case Stopping:
 		s.stopping = true
 	}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -28,9 +28,20 @@
 	emptying map[string]time.Time // since when a VM takes no more work
 	complete bool
 	changed  bool
+	told     waveStatus // what operators were told last
+	telling  bool
 	dropped  map[string]bool // VMs that don't exist any more, or aren't of the wave
 }
 
+// waveStatus is what operators are told of a wave.
+type waveStatus uint8
+
+const (
+	waveUntold waveStatus = iota
+	waveRunning
+	waveComplete
+)
+
 // storedWave is what is stored of a wave.
 type storedWave struct {
 	Begun    []string `json:"begun,omitempty"`
@@ -89,14 +100,45 @@
 		if err != nil {
 			panic(err) // strings
 		}
-		writes = append(writes, provider.NewPut(WavesPrefix+w.spec.Name, data),
-			s.WaveStatus(w.spec.Name, w.complete))
+		writes = append(writes, provider.NewPut(WavesPrefix+w.spec.Name, data))
 	}
 	return writes
 }
 
+// tellWaves tells operators how far waves are. A wave is told to be complete only after that is stored.
+func (s *State) tellWaves() {
+	for _, w := range s.waves {
+		status := waveRunning
+		if w.complete && !w.changed {
+			status = waveComplete
+		}
+		if w.telling || w.told >= status || len(w.spec.VMs) == 0 || s.commit != nil {
+			continue
+		}
+		w.telling = true
+		s.emit(TellWave{Wave: w.spec.Name, Complete: status == waveComplete})
+	}
+}
+
+func (s *State) waveTold(e WaveTold) {
+	w, known := s.waves[e.Wave]
+	if !known {
+		return
+	}
+	w.telling = false
+	if _, ok := e.Outcome.(provider.Committed); !ok {
+		klog.InfoS("Operators not told of a wave", "wave", e.Wave, "complete", e.Complete)
+		return
+	}
+	w.told = max(w.told, waveRunning)
+	if e.Complete {
+		w.told = waveComplete
+	}
+}
+
 // upkeep moves waves on.
 func (s *State) upkeep(now time.Time) {
+	s.tellWaves()
 	open := false
 	for _, w := range s.waves {
 		open = open || (!w.complete && len(w.spec.VMs) > 0)
