--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -31,11 +32,31 @@
 		return
 	}
 	pools := s.poolLoads(now)
+	s.logPools(pools, now)
 	for _, m := range schedule.PlanMoves(pools) {
 		s.sendMove(m.VM, m.To, now)
 	}
 }
 
+// logPools tells from time to time how much room the pools have.
+func (s *State) logPools(pools []schedule.Pool, now time.Time) {
+	if now.Sub(s.poolsLogged) < statusInterval {
+		return
+	}
+	s.poolsLogged = now
+	for i := range pools {
+		p := &pools[i]
+		idle := 0
+		for _, v := range p.Servers {
+			if v.Idle {
+				idle++
+			}
+		}
+		klog.InfoS("Pool", "pool", p.Name, "servers", len(p.Servers), "joining", p.Joining, "idle", idle,
+			"load", math.Round(p.Load*10)/10, "lasting", p.Lasting, "over-limit", s.overLimit[p.Name])
+	}
+}
+
 // settleMoves forgets moves whose VM is in service, or should be.
 func (s *State) settleMoves(now time.Time) {
 	for name, m := range s.moves {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -21,6 +21,7 @@
 // place assigns waiting tasks to servers. What it assigns starts once it is stored.
 func (s *State) place(now time.Time) {
 	pools := s.poolsInService(now)
+	clear(s.overLimit)
 	for _, j := range s.jobs {
 		if !j.state.Final() {
 			name := s.poolOf(j)
@@ -117,6 +118,7 @@
 
 func (s *State) placeTask(t *task, p *pool, now time.Time) bool {
 	if !s.withinLimit(t, 1) {
+		s.overLimit[s.poolOf(t.job)]++
 		return false
 	}
 	p.look(t)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -44,6 +44,8 @@
 	customers   map[string]workload.Resources // what customers have running
 	waves       map[string]*wave
 	moves       map[string]*move // by VM
+	poolsLogged time.Time
+	overLimit   map[string]int // tasks that waited for their customer's limit at the last placement, by pool
 	vms         map[string]backend.VM
 	vmsAsked    time.Time
 	listingVMs  bool
@@ -85,6 +87,7 @@
 	s.waves = make(map[string]*wave)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
+	s.overLimit = make(map[string]int)
 	s.statusKnown = make(map[string]int)
 	s.termUntil = s.TermSent.Add(TermDuration)
 	s.renewedAt = s.TermSent
