--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -137,6 +137,13 @@
 	if err != nil {
 		return err
 	}
+	orders, _, err := c.scan(c.vm.control, fleet.VMOrdersKey)
+	if err != nil {
+		return err
+	}
+	for _, row := range orders {
+		c.state.RestoreVMOrders(row)
+	}
 	if err := c.loadOperations(); err != nil {
 		return err
 	}
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -14,7 +14,7 @@
 
 // watchTerm reads the term row and takes control when nobody has it.
 func (v *VM) watchTerm(ctx context.Context) error {
-	watch := fleet.Watch{Preference: v.preference()}
+	watch := fleet.Watch{Self: v.Settings.Name(), Preference: v.preference()}
 	reachable := true
 	for ctx.Err() == nil {
 		sleep(ctx, v.Timer, termInterval)
@@ -35,7 +35,7 @@
 			continue
 		}
 		if c := v.takeControl(ctx, term, now); c != nil {
-			watch = fleet.Watch{Preference: v.preference()}
+			watch = fleet.Watch{Self: v.Settings.Name(), Preference: v.preference()}
 		}
 	}
 	return nil
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -27,6 +27,8 @@
 	waves   []*wave
 	ends    map[string]int64 // the last end that is stored with it, by server
 	release bool
+
+	vmOrders []vmOrder
 }
 
 // flush commits what changed, one transaction at a time.
@@ -38,6 +40,7 @@
 	writes, all := s.jobWrites(c)
 	writes = append(writes, s.waveWrites(c)...)
 	writes = append(writes, s.statusWrites(now)...)
+	writes = append(writes, s.vmOrdersWrite(c, now)...)
 	if all {
 		for _, v := range s.servers {
 			if v.seen > v.noted {
@@ -45,7 +48,7 @@
 			}
 		}
 	}
-	c.release = s.stopping && all && !s.ordersOpen()
+	c.release = s.stopping && all && !s.ordersOpen() && len(s.vmOrders) == 0
 	c.renews = c.release || now.Sub(s.renewedAt) >= renewInterval
 	if len(writes) == 0 && !c.renews {
 		s.noteEnds(c.ends, now)
@@ -174,6 +177,7 @@
 	for _, w := range c.waves {
 		w.changed = true
 	}
+	s.vmOrders = append(c.vmOrders, s.vmOrders...)
 	s.statusKnown = make(map[string]int)
 }
 
@@ -196,6 +200,9 @@
 		}
 		s.sendStart(a, now)
 	}
+	for _, o := range c.vmOrders {
+		s.emit(o.effect)
+	}
 	s.noteEnds(c.ends, now)
 	for _, j := range c.jobs {
 		s.forget(j)
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -16,6 +16,7 @@
 	j.makeOccurrences(now)
 	s.jobs[spec.ID()] = j
 	s.schedule = true
+	s.arrived(j, now)
 	klog.InfoS("Job taken in", "job", spec.ID(), "queue", spec.Queue(), "customer", spec.Customer(),
 		"steps", len(spec.Steps()), "age", now.Sub(spec.Accepted()))
 	if s.cancelled[spec.ID()] {
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -21,20 +21,20 @@
 	pool     string
 	server   string // that the VM had
 	sent     time.Time
-	inFlight bool
+	inFlight bool // an order is to be sent, or has no outcome yet
 	accepted bool
 }
 
 // balance moves VMs to the pools that need them.
 func (s *State) balance(now time.Time) {
 	s.settleMoves(now)
-	if len(s.vms) == 0 || s.directory == nil || !s.mayOrderVMs(now) {
+	if len(s.vms) == 0 || s.directory == nil || !s.mayStart(now) {
 		return
 	}
 	pools := s.poolLoads(now)
 	s.logPools(pools, now)
 	for _, m := range schedule.PlanMoves(pools) {
-		s.sendMove(m.VM, m.To, now)
+		s.planMove(m.VM, m.To, now)
 	}
 }
 
@@ -118,6 +118,9 @@
 			p.Load += j.load(capacity[pool])
 		}
 	}
+	for name, p := range byName {
+		p.Arriving = s.arrivals[name].rate(now)
+	}
 	pools := make([]schedule.Pool, 0, len(names))
 	for _, name := range names {
 		p := byName[name]
@@ -128,7 +131,7 @@
 }
 
 func (s *State) addToPool(p *schedule.Pool, vm backend.VM, now time.Time) {
-	if _, moving := s.moves[vm.Name]; moving || vm.State != backend.VMUp {
+	if _, moving := s.moves[vm.Name]; moving || vm.State != backend.VMUp || !s.mayOrderVM(vm.Name, now) {
 		return
 	}
 	if p.Spare {
@@ -180,7 +183,8 @@
 	return total
 }
 
-func (s *State) sendMove(vm, pool string, now time.Time) {
+// planMove asks for a move. Its order is sent once the intent is stored.
+func (s *State) planMove(vm, pool string, now time.Time) {
 	listed := s.vms[vm]
 	if v, known := s.servers[listed.Server]; known {
 		if len(v.attempts) > 0 {
@@ -189,9 +193,9 @@
 		v.leaving = true
 	}
 	s.moves[vm] = &move{pool: pool, server: listed.Server, sent: now, inFlight: true}
+	s.vmOrders = append(s.vmOrders, vmOrder{vm: vm, effect: MoveVM{VM: vm, Pool: pool, Token: s.Token}})
 	klog.InfoS("Move ordered", "vm", vm, "from", listed.Pool, "to", pool, "server", listed.Server,
 		"list-age", now.Sub(s.vmsAsked))
-	s.emit(MoveVM{VM: vm, Pool: pool, Token: s.Token})
 }
 
 func (s *State) moveEnded(e VMMoveEnded, now time.Time) {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -32,16 +32,16 @@
 	}
 	left := maxIntentsInPass
 	for _, p := range pools {
-		candidates := make(map[*job]schedule.Candidate, len(p.jobs))
+		candidates := make([]schedule.Candidate, 0, len(p.jobs))
 		for _, j := range p.jobs {
-			candidates[j] = s.candidate(j)
+			candidates = append(candidates, s.candidate(j, p.servers[0].reg.Capacity))
 		}
-		slices.SortFunc(p.jobs, func(a, b *job) int { return schedule.Compare(candidates[a], candidates[b], now) })
-		for _, j := range p.jobs {
+		schedule.Order(candidates, float64(len(p.servers)), now)
+		for i := range candidates {
 			if left <= 0 {
 				return
 			}
-			left -= s.placeJob(j, p, now)
+			left -= s.placeJob(s.jobs[candidates[i].ID], p, now)
 		}
 	}
 }
@@ -56,10 +56,10 @@
 	return j.spec.Pool()
 }
 
-func (s *State) candidate(j *job) schedule.Candidate {
+func (s *State) candidate(j *job, capacity workload.Resources) schedule.Candidate {
 	return schedule.Candidate{
 		ID: j.spec.ID(), Lasting: j.spec.Lasting(), Priority: j.spec.Priority(), Submitted: j.submitted,
-		Objective: j.spec.Objective(), Remaining: j.remainingPath(),
+		Objective: j.spec.Objective(), Remaining: j.remainingPath(), Work: j.work(capacity),
 	}
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -45,22 +45,27 @@
 	waves       map[string]*wave
 	moves       map[string]*move // by VM
 	poolsLogged time.Time
-	overLimit   map[string]int // tasks that waited for their customer's limit at the last placement, by pool
-	vms         map[string]backend.VM
-	vmsAsked    time.Time
-	listingVMs  bool
-	sequence    uint64
-	schedule    bool // something changed that lets work start
-	stopping    bool
-	released    bool
-	deposed     bool
-	termUntil   time.Time
-	renewedAt   time.Time
-	commit      *commit
-	statusAt    time.Time
-	statusKnown map[string]int // waiting jobs by queue, as they were stored last
-	effects     []Effect
-	counters    counters
+	arrivals    map[string]*arrivals // of work, by pool
+	vmOrders    []vmOrder
+	ordered     map[string]time.Time // VMs ordered lately, and when
+	// orderedBefore are VMs that the controller before ordered lately.
+	orderedBefore map[string]bool
+	overLimit     map[string]int // tasks that waited for their customer's limit at the last placement, by pool
+	vms           map[string]backend.VM
+	vmsAsked      time.Time
+	listingVMs    bool
+	sequence      uint64
+	schedule      bool // something changed that lets work start
+	stopping      bool
+	released      bool
+	deposed       bool
+	termUntil     time.Time
+	renewedAt     time.Time
+	commit        *commit
+	statusAt      time.Time
+	statusKnown   map[string]int // waiting jobs by queue, as they were stored last
+	effects       []Effect
+	counters      counters
 }
 
 type counters struct {
@@ -88,6 +93,9 @@
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
 	s.overLimit = make(map[string]int)
+	s.arrivals = make(map[string]*arrivals)
+	s.ordered = make(map[string]time.Time)
+	s.orderedBefore = make(map[string]bool)
 	s.statusKnown = make(map[string]int)
 	s.termUntil = s.TermSent.Add(TermDuration)
 	s.renewedAt = s.TermSent
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -55,6 +55,8 @@
 type Watch struct {
 	// Preference is how much later than others this entry VM takes over.
 	Preference time.Duration
+	// Self names the entry VM. A term that an earlier process of it held is over: that process has ended.
+	Self string
 
 	term  Term
 	since time.Time
@@ -77,6 +79,9 @@
 	if !w.known {
 		return false
 	}
+	if w.term.Holder == w.Self {
+		return true
+	}
 	if w.term.Holder == "" {
 		return now.Sub(w.since) >= w.Preference
 	}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -216,7 +216,7 @@
 		s.empty(w, name, now)
 	}
 	for _, name := range plan.Begin {
-		if s.mayOrderVMs(now) && s.liveOn(name) == 0 {
+		if s.mayOrderVM(name, now) && s.liveOn(name) == 0 {
 			s.sendMaintenance(w, name, now)
 		}
 	}
@@ -230,12 +230,6 @@
 	}
 }
 
-// mayOrderVMs reports whether orders about VMs may be sent: the entry VM that was in control before may have sent some
-// just before this term.
-func (s *State) mayOrderVMs(now time.Time) bool {
-	return s.mayStart(now) && now.Sub(s.began) >= s.DutyPause
-}
-
 func (s *State) liveOn(vm string) int {
 	if v, known := s.servers[s.vms[vm].Server]; known {
 		return len(v.attempts)
@@ -272,7 +266,8 @@
 		v.leaving = true
 	}
 	klog.InfoS("Maintenance ordered", "vm", name, "wave", w.spec.Name, "token", s.Token)
-	s.emit(MaintainVM{VM: name, Wave: w.spec.Number, Token: s.Token})
+	order := MaintainVM{VM: name, Wave: w.spec.Number, Token: s.Token}
+	s.vmOrders = append(s.vmOrders, vmOrder{vm: name, effect: order})
 }
 
 func (s *State) maintenanceEnded(e MaintenanceEnded, now time.Time) {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -2,7 +2,12 @@
 // left out. They are functions of what they are given, without clock, network or store.
 package schedule
 
-import "time"
+import (
+	"container/heap"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Candidate is a job with tasks that wait.
 //
@@ -22,33 +27,103 @@
 	Objective time.Duration
 	// Remaining is the expected duration of the longest chain of work that is left.
 	Remaining time.Duration
-	// Share is the dominant share that the customer has of the pool, divided by its weight.
-	Share float64
+	// Work is what is left of the job, in seconds of a whole server.
+	Work float64
+
+	class    class
+	deadline time.Time
 }
 
-// class sorts candidates coarsely. Lower goes first.
-func (c Candidate) class(now time.Time) int {
-	latest := c.Submitted.Add(c.Objective)
+// lateFactor times the objective is when a job's benefit ends, by the users' rules.
+const lateFactor = 3
+
+// class of a candidate. Lower goes first.
+type class int
+
+const (
+	classLasting class = iota
+	classInTime        // can be in time
+	classLate          // can have some benefit
+	classOver
+	classSurplus
+)
+
+// Order sorts candidates into the order in which their tasks are placed. Room is the work that the pool does in a
+// second, in the unit of Candidate.Work: the number of its servers.
+//
+// It chooses as many jobs as can be in time together, then as many of the others as can have some benefit: in the order
+// of their deadlines, and whenever one would miss its own, the largest chosen one gives way.
+func Order(candidates []Candidate, room float64, now time.Time) {
+	for i := range candidates {
+		candidates[i].class = startClass(&candidates[i])
+	}
+	used := choose(candidates, classInTime, 1, 0, room, now)
+	choose(candidates, classLate, lateFactor, used, room, now)
+	slices.SortFunc(candidates, func(a, b Candidate) int { return compare(&a, &b) })
+}
+
+func startClass(c *Candidate) class {
 	switch {
 	case c.Lasting:
-		return 0
+		return classLasting
 	case c.Surplus:
-		return 4
-	case !now.Add(c.Remaining).After(latest):
-		return 1
-	case !now.Add(c.Remaining).After(c.Submitted.Add(lateFactor * c.Objective)):
-		return 2
+		return classSurplus
 	}
-	return 3
+	return classOver
 }
 
-// lateFactor times the objective is when a job's benefit ends, by the users' rules.
-const lateFactor = 3
+// choose gives a class to the candidates that can end within factor times their objective, after work of which so much
+// is used already, and returns the work that is used then.
+func choose(candidates []Candidate, to class, factor float64, used, room float64, now time.Time) float64 {
+	var waiting []*Candidate
+	for i := range candidates {
+		c := &candidates[i]
+		c.deadline = c.Submitted.Add(time.Duration(factor * float64(c.Objective)))
+		if c.class == classOver && !now.Add(c.Remaining).After(c.deadline) {
+			waiting = append(waiting, c)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *Candidate) int {
+		if a.Priority != b.Priority {
+			return a.Priority - b.Priority
+		}
+		return a.deadline.Compare(b.deadline)
+	})
+	var chosen largestFirst
+	for _, c := range waiting {
+		c.class = to
+		used += c.Work
+		heap.Push(&chosen, c)
+		for used > room*c.deadline.Sub(now).Seconds() && len(chosen) > 0 {
+			dropped := heap.Pop(&chosen).(*Candidate)
+			dropped.class = classOver
+			used -= dropped.Work
+		}
+	}
+	return used
+}
+
+// largestFirst is a heap of candidates, the one with the most work first.
+type largestFirst []*Candidate
 
-// Compare orders two candidates by class, priority and urgency. It is negative if a goes first.
-func Compare(a, b Candidate, now time.Time) int {
-	if x, y := a.class(now), b.class(now); x != y {
-		return x - y
+func (h largestFirst) Len() int           { return len(h) }
+func (h largestFirst) Less(a, b int) bool { return h[a].Work > h[b].Work }
+func (h largestFirst) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+
+// Push implements heap.Interface.
+func (h *largestFirst) Push(x any) { *h = append(*h, x.(*Candidate)) }
+
+// Pop implements heap.Interface.
+func (h *largestFirst) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// compare orders candidates by class, priority and urgency. It is negative if a goes first.
+func compare(a, b *Candidate) int {
+	if a.class != b.class {
+		return int(a.class) - int(b.class)
 	}
 	if a.Priority != b.Priority {
 		return a.Priority - b.Priority
@@ -56,11 +131,8 @@
 	if x, y := a.latestStart(), b.latestStart(); !x.Equal(y) {
 		return x.Compare(y)
 	}
-	if a.ID < b.ID {
-		return -1
-	}
-	return 1
+	return strings.Compare(a.ID, b.ID)
 }
 
 // latestStart is when the rest of the job has to start to be in time.
-func (c Candidate) latestStart() time.Time { return c.Submitted.Add(c.Objective - c.Remaining) }
+func (c *Candidate) latestStart() time.Time { return c.Submitted.Add(c.Objective - c.Remaining) }
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	poolHeadroom   = 1.15                   // servers over what runs and waits: tasks don't fill a server exactly
-	poolMinimum    = 3                      // servers of a pool that work is sent to: a rack may fail, and a burst starts on them
-	lendAfter      = 200 * time.Millisecond // a server is idle before another pool gets it: between two steps of a job it is too
-	switchOffAfter = time.Second            // before it is switched off
+	poolHeadroom   = 1.15                    // servers over what runs and waits: tasks don't fill a server exactly
+	poolMinimum    = 3                       // servers of a pool that work is sent to: a rack may fail, and a burst starts on them
+	moveLead       = 1500 * time.Millisecond // until a VM that is ordered now takes work
+	lendAfter      = 200 * time.Millisecond  // a server is idle before another pool gets it: between two steps of a job it is too
+	switchOffAfter = time.Second             // before it is switched off
 )
 
 // PoolServer is a VM of a pool.
@@ -32,8 +33,8 @@
 	// Load is what runs and waits, in servers. Lasting is the number of servers with tasks that last.
 	Load    float64
 	Lasting int
-	// Forecast is the number of servers that the pool is expected to need soon.
-	Forecast float64
+	// Arriving is the rate at which work arrives, in servers.
+	Arriving float64
 }
 
 // Move moves a VM to a pool.
@@ -47,7 +48,7 @@
 	if p.Spare {
 		return 0
 	}
-	load := max(p.Load, p.Forecast) * poolHeadroom
+	load := (p.Load + p.Arriving*moveLead.Seconds()) * poolHeadroom
 	return max(int(math.Ceil(load)), p.Lasting, poolMinimum)
 }
 
