Keep runs that their server reports, and add an emulator of the platform

Cause: at the start of a term nothing was known of leases that the controller before had granted, so the expiry of a server's work was set to its last answer; when a renewal of the term was slow, no lease was granted either, and runs of a server that answered were given up and started elsewhere. Ruled out: rows missing after paging. Now a server that answers keeps its runs, and the expiry never moves back. TestRestoredRunIsKeptWhileItsServerReportsIt fails without the change.

The emulator speaks the published protocol on loopback (store with feed and lost answers, backend servers with leases and fencing, VMs), checks double starts, and carries the tests of the whole path.

--- a/command/entry.go
+++ b/command/entry.go
@@ -91,6 +91,7 @@
 func (p entryProcess) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	p.VM.Init()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
--- /dev/null
+++ b/deployment/deployment_test.go
@@ -0,0 +1,163 @@
+package deployment_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/platform/emulator"
+)
+
+// Guards against a path that doesn't work as a whole: accept, store, start, end, answer.
+func TestJobRunsOnceAndIsAnswered(t *testing.T) {
+	r := newRig(t, 2, 100*time.Millisecond)
+	id := jobID(1)
+	assert.Equal(t, r.submit(r.vms[0], "plates", id, step(3, 1000), step(2, 2000, 0)), http.StatusOK)
+	assert.Equal(t, r.submit(r.vms[1], "plates", id, step(3, 1000), step(2, 2000, 0)), http.StatusOK)
+	r.eventually("the job is complete", func() bool { return r.state(r.vms[1], "plates", id) == "completed" })
+	assert.Equal(t, r.submit(r.vms[1], "plates", id, step(3, 1000), step(2, 2000, 0)), http.StatusOK)
+	for task := range 3 {
+		assert.Equal(t, r.observer.Starts(fmt.Sprintf("%s.0.0.%d", id, task)), 1)
+	}
+	r.eventually("no job waits", func() bool {
+		status, answer := r.call(r.vms[0], http.MethodGet, "/plates/", "key-1", nil)
+		return status == http.StatusOK && answer["Waiting"] == 0.0
+	})
+}
+
+// Guards against calls that are answered with the wrong status.
+func TestCallsAreRefusedAsTheyShould(t *testing.T) {
+	r := newRig(t, 1, 100*time.Millisecond)
+	id := jobID(1)
+	for _, c := range []struct {
+		method, path, key string
+		body              any
+		status            int
+	}{
+		{http.MethodGet, "/nowhere/" + id, "key-1", nil, http.StatusNotFound},
+		{http.MethodGet, "/plates/" + id, "no-key", nil, http.StatusUnauthorized},
+		{http.MethodGet, "/plates/" + id, "key-1", nil, http.StatusGone},
+		{http.MethodDelete, "/plates/" + id, "key-1", nil, http.StatusGone},
+		{http.MethodPost, "/plates/xyz", "key-1", map[string]any{}, http.StatusBadRequest},
+		{http.MethodPost, "/plates/" + id, "key-1", map[string]any{"Steps": "no"}, http.StatusBadRequest},
+		{http.MethodPost, "/plates/" + id, "key-1", map[string]any{"Steps": []any{step(1, 1, 5)}}, http.StatusBadRequest},
+	} {
+		status, _ := r.call(r.vms[0], c.method, c.path, c.key, c.body)
+		assert.Equal(t, status, c.status, "%s %s", c.method, c.path)
+	}
+	r.configure(2, "key-2")
+	r.eventually("the key is revoked", func() bool { return r.state(r.vms[0], "plates", id) == "401" })
+}
+
+// Guards against tasks that run on after their job was cancelled.
+func TestCancelledJobStops(t *testing.T) {
+	r := newRig(t, 1, time.Minute)
+	id := jobID(1)
+	lasting := step(2, 1000)
+	lasting["LongRunning"] = true
+	assert.Equal(t, r.submit(r.vms[0], "plates", id, lasting), http.StatusOK)
+	r.eventually("both tasks run", func() bool { return r.observer.Running() == 2 })
+	status, _ := r.call(r.vms[0], http.MethodDelete, "/plates/"+id, "key-1", nil)
+	assert.Equal(t, status, http.StatusOK)
+	r.eventually("no task runs", func() bool { return r.observer.Running() == 0 })
+	r.eventually("the state shows it", func() bool { return r.state(r.vms[0], "plates", id) == "cancelled" })
+}
+
+// Guards against jobs that are lost, or run twice, when the entry VM in control is killed in the middle of a burst.
+func TestJobsSurviveTheController(t *testing.T) {
+	r := newRig(t, 3, 300*time.Millisecond)
+	for n := range 20 {
+		assert.Equal(t, r.submit(r.vms[n%3], "plates", jobID(n), step(4, 1500), step(2, 1000, 0)), http.StatusOK)
+	}
+	r.eventually("tasks run", func() bool { return r.observer.Running() > 0 })
+	r.vms[0].kill()
+	r.vms[1].kill()
+	for n := range 20 {
+		id := jobID(n)
+		r.eventually("job "+id+" is complete", func() bool { return r.state(r.vms[2], "plates", id) == "completed" })
+	}
+}
+
+// Guards against work that stops, or runs twice, when the store loses answers, refuses calls and forgets its history.
+func TestJobsSurviveTheStore(t *testing.T) {
+	r := newRig(t, 2, 100*time.Millisecond)
+	var calls atomic.Int64
+	r.store.Fault = func(path string) emulator.Fault {
+		n := calls.Add(1)
+		switch {
+		case path == "/api/rows-tx" && n%7 == 0:
+			return emulator.Lost
+		case n%5 == 0:
+			return emulator.Busy
+		}
+		return emulator.Healthy
+	}
+	accepted := make(map[string]bool)
+	for n := range 12 {
+		id := jobID(n)
+		for range 10 {
+			if r.submit(r.vms[n%2], "proofs", id, step(2, 1000), step(1, 1000, 0)) == http.StatusOK {
+				accepted[id] = true
+				break
+			}
+		}
+		if n == 6 {
+			r.store.ForgetHistory()
+		}
+	}
+	assert.Equal(t, len(accepted), 12)
+	for id := range accepted {
+		r.eventually("job "+id+" is complete", func() bool { return r.state(r.vms[0], "proofs", id) == "completed" })
+	}
+}
+
+// Guards against orders without an answer that are taken for refused, or given twice, and against servers that crash.
+func TestJobsSurviveBackendServers(t *testing.T) {
+	r := newRig(t, 1, 200*time.Millisecond)
+	for _, s := range r.servers {
+		s.LoseAnswers(3)
+	}
+	for n := range 10 {
+		assert.Equal(t, r.submit(r.vms[0], "plates", jobID(n), step(3, 1500), step(2, 1000, 0)), http.StatusOK)
+		if n == 4 {
+			r.servers[0].Birth()
+			r.servers[1].LoseAnswers(4)
+		}
+	}
+	for n := range 10 {
+		id := jobID(n)
+		r.eventually("job "+id+" is complete", func() bool { return r.state(r.vms[0], "plates", id) == "completed" })
+	}
+}
+
+// Guards against a wave that is told to be complete before its VMs were maintained, or that isn't.
+func TestWaveIsMaintained(t *testing.T) {
+	r := newRig(t, 1, 100*time.Millisecond)
+	r.store.Put("op", "wave/1", map[string]any{
+		"Wave": 1, "Machines": []string{"m-0", "m-1", "m-3", "m-5"}, "FinishByS": 15, "AtMost": 1,
+	})
+	r.eventually("the wave is complete", func() bool {
+		status, _ := r.store.Get("status", "", "wave/1")
+		return string(status) == `{"State":"completed"}`
+	})
+	assert.Equal(t, r.platform.Maintained(1), 4)
+}
+
+// Guards against a planned stop that loses jobs or leaves the fleet without control.
+func TestPlannedStopHandsOver(t *testing.T) {
+	r := newRig(t, 2, 200*time.Millisecond)
+	for n := range 8 {
+		assert.Equal(t, r.submit(r.vms[n%2], "plates", jobID(n), step(4, 1500)), http.StatusOK)
+	}
+	r.vms[0].vm.Drain()
+	assert.Equal(t, r.submit(r.vms[0], "plates", jobID(100), step(1, 1000)), http.StatusOK)
+	for n := range 8 {
+		id := jobID(n)
+		r.eventually("job "+id+" is complete", func() bool { return r.state(r.vms[1], "plates", id) == "completed" })
+	}
+	<-r.vms[0].done
+}
--- /dev/null
+++ b/deployment/rig_test.go
@@ -0,0 +1,190 @@
+package deployment_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/deployment"
+	"github.com/pistachiolead/pistachiolead/group"
+	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/platform/emulator"
+	"github.com/pistachiolead/pistachiolead/timer"
+)
+
+const patience = 20 * time.Second
+
+// rig is a whole deployment in one process: the emulated platform and entry VMs.
+type rig struct {
+	t        *testing.T
+	platform *emulator.Platform
+	store    *emulator.Store
+	observer *emulator.Observer
+	servers  []*emulator.Server
+	vms      []*entryVM
+	tasks    *group.Group
+	ctx      context.Context
+}
+
+type entryVM struct {
+	address string
+	vm      *deployment.VM
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func newRig(t *testing.T, vms int, duration time.Duration) *rig {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{t: t, observer: &emulator.Observer{}}
+	r.store = &emulator.Store{Timer: timer.System{}}
+	r.platform = &emulator.Platform{Timer: timer.System{}, Store: r.store, Duration: duration, Observer: r.observer}
+	assert.NilError(t, r.platform.Listen())
+	r.tasks, r.ctx = group.New(ctx)
+	for i := range 6 {
+		pool := []string{"press", "press", "press", "proofs", "proofs", "spare"}[i]
+		r.servers = append(r.servers, &emulator.Server{
+			ID: fmt.Sprintf("i-%d", i), Pool: pool, Zone: fmt.Sprintf("z%d", i%2), Rack: fmt.Sprintf("r%d", i),
+			MilliCores: 8000, MemoryMB: 16000,
+		})
+	}
+	r.configure(1, "key-1")
+	r.tasks.Go(func() error { return r.platform.Run(r.ctx, r.servers) })
+	for i := range vms {
+		r.startVM(fmt.Sprintf("entry-%d", i))
+	}
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, r.tasks.Wait())
+		assert.DeepEqual(t, r.observer.Violations(), []string(nil))
+	})
+	return r
+}
+
+func (r *rig) configure(version int, keys ...string) {
+	route := func(name, service string, priority int) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": "h.example", "Prefix": "/" + name + "/", "Service": service, "MaxAttempts": 2,
+			"Stretch": 1.6, "TargetDurationMs": 600, "TimeoutMs": 3000, "Priority": priority,
+		}
+	}
+	r.store.Put("op", "config", map[string]any{
+		"Version": version,
+		"Routes":  []any{route("plates", "press", 1), route("proofs", "proofs", 0)},
+		"Services": []any{
+			map[string]any{"Name": "press"}, map[string]any{"Name": "proofs"},
+			map[string]any{"Name": "spare", "Spare": true},
+		},
+		"Tenants": []any{map[string]any{
+			"Name": "label", "ApiKeys": keys, "Weight": 5, "AtMost": map[string]int{"Cpu": 40000},
+		}},
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (r *rig) startVM(name string) *entryVM {
+	r.t.Helper()
+	customers := freeAddress(r.t)
+	set, err := platform.ParseSettings([]byte(fmt.Sprintf(`
+NodeName: %q
+Zone: z0
+ListenAddresses: {Frontend: %q, Readiness: %q}
+Limits: {CpuShare: 0.8, CpuCores: 1}
+Bounds: {GraceS: 2, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3}
+platform: {Address: %q}
+CloudApi: {Address: %q}
+`, name, customers, freeAddress(r.t), r.platform.StoreAddress(), r.platform.VMsAddress())))
+	assert.NilError(r.t, err)
+	ctx, cancel := context.WithCancel(r.ctx)
+	v := &entryVM{
+		address: customers, cancel: cancel, done: make(chan struct{}),
+		vm: &deployment.VM{Settings: set, Timer: timer.NewBoot(), Scope: tally.NoopScope},
+	}
+	v.vm.Init()
+	r.vms = append(r.vms, v)
+	r.tasks.Go(func() error {
+		defer close(v.done)
+		return v.vm.Run(ctx)
+	})
+	r.eventually("the entry VM is ready", v.vm.Ready)
+	return v
+}
+
+// kill ends an entry VM without a planned stop.
+func (v *entryVM) kill() {
+	v.cancel()
+	<-v.done
+}
+
+func (r *rig) eventually(what string, check func() bool) {
+	r.t.Helper()
+	until := time.Now().Add(patience)
+	for !check() {
+		if time.Now().After(until) {
+			r.t.Fatalf("not within %s: %s", patience, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (r *rig) call(v *entryVM, method, path, key string, body any) (int, map[string]any) {
+	r.t.Helper()
+	var content io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		assert.NilError(r.t, err)
+		content = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(r.ctx, method, "http://"+v.address+path, content)
+	assert.NilError(r.t, err)
+	req.Host = "h.example"
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Deadline-Ms", "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	var answer map[string]any
+	_ = json.NewDecoder(resp.Body).Decode(&answer) // many answers have no body
+	return resp.StatusCode, answer
+}
+
+func (r *rig) submit(v *entryVM, queue, id string, steps ...map[string]any) int {
+	r.t.Helper()
+	r.observer.Expect("work of " + id)
+	status, _ := r.call(v, http.MethodPost, "/"+queue+"/"+id, "key-1",
+		map[string]any{"Specification": "work of " + id, "Steps": steps})
+	return status
+}
+
+func (r *rig) state(v *entryVM, queue, id string) string {
+	r.t.Helper()
+	status, answer := r.call(v, http.MethodGet, "/"+queue+"/"+id, "key-1", nil)
+	if status != http.StatusOK {
+		return fmt.Sprint(status)
+	}
+	return answer["State"].(string)
+}
+
+func step(count, cpu int, after ...int) map[string]any {
+	return map[string]any{"Count": count, "Cpu": cpu, "MemMb": 500, "EstimatedMs": 100, "After": after}
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -37,7 +37,6 @@
 	process   int64
 	stopping  atomic.Bool
 	drained   chan struct{}
-	heard     atomic.Int64 // when the store answered last, in Unix nanoseconds of the timer
 
 	controller atomic.Pointer[controller]
 }
@@ -46,8 +45,8 @@
 func (v *VM) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	v.Init()
 	v.tasks, ctx = group.New(ctx)
-	v.init()
 	klog.InfoS("Start", "vm", v.Settings.Name(), "zone", v.Settings.Zone(), "process", v.process,
 		"processors", v.Settings.Processors(), "memory-mb", v.Settings.MemoryMB())
 	for _, c := range append(v.jobCommitters(), v.committer) {
@@ -74,7 +73,11 @@
 	return err
 }
 
-func (v *VM) init() {
+// Init prepares the VM for calls of its methods. Run calls it if it wasn't called before.
+func (v *VM) Init() {
+	if v.desk != nil {
+		return
+	}
 	now := v.Timer.Now()
 	v.process = now.UnixMilli()
 	v.client = platform.NewClient()
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -24,11 +24,10 @@
 
 // step is a step of one occurrence.
 type step struct {
-	spec    workload.Step
-	tasks   []*task
-	left    int // tasks that aren't done
-	number  int
-	waiting int // tasks that could start once the steps before are done
+	spec   workload.Step
+	tasks  []*task
+	left   int // tasks that aren't done
+	number int
 }
 
 // task is a task that has to be done.
@@ -41,7 +40,6 @@
 	attempts []*attempt
 	failedOn []string // servers on which it failed
 	freeAt   time.Time
-	lastPct  int
 }
 
 // phase is how far an attempt is.
@@ -73,7 +71,6 @@
 	figure      int64
 	pace        int
 	pacing      bool
-	overSince   time.Time
 
 	stopWanted bool
 	stopSent   bool // an order to stop is under way
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -20,7 +20,6 @@
 	}
 	if v.incarnation == 0 {
 		v.incarnation = r.Incarnation
-		v.expiresAt = now
 	}
 	v.reg, v.registered = r, true
 	if !fresh {
@@ -89,7 +88,7 @@
 		if v.hasClock && v.missed == 0 && now.Before(s.termUntil) {
 			order.Deadline = v.clockNow(now) + workLease
 			v.granted = max(v.granted, order.Deadline)
-			v.expiresAt = v.expiryAt()
+			v.granting()
 		}
 		s.emit(Look{Target: v.target(), Order: order, Sequence: v.sequence})
 	}
@@ -142,7 +141,6 @@
 	}
 	v.missed, v.confirmed = 0, true
 	v.clock, v.clockAt, v.hasClock = r.Clock, now, true
-	v.expiresAt = v.expiryAt()
 	v.nextLook = now.Add(lookPause)
 
 	seen := v.seen
--- /dev/null
+++ b/fleet/rig_test.go
@@ -0,0 +1,192 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// rig drives a control state on fake time. Commits succeed at once unless they are held.
+type rig struct {
+	t       *testing.T
+	state   *fleet.State
+	now     time.Time
+	version uint64
+	held    bool // commits get no outcome
+	effects []fleet.Effect
+	rows    map[string][]byte
+	clock   map[string]time.Time // births of servers
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{
+		t: t, now: time.Unix(1_000_000, 0), version: 10,
+		rows: make(map[string][]byte), clock: make(map[string]time.Time),
+	}
+	r.begin(10)
+	r.configure(workload.Resources{})
+	return r
+}
+
+func (r *rig) configure(limit workload.Resources) {
+	queues := []directory.Queue{{Name: "plates", Host: "h", Prefix: "/p/", Pool: "press", Attempts: 2}}
+	pools := []directory.Pool{{Name: "press"}, {Name: "proofs"}, {Name: "spare", Spare: true}}
+	customers := []directory.Customer{{Name: "label", Limit: limit}}
+	r.version++
+	r.handle(fleet.OperationArrived{Operation: directory.Configured{
+		Snapshot: directory.NewSnapshot(int64(r.version), queues, customers, pools, 0),
+	}})
+}
+
+// begin starts a term.
+func (r *rig) begin(token uint64) {
+	r.state = &fleet.State{
+		Self: "entry", Token: token, TermSent: r.now, Term: fleet.Term{Holder: "entry"}.WithVersion(token),
+		DutyPause: 3 * time.Second, MaintenanceTime: 2 * time.Second, MoveTime: time.Second,
+	}
+	r.state.Begin(r.now)
+}
+
+// restart starts a new term from what is stored.
+func (r *rig) restart(jobs ...*workload.Job) {
+	r.t.Helper()
+	r.version++
+	r.begin(r.version)
+	progress := make(map[string]workload.Progress)
+	for _, j := range jobs {
+		if data, stored := r.rows[fleet.ProgressPrefix+j.ID()]; stored {
+			p, err := workload.DecodeProgress(data)
+			assert.NilError(r.t, err)
+			progress[j.ID()] = p
+		}
+	}
+	r.state.Restore(jobs, progress, nil, r.now)
+	r.configure(workload.Resources{})
+}
+
+func (r *rig) handle(events ...fleet.Event) {
+	for _, e := range events {
+		r.state.Handle(e, r.now)
+	}
+	r.settle()
+}
+
+func (r *rig) settle() {
+	for {
+		effects := r.state.Settle(r.now)
+		if len(effects) == 0 {
+			return
+		}
+		for _, e := range effects {
+			r.effects = append(r.effects, e)
+			if c, ok := e.(fleet.Commit); ok && !r.held {
+				r.commit(c)
+			}
+		}
+	}
+}
+
+func (r *rig) commit(c fleet.Commit) {
+	r.version++
+	for _, w := range c.Transaction.Writes() {
+		r.rows[w.Key()] = w.Value()
+	}
+	r.state.Handle(fleet.CommitEnded{Outcome: provider.NewCommitted(r.version)}, r.now)
+}
+
+// pass lets time pass in ticks.
+func (r *rig) pass(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for range d / step {
+		r.now = r.now.Add(step)
+		r.handle(fleet.Tick{})
+	}
+}
+
+// take returns the effects since the last call.
+func (r *rig) take() []fleet.Effect {
+	effects := r.effects
+	r.effects = nil
+	return effects
+}
+
+func (r *rig) starts() []fleet.Start {
+	var starts []fleet.Start
+	for _, e := range r.take() {
+		if s, ok := e.(fleet.Start); ok {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
+func (r *rig) register(id, pool string) {
+	if r.clock[id].IsZero() {
+		r.clock[id] = r.now
+	}
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: id, Pool: pool, Address: "10.0.0.1:1", Zone: "z", Rack: "r-" + id,
+		Incarnation: r.clock[id].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+}
+
+// report answers the look at a server that is under way.
+func (r *rig) report(id string, running []backend.Run, ends ...backend.End) {
+	r.t.Helper()
+	var look *fleet.Look
+	for _, e := range r.effects {
+		if l, ok := e.(fleet.Look); ok && l.Target.ID == id {
+			look = &l
+		}
+	}
+	if look == nil {
+		r.t.Fatalf("no look at %s", id)
+	}
+	report := backend.Report{Incarnation: look.Target.Incarnation, Clock: r.now.Sub(r.clock[id]), Ends: ends}
+	for _, run := range running {
+		report.Running = append(report.Running, backend.Running{Run: run, Percent: 100})
+	}
+	r.handle(fleet.LookEnded{Server: id, Sequence: look.Sequence, Outcome: backend.Reported{Report: report}})
+}
+
+// silence lets the look at a server that is under way fail.
+func (r *rig) silence(id string) {
+	r.t.Helper()
+	for _, e := range r.effects {
+		if l, ok := e.(fleet.Look); ok && l.Target.ID == id {
+			r.handle(fleet.LookEnded{Server: id, Sequence: l.Sequence, Outcome: backend.Unanswered{Reason: "silent"}})
+		}
+	}
+}
+
+func (r *rig) started(s fleet.Start) {
+	r.handle(fleet.StartEnded{
+		Server: s.Target.ID, Incarnation: s.Target.Incarnation, Run: s.Order.Run, Outcome: backend.Accepted{},
+	})
+}
+
+func (r *rig) job(n int, steps ...workload.StepOptions) *workload.Job {
+	r.t.Helper()
+	j, err := workload.NewJob(workload.JobOptions{
+		ID: fmt.Sprintf("%016x", n), Queue: "plates", Customer: "label", Pool: "press", Attempts: 2,
+		Specification: "s", Steps: steps, AcceptedMS: r.now.UnixMilli(), Stretch: 1.6, SlackMS: 600,
+	})
+	assert.NilError(r.t, err)
+	return j
+}
+
+func (r *rig) stored(j *workload.Job) workload.Progress {
+	r.t.Helper()
+	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+j.ID()])
+	assert.NilError(r.t, err)
+	return p
+}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -19,7 +19,7 @@
 	}
 	deadline := v.clockNow(now) + workLease
 	v.granted = max(v.granted, deadline)
-	v.expiresAt = v.expiryAt()
+	v.granting()
 	a.phase, a.inFlight, a.sent = ordered, true, now
 	a.tries++
 	s.counters.starts.Inc(1)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -50,12 +50,20 @@
 // clockNow estimates the server's clock.
 func (s *server) clockNow(now time.Time) time.Duration { return s.clock + now.Sub(s.clockAt) }
 
-// expiryAt is when the granted lease has passed on the slowest clock.
-func (s *server) expiryAt() time.Time {
+// granting moves the expiry of what runs on the server to when the granted lease has passed on the slowest clock.
+// Leases that an earlier controller granted may last longer.
+func (s *server) granting() {
 	left := max(s.granted-s.clock, 0)
-	return s.clockAt.Add(time.Duration(float64(left)/slowestClock) + leaseSlack)
+	expires := s.clockAt.Add(time.Duration(float64(left)/slowestClock) + leaseSlack)
+	if expires.After(s.expiresAt) {
+		s.expiresAt = expires
+	}
 }
 
+// silent reports whether the server didn't answer the last look, or none yet. What a server that answers runs is known
+// from its reports.
+func (s *server) silent() bool { return s.missed > 0 || !s.confirmed }
+
 // usable reports whether new runs may be placed on the server.
 func (s *server) usable(now time.Time) bool {
 	return s.registered && s.confirmed && s.hasClock && s.missed == 0 && !s.reg.Draining && !now.Before(s.restUntil)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -172,7 +172,7 @@
 		}
 	}
 	for _, v := range s.servers {
-		if len(v.attempts) > 0 && now.After(v.expiresAt) {
+		if len(v.attempts) > 0 && v.silent() && now.After(v.expiresAt) {
 			s.abandon(v, now, "lease-expired")
 		}
 		s.watchRuns(v, now)
@@ -247,7 +247,6 @@
 			v := s.server(a.Server)
 			if v.incarnation == 0 {
 				v.incarnation = a.Incarnation
-				v.expiresAt = s.restoredExpiry()
 			}
 			s.addAttempt(t, v, &attempt{run: a.Run, phase: restored, incarnation: a.Incarnation, since: now})
 		}
@@ -271,6 +270,7 @@
 	v, ok := s.servers[id]
 	if !ok {
 		v = newServer(id)
+		v.expiresAt = s.restoredExpiry()
 		s.servers[id] = v
 	}
 	return v
--- /dev/null
+++ b/fleet/term_test.go
@@ -0,0 +1,74 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// Guards against a second run of a task that a server reports to run: a controller whose term isn't renewed grants no
+// lease, but those that the controller before granted still hold.
+func TestRestoredRunIsKeptWhileItsServerReportsIt(t *testing.T) {
+	r := newRig(t)
+	job := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, EstimateMS: 60_000})
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: job})
+	start := r.starts()
+	assert.Equal(t, len(start), 1)
+	r.started(start[0])
+
+	r.restart(job)
+	r.held = true
+	r.register("i-1", "press")
+	r.register("i-2", "press")
+	for range 40 {
+		r.pass(300 * time.Millisecond)
+		r.report("i-1", []backend.Run{start[0].Order.Run})
+		r.report("i-2", nil)
+	}
+	r.held = false
+	r.handle(fleet.CommitEnded{})
+	r.pass(time.Second)
+	assert.Equal(t, len(r.starts()), 0)
+}
+
+// Guards against a second run of a task whose server can't be reached, before its lease has surely expired.
+func TestRunOfASilentServerIsRestartedAfterItsLease(t *testing.T) {
+	r := newRig(t)
+	job := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, EstimateMS: 60_000})
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: job})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	deadline := r.clock["i-1"].Add(starts[0].Order.Deadline)
+	r.started(starts[0])
+
+	r.register("i-2", "press")
+	r.report("i-2", nil)
+	for r.now.Before(deadline.Add(3 * time.Second)) {
+		r.pass(100 * time.Millisecond)
+		for _, e := range r.effects {
+			if l, ok := e.(fleet.Look); ok && l.Target.ID == "i-1" && l.Order.Deadline > 0 {
+				later := r.clock["i-1"].Add(l.Order.Deadline)
+				if later.After(deadline) {
+					deadline = later
+				}
+			}
+		}
+		r.silence("i-1")
+		if again := r.starts(); len(again) > 0 {
+			assert.Equal(t, again[0].Target.ID, "i-2")
+			assert.Assert(t, r.now.After(deadline), "restarted %s before the lease expired", deadline.Sub(r.now))
+			return
+		}
+		r.register("i-2", "press")
+	}
+	t.Fatal("the task isn't started again")
+}
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -38,7 +38,7 @@
 var _ io.Writer = (*Book)(nil)
 
 // Open makes klog write to the book, with lines up to the given verbosity.
-func (b *Book) Open(verbosity int) (close func()) {
+func (b *Book) Open(verbosity int) (closeBook func()) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	for name, value := range map[string]string{
