--- /dev/null
+++ b/schedule/schedule_test.go
@@ -0,0 +1,81 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/schedule"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// Guards against placements that the users' rules forbid, and against work on servers that failed it.
+func TestChoose(t *testing.T) {
+	big := workload.NewResources(8000, 8000, 0)
+	server := func(id string, free int64) schedule.Server {
+		return schedule.Server{ID: id, Rack: "r-" + id, Kind: "a", Capacity: big, Free: workload.NewResources(free, free, 0)}
+	}
+	two := workload.StepOptions{Count: 1, MilliCores: 2000, MemoryMB: 1}
+	with := func(change func(*workload.StepOptions)) workload.Step {
+		o := two
+		change(&o)
+		return workload.NewStep(o)
+	}
+	used := server("used", 3000)
+	used.SameStep = 1
+	failed := server("failed", 2500)
+	failed.Avoid = true
+	for name, c := range map[string]struct {
+		step    workload.Step
+		servers []schedule.Server
+		want    int
+	}{
+		"full":             {workload.NewStep(two), []schedule.Server{server("a", 1000)}, -1},
+		"most used first":  {workload.NewStep(two), []schedule.Server{server("a", 8000), server("b", 2500)}, 1},
+		"per server":       {with(func(o *workload.StepOptions) { o.PerServer = 1 }), []schedule.Server{used}, -1},
+		"label":            {with(func(o *workload.StepOptions) { o.Label = "b" }), []schedule.Server{server("a", 8000)}, -1},
+		"near its data":    {with(func(o *workload.StepOptions) { o.DataRack = "r-a" }), []schedule.Server{server("b", 2500), server("a", 8000)}, 1},
+		"not where failed": {workload.NewStep(two), []schedule.Server{failed, server("a", 8000)}, 1},
+		"filler":           {with(func(o *workload.StepOptions) { o.Filler = true }), []schedule.Server{server("a", 1)}, 0},
+	} {
+		assert.Equal(t, schedule.Choose(c.step, c.servers), c.want, name)
+	}
+}
+
+// Guards against a wave that takes more VMs down than allowed, empties busy ones early, or is late.
+func TestPlanMaintenance(t *testing.T) {
+	vms := []schedule.MaintenanceVM{
+		{VM: "idle-1"}, {VM: "idle-2"}, {VM: "busy-1", Running: 5}, {VM: "busy-2", Running: 2}, {VM: "moving", Blocked: true},
+	}
+	early := schedule.PlanMaintenance(schedule.Maintenance{
+		VMs: vms, AtOnce: 2, Down: 1, TimeLeft: 25 * time.Second, Duration: 2 * time.Second,
+	})
+	assert.DeepEqual(t, early.Begin, []string{"idle-1"})
+	assert.DeepEqual(t, early.Empty, []string{"idle-2"}) // is kept empty for its turn
+	late := schedule.PlanMaintenance(schedule.Maintenance{
+		VMs: vms, AtOnce: 2, Down: 2, TimeLeft: 5 * time.Second, Duration: 2 * time.Second,
+	})
+	assert.Equal(t, len(late.Begin), 0)
+	assert.DeepEqual(t, late.Empty, []string{"idle-1", "idle-2"})
+}
+
+// Guards against VMs that are taken from pools that need them, or while they run something.
+func TestPlanMoves(t *testing.T) {
+	servers := func(names ...string) []schedule.PoolServer {
+		var all []schedule.PoolServer
+		for _, n := range names {
+			all = append(all, schedule.PoolServer{VM: n, Idle: true, IdleFor: time.Minute})
+		}
+		return all
+	}
+	busy := schedule.PoolServer{VM: "busy"}
+	moves := schedule.PlanMoves([]schedule.Pool{
+		{Name: "rests", Servers: append(servers("a", "b", "c", "d", "e"), busy)},
+		{Name: "burst", Servers: servers("f", "g", "h"), Load: 6.9},
+		{Name: "spare", Spare: true, Servers: servers("s")},
+	})
+	assert.DeepEqual(t, moves, []schedule.Move{
+		{VM: "s", To: "burst"}, {VM: "a", To: "burst"}, {VM: "b", To: "burst"}, {VM: "c", To: "burst"},
+	})
+}
