Pause VMs after a take-over only as long as two holders need

Ruled out: answers of the interface to VMs (one move without an answer). Change: the row of orders has their times, so a VM pauses until LeaseMs after its order; no pause after a controller that gave up its term or was an earlier process of the same VM.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -22,6 +22,8 @@
 	term  fleet.Term
 	token uint64
 	sent  time.Time
+	// before is the entry VM whose term ran out, or "" if it gave up its term.
+	before string
 
 	state    *fleet.State
 	backends *platform.Backends
@@ -137,12 +139,14 @@
 	if err != nil {
 		return err
 	}
-	orders, _, err := c.scan(c.vm.control, fleet.VMOrdersKey)
-	if err != nil {
-		return err
-	}
-	for _, row := range orders {
-		c.state.RestoreVMOrders(row)
+	if c.before != "" && c.before != c.vm.Settings.Name() {
+		orders, _, err := c.scan(c.vm.control, fleet.VMOrdersKey)
+		if err != nil {
+			return err
+		}
+		for _, row := range orders {
+			c.state.RestoreVMOrders(row)
+		}
 	}
 	if err := c.loadOperations(); err != nil {
 		return err
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -75,7 +75,7 @@
 		klog.InfoS("Control not taken", "vm", v.Settings.Name(), "term-version", was.Version())
 		return nil
 	}
-	c := &controller{vm: v, term: term.WithVersion(outcome.Version()), sent: now, token: outcome.Version()}
+	c := &controller{vm: v, term: term.WithVersion(outcome.Version()), sent: now, token: outcome.Version(), before: was.Holder}
 	klog.InfoS("Control taken", "vm", v.Settings.Name(), "token", c.token, "from", was.Holder,
 		"term-version", was.Version())
 	c.start(ctx)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -48,24 +48,24 @@
 	arrivals    map[string]*arrivals // of work, by pool
 	vmOrders    []vmOrder
 	ordered     map[string]time.Time // VMs ordered lately, and when
-	// orderedBefore are VMs that the controller before ordered lately.
-	orderedBefore map[string]bool
-	overLimit     map[string]int // tasks that waited for their customer's limit at the last placement, by pool
-	vms           map[string]backend.VM
-	vmsAsked      time.Time
-	listingVMs    bool
-	sequence      uint64
-	schedule      bool // something changed that lets work start
-	stopping      bool
-	released      bool
-	deposed       bool
-	termUntil     time.Time
-	renewedAt     time.Time
-	commit        *commit
-	statusAt      time.Time
-	statusKnown   map[string]int // waiting jobs by queue, as they were stored last
-	effects       []Effect
-	counters      counters
+	// pausedUntil tells when VMs that the controller before ordered lately may be ordered again.
+	pausedUntil map[string]time.Time
+	overLimit   map[string]int // tasks that waited for their customer's limit at the last placement, by pool
+	vms         map[string]backend.VM
+	vmsAsked    time.Time
+	listingVMs  bool
+	sequence    uint64
+	schedule    bool // something changed that lets work start
+	stopping    bool
+	released    bool
+	deposed     bool
+	termUntil   time.Time
+	renewedAt   time.Time
+	commit      *commit
+	statusAt    time.Time
+	statusKnown map[string]int // waiting jobs by queue, as they were stored last
+	effects     []Effect
+	counters    counters
 }
 
 type counters struct {
@@ -95,7 +95,7 @@
 	s.overLimit = make(map[string]int)
 	s.arrivals = make(map[string]*arrivals)
 	s.ordered = make(map[string]time.Time)
-	s.orderedBefore = make(map[string]bool)
+	s.pausedUntil = make(map[string]time.Time)
 	s.statusKnown = make(map[string]int)
 	s.termUntil = s.TermSent.Add(TermDuration)
 	s.renewedAt = s.TermSent
