--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	feedWait     = time.Second            // how long the store waits for a change; bounds the age of the configuration
+	feedWait     = 500 * time.Millisecond // how long the store waits for a change; bounds the age of the configuration
 	feedPause    = 15 * time.Millisecond  // gathers jobs that arrive together
 	feedRetry    = 250 * time.Millisecond // after a read that failed
 	serversPause = 300 * time.Millisecond // registrations change with each heartbeat, so they are read in batches
-	termInterval = 250 * time.Millisecond // between two readings of the term row
+	termInterval = 200 * time.Millisecond // between two readings of the term row
 	tickInterval = 100 * time.Millisecond
 	loadTries    = 3 // of a read when control begins, before another entry VM may try
 
@@ -15,8 +15,9 @@
 	fullProcessor  = 0.8                    // of a core: VMs with as much take over first
 
 	keyTrustMargin = 800 * time.Millisecond // of the bound for revoked keys: a request's way to its answer
-	readyAge       = 2500 * time.Millisecond
-	drainReserve   = 1200 * time.Millisecond // of the grace period, for requests under way at its end
+	// storeSilence is how long the store may not be heard of before customers are sent elsewhere: two answers of the feed.
+	storeSilence = 1300 * time.Millisecond
+	drainReserve = 1200 * time.Millisecond // of the grace period, for requests under way at its end
 
 	commitRate    = 40     // transactions a second of one committer: a part applies 150 for all entry VMs
 	commitRowRate = 20_000 // rows are limited by transactions on this store
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -66,7 +66,8 @@
 // takeControl writes the term row and starts a controller. It returns nil if another entry VM was faster, or if the
 // outcome isn't known: the row then runs out, as its holder doesn't renew it.
 func (v *VM) takeControl(ctx context.Context, was fleet.Term, now time.Time) *controller {
-	term := fleet.Term{Holder: v.Settings.Name(), Process: v.process, Renewals: was.Renewals + 1}
+	term := fleet.Term{Holder: v.Settings.Name(), Process: v.process, Renewals: was.Renewals + 1,
+		DurationMS: fleet.LongTerm.Milliseconds()}
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.TermKey, was.Version())},
 		[]provider.Write{provider.NewPut(fleet.TermKey, term.Encode())})
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -87,7 +87,7 @@
 	v.committer = v.newCommitter(v.control, "control")
 	v.desk = &intake.Desk{
 		Directory: v.directory, Control: v.control, Timer: v.Timer, Scope: v.Scope.SubScope("intake"),
-		KeyTrust: v.Settings.RevokeBound() - keyTrustMargin,
+		KeyTrust: v.Settings.RevokeBound() - keyTrustMargin, StoreSilence: storeSilence,
 	}
 	for part := range v.desk.Jobs {
 		table := &platform.Table{Client: v.client, Address: v.Settings.StoreAddress(), Part: intake.PartName(part)}
@@ -137,7 +137,7 @@
 // Ready reports whether new connections are welcome: the configuration is known to be recent, and no stop has begun.
 func (v *VM) Ready() bool {
 	snapshot, asOf := v.directory.Snapshot()
-	return snapshot != nil && !v.stopping.Load() && v.Timer.Now().Sub(asOf) < readyAge
+	return snapshot != nil && !v.stopping.Load() && v.Timer.Now().Sub(asOf) < storeSilence
 }
 
 // Drain starts a planned stop: control is given up, and customers are served until the grace period is nearly over.
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -27,6 +27,7 @@
 	waves   []*wave
 	ends    map[string]int64 // the last end that is stored with it, by server
 	release bool
+	term    Term // that it writes, if it renews
 
 	vmOrders []vmOrder
 }
@@ -57,6 +58,8 @@
 	if c.renews {
 		term := s.Term
 		term.Renewals++
+		term.DurationMS = s.termDuration().Milliseconds()
+		c.term = term
 		if c.release {
 			term.Holder = ""
 		}
@@ -68,6 +71,14 @@
 	s.emit(Commit{Transaction: provider.NewTransaction(conditions, writes)})
 }
 
+// termDuration returns how long the next term is to last.
+func (s *State) termDuration() time.Duration {
+	if s.commitTook >= slowRenewal {
+		return LongTerm
+	}
+	return ShortTerm
+}
+
 // ordersOpen reports whether an order to start has no outcome yet.
 func (s *State) ordersOpen() bool {
 	for _, v := range s.servers {
@@ -157,6 +168,7 @@
 	if c == nil {
 		return
 	}
+	s.commitTook = now.Sub(c.sent)
 	switch o := outcome.(type) {
 	case provider.Committed:
 		s.applied(c, o.Version(), now)
@@ -183,10 +195,9 @@
 
 func (s *State) applied(c *commit, version uint64, now time.Time) {
 	if c.renews {
-		s.Term.Renewals++
-		s.Term = s.Term.WithVersion(version)
+		s.Term = c.term.WithVersion(version)
 		s.renewedAt = c.sent
-		s.termUntil = c.sent.Add(TermDuration)
+		s.termUntil = c.sent.Add(c.term.Duration())
 	}
 	if c.release {
 		s.released = true
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -3,11 +3,15 @@
 import "time"
 
 const (
-	// TermDuration is how long an entry VM stays in control after it asked the store to renew its term. It covers a
-	// renewal that takes as long as the store's slowest answers, and bounds the time until another entry VM takes over.
-	TermDuration = 2500 * time.Millisecond
-	// renewInterval leaves three renewals for one term.
-	renewInterval = 700 * time.Millisecond
+	// ShortTerm is how long an entry VM stays in control after it asked the store to renew its term, while the store
+	// answers quickly. It bounds the time until another entry VM takes over.
+	ShortTerm = 1500 * time.Millisecond
+	// LongTerm holds while the store is slow: it covers two renewals that take as long as its slowest answers.
+	LongTerm = 3500 * time.Millisecond
+	// slowRenewal is the time of a renewal from which on terms are long.
+	slowRenewal = 250 * time.Millisecond
+	// renewInterval leaves three renewals for a short term.
+	renewInterval = 400 * time.Millisecond
 
 	// workLease is how long a backend server works on without word from an entry VM. It covers a term and the time that
 	// a new controller needs to read the store; what an unreachable server runs is started elsewhere only after it.
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -50,7 +50,7 @@
 // begin starts a term.
 func (r *rig) begin(token uint64) {
 	r.state = &fleet.State{
-		Self: "entry", Token: token, TermSent: r.now, Term: fleet.Term{Holder: "entry"}.WithVersion(token),
+		Self: "entry", Token: token, TermSent: r.now, Term: fleet.Term{Holder: "entry", DurationMS: 2500}.WithVersion(token),
 		DutyPause: 3 * time.Second, MaintenanceTime: 2 * time.Second, MoveTime: time.Second,
 	}
 	r.state.Begin(r.now)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -62,6 +62,7 @@
 	termUntil   time.Time
 	renewedAt   time.Time
 	commit      *commit
+	commitTook  time.Duration // of the last commit
 	statusAt    time.Time
 	statusKnown map[string]int // waiting jobs by queue, as they were stored last
 	effects     []Effect
@@ -97,7 +98,7 @@
 	s.ordered = make(map[string]time.Time)
 	s.pausedUntil = make(map[string]time.Time)
 	s.statusKnown = make(map[string]int)
-	s.termUntil = s.TermSent.Add(TermDuration)
+	s.termUntil = s.TermSent.Add(s.Term.Duration())
 	s.renewedAt = s.TermSent
 }
 
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -20,6 +20,8 @@
 	Process int64 `json:"process"`
 	// Renewals rises with each renewal.
 	Renewals int64 `json:"renewals"`
+	// DurationMS is how long the term lasts from when it was asked for, in milliseconds.
+	DurationMS int64 `json:"duration-ms"`
 
 	version uint64
 }
@@ -42,6 +44,9 @@
 	return t, errors.Wrap(json.Unmarshal(row.Value(), &t), "decode the term row")
 }
 
+// Duration returns how long the term lasts from when it was asked for.
+func (t Term) Duration() time.Duration { return time.Duration(t.DurationMS) * time.Millisecond }
+
 // Version returns the version of the row, 0 if there is none.
 func (t Term) Version() uint64 { return t.version }
 
@@ -85,5 +90,5 @@
 	if w.term.Holder == "" {
 		return now.Sub(w.since) >= w.Preference
 	}
-	return now.Sub(w.since) >= TermDuration+leaseSlack+w.Preference
+	return now.Sub(w.since) >= w.term.Duration()+leaseSlack+w.Preference
 }
--- a/fleet/vmorders.go
+++ b/fleet/vmorders.go
@@ -29,7 +29,7 @@
 	}
 	c.vmOrders, s.vmOrders = s.vmOrders, nil
 	for vm, at := range s.ordered {
-		if now.Sub(at) > s.DutyPause+TermDuration {
+		if now.Sub(at) > s.DutyPause+LongTerm {
 			delete(s.ordered, vm)
 		}
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -58,6 +58,8 @@
 	Control provider.Table
 	// KeyTrust is how old the knowledge of keys may be.
 	KeyTrust time.Duration
+	// StoreSilence is how long the store may not be heard of before calls are refused at once.
+	StoreSilence time.Duration
 	Timer    timer.Service
 	Scope    tally.Scope
 }
@@ -131,6 +133,10 @@
 		return Pass{}, d.refuse(c, "no-configuration", 0)
 	}
 	age := d.Timer.Now().Sub(asOf)
+	// Every call needs the store, and the caller may reach another entry VM that it answers.
+	if age > d.StoreSilence {
+		return Pass{}, d.refuse(c, "store-silent", age)
+	}
 	queue, found := snapshot.Match(c.Host, c.Path)
 	if !found {
 		klog.InfoS("Call refused", "call", c.ID, "reason", "no-queue", "host", c.Host, "path", c.Path,
