--- a/fleet/job.go
+++ b/fleet/job.go
@@ -47,7 +47,7 @@
 
 const (
 	storing  phase = iota // the intent isn't stored yet, so nothing was sent
-	ordered               // the order was sent
+	ordered               // the intent is stored, and the order was sent or is about to be
 	running               // the server said that it runs
 	restored              // the intent was read from the store, and the server hasn't reported yet
 )
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -14,13 +14,14 @@
 	if a.inFlight || a.stopWanted {
 		return
 	}
+	a.phase = ordered
 	if !now.Before(s.termUntil) || !v.hasClock || !v.confirmed {
 		return
 	}
 	deadline := v.clockNow(now) + workLease
 	v.granted = max(v.granted, deadline)
 	v.granting()
-	a.phase, a.inFlight, a.sent = ordered, true, now
+	a.inFlight, a.sent = true, now
 	a.tries++
 	s.counters.starts.Inc(1)
 	klog.V(1).InfoS("Run ordered", "run", a.id(), "server", v.id, "try", a.tries, "term-left", s.termUntil.Sub(now))
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -72,3 +72,24 @@
 	}
 	t.Fatal("the task isn't started again")
 }
+
+// Guards against a run that is stored and never ordered, because the term was over when its commit was answered.
+func TestRunStoredByASlowCommitIsOrderedLater(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.take()
+	r.held = true
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000})})
+	var held fleet.Commit
+	for _, e := range r.take() {
+		if c, ok := e.(fleet.Commit); ok {
+			held = c
+		}
+	}
+	r.pass(3 * time.Second)
+	r.held = false
+	r.commit(held)
+	r.pass(time.Second)
+	assert.Equal(t, len(r.starts()), 1)
+}
