--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -4,15 +4,18 @@
 
 const (
 	feedWait     = 500 * time.Millisecond // how long the store waits for a change; bounds the age of the configuration
-	feedPause    = 15 * time.Millisecond  // gathers jobs that arrive together
+	feedPause    = 30 * time.Millisecond  // gathers jobs that arrive together
 	feedRetry    = 250 * time.Millisecond // after a read that failed
 	serversPause = 300 * time.Millisecond // registrations change with each heartbeat, so they are read in batches
 	termInterval = 200 * time.Millisecond // between two readings of the term row
-	tickInterval = 100 * time.Millisecond
-	loadTries    = 3 // of a read when control begins, before another entry VM may try
+	// slowTermInterval is for VMs with little processor time: many of them are in a large fleet, and others go first.
+	slowTermInterval = time.Second
+	tickInterval     = 100 * time.Millisecond
+	loadTries        = 3 // of a read when control begins, before another entry VM may try
 
 	preferenceStep = 150 * time.Millisecond // by which VMs with less processor time take over later
 	fullProcessor  = 0.8                    // of a core: VMs with as much take over first
+	slowProcessor  = 0.35                   // of a core: VMs with less take over only if no other does
 
 	keyTrustMargin = 800 * time.Millisecond // of the bound for revoked keys: a request's way to its answer
 	// storeSilence is how long the store may not be heard of before customers are sent elsewhere: two answers of the feed.
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -17,7 +17,7 @@
 	watch := fleet.Watch{Self: v.Settings.Name(), Preference: v.preference()}
 	reachable := true
 	for ctx.Err() == nil {
-		sleep(ctx, v.Timer, termInterval)
+		sleep(ctx, v.Timer, v.termInterval())
 		if v.stopping.Load() || v.controller.Load() != nil {
 			continue
 		}
@@ -41,6 +41,13 @@
 	return nil
 }
 
+func (v *VM) termInterval() time.Duration {
+	if v.Settings.Processors() < slowProcessor {
+		return slowTermInterval
+	}
+	return termInterval
+}
+
 // preference spreads take-overs, so that VMs with much processor time go first and not all try at once.
 func (v *VM) preference() time.Duration {
 	h := fnv.New32a()
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -24,7 +24,7 @@
 	renews  bool
 	jobs    []*job
 	intents []*attempt
-	waves   []*wave
+	waves   []storedWaveOf
 	ends    map[string]int64 // the last end that is stored with it, by server
 	release bool
 	term    Term // that it writes, if it renews
@@ -189,7 +189,7 @@
 		s.change(j)
 	}
 	for _, w := range c.waves {
-		w.changed = true
+		w.wave.changed = true
 	}
 	s.vmOrders = append(c.vmOrders, s.vmOrders...)
 	s.statusKnown = make(map[string]int)
@@ -213,6 +213,9 @@
 		}
 		s.sendStart(a, now)
 	}
+	for _, w := range c.waves {
+		w.wave.storedComplete = w.complete
+	}
 	for _, o := range c.vmOrders {
 		s.emit(o.effect)
 	}
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -120,6 +120,7 @@
 	}
 	for name, p := range byName {
 		p.Arriving = s.arrivals[name].rate(now)
+		p.Short = s.short[name]
 	}
 	pools := make([]schedule.Pool, 0, len(names))
 	for _, name := range names {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -45,7 +45,7 @@
 	}
 	left := maxIntentsInPass
 	for name, p := range pools {
-		s.overLimit[name] = 0
+		s.overLimit[name], s.short[name] = 0, 0
 		candidates := make([]schedule.Candidate, 0, len(p.jobs))
 		for _, j := range p.jobs {
 			candidates = append(candidates, s.candidate(j, p.servers[0].reg.Capacity))
@@ -134,6 +134,7 @@
 		if i < 0 {
 			if st.spec.LongRunning() {
 				p.reserve(st.spec)
+				s.short[s.poolOf(t.job)] += st.shortfall()
 			}
 			break
 		}
@@ -144,6 +145,12 @@
 	return placed
 }
 
+// shortfall is the number of servers that the idle tasks of a step need beside those that have no room for them.
+func (st *step) shortfall() int {
+	perServer := max(st.spec.PerServer(), 1)
+	return (st.idle + perServer - 1) / perServer
+}
+
 // look fills in what the views tell about a step.
 func (p *pool) look(st *step) {
 	onServer := make(map[*server]int)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -52,6 +52,7 @@
 	ordered     map[string]time.Time // VMs ordered lately, and when
 	// pausedUntil tells when VMs that the controller before ordered lately may be ordered again.
 	pausedUntil map[string]time.Time
+	short       map[string]int // servers that tasks that last need beside those of the pool, by pool
 	overLimit   map[string]int // tasks that waited for their customer's limit at the last placement, by pool
 	vms         map[string]backend.VM
 	vmsAsked    time.Time
@@ -102,6 +103,7 @@
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
 	s.overLimit = make(map[string]int)
+	s.short = make(map[string]int)
 	s.arrivals = make(map[string]*arrivals)
 	s.ordered = make(map[string]time.Time)
 	s.pausedUntil = make(map[string]time.Time)
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -29,9 +29,12 @@
 	emptying map[string]time.Time // since when a VM takes no more work
 	complete bool
 	changed  bool
-	told     waveStatus // what operators were told last
-	telling  bool
-	dropped  map[string]bool // VMs that don't exist any more, or aren't of the wave
+	// storedComplete tells that the store knows that the wave is complete.
+	storedComplete bool
+
+	told    waveStatus // what operators were told last
+	telling bool
+	dropped map[string]bool // VMs that don't exist any more, or aren't of the wave
 }
 
 // waveStatus is what operators are told of a wave.
@@ -50,6 +53,12 @@
 	Complete bool     `json:"complete,omitempty"`
 }
 
+// storedWaveOf is a wave in a commit, as it was then.
+type storedWaveOf struct {
+	wave     *wave
+	complete bool
+}
+
 func newWave(spec directory.Wave) *wave {
 	return &wave{
 		spec: spec, begun: make(map[string]time.Time), ordered: make(map[string]time.Time),
@@ -77,6 +86,7 @@
 			continue
 		}
 		w := newWave(directory.Wave{Name: name})
+		w.storedComplete = stored.Complete
 		w.complete, w.seen = stored.Complete, time.UnixMilli(stored.SeenMS)
 		for _, vm := range stored.Begun {
 			w.begun[vm] = s.began
@@ -92,7 +102,7 @@
 			continue
 		}
 		w.changed = false
-		c.waves = append(c.waves, w)
+		c.waves = append(c.waves, storedWaveOf{wave: w, complete: w.complete})
 		stored := storedWave{Complete: w.complete, SeenMS: w.seen.UnixMilli()}
 		for vm := range w.begun {
 			stored.Begun = append(stored.Begun, vm)
@@ -111,10 +121,10 @@
 func (s *State) tellWaves() {
 	for _, w := range s.waves {
 		status := waveRunning
-		if w.complete && !w.changed {
+		if w.storedComplete {
 			status = waveComplete
 		}
-		if w.telling || w.told >= status || len(w.spec.VMs) == 0 || s.commit != nil {
+		if w.telling || w.told >= status || len(w.spec.VMs) == 0 {
 			continue
 		}
 		w.telling = true
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -33,6 +33,8 @@
 	// Load is what runs and waits, in servers. Lasting is the number of servers with tasks that last.
 	Load    float64
 	Lasting int
+	// Short is the number of servers that tasks that last need, and that fit on none of the pool's.
+	Short int
 	// Arriving is the rate at which work arrives, in servers.
 	Arriving float64
 }
@@ -49,7 +51,11 @@
 		return 0
 	}
 	load := (p.Load + p.Arriving*moveLead.Seconds()) * poolHeadroom
-	return max(int(math.Ceil(load)), p.Lasting, poolMinimum)
+	want := max(int(math.Ceil(load)), p.Lasting, poolMinimum)
+	if p.Short > 0 {
+		want = max(want, len(p.Servers)+p.Short)
+	}
+	return want
 }
 
 // PlanMoves decides which VMs change their pool.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -60,6 +60,17 @@
 	assert.DeepEqual(t, late.Empty, []string{"idle-1", "idle-2"})
 }
 
+// Guards against tasks that last and wait for good, because each server of their pool has its share of their step.
+func TestPlanMovesForTasksThatFitNowhere(t *testing.T) {
+	full := []schedule.PoolServer{{VM: "a"}, {VM: "b"}, {VM: "c"}}
+	spare := schedule.PoolServer{VM: "s", Idle: true}
+	moves := schedule.PlanMoves([]schedule.Pool{
+		{Name: "press", Servers: full, Load: 1, Lasting: 3, Short: 1},
+		{Name: "spare", Spare: true, Servers: []schedule.PoolServer{spare}},
+	})
+	assert.DeepEqual(t, moves, []schedule.Move{{VM: "s", To: "press"}})
+}
+
 // Guards against VMs that are taken from pools that need them, or while they run something.
 func TestPlanMoves(t *testing.T) {
 	servers := func(names ...string) []schedule.PoolServer {
