--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -33,6 +33,7 @@
 	}
 	pools := s.poolLoads(now)
 	s.logPools(pools, now)
+	s.scarce = schedule.Scarce(pools)
 	for _, m := range schedule.PlanMoves(pools) {
 		s.planMove(m.VM, m.To, now)
 	}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -47,6 +47,7 @@
 	waves       map[string]*wave
 	moves       map[string]*move // by VM
 	poolsLogged time.Time
+	scarce      bool                 // a pool lacks servers
 	arrivals    map[string]*arrivals // of work, by pool
 	vmOrders    []vmOrder
 	ordered     map[string]time.Time // VMs ordered lately, and when
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -8,7 +8,7 @@
 
 const (
 	emptyTime         = 2500 * time.Millisecond // until a server that takes no more work is empty
-	maintenanceMargin = 4 * time.Second         // before the time is up: orders may be lost, and control may change
+	maintenanceMargin = 6 * time.Second         // before the time is up: orders may be lost, and control may change
 )
 
 // MaintenanceVM is a VM whose maintenance hasn't begun.
@@ -29,6 +29,8 @@
 	VMs []MaintenanceVM
 	// AtOnce bounds the VMs that are down at once, of which Down are now.
 	AtOnce, Down int
+	// Scarce tells that a pool lacks servers.
+	Scarce bool
 	// TimeLeft is the time until all have to be done, Duration how long one takes.
 	TimeLeft, Duration time.Duration
 }
@@ -42,12 +44,15 @@
 // PlanMaintenance decides which VMs of a wave come next.
 //
 // Load pattern: half of the fleet is due while each pool in turn needs all it has. VMs that run nothing are maintained
-// at once. Others are emptied only as fast as the time left demands, those with the fewest runs first, so that a wave
-// takes as little as possible of the room for a burst.
+// at once, unless a pool lacks servers: then only as fast as the time left demands. Others are emptied only as fast as
+// that anyway, those with the fewest runs first, so that a wave takes as little as possible of the room for a burst.
 func PlanMaintenance(m Maintenance) MaintenancePlan {
 	var plan MaintenancePlan
 	var busy []MaintenanceVM
 	free := max(m.AtOnce, 1) - m.Down
+	if m.Scarce {
+		free = min(max(m.AtOnce, 1), m.pace(len(m.VMs)+m.Down, m.Duration)) - m.Down
+	}
 	emptying := 0
 	for _, vm := range m.VMs {
 		switch {
@@ -62,11 +67,7 @@
 			busy = append(busy, vm)
 		}
 	}
-	rounds := float64(m.TimeLeft-maintenanceMargin) / float64(m.Duration+emptyTime)
-	atOnce := m.AtOnce
-	if rounds > 1 {
-		atOnce = min(m.AtOnce, int(math.Ceil(float64(len(busy)+emptying)/rounds)))
-	}
+	atOnce := min(m.AtOnce, m.pace(len(busy)+emptying, m.Duration+emptyTime))
 	sort.SliceStable(busy, func(a, b int) bool { return busy[a].Running < busy[b].Running })
 	for _, vm := range busy {
 		if emptying >= atOnce {
@@ -77,3 +78,12 @@
 	}
 	return plan
 }
+
+// pace is the number of VMs that have to be worked on at the same time, if each takes so long, to be done in time.
+func (m Maintenance) pace(vms int, each time.Duration) int {
+	rounds := float64(m.TimeLeft-maintenanceMargin) / float64(each)
+	if rounds <= 1 {
+		return vms
+	}
+	return int(math.Ceil(float64(vms) / rounds))
+}
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -102,6 +102,16 @@
 	return moves
 }
 
+// Scarce reports whether a pool has fewer servers than it needs.
+func Scarce(pools []Pool) bool {
+	for i := range pools {
+		if p := &pools[i]; !p.Spare && p.want() > len(p.Servers)+p.Joining {
+			return true
+		}
+	}
+	return false
+}
+
 type donor struct {
 	pool    int
 	vm      string
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,6 +54,14 @@
 	})
 	assert.DeepEqual(t, early.Begin, []string{"idle-1"})
 	assert.DeepEqual(t, early.Empty, []string{"idle-2"}) // is kept empty for its turn
+	many := make([]schedule.MaintenanceVM, 40)
+	for i := range many {
+		many[i].VM = fmt.Sprint("vm-", i)
+	}
+	scarce := schedule.Maintenance{VMs: many, AtOnce: 30, TimeLeft: 26 * time.Second, Duration: 2 * time.Second, Scarce: true}
+	assert.Equal(t, len(schedule.PlanMaintenance(scarce).Begin), 4)
+	scarce.Scarce = false
+	assert.Equal(t, len(schedule.PlanMaintenance(scarce).Begin), 30)
 	late := schedule.PlanMaintenance(schedule.Maintenance{
 		VMs: vms, AtOnce: 2, Down: 2, TimeLeft: 5 * time.Second, Duration: 2 * time.Second,
 	})
