Store a job by its own write, in one of 32 parts, and refuse within half a second

Ruled out: the group commit itself, which mostly held one job. Change: each job is written by itself (the write is idempotent, and an attempt without an answer is resolved by the next), refusals come within 0.5 s, jobs are read in parallel at a take-over, and a run stands still only between reports.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/platform"
 	"github.com/pistachiolead/pistachiolead/provider"
@@ -34,13 +36,13 @@
 	mu     sync.Mutex
 	events []fleet.Event
 	wake   chan struct{}
-	known  [intake.Parts]uint64 // versions up to which jobs were read whole
+	known  map[string]bool // the ids of all jobs that were read, so that none is taken in twice
 }
 
 // start runs the controller in goroutines of the VM.
 func (c *controller) start(ctx context.Context) {
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.wake = make(chan struct{}, 1)
+	c.wake, c.known = make(chan struct{}, 1), make(map[string]bool)
 	s := c.vm.Settings
 	c.backends = &platform.Backends{Client: c.vm.client}
 	c.vms = &platform.VMs{Client: c.vm.client, Address: s.VMsAddress(), Holder: s.Name()}
@@ -175,41 +177,31 @@
 	}
 }
 
+// loadJobs reads the jobs that aren't over and the wishes to cancel, and the versions to follow their changes from.
 func (c *controller) loadJobs(progress map[string]workload.Progress) (
 	jobs []*workload.Job, cancels []string, jobsFrom, cancelsFrom uint64, err error,
 ) {
-	for part := range intake.Parts {
-		table := &platform.Table{
-			Client: c.vm.client, Address: c.vm.Settings.StoreAddress(), Part: intake.PartName(part),
-		}
-		rows, version, err := c.scan(table, intake.JobPrefix)
-		if err != nil {
-			return nil, nil, 0, 0, err
-		}
-		c.known[part] = version
-		if jobsFrom == 0 || version < jobsFrom {
-			jobsFrom = version
-		}
-		for _, row := range rows {
-			id := row.Key()[len(intake.JobPrefix):]
-			if p, known := progress[id]; known && p.State.Final() && len(p.Tasks) == 0 {
-				continue
-			}
-			if job := decodeJob(row); job != nil {
-				jobs = append(jobs, job)
-			}
-		}
-		rows, version, err = c.scan(table, intake.CancelPrefix)
-		if err != nil {
-			return nil, nil, 0, 0, err
-		}
-		if cancelsFrom == 0 || version < cancelsFrom {
-			cancelsFrom = version
+	rows, jobsFrom, err := c.readParts(intake.JobPrefix)
+	if err != nil {
+		return nil, nil, 0, 0, err
+	}
+	for _, row := range rows {
+		id := row.Key()[len(intake.JobPrefix):]
+		c.known[id] = true
+		if p, known := progress[id]; known && p.State.Final() && len(p.Tasks) == 0 {
+			continue
 		}
-		for _, row := range rows {
-			cancels = append(cancels, row.Key()[len(intake.CancelPrefix):])
+		if job := decodeJob(row); job != nil {
+			jobs = append(jobs, job)
 		}
 	}
+	rows, cancelsFrom, err = c.readParts(intake.CancelPrefix)
+	if err != nil {
+		return nil, nil, 0, 0, err
+	}
+	for _, row := range rows {
+		cancels = append(cancels, row.Key()[len(intake.CancelPrefix):])
+	}
 	return jobs, cancels, jobsFrom, cancelsFrom, nil
 }
 
@@ -245,9 +237,11 @@
 func (c *controller) follow(jobsFrom, cancelsFrom uint64) {
 	c.followTable(intake.JobPrefix, feedWait, feedPause, jobsFrom, func(row provider.Row) {
 		id := row.Key()[len(intake.JobPrefix):]
-		if row.Deleted() || row.Version() <= c.known[intake.Part(id)] {
+		// A job that was known once may be over, and must not run again.
+		if row.Deleted() || c.known[id] {
 			return
 		}
+		c.known[id] = true
 		if job := decodeJob(row); job != nil {
 			c.post(fleet.JobArrived{Job: job})
 		}
@@ -276,24 +270,21 @@
 	c.vm.tasks.Go(func() error { return f.run(c.ctx) })
 }
 
-// readParts reads a table of jobs whole, after history was lost.
+// readParts reads all parts of a table of jobs at the same time, and returns the version that all are at least as new as.
 func (c *controller) readParts(prefix string) ([]provider.Row, uint64, error) {
-	var all []provider.Row
-	from := uint64(0)
+	var rows [intake.Parts][]provider.Row
+	var versions [intake.Parts]uint64
+	reads, _ := group.New(c.ctx)
 	for part := range intake.Parts {
-		table := &platform.Table{
-			Client: c.vm.client, Address: c.vm.Settings.StoreAddress(), Part: intake.PartName(part),
-		}
-		rows, version, err := c.scan(table, prefix)
-		if err != nil {
-			return nil, 0, err
-		}
-		all = append(all, rows...)
-		if from == 0 || version < from {
-			from = version
-		}
+		reads.Go(func() (err error) {
+			rows[part], versions[part], err = c.scan(c.vm.jobTable(part), prefix)
+			return err
+		})
+	}
+	if err := reads.Wait(); err != nil {
+		return nil, 0, err
 	}
-	return all, from, nil
+	return slices.Concat(rows[:]...), slices.Min(versions[:]), nil
 }
 
 func (c *controller) followServers() {
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -49,9 +49,7 @@
 	v.tasks, ctx = group.New(ctx)
 	klog.InfoS("Start", "vm", v.Settings.Name(), "zone", v.Settings.Zone(), "process", v.process,
 		"processors", v.Settings.Processors(), "memory-mb", v.Settings.MemoryMB())
-	for _, c := range append(v.jobCommitters(), v.committer) {
-		v.tasks.Go(func() error { return c.Run(ctx) })
-	}
+	v.tasks.Go(func() error { return v.committer.Run(ctx) })
 	if err := v.listen(ctx); err != nil {
 		return err
 	}
@@ -84,30 +82,22 @@
 	v.directory = &directory.Current{}
 	v.drained = make(chan struct{})
 	v.control = &platform.Table{Client: v.client, Address: v.Settings.StoreAddress(), Part: "control"}
-	v.committer = v.newCommitter(v.control, "control")
+	v.committer = &commit.Committer{
+		Table: v.control, Timer: v.Timer, Name: v.Settings.Name(), MaxRate: commitRate, MaxRowRate: commitRowRate,
+		MaxRows: commitRows, Scope: v.Scope.SubScope("commit"),
+	}
 	v.desk = &intake.Desk{
 		Directory: v.directory, Control: v.control, Timer: v.Timer, Scope: v.Scope.SubScope("intake"),
 		KeyTrust: v.Settings.RevokeBound() - keyTrustMargin, StoreSilence: storeSilence,
 	}
 	for part := range v.desk.Jobs {
-		table := &platform.Table{Client: v.client, Address: v.Settings.StoreAddress(), Part: intake.PartName(part)}
-		v.desk.Jobs[part] = intake.Store{Table: table, Committer: v.newCommitter(table, "jobs")}
-	}
-}
-
-func (v *VM) newCommitter(t *platform.Table, scope string) *commit.Committer {
-	return &commit.Committer{
-		Table: t, Timer: v.Timer, Name: v.Settings.Name(), MaxRate: commitRate, MaxRowRate: commitRowRate,
-		MaxRows: commitRows, Scope: v.Scope.SubScope("commit-" + scope),
+		v.desk.Jobs[part] = v.jobTable(part)
 	}
 }
 
-func (v *VM) jobCommitters() []*commit.Committer {
-	var all []*commit.Committer
-	for _, store := range v.desk.Jobs {
-		all = append(all, store.Committer)
-	}
-	return all
+// jobTable returns the part of the store with some of the jobs.
+func (v *VM) jobTable(part int) *platform.Table {
+	return &platform.Table{Client: v.client, Address: v.Settings.StoreAddress(), Part: intake.PartName(part)}
 }
 
 func (v *VM) listen(ctx context.Context) error {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -143,7 +143,7 @@
 			s.sendStop(a, now)
 		case a.phase == ordered && !a.inFlight && !a.stopWanted && now.Sub(a.sent) >= startRetry && v.missed == 0:
 			s.sendStart(a, now)
-		case s.stalled(a, now):
+		case s.stalled(a):
 			s.wantStop(a, "stalled")
 			a.task.failedOn = append(a.task.failedOn, v.id)
 			v.failures++
@@ -151,8 +151,8 @@
 	}
 }
 
-// stalled reports whether a run stands still.
-func (s *State) stalled(a *attempt, now time.Time) bool {
+// stalled reports whether a run stood still between reports. A server that doesn't report tells nothing of its runs.
+func (s *State) stalled(a *attempt) bool {
 	if a.phase != running || a.stopWanted || a.server.missed > 0 || a.pace < 100 {
 		return false
 	}
@@ -160,7 +160,7 @@
 	if spec.LongRunning() || spec.Filler() || spec.Gang() {
 		return false
 	}
-	return now.Sub(a.percentAt) >= max(stallTimeout, spec.Estimate())
+	return a.server.clockAt.Sub(a.percentAt) >= max(stallTimeout, spec.Estimate())
 }
 
 // moveLasting stops the tasks of a server that last, so that they start elsewhere. Those that may not be away stay,
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -220,7 +220,7 @@
 	s.repeatOrders(w, now)
 	plan := schedule.PlanMaintenance(schedule.Maintenance{
 		VMs: open, AtOnce: w.spec.AtOnce, Down: down, TimeLeft: w.seen.Add(w.spec.Within).Sub(now),
-		Duration: s.MaintenanceTime, Scarce: s.scarce,
+		Duration: s.MaintenanceTime, Within: w.spec.Within, Scarce: s.scarce,
 	})
 	for _, name := range plan.Empty {
 		s.empty(w, name, now)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,7 +11,6 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
-	"github.com/pistachiolead/pistachiolead/commit"
 	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/provider"
@@ -19,9 +18,9 @@
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
-// Parts is the number of parts of the store that jobs are spread over. A part applies about 150 transactions a second,
-// one after another, so that accepting a burst doesn't wait for one part.
-const Parts = 4
+// Parts is the number of parts of the store that jobs are spread over. A part applies its transactions one after
+// another: about 150 a second, and two a second while the store is at its slowest.
+const Parts = 32
 
 // Prefixes of the rows that intake writes.
 const (
@@ -31,6 +30,8 @@
 
 const (
 	answerReserve = 150 * time.Millisecond // for the answer's way back to the caller
+	refusalTime   = 500 * time.Millisecond // until a caller is told to come back, if the store refuses a write
+	firstPause    = 30 * time.Millisecond  // between two attempts to write; doubles with each
 	retryBusy     = time.Second            // until another entry VM or the store may be able to accept
 )
 
@@ -44,24 +45,18 @@
 // PartName returns the name of a part.
 func PartName(part int) string { return "jobs-" + strconv.Itoa(part) }
 
-// Store is one part of the store.
-type Store struct {
-	Table     provider.Table
-	Committer *commit.Committer
-}
-
 // Desk handles the calls of customers. Its exported fields are set before use.
 type Desk struct {
 	Directory *directory.Current
 	// Jobs are the parts with jobs, Control is the part that the controller writes.
-	Jobs    [Parts]Store
+	Jobs    [Parts]provider.Table
 	Control provider.Table
 	// KeyTrust is how old the knowledge of keys may be.
 	KeyTrust time.Duration
 	// StoreSilence is how long the store may not be heard of before calls are refused at once.
 	StoreSilence time.Duration
-	Timer    timer.Service
-	Scope    tally.Scope
+	Timer        timer.Service
+	Scope        tally.Scope
 }
 
 // Call is what all calls have in common.
@@ -199,18 +194,43 @@
 	return Unsure{Reason: "unexpected outcome"}
 }
 
-// commit waits for the outcome of a transaction until shortly before the caller stops waiting.
+// commit applies a transaction that may be applied twice, such as the first write of a row. After an attempt without an
+// answer it goes on until shortly before the caller stops waiting, as that attempt may still be applied.
 func (d *Desk) commit(part int, tx provider.Transaction, deadline time.Time) provider.CommitOutcome {
-	done := make(chan provider.CommitOutcome, 1)
-	d.Jobs[part].Committer.Submit(tx, func(o provider.CommitOutcome) { done <- o },
-		commit.NewDeadline(deadline.Add(-answerReserve)))
-	return <-done
+	began := d.Timer.Now()
+	doubt := ""
+	for pause := firstPause; ; pause *= 2 {
+		outcome := d.Jobs[part].Commit(context.Background(), tx)
+		var reason string
+		switch o := outcome.(type) {
+		case provider.Committed, provider.Conflict:
+			return outcome
+		case provider.Unknown:
+			doubt, reason = o.Reason(), o.Reason()
+		case provider.Unavailable:
+			reason = o.Reason()
+		}
+		now := d.Timer.Now()
+		if now.Add(pause+answerReserve).After(deadline) || (doubt == "" && now.Sub(began) >= refusalTime) {
+			if doubt != "" {
+				return provider.NewUnknown(doubt)
+			}
+			return provider.NewUnavailable(reason)
+		}
+		d.wait(pause)
+	}
+}
+
+func (d *Desk) wait(pause time.Duration) {
+	done := make(chan struct{})
+	d.Timer.After(pause, func(time.Time) { close(done) })
+	<-done
 }
 
 // Cancel stores the wish to cancel a job.
 func (d *Desk) Cancel(c Call, id string) Outcome {
 	part := Part(id)
-	_, found, reason := read(d.Jobs[part].Table, JobPrefix+id)
+	_, found, reason := read(d.Jobs[part], JobPrefix+id)
 	if reason != "" {
 		return d.refuse(c, "store-unreadable: "+reason, 0)
 	}
@@ -246,7 +266,7 @@
 		}
 		return InState{State: p.State}
 	}
-	_, found, reason = read(d.Jobs[Part(id)].Table, JobPrefix+id)
+	_, found, reason = read(d.Jobs[Part(id)], JobPrefix+id)
 	switch {
 	case reason != "":
 		return d.refuse(c, "store-unreadable: "+reason, 0)
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	emptyTime         = 2500 * time.Millisecond // until a server that takes no more work is empty
-	maintenanceMargin = 6 * time.Second         // before the time is up: orders may be lost, and control may change
+	emptyTime = 2500 * time.Millisecond // until a server that takes no more work is empty
+	// maintenanceReserve is the part of a wave's time that is kept for outages of the store and changes of control.
+	maintenanceReserve = 0.4
 )
 
 // MaintenanceVM is a VM whose maintenance hasn't begun.
@@ -33,6 +34,8 @@
 	Scarce bool
 	// TimeLeft is the time until all have to be done, Duration how long one takes.
 	TimeLeft, Duration time.Duration
+	// Within is the time that the whole wave has.
+	Within time.Duration
 }
 
 // MaintenancePlan tells which VMs to empty, and which to maintain now.
@@ -81,7 +84,7 @@
 
 // pace is the number of VMs that have to be worked on at the same time, if each takes so long, to be done in time.
 func (m Maintenance) pace(vms int, each time.Duration) int {
-	rounds := float64(m.TimeLeft-maintenanceMargin) / float64(each)
+	rounds := (float64(m.TimeLeft) - maintenanceReserve*float64(m.Within)) / float64(each)
 	if rounds <= 1 {
 		return vms
 	}
