Send no stored run to a server that drains, and store new runs first

Ruled out: the feed of registrations, which was current. TestRunIsNotSentToAServerThatDrains fails without the change.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -91,6 +91,18 @@
 	return false
 }
 
+// urgency orders the rows of a commit that can't hold all, as happens while the store is slow: runs that wait for their
+// intent to be stored go first, then ends that customers wait for. Lower goes first.
+func (j *job) urgency() int {
+	switch {
+	case j.storing > 0:
+		return 0
+	case j.state.Final():
+		return 1
+	}
+	return 2
+}
+
 func (s *State) jobWrites(c *commit) (writes []provider.Write, all bool) {
 	if len(s.changed) == 0 {
 		return nil, true
@@ -99,7 +111,12 @@
 	for j := range s.changed {
 		changed = append(changed, j)
 	}
-	sort.Slice(changed, func(a, b int) bool { return changed[a].spec.ID() < changed[b].spec.ID() })
+	sort.Slice(changed, func(a, b int) bool {
+		if x, y := changed[a].urgency(), changed[b].urgency(); x != y {
+			return x < y
+		}
+		return changed[a].spec.ID() < changed[b].spec.ID()
+	})
 	if len(changed) > maxRowsInCommit {
 		changed = changed[:maxRowsInCommit]
 	} else {
@@ -109,12 +126,8 @@
 		if j.state == workload.JobQueued && j.started {
 			j.state = workload.JobRunning
 		}
-		for _, t := range j.tasks {
-			for _, a := range t.attempts {
-				if a.phase == storing {
-					c.intents = append(c.intents, a)
-				}
-			}
+		if j.storing > 0 {
+			c.intents = append(c.intents, j.intents()...)
 		}
 		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), j.progress().Encode()))
 		j.changed = false
@@ -207,8 +220,10 @@
 		return
 	}
 	for _, a := range c.intents {
-		if a.stopWanted {
-			s.removeAttempt(a)
+		a.task.job.storing--
+		a.phase = ordered
+		if a.stopWanted || !s.mayTake(a.server) {
+			s.removeAttempt(a) // it was never ordered
 			continue
 		}
 		s.sendStart(a, now)
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -24,6 +24,7 @@
 	lasting   bool
 	objective time.Duration
 	live      int // runs that may exist
+	storing   int // of these, runs whose intent isn't stored
 }
 
 // estimate is what is left of a job.
@@ -161,6 +162,19 @@
 	return p
 }
 
+// intents returns the runs whose intent isn't stored.
+func (j *job) intents() []*attempt {
+	var intents []*attempt
+	for _, t := range j.tasks {
+		for _, a := range t.attempts {
+			if a.phase == storing {
+				intents = append(intents, a)
+			}
+		}
+	}
+	return intents
+}
+
 func (t *task) stored() workload.TaskRecord {
 	r := t.record
 	r.Assignments = nil
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -14,7 +14,10 @@
 	if a.inFlight || a.stopWanted {
 		return
 	}
-	a.phase = ordered
+	if !s.mayTake(v) {
+		s.wantStop(a, "server-takes-no-work")
+		return
+	}
 	if !now.Before(s.termUntil) || !v.hasClock || !v.confirmed {
 		return
 	}
@@ -31,6 +34,11 @@
 	}})
 }
 
+// mayTake reports whether a server may be sent work now. It may have begun to drain since the work was placed.
+func (s *State) mayTake(v *server) bool {
+	return v.registered && !v.reg.Draining && !s.zonesOut[v.reg.Zone]
+}
+
 func (s *State) attempt(server string, run backend.Run) (*attempt, bool) {
 	v, known := s.servers[server]
 	if !known {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -321,6 +321,9 @@
 	v.attempts[backend.Run{Task: t.id, Number: a.run}] = a
 	v.reserved = v.reserved.Plus(a.reserves)
 	t.job.live++
+	if a.phase == storing {
+		t.job.storing++
+	}
 	customer := t.job.spec.Customer()
 	s.customers[customer] = s.customers[customer].Plus(t.step.spec.Requests())
 }
@@ -341,6 +344,9 @@
 	v.reserved = v.reserved.Minus(a.reserves)
 	v.idleSince = s.now
 	t.job.live--
+	if a.phase == storing {
+		t.job.storing--
+	}
 	s.change(t.job)
 	customer := t.job.spec.Customer()
 	s.customers[customer] = s.customers[customer].Minus(t.step.spec.Requests())
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -93,3 +93,27 @@
 	r.pass(time.Second)
 	assert.Equal(t, len(r.starts()), 1)
 }
+
+// Guards against work that is sent to a server that began to drain while its intent was being stored.
+func TestRunIsNotSentToAServerThatDrains(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.take()
+	r.held = true
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000})})
+	var held fleet.Commit
+	for _, e := range r.take() {
+		if c, ok := e.(fleet.Commit); ok {
+			held = c
+		}
+	}
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: "i-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Draining: true,
+		Incarnation: r.clock["i-1"].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+	r.held = false
+	r.commit(held)
+	r.pass(time.Second)
+	assert.Equal(t, len(r.starts()), 0)
+}
