Model the control state under faults, and mend what the model found

A rapid model plays controllers that are killed or paused, servers that crash or are cut off, late orders and lost answers, and checks runs, capacity and ends. Found with it (TestRunsAreSafeAndJobsEnd fails without each mend): - outcomes of orders to an earlier life of a server were awaited for good, so the run's task never started again; - an end was noted by its number after the server had started again, so that ends of the new life were forgotten unread, and finished work ran twice; - for the same reason a look after a missed one notes nothing. In the model itself: an end whose lease expired before it was noted doesn't count, by the users' rules; orders die with the process they were sent to. Mutations that let servers ignore tokens or the store ignore terms are noticed. Waiting is one function of the timer now, where four stood.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -172,7 +172,7 @@
 			if try >= loadTries || c.ctx.Err() != nil {
 				return nil, 0, errors.Errorf("read %s of part %s: %s", prefix, t.Part, o.Reason())
 			}
-			sleep(c.ctx, c.vm.Timer, feedRetry)
+			timer.Wait(c.ctx, c.vm.Timer, feedRetry)
 		}
 	}
 }
--- a/deployment/operators.go
+++ b/deployment/operators.go
@@ -78,7 +78,7 @@
 				f.from = 0
 				continue
 			}
-			sleep(ctx, f.timer, feedRetry)
+			timer.Wait(ctx, f.timer, feedRetry)
 			continue
 		}
 		if f.failing {
@@ -88,7 +88,7 @@
 		f.from = max(f.from, version)
 		f.take(rows, asked)
 		if f.pause > 0 {
-			sleep(ctx, f.timer, f.pause)
+			timer.Wait(ctx, f.timer, f.pause)
 		}
 	}
 	return nil
@@ -108,14 +108,3 @@
 	f.failing = true
 	klog.InfoS("Table can't be followed", "table", f.feed.Table, "version", f.from, "error", err.Error())
 }
-
-// sleep waits until the delay has passed or ctx ends.
-func sleep(ctx context.Context, t timer.Service, delay time.Duration) {
-	done := make(chan struct{})
-	s := t.After(delay, func(time.Time) { close(done) })
-	defer s.Stop()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -81,7 +81,8 @@
 		"Version": version,
 		"Routes":  []any{route("plates", "press", 1), route("proofs", "proofs", 0)},
 		"Services": []any{
-			map[string]any{"Name": "press"}, map[string]any{"Name": "proofs"},
+			map[string]any{"Name": "press"},
+			map[string]any{"Name": "proofs"},
 			map[string]any{"Name": "spare", "Spare": true},
 		},
 		"Tenants": []any{map[string]any{
@@ -134,12 +135,13 @@
 
 func (r *rig) eventually(what string, check func() bool) {
 	r.t.Helper()
-	until := time.Now().Add(patience)
+	clock := timer.System{}
+	until := clock.Now().Add(patience)
 	for !check() {
-		if time.Now().After(until) {
+		if clock.Now().After(until) {
 			r.t.Fatalf("not within %s: %s", patience, what)
 		}
-		time.Sleep(20 * time.Millisecond)
+		timer.Wait(r.ctx, clock, 20*time.Millisecond)
 	}
 }
 
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/timer"
 )
 
 // watchTerm reads the term row and takes control when nobody has it.
@@ -17,7 +18,7 @@
 	watch := fleet.Watch{Self: v.Settings.Name(), Preference: v.preference()}
 	reachable := true
 	for ctx.Err() == nil {
-		sleep(ctx, v.Timer, v.termInterval())
+		timer.Wait(ctx, v.Timer, v.termInterval())
 		if v.stopping.Load() || v.controller.Load() != nil {
 			continue
 		}
@@ -73,8 +74,10 @@
 // takeControl writes the term row and starts a controller. It returns nil if another entry VM was faster, or if the
 // outcome isn't known: the row then runs out, as its holder doesn't renew it.
 func (v *VM) takeControl(ctx context.Context, was fleet.Term, now time.Time) *controller {
-	term := fleet.Term{Holder: v.Settings.Name(), Process: v.process, Renewals: was.Renewals + 1,
-		DurationMS: fleet.LongTerm.Milliseconds()}
+	term := fleet.Term{
+		Holder: v.Settings.Name(), Process: v.process, Renewals: was.Renewals + 1,
+		DurationMS: fleet.LongTerm.Milliseconds(),
+	}
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.TermKey, was.Version())},
 		[]provider.Write{provider.NewPut(fleet.TermKey, term.Encode())})
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -25,19 +25,25 @@
 	jobs    []*job
 	intents []*attempt
 	waves   []storedWaveOf
-	ends    map[string]int64 // the last end that is stored with it, by server
+	ends    map[string]lastEnd // the last end that is stored with it, by server
 	release bool
 	term    Term // that it writes, if it renews
 
 	vmOrders []vmOrder
 }
 
+// lastEnd is the number of an end. Numbers start anew with each life of a server.
+type lastEnd struct {
+	incarnation int64
+	number      int64
+}
+
 // flush commits what changed, one transaction at a time.
 func (s *State) flush(now time.Time) {
 	if s.commit != nil || s.released {
 		return
 	}
-	c := &commit{sent: now, ends: make(map[string]int64)}
+	c := &commit{sent: now, ends: make(map[string]lastEnd)}
 	writes, all := s.jobWrites(c)
 	writes = append(writes, s.waveWrites(c)...)
 	writes = append(writes, s.statusWrites(now)...)
@@ -45,7 +51,7 @@
 	if all {
 		for _, v := range s.allServers() {
 			if v.seen > v.noted {
-				c.ends[v.id] = v.seen
+				c.ends[v.id] = lastEnd{incarnation: v.incarnation, number: v.seen}
 			}
 		}
 	}
@@ -241,11 +247,11 @@
 }
 
 // noteEnds lets servers forget ends that are stored.
-func (s *State) noteEnds(ends map[string]int64, now time.Time) {
-	for id, seen := range ends {
+func (s *State) noteEnds(ends map[string]lastEnd, now time.Time) {
+	for id, last := range ends {
 		v, known := s.servers[id]
-		if known && seen > v.noted {
-			v.noted = seen
+		if known && last.incarnation == v.incarnation && last.number > v.noted {
+			v.noted = last.number
 			v.nextLook = earlier(v.nextLook, now.Add(lookPause))
 		}
 	}
--- /dev/null
+++ b/fleet/model_test.go
@@ -0,0 +1,463 @@
+package fleet_test
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
+	_ "github.com/pistachiolead/pistachiolead/seed"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// model plays a store, backend servers and several controllers under faults, and checks what servers see.
+type model struct {
+	t       *rapid.T
+	now     time.Time
+	due     dueEvents
+	version uint64
+	rows    map[string][]byte
+	term    uint64 // the version of the term row
+	jobs    []*workload.Job
+	servers map[string]*modelServer
+	current *modelController
+	broken  string
+	trace   []string                 // what servers saw, for a failure
+	done    map[workload.TaskID]bool // tasks with an end that was noted
+
+	lateOrders, lostAnswers int // of a hundred
+	mutation                mutation
+}
+
+// mutation breaks a rule of the world that the control state relies on, to show that the model notices.
+type mutation uint8
+
+const (
+	noMutation mutation = iota
+	serversIgnoreTokens
+	storeIgnoresTerms
+)
+
+type modelController struct {
+	state  *fleet.State
+	name   string
+	paused bool
+	dead   bool
+}
+
+type modelServer struct {
+	id      string
+	born    time.Time
+	token   uint64
+	lease   time.Duration
+	running map[backend.Run]time.Time
+	highest map[workload.TaskID]int
+	ends    []backend.End
+	number  int64
+	cut     bool
+	lapsed  int64 // the last end that the lease expired after, before it was noted
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: time.Unix(1_000_000, 0), version: 10, rows: make(map[string][]byte),
+		servers: make(map[string]*modelServer), done: make(map[workload.TaskID]bool),
+	}
+	for n := range 4 {
+		id := fmt.Sprintf("i-%d", n)
+		m.servers[id] = &modelServer{id: id}
+		m.birth(id)
+	}
+	return m
+}
+
+func (m *model) birth(id string) {
+	s := m.servers[id]
+	s.born, s.token, s.lease, s.number, s.lapsed, s.ends = m.now, 0, 0, 0, 0, nil
+	s.running, s.highest = make(map[backend.Run]time.Time), make(map[workload.TaskID]int)
+}
+
+func (m *model) after(d time.Duration, run func()) { heap.Push(&m.due, dueEvent{m.now.Add(d), run}) }
+
+func (m *model) pass(d time.Duration) {
+	until := m.now.Add(d)
+	for len(m.due) > 0 && !m.due[0].at.After(until) {
+		e := heap.Pop(&m.due).(dueEvent)
+		m.now = e.at
+		m.expire()
+		e.run()
+	}
+	m.now = until
+	m.expire()
+}
+
+// expire ends what runs on servers whose lease is over, and what is done.
+func (m *model) expire() {
+	for _, s := range m.servers {
+		expired := m.now.Sub(s.born) >= s.lease
+		if expired {
+			s.lapsed = s.number
+		}
+		for run, ends := range s.running {
+			switch {
+			case expired:
+				m.note("%s: %v expires", s.id, run)
+				s.finish(run, workload.EndExpired)
+			case !m.now.Before(ends):
+				m.note("%s: %v is done, end %d", s.id, run, s.number+1)
+				s.finish(run, workload.EndDone)
+			}
+		}
+	}
+}
+
+func (s *modelServer) finish(run backend.Run, kind workload.EndKind) {
+	delete(s.running, run)
+	s.highest[run.Task] = max(s.highest[run.Task], run.Number)
+	s.number++
+	s.ends = append(s.ends, backend.End{Number: s.number, Run: run, Kind: kind})
+}
+
+// takeOver starts a controller, which reads what is stored.
+func (m *model) takeOver(name string) {
+	m.version++
+	m.term = m.version
+	m.note("%s takes control with token %d", name, m.version)
+	c := &modelController{name: name}
+	c.state = &fleet.State{
+		Self: name, Token: m.version, TermSent: m.now, DutyPause: time.Second,
+		Term: fleet.Term{Holder: name, DurationMS: 1500}.WithVersion(m.version),
+	}
+	c.state.Begin(m.now)
+	c.state.Handle(fleet.OperationArrived{Operation: directory.Configured{Snapshot: directory.NewSnapshot(1,
+		[]directory.Queue{{Name: "plates", Pool: "press", Attempts: 3}}, nil, []directory.Pool{{Name: "press"}}, 0)}}, m.now)
+	progress := make(map[string]workload.Progress)
+	for _, j := range m.jobs {
+		if data, stored := m.rows[fleet.ProgressPrefix+j.ID()]; stored {
+			p, err := workload.DecodeProgress(data)
+			if err != nil {
+				m.t.Fatal(err)
+			}
+			progress[j.ID()] = p
+		}
+	}
+	c.state.Restore(m.jobs, progress, nil, m.now)
+	m.current = c
+	for id, s := range m.servers {
+		m.register(c, id, s)
+	}
+	m.tick(c)
+}
+
+func (m *model) register(c *modelController, id string, s *modelServer) {
+	c.state.Handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: id, Pool: "press", Address: id, Zone: "z", Rack: id, Incarnation: s.born.UnixMilli(),
+		Capacity: workload.NewResources(3000, 3000, 0),
+	}}, m.now)
+}
+
+func (m *model) tick(c *modelController) {
+	if c.dead {
+		return
+	}
+	m.handle(c, fleet.Tick{})
+	m.after(100*time.Millisecond, func() { m.tick(c) })
+}
+
+// handle gives an event to a controller. A paused one gets it when it wakes.
+func (m *model) handle(c *modelController, e fleet.Event) {
+	if c.dead {
+		return
+	}
+	if c.paused {
+		m.after(50*time.Millisecond, func() { m.handle(c, e) })
+		return
+	}
+	c.state.Handle(e, m.now)
+	for _, effect := range c.state.Settle(m.now) {
+		m.carryOut(c, effect)
+	}
+}
+
+func (m *model) carryOut(c *modelController, e fleet.Effect) {
+	switch e := e.(type) {
+	case fleet.Deposed:
+		c.dead = true
+	case fleet.Commit:
+		m.after(m.delay(15), func() { m.commit(c, e) })
+	case fleet.Start:
+		m.order(c, e.Target, func(s *modelServer) backend.Outcome { return m.start(s, e.Order) },
+			func(o backend.Outcome) fleet.Event {
+				return fleet.StartEnded{
+					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Order.Run, Outcome: o,
+				}
+			})
+	case fleet.Stop:
+		m.order(c, e.Target, func(s *modelServer) backend.Outcome { return m.stop(s, e) },
+			func(o backend.Outcome) fleet.Event {
+				return fleet.StopEnded{Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: o}
+			})
+	case fleet.Look:
+		m.order(c, e.Target, func(s *modelServer) backend.Outcome { return m.look(s, e.Order) },
+			func(o backend.Outcome) fleet.Event {
+				return fleet.LookEnded{Server: e.Target.ID, Sequence: e.Sequence, Outcome: o}
+			})
+	}
+}
+
+func (m *model) delay(ms int) time.Duration {
+	return time.Duration(rapid.IntRange(1, ms).Draw(m.t, "delay")) * time.Millisecond
+}
+
+func (m *model) chance(percent int, what string) bool {
+	return percent > 0 && rapid.IntRange(0, 99).Draw(m.t, what) < percent
+}
+
+// order delivers an order: at once, late and without an answer, without its answer, or never.
+func (m *model) order(
+	c *modelController, t backend.Target, run func(*modelServer) backend.Outcome, event func(backend.Outcome) fleet.Event,
+) {
+	s := m.servers[t.ID]
+	born := s.born
+	unanswered := func() { m.handle(c, event(backend.Unanswered{Reason: "lost"})) }
+	if m.chance(m.lateOrders, "late") {
+		m.after(900*time.Millisecond, unanswered)
+		m.after(time.Duration(rapid.IntRange(1, 8).Draw(m.t, "late by"))*time.Second, func() {
+			if !s.cut && s.born.Equal(born) { // an order dies with the process that it was sent to
+				run(s)
+			}
+		})
+		return
+	}
+	lost := m.chance(m.lostAnswers, "lost")
+	m.after(m.delay(4), func() {
+		if s.cut || !s.born.Equal(born) {
+			m.after(900*time.Millisecond, unanswered)
+			return
+		}
+		outcome := run(s)
+		if lost {
+			m.after(900*time.Millisecond, unanswered)
+			return
+		}
+		m.after(m.delay(4), func() { m.handle(c, event(outcome)) })
+	})
+}
+
+func (m *model) fenced(s *modelServer, token uint64) bool {
+	if token < s.token && m.mutation != serversIgnoreTokens {
+		return true
+	}
+	s.token = max(s.token, token)
+	return false
+}
+
+func (m *model) start(s *modelServer, o backend.StartOrder) backend.Outcome {
+	clock := m.now.Sub(s.born)
+	switch {
+	case m.fenced(s, o.Token):
+		return backend.Refused{Reason: backend.RefusedStaleToken}
+	case !s.running[o.Run].IsZero():
+		return backend.Accepted{Clock: clock}
+	case o.Run.Number <= s.highest[o.Run.Task]:
+		return backend.Refused{Reason: backend.RefusedOldRun}
+	case o.Deadline <= clock:
+		return backend.Refused{Reason: backend.RefusedExpired}
+	}
+	m.note("%s: %v starts with token %d", s.id, o.Run, o.Token)
+	s.lease = max(s.lease, o.Deadline)
+	for id, other := range m.servers {
+		for run := range other.running {
+			if run.Task == o.Run.Task {
+				m.fail("%v starts on %s and runs on %s", o.Run, s.id, id)
+			}
+		}
+	}
+	if m.done[o.Run.Task] {
+		m.fail("%v starts after its end was noted", o.Run)
+	}
+	if len(s.running) >= 3 {
+		m.fail("%v is beyond the capacity of %s", o.Run, s.id)
+	}
+	s.running[o.Run] = m.now.Add(time.Duration(rapid.IntRange(200, 3000).Draw(m.t, "duration")) * time.Millisecond)
+	return backend.Accepted{Clock: clock}
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.broken == "" {
+		m.broken = fmt.Sprintf(format, args...) + "\n" + strings.Join(m.trace, "\n")
+	}
+}
+
+func (m *model) note(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%8s ", m.now.Sub(time.Unix(1_000_000, 0)))+fmt.Sprintf(format, args...))
+}
+
+func (m *model) stop(s *modelServer, e fleet.Stop) backend.Outcome {
+	if m.fenced(s, e.Token) {
+		return backend.Refused{Reason: backend.RefusedStaleToken}
+	}
+	if !s.running[e.Run].IsZero() {
+		s.finish(e.Run, workload.EndStopped)
+	}
+	s.highest[e.Run.Task] = max(s.highest[e.Run.Task], e.Run.Number)
+	return backend.Accepted{Clock: m.now.Sub(s.born)}
+}
+
+func (m *model) look(s *modelServer, o backend.LookOrder) backend.Outcome {
+	if m.fenced(s, o.Token) {
+		return backend.Refused{Reason: backend.RefusedStaleToken}
+	}
+	s.lease = max(s.lease, o.Deadline)
+	s.ends = slices.DeleteFunc(s.ends, func(e backend.End) bool {
+		if e.Number > o.Noted {
+			return false
+		}
+		// By the users' rules an end doesn't count as noted if the lease expired before.
+		m.note("%s: end %d of %v (%s) noted with token %d, lapsed %d", s.id, e.Number, e.Run, e.Kind, o.Token, s.lapsed)
+		if e.Kind == workload.EndDone && e.Number > s.lapsed {
+			m.done[e.Run.Task] = true
+		}
+		return true
+	})
+	r := backend.Report{Incarnation: s.born.UnixMilli(), Clock: m.now.Sub(s.born), Ends: slices.Clone(s.ends)}
+	for run := range s.running {
+		r.Running = append(r.Running, backend.Running{Run: run, Percent: int(m.now.UnixMilli() % 100)})
+	}
+	return backend.Reported{Report: r}
+}
+
+func (m *model) commit(c *modelController, e fleet.Commit) {
+	if c.dead {
+		return
+	}
+	condition := e.Transaction.Conditions()[0]
+	if condition.Version() != m.term && m.mutation != storeIgnoresTerms {
+		m.handle(c, fleet.CommitEnded{Outcome: provider.NewConflict(provider.NewRow(fleet.TermKey, nil, m.term))})
+		return
+	}
+	m.version++
+	for _, w := range e.Transaction.Writes() {
+		if w.Key() == fleet.TermKey {
+			m.term = m.version
+		}
+		m.rows[w.Key()] = w.Value()
+	}
+	version := m.version
+	m.after(m.delay(15), func() { m.handle(c, fleet.CommitEnded{Outcome: provider.NewCommitted(version)}) })
+}
+
+func (m *model) submit() {
+	n := len(m.jobs)
+	j, err := workload.NewJob(workload.JobOptions{
+		ID: fmt.Sprintf("%016x", n), Queue: "plates", Pool: "press", Attempts: 3, AcceptedMS: m.now.UnixMilli(), Stretch: 2,
+		Steps: []workload.StepOptions{
+			{Count: 2, MilliCores: 1000, MemoryMB: 1000, EstimateMS: 1000},
+			{Count: 1, MilliCores: 1000, MemoryMB: 1000, EstimateMS: 1000, After: []int{0}},
+		},
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.jobs = append(m.jobs, j)
+	m.handle(m.current, fleet.JobArrived{Job: j})
+}
+
+// trouble injects one fault.
+func (m *model) trouble(step int) {
+	s := m.servers[fmt.Sprintf("i-%d", rapid.IntRange(0, 3).Draw(m.t, "server"))]
+	switch rapid.IntRange(0, 5).Draw(m.t, "fault") {
+	case 0: // the controller pauses, another takes over once the term is over, and the first goes on later
+		old := m.current
+		old.paused = true
+		m.pass(1700 * time.Millisecond)
+		m.takeOver(fmt.Sprint("entry-", step))
+		m.after(m.delay(3000), func() { old.paused = false })
+	case 1: // the controller is killed
+		m.current.dead = true
+		m.pass(1700 * time.Millisecond)
+		m.takeOver(fmt.Sprint("entry-", step))
+	case 2:
+		s.cut = true
+		m.after(m.delay(9000), func() { s.cut = false })
+	case 3: // the server crashes and starts again, longer after it than the pause between two looks
+		s.cut = true
+		clear(s.running)
+		m.after(200*time.Millisecond+m.delay(600), func() {
+			m.birth(s.id)
+			s.cut = false
+			m.after(m.delay(600), func() { m.register(m.current, s.id, s) })
+		})
+	case 4:
+		m.lateOrders = rapid.IntRange(0, 20).Draw(m.t, "late orders")
+	case 5:
+		m.lostAnswers = rapid.IntRange(0, 20).Draw(m.t, "lost answers")
+	}
+}
+
+func (m *model) play() {
+	m.takeOver("entry")
+	for step := range 8 {
+		for range 3 {
+			m.submit()
+			m.pass(m.delay(400))
+		}
+		m.trouble(step)
+		m.pass(m.delay(1500))
+	}
+}
+
+// calm ends all faults and waits until all jobs have ended.
+func (m *model) calm() {
+	m.lateOrders, m.lostAnswers = 0, 0
+	for _, s := range m.servers {
+		s.cut = false
+	}
+	m.pass(40 * time.Second)
+	for _, j := range m.jobs {
+		p, err := workload.DecodeProgress(m.rows[fleet.ProgressPrefix+j.ID()])
+		if err != nil || p.State != workload.JobCompleted {
+			m.fail("job %s is %q, stored as %s", j.ID(), p.State, m.rows[fleet.ProgressPrefix+j.ID()])
+		}
+	}
+}
+
+// Guards against two runs of a task at once, runs after a noted end, runs beyond a server's capacity, and jobs that never
+// end, while controllers are killed or paused, servers crash or are cut off, orders are late and answers are lost.
+func TestRunsAreSafeAndJobsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.play()
+		m.calm()
+		if m.broken != "" {
+			t.Fatal(m.broken)
+		}
+	})
+}
+
+// Guards against a model that doesn't notice when a rule that runs rely on is broken.
+func TestModelNoticesMutations(t *testing.T) {
+	for name, mutated := range map[string]mutation{
+		"servers ignore tokens": serversIgnoreTokens, "the store ignores terms": storeIgnoresTerms,
+	} {
+		noticed := false
+		rapid.Check(t, func(t *rapid.T) {
+			m := newModel(t)
+			m.mutation = mutated
+			m.play()
+			m.calm()
+			noticed = noticed || m.broken != ""
+		})
+		if !noticed {
+			t.Errorf("not noticed: %s", name)
+		}
+	}
+}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -55,7 +55,8 @@
 	v.granted, v.failures = 0, 0
 	v.nextLook = now
 	for _, a := range v.attempts {
-		a.incarnation = incarnation
+		// Outcomes of orders to the earlier life no longer count.
+		a.incarnation, a.inFlight, a.stopSent, a.stopped = incarnation, false, false, false
 		s.wantStop(a, "server-started-again")
 	}
 }
@@ -84,6 +85,9 @@
 		if !v.confirmed || v.missed > 0 || v.seen > v.noted {
 			order.Wait = 0
 		}
+		if v.missed > 0 {
+			order.Noted = 0 // the server may have started again, and numbers its ends anew
+		}
 		// A lease is extended only while the server answers: once it is silent, its lease has to run out.
 		if v.hasClock && v.missed == 0 && now.Before(s.termUntil) {
 			order.Deadline = v.clockNow(now) + workLease
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -184,10 +184,3 @@
 	assert.NilError(r.t, err)
 	return j
 }
-
-func (r *rig) stored(j *workload.Job) workload.Progress {
-	r.t.Helper()
-	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+j.ID()])
-	assert.NilError(r.t, err)
-	return p
-}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -217,16 +217,10 @@
 			}
 			return provider.NewUnavailable(reason)
 		}
-		d.wait(pause)
+		timer.Wait(context.Background(), d.Timer, pause)
 	}
 }
 
-func (d *Desk) wait(pause time.Duration) {
-	done := make(chan struct{})
-	d.Timer.After(pause, func(time.Time) { close(done) })
-	<-done
-}
-
 // Cancel stores the wish to cancel a job.
 func (d *Desk) Cancel(c Call, id string) Outcome {
 	part := Part(id)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -94,8 +94,8 @@
 			continue
 		}
 		p.track(client, server)
-		tasks.Go(func() error { return p.pump(server, client, false) })
-		tasks.Go(func() error { return p.pump(client, server, true) })
+		tasks.Go(func() error { return p.pump(ctx, server, client, false) })
+		tasks.Go(func() error { return p.pump(ctx, client, server, true) })
 	}
 	return tasks.Wait()
 }
@@ -109,13 +109,13 @@
 }
 
 // pump copies one direction until a side closes. Bytes that are swallowed leave the connection useless but open.
-func (p *Proxy) pump(to, from net.Conn, back bool) error {
+func (p *Proxy) pump(ctx context.Context, to, from net.Conn, back bool) error {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		mode := p.now()
 		if mode == Delay {
-			p.wait(time.Duration(rand.Int64N(int64(longestDelay))))
+			timer.Wait(ctx, p.Timer, time.Duration(rand.Int64N(int64(longestDelay))))
 		}
 		swallowed := mode == Cut || (mode == OneWay && back)
 		if n > 0 && !swallowed {
@@ -138,9 +138,3 @@
 		delete(p.open, c)
 	}
 }
-
-func (p *Proxy) wait(d time.Duration) {
-	done := make(chan struct{})
-	p.Timer.After(d, func(time.Time) { close(done) })
-	<-done
-}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,9 @@
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
+// clock is the time of the test.
+var clock = timer.System{}
+
 var (
 	seed   = flag.Uint64("soak.seed", 0, "run this seed only; 0 runs the kept ones")
 	seeds  = flag.Int("soak.seeds", 0, "run so many fresh seeds beside the kept ones")
@@ -126,13 +129,13 @@
 		w.addVM(fmt.Sprintf("entry-%d", i))
 	}
 	w.eventually("an entry VM accepts", 20*time.Second, func() bool { return w.submit(0, "warm-up") == http.StatusOK })
-	until := time.Now().Add(*length)
-	for n := 0; time.Now().Before(until); n++ {
+	until := clock.Now().Add(*length)
+	for n := 0; clock.Now().Before(until); n++ {
 		w.load(n)
 		if n%4 == 0 {
 			w.injectFault()
 		}
-		time.Sleep(time.Duration(20+w.random.IntN(80)) * time.Millisecond)
+		timer.Wait(w.ctx, clock, time.Duration(20+w.random.IntN(80))*time.Millisecond)
 	}
 	w.heal()
 	w.check()
@@ -273,7 +276,7 @@
 		if result == accepted {
 			break
 		}
-		time.Sleep(200 * time.Millisecond)
+		timer.Wait(w.ctx, clock, 200*time.Millisecond)
 	}
 	w.mu.Lock()
 	w.jobs[id] = result
@@ -429,7 +432,7 @@
 
 // check waits until accepted jobs have ended, and checks the promises.
 func (w *world) check() {
-	time.Sleep(4 * time.Second) // callers give up, and processes that were told to stop end
+	timer.Wait(w.ctx, clock, 4*time.Second) // callers give up, and processes that were told to stop end
 	w.resume()
 	w.eventually("all accepted jobs have ended", settleTime, func() bool { return len(w.open()) == 0 })
 	w.mu.Lock()
@@ -441,14 +444,14 @@
 	w.mu.Unlock()
 	assert.DeepEqual(w.t, w.observer.Violations(), []string(nil))
 	w.configure("key-2")
-	revoked := time.Now()
+	revoked := clock.Now()
 	for vm := range w.vms {
 		for status := 0; status != http.StatusUnauthorized; {
 			status, _ = w.call(vm, http.MethodGet, "/press/", "key-1", nil)
-			if time.Since(revoked) > revokeTime {
+			if clock.Now().Sub(revoked) > revokeTime {
 				w.t.Fatalf("%s: a revoked key works after %s", w.vms[vm].name, revokeTime)
 			}
-			time.Sleep(50 * time.Millisecond)
+			timer.Wait(w.ctx, clock, 50*time.Millisecond)
 		}
 	}
 }
@@ -477,8 +480,8 @@
 
 func (w *world) eventually(what string, within time.Duration, check func() bool) {
 	w.t.Helper()
-	for until := time.Now().Add(within); !check(); time.Sleep(100 * time.Millisecond) {
-		if time.Now().After(until) {
+	for until := clock.Now().Add(within); !check(); timer.Wait(w.ctx, clock, 100*time.Millisecond) {
+		if clock.Now().After(until) {
 			w.t.Fatalf("seed %d: not within %s: %s; open: %v", w.seed, within, what, w.open())
 		}
 	}
--- /dev/null
+++ b/timer/wait.go
@@ -0,0 +1,17 @@
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Wait waits until the delay has passed or ctx ends.
+func Wait(ctx context.Context, s Service, delay time.Duration) {
+	done := make(chan struct{})
+	subscription := s.After(delay, func(time.Time) { close(done) })
+	defer subscription.Stop()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
