--- a/deployment/deployment_test.go
+++ b/deployment/deployment_test.go
@@ -86,7 +86,7 @@
 func TestJobsSurviveTheStore(t *testing.T) {
 	r := newRig(t, 2, 100*time.Millisecond)
 	var calls atomic.Int64
-	r.store.Fault = func(path string) emulator.Fault {
+	fault := func(path string) emulator.Fault {
 		n := calls.Add(1)
 		switch {
 		case path == "/api/rows-tx" && n%7 == 0:
@@ -96,6 +96,7 @@
 		}
 		return emulator.Healthy
 	}
+	r.fault.Store(&fault)
 	accepted := make(map[string]bool)
 	for n := range 12 {
 		id := jobID(n)
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	vms      []*entryVM
 	tasks    *group.Group
 	ctx      context.Context
+	fault    atomic.Pointer[func(path string) emulator.Fault]
 }
 
 type entryVM struct {
@@ -46,7 +48,12 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, observer: &emulator.Observer{}}
-	r.store = &emulator.Store{Timer: timer.System{}}
+	r.store = &emulator.Store{Timer: timer.System{}, Fault: func(path string) emulator.Fault {
+		if fault := r.fault.Load(); fault != nil {
+			return (*fault)(path)
+		}
+		return emulator.Healthy
+	}}
 	r.platform = &emulator.Platform{Timer: timer.System{}, Store: r.store, Duration: duration, Observer: r.observer}
 	assert.NilError(t, r.platform.Listen())
 	r.tasks, r.ctx = group.New(ctx)
