--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -48,7 +48,7 @@
 	c.vms = &platform.VMs{Client: c.vm.client, Address: s.VMsAddress(), Holder: s.Name()}
 	c.state = &fleet.State{
 		Self: s.Name(), Term: c.term, Token: c.token, TermSent: c.sent,
-		StopTimeout: s.StopTimeout(), DutyPause: s.DutyPause(),
+		DutyPause:       s.DutyPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(),
 		Scope: c.vm.Scope.SubScope("control"),
 	}
@@ -355,9 +355,8 @@
 			Outcome: c.backends.Look(e.Target, e.Order),
 		}
 	case fleet.Start:
-		sent := t.Now()
 		return fleet.StartEnded{
-			Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Order.Run, Sent: sent,
+			Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Order.Run,
 			Outcome: c.backends.Start(e.Target, e.Order),
 		}
 	case fleet.Stop:
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -43,7 +43,6 @@
 	Server      string
 	Incarnation int64
 	Run         backend.Run
-	Sent        time.Time
 	Outcome     backend.Outcome
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -28,9 +28,8 @@
 	Token uint64
 	// TermSent is when the term was asked for.
 	TermSent time.Time
-	// StopTimeout is how long a server takes to stop a run at most, DutyPause the shortest time between orders of two
-	// entry VMs for one VM.
-	StopTimeout, DutyPause time.Duration
+	// DutyPause is the shortest time between orders of two entry VMs for one VM.
+	DutyPause time.Duration
 	// MaintenanceTime is how long the maintenance of a VM takes, MoveTime a move to another pool.
 	MaintenanceTime, MoveTime time.Duration
 	// Scope receives counters.
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -20,8 +20,6 @@
 	Lasting bool
 	// Priority is the queue's, 0 first.
 	Priority int
-	// Surplus jobs are beyond what their customer is owed.
-	Surplus bool
 	// Submitted is when the job arrived, Objective how long it may take from then on.
 	Submitted time.Time
 	Objective time.Duration
@@ -45,7 +43,6 @@
 	classInTime        // can be in time
 	classLate          // can have some benefit
 	classOver
-	classSurplus
 )
 
 // Order sorts candidates into the order in which their tasks are placed. Room is the work that the pool does in a
@@ -63,11 +60,8 @@
 }
 
 func startClass(c *Candidate) class {
-	switch {
-	case c.Lasting:
+	if c.Lasting {
 		return classLasting
-	case c.Surplus:
-		return classSurplus
 	}
 	return classOver
 }
