Size pools by what runs and waits, and what arrives beyond what ends

The wanted size added 1.5 s of arrivals to the load, though about as much work ends in that time.

Ruled out: bad packing (153 busy servers carry a load of 159).

Change: only arrivals beyond what runs are added, for 2 s, which a move takes with its registration and first report.

--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -116,7 +116,9 @@
 	for _, j := range s.jobs {
 		pool := s.poolOf(j)
 		if p, known := byName[pool]; known && !j.state.Final() {
-			p.Load += j.load(capacity[pool])
+			load, running := j.load(capacity[pool])
+			p.Load += load
+			p.Running += running
 		}
 	}
 	for name, p := range byName {
@@ -171,18 +173,22 @@
 	return false
 }
 
-// load returns what runs and waits of a job, in servers of the given capacity.
-func (j *job) load(capacity workload.Resources) float64 {
-	total := 0.0
+// load returns what runs and waits of a job, and what of that runs and will end, in servers of the given capacity.
+func (j *job) load(capacity workload.Resources) (total, running float64) {
 	for occurrence := range j.made {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
-			if st.left > 0 && j.mayStart(occurrence, st) {
-				total += float64(st.left) * st.spec.Reserves().ShareOf(capacity)
+			if st.left == 0 || !j.mayStart(occurrence, st) {
+				continue
+			}
+			each := st.spec.Reserves().ShareOf(capacity)
+			total += float64(st.left) * each
+			if !st.spec.LongRunning() {
+				running += float64(st.left-st.idle) * each
 			}
 		}
 	}
-	return total
+	return total, running
 }
 
 // planMove asks for a move. Its order is sent once the intent is stored.
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -9,7 +9,7 @@
 const (
 	poolHeadroom   = 1.15                    // servers over what runs and waits: tasks don't fill a server exactly
 	poolMinimum    = 3                       // servers of a pool that work is sent to: a rack may fail, and a burst starts on them
-	moveLead       = 1500 * time.Millisecond // until a VM that is ordered now takes work
+	moveLead       = 2 * time.Second         // until a VM that is ordered now takes work: the move, its registration, a first report
 	lendAfter      = 200 * time.Millisecond  // a server is idle before another pool gets it: between two steps of a job it is too
 	switchOffAfter = time.Second             // before it is switched off
 )
@@ -35,8 +35,8 @@
 	Lasting int
 	// Short is the number of servers that tasks that last need, and that fit on none of the pool's.
 	Short int
-	// Arriving is the rate at which work arrives, in servers.
-	Arriving float64
+	// Arriving is the rate at which work arrives, and Running that at which it is done, in servers.
+	Arriving, Running float64
 }
 
 // Move moves a VM to a pool.
@@ -45,12 +45,13 @@
 	To string
 }
 
-// want is the number of servers that a pool needs.
+// want is the number of servers that a pool needs once a VM that is ordered now has joined it: until then the load grows
+// by what arrives beyond what is done.
 func (p *Pool) want() int {
 	if p.Spare {
 		return 0
 	}
-	load := (p.Load + p.Arriving*moveLead.Seconds()) * poolHeadroom
+	load := (p.Load + max(p.Arriving-p.Running, 0)*moveLead.Seconds()) * poolHeadroom
 	want := max(int(math.Ceil(load)), p.Lasting, poolMinimum)
 	if p.Short > 0 {
 		want = max(want, len(p.Servers)+p.Short)
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -81,6 +81,25 @@
 }
 
 // Guards against VMs that are taken from pools that need them, or while they run something.
+// Guards against a pool that grows all through its turn, because what arrives is added to what runs while as much ends.
+func TestPlanMovesInTheMiddleOfATurn(t *testing.T) {
+	spare := schedule.Pool{Name: "spare", Spare: true}
+	for n := range 100 {
+		spare.Servers = append(spare.Servers, schedule.PoolServer{VM: fmt.Sprint("s-", n), Idle: true})
+	}
+	busy := make([]schedule.PoolServer, 120)
+	for name, c := range map[string]struct {
+		pool  schedule.Pool
+		moves int
+	}{
+		"as much ends as arrives": {schedule.Pool{Load: 100, Arriving: 95, Running: 98}, 0},
+		"the turn begins":         {schedule.Pool{Load: 100, Arriving: 95, Running: 80}, 30},
+	} {
+		c.pool.Name, c.pool.Servers = "press", busy
+		assert.Equal(t, len(schedule.PlanMoves([]schedule.Pool{c.pool, spare})), c.moves, name)
+	}
+}
+
 func TestPlanMoves(t *testing.T) {
 	servers := func(names ...string) []schedule.PoolServer {
 		var all []schedule.PoolServer
