Move no tasks that last once the term may be over

The controller before had lost the store; after its term it went on emptying VMs for maintenance until a backend server told it of a newer token, while the next one did the same.

Ruled out: a step's other tasks counted as present while they are stopped or not yet reported; they count as away.

Change: tasks that last are moved for maintenance or away from failing servers only during the term. Stops on a server that leaves anyway aren't affected.

--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -172,8 +172,11 @@
 }
 
 // moveLasting stops the tasks of a server that last, so that they start elsewhere. Those that may not be away stay,
-// unless the server leaves anyway.
+// unless the server leaves anyway. Once the term may be over, another controller may have stopped others of a step.
 func (s *State) moveLasting(v *server, reason string, leaves bool) {
+	if !leaves && !s.mayStart(s.now) {
+		return
+	}
 	for _, a := range v.attempts {
 		if !a.task.step.spec.LongRunning() || a.stopWanted {
 			continue
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	poolHeadroom   = 1.15                    // servers over what runs and waits: tasks don't fill a server exactly
-	poolMinimum    = 3                       // servers of a pool that work is sent to: a rack may fail, and a burst starts on them
-	moveLead       = 2 * time.Second         // until a VM that is ordered now takes work: the move, its registration, a first report
-	lendAfter      = 200 * time.Millisecond  // a server is idle before another pool gets it: between two steps of a job it is too
-	switchOffAfter = time.Second             // before it is switched off
+	poolHeadroom   = 1.15                   // servers over what runs and waits: tasks don't fill a server exactly
+	poolMinimum    = 3                      // servers of a pool that work is sent to: a rack may fail, and a burst starts on them
+	moveLead       = 2 * time.Second        // until a VM that is ordered now takes work: the move, its registration, a first report
+	lendAfter      = 200 * time.Millisecond // a server is idle before another pool gets it: between two steps of a job it is too
+	switchOffAfter = time.Second            // before it is switched off
 )
 
 // PoolServer is a VM of a pool.
