Move tasks that last first in a wave, and empty busy VMs late while servers are scarce

Ruled out: refused orders (none), changes of control (none until the wave's end).

Change: tasks that last leave VMs that are due from the start, to VMs that aren't due, while these go on with other work; a pool that lacks a VM for them goes before a burst. New work avoids VMs that are due. Other busy VMs are emptied only once 70% of the time is left, unless there are servers to spare. Those most become idle as bursts move on.

--- a/fleet/maintenance_test.go
+++ b/fleet/maintenance_test.go
@@ -41,3 +41,39 @@
 		})
 	}
 }
+
+// Load pattern: half of the VMs are due for maintenance while bursts go from pool to pool, and each pool has tasks that
+// last, of which few may be away at once. Guards against waves that end late because these tasks are moved last, and
+// against more of them away than may be.
+func TestWaveIsInTimeBesideTasksThatLast(t *testing.T) {
+	const within = 25 * time.Second
+	w := newWorld(160, 4)
+	for pool := range 4 {
+		w.submitLasting(2*pool, pool)
+		w.submitLasting(2*pool+1, pool)
+	}
+	w.pass(3 * time.Second)
+	began := w.now
+	due := w.maintain(within, 40)
+	n := 0
+	for second := range int(within / time.Second) {
+		for range 80 {
+			n++
+			w.submit(n, second/5%4)
+			w.pass(time.Second / 80)
+		}
+	}
+	late := 0
+	for _, vm := range due {
+		if at, begun := w.maintained[vm]; !begun || at.Sub(began) > within {
+			late++
+			t.Logf("%s is late: begun %v after %v, server %s", vm, begun, at.Sub(began), w.vms[vm].server)
+		}
+	}
+	t.Logf("%d of %d VMs late, %d tasks done, %d orders to stop", late, len(due), w.ended, w.stops)
+	assert.Equal(t, late, 0)
+	assert.Equal(t, w.killed, 0)
+	for job, away := range w.away {
+		assert.Assert(t, away <= 1, "job %x had %d tasks away", job, away)
+	}
+}
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -140,14 +140,18 @@
 	}
 	if p.Spare {
 		idle := !s.inMaintenance(vm.Name) && !s.zonesOut[vm.Zone]
-		p.Servers = append(p.Servers, schedule.PoolServer{VM: vm.Name, Idle: idle, IdleFor: now.Sub(s.began)})
+		p.Servers = append(p.Servers, schedule.PoolServer{
+			VM: vm.Name, Idle: idle, IdleFor: now.Sub(s.began), Due: s.due[vm.Name],
+		})
 		return
 	}
 	v, known := s.servers[vm.Server]
 	if !known || !v.usable(now) || s.zonesOut[vm.Zone] || s.inMaintenance(vm.Name) {
 		return
 	}
-	ps := schedule.PoolServer{VM: vm.Name, Idle: len(v.attempts) == 0 && !v.leaving, IdleFor: now.Sub(v.idleSince)}
+	ps := schedule.PoolServer{
+		VM: vm.Name, Idle: len(v.attempts) == 0 && !v.leaving, IdleFor: now.Sub(v.idleSince), Due: s.due[vm.Name],
+	}
 	if v.lasting() {
 		p.Lasting++
 	}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -81,7 +81,7 @@
 func (s *State) poolsInService(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, v := range s.allServers() {
-		if !v.usable(now) || v.leaving || s.zonesOut[v.reg.Zone] || (!s.schedule && !s.dirty[v.reg.Pool]) {
+		if !s.takesWork(v, now) || (!s.schedule && !s.dirty[v.reg.Pool]) {
 			continue
 		}
 		p := pools[v.reg.Pool]
@@ -89,15 +89,24 @@
 			p = &pool{}
 			pools[v.reg.Pool] = p
 		}
-		p.servers = append(p.servers, v)
-		p.views = append(p.views, schedule.Server{
-			ID: v.id, Zone: v.reg.Zone, Rack: v.reg.Rack, Kind: v.reg.Kind, Capacity: v.reg.Capacity,
-			Free: v.reg.Capacity.Minus(v.reserved), Failures: v.failures,
-		})
+		p.add(v)
 	}
 	return pools
 }
 
+// takesWork reports whether new runs may be placed on a server.
+func (s *State) takesWork(v *server, now time.Time) bool {
+	return v.usable(now) && !v.leaving && !s.zonesOut[v.reg.Zone]
+}
+
+func (p *pool) add(v *server) {
+	p.servers = append(p.servers, v)
+	p.views = append(p.views, schedule.Server{
+		ID: v.id, Zone: v.reg.Zone, Rack: v.reg.Rack, Kind: v.reg.Kind, Capacity: v.reg.Capacity,
+		Free: v.reg.Capacity.Minus(v.reserved), Failures: v.failures, Leaving: v.due,
+	})
+}
+
 // placeJob assigns the tasks of a job that may start, and returns their number.
 func (s *State) placeJob(j *job, p *pool, now time.Time) int {
 	placed := 0
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -35,7 +35,8 @@
 	strays    map[backend.Run]time.Time // unknown runs that were told to stop, and when
 	failures  int
 	restUntil time.Time
-	leaving   bool // is about to be maintained or moved
+	leaving   bool // is about to be maintained or moved, and takes no more work
+	due       bool // waits for its maintenance, and takes work that fits nowhere else
 	idleSince time.Time
 }
 
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/schedule"
+	"github.com/pistachiolead/pistachiolead/workload"
 )
 
 const (
@@ -162,6 +163,10 @@
 	if len(s.vms) == 0 {
 		return
 	}
+	s.due = make(map[string]bool)
+	for _, v := range s.allServers() {
+		v.due = false
+	}
 	for _, w := range s.waves {
 		if !w.complete && len(w.spec.VMs) > 0 {
 			s.advance(w, now)
@@ -207,9 +212,13 @@
 		case !exists || w.dropped[name]:
 		default:
 			_, emptying := w.emptying[name]
-			open = append(open, schedule.MaintenanceVM{
-				VM: name, Running: s.liveOn(name), Emptying: emptying, Blocked: moving || vm.State != backend.VMUp,
-			})
+			entry := schedule.MaintenanceVM{VM: name, Emptying: emptying, Blocked: moving || vm.State != backend.VMUp}
+			s.due[name] = true
+			if v, known := s.servers[vm.Server]; known {
+				v.due = true
+				entry.Running, entry.Lasting = len(v.attempts), v.lasting()
+			}
+			open = append(open, entry)
 		}
 	}
 	if len(open) == 0 {
@@ -222,6 +231,11 @@
 		VMs: open, AtOnce: w.spec.AtOnce, Down: down, TimeLeft: w.seen.Add(w.spec.Within).Sub(now),
 		Duration: s.MaintenanceTime, Within: w.spec.Within, Scarce: s.scarce,
 	})
+	for _, name := range plan.Relieve {
+		if v, known := s.servers[s.vms[name].Server]; known {
+			s.relieve(v, now)
+		}
+	}
 	for _, name := range plan.Empty {
 		s.empty(w, name, now)
 	}
@@ -247,6 +261,49 @@
 	return 0
 }
 
+// relieve moves tasks that last away from a server that goes on with other work.
+func (s *State) relieve(v *server, now time.Time) {
+	if !s.mayStart(now) {
+		return
+	}
+	for _, a := range v.attempts {
+		if !a.task.step.spec.LongRunning() || a.stopWanted || !s.mayMiss(a) {
+			continue
+		}
+		if !s.fitsElsewhere(a, now) {
+			s.short[v.reg.Pool]++
+			continue
+		}
+		s.wantStop(a, "maintenance")
+	}
+}
+
+// fitsElsewhere reports whether a server of the pool that isn't due for maintenance has room for a task that lasts once
+// other tasks there have ended: tasks that last are placed before these.
+func (s *State) fitsElsewhere(a *attempt, now time.Time) bool {
+	st := a.task.step
+	p := &pool{}
+	for _, v := range s.allServers() {
+		if v != a.server && v.reg.Pool == a.server.reg.Pool && !v.due && s.takesWork(v, now) {
+			p.add(v)
+			p.views[len(p.views)-1].Free = v.reg.Capacity.Minus(v.lastingReserved())
+		}
+	}
+	p.look(st)
+	return schedule.Choose(st.spec, p.views) >= 0
+}
+
+// lastingReserved is what the tasks that last reserve on a server.
+func (v *server) lastingReserved() workload.Resources {
+	var total workload.Resources
+	for _, a := range v.attempts {
+		if a.task.step.spec.LongRunning() {
+			total = total.Plus(a.reserves)
+		}
+	}
+	return total
+}
+
 // empty stops new work on a VM, and moves away what doesn't end by itself.
 func (s *State) empty(w *wave, name string, now time.Time) {
 	v, known := s.servers[s.vms[name].Server]
--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -10,6 +10,9 @@
 	emptyTime = 2500 * time.Millisecond // until a server that takes no more work is empty
 	// maintenanceReserve is the part of a wave's time that is kept for outages of the store and changes of control.
 	maintenanceReserve = 0.4
+	// emptyFrom is the part of a wave's time that is left when busy VMs are emptied although servers are scarce. Until
+	// then most become idle by themselves, as bursts move on.
+	emptyFrom = 0.7
 )
 
 // MaintenanceVM is a VM whose maintenance hasn't begun.
@@ -17,8 +20,9 @@
 	VM string
 	// Ordered tells that the outcome of an order is awaited.
 	Ordered bool
-	// Running is the number of runs on it.
+	// Running is the number of runs on it. Lasting tells that some of them don't end by themselves.
 	Running int
+	Lasting bool
 	// Emptying tells that it takes no more work.
 	Emptying bool
 	// Blocked VMs can't be maintained now.
@@ -38,17 +42,19 @@
 	Within time.Duration
 }
 
-// MaintenancePlan tells which VMs to empty, and which to maintain now.
+// MaintenancePlan tells which VMs to relieve of tasks that last, which to empty, and which to maintain now.
 type MaintenancePlan struct {
-	Empty []string
-	Begin []string
+	Relieve []string
+	Empty   []string
+	Begin   []string
 }
 
 // PlanMaintenance decides which VMs of a wave come next.
 //
 // Load pattern: half of the fleet is due while each pool in turn needs all it has. VMs that run nothing are maintained
-// at once, unless a pool lacks servers: then only as fast as the time left demands. Others are emptied only as fast as
-// that anyway, those with the fewest runs first, so that a wave takes as little as possible of the room for a burst.
+// at once, unless a pool lacks servers: then only as fast as the time left demands. Tasks that last are moved from the
+// start, as few of a step may be away at once; the VM goes on with other work. Busy VMs are emptied only as fast as the
+// time left demands, those with the least work first, and not at all in the first part of the wave if servers are scarce.
 func PlanMaintenance(m Maintenance) MaintenancePlan {
 	var plan MaintenancePlan
 	var busy []MaintenanceVM
@@ -58,6 +64,9 @@
 	}
 	emptying := 0
 	for _, vm := range m.VMs {
+		if vm.Lasting && !vm.Blocked && !vm.Ordered {
+			plan.Relieve = append(plan.Relieve, vm.VM)
+		}
 		switch {
 		case vm.Ordered || vm.Blocked:
 		case vm.Running == 0 && free > 0:
@@ -70,6 +79,9 @@
 			busy = append(busy, vm)
 		}
 	}
+	if m.Scarce && float64(m.TimeLeft) > emptyFrom*float64(m.Within) {
+		return plan
+	}
 	atOnce := min(m.AtOnce, m.pace(len(busy)+emptying, m.Duration+emptyTime))
 	sort.SliceStable(busy, func(a, b int) bool { return busy[a].Running < busy[b].Running })
 	for _, vm := range busy {
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -13,7 +13,7 @@
 	// SameStep is the number of runs of the task's step that the server has, RackSameStep that of its rack.
 	SameStep     int
 	RackSameStep int
-	// Leaving servers are about to be drained, and are used last.
+	// Leaving servers are due for maintenance, and are used last.
 	Leaving bool
 	// Failures counts runs that failed in a row.
 	Failures int
@@ -54,7 +54,7 @@
 	if a.Avoid != b.Avoid {
 		return !a.Avoid
 	}
-	if a.Leaving != b.Leaving {
+	if step.LongRunning() && a.Leaving != b.Leaving {
 		return !a.Leaving
 	}
 	if near := step.DataRack(); near != "" && (a.Rack == near) != (b.Rack == near) {
@@ -72,6 +72,9 @@
 	if step.LongRunning() && a.RackSameStep != b.RackSameStep {
 		return a.RackSameStep < b.RackSameStep
 	}
+	if a.Leaving != b.Leaving {
+		return !a.Leaving
+	}
 	useA, useB := a.Capacity.Minus(a.Free).ShareOf(a.Capacity), b.Capacity.Minus(b.Free).ShareOf(b.Capacity)
 	if useA != useB {
 		return useA > useB
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -20,6 +20,8 @@
 	// Idle servers run nothing, since IdleFor. Those that aren't in service yet aren't idle.
 	Idle    bool
 	IdleFor time.Duration
+	// Due servers wait for their maintenance, and are lent last.
+	Due bool
 }
 
 // Pool is the state of a pool.
@@ -119,6 +121,7 @@
 	spare   bool
 	surplus int
 	idleFor time.Duration
+	due     bool
 }
 
 // listDonors lists the VMs that may be moved: those that are switched off, then those of the pools with most to spare.
@@ -132,12 +135,15 @@
 		for _, s := range pools[i].Servers {
 			if s.Idle && (pools[i].Spare || s.IdleFor >= lendAfter) {
 				donors = append(donors, donor{
-					pool: i, vm: s.VM, spare: pools[i].Spare, surplus: surplus, idleFor: s.IdleFor,
+					pool: i, vm: s.VM, spare: pools[i].Spare, surplus: surplus, idleFor: s.IdleFor, due: s.Due,
 				})
 			}
 		}
 	}
 	sort.SliceStable(donors, func(a, b int) bool {
+		if donors[a].due != donors[b].due {
+			return donors[b].due
+		}
 		if donors[a].spare != donors[b].spare {
 			return donors[a].spare
 		}
@@ -149,11 +155,20 @@
 	return donors
 }
 
-// mostNeedy returns the pool that lacks the largest share of what it needs, or -1.
+// mostNeedy returns the pool that lacks the largest share of what it needs, or -1. Pools whose tasks that last fit nowhere
+// go first: these tasks need few servers, but may need them on each of many bursts.
 func mostNeedy(pools []Pool, want, have []int) int {
 	best, worst := -1, 0.0
 	for i := range pools {
-		if lack := float64(want[i]-have[i]) / float64(max(want[i], 1)); !pools[i].Spare && lack > worst {
+		p := &pools[i]
+		if p.Spare {
+			continue
+		}
+		lack := float64(want[i]-have[i]) / float64(max(want[i], 1))
+		if p.Short > 0 && have[i] < len(p.Servers)+p.Short {
+			lack++
+		}
+		if lack > worst {
 			best, worst = i, lack
 		}
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -81,6 +81,30 @@
 }
 
 // Guards against VMs that are taken from pools that need them, or while they run something.
+// Guards against tasks that last and wait through one burst after the other, as the burst's pool lacks more servers.
+func TestPlanMovesServesTasksThatLastBeforeABurst(t *testing.T) {
+	moves := schedule.PlanMoves([]schedule.Pool{
+		{Name: "burst", Servers: make([]schedule.PoolServer, 10), Load: 100},
+		{Name: "press", Servers: make([]schedule.PoolServer, 15), Load: 5, Lasting: 15, Short: 1},
+		{Name: "spare", Spare: true, Servers: []schedule.PoolServer{{VM: "due", Idle: true, Due: true}, {VM: "s", Idle: true}}},
+	})
+	assert.DeepEqual(t, moves, []schedule.Move{{VM: "s", To: "press"}, {VM: "due", To: "burst"}})
+}
+
+// Guards against a wave that takes room from a burst at its start, and against tasks that last being moved late.
+func TestPlanMaintenanceWhileServersAreScarce(t *testing.T) {
+	wave := schedule.Maintenance{
+		VMs:    []schedule.MaintenanceVM{{VM: "busy", Running: 5}, {VM: "press", Running: 3, Lasting: true}},
+		AtOnce: 2, Within: 20 * time.Second, Duration: 2 * time.Second, Scarce: true,
+	}
+	wave.TimeLeft = wave.Within
+	early := schedule.PlanMaintenance(wave)
+	assert.Equal(t, len(early.Empty), 0)
+	assert.DeepEqual(t, early.Relieve, []string{"press"})
+	wave.TimeLeft = wave.Within / 2
+	assert.Equal(t, len(schedule.PlanMaintenance(wave).Empty), 2)
+}
+
 // Guards against a pool that grows all through its turn, because what arrives is added to what runs while as much ends.
 func TestPlanMovesInTheMiddleOfATurn(t *testing.T) {
 	spare := schedule.Pool{Name: "spare", Spare: true}
