Look more often at servers where a task that lasts starts

Cause: TestWaveIsInTimeBesideTasksThatLast was late by one VM in some runs. The next task of a step may move once the one before is at work, which a report tells; servers wait 1.2 s with it.

Change: a look waits 0.2 s while a task that lasts starts on the server.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -23,9 +23,11 @@
 	// leaseSlack covers the rounding of times to milliseconds.
 	leaseSlack = 100 * time.Millisecond
 
-	lookWait  = 1200 * time.Millisecond // how long a server waits for an end before it answers
-	lookPause = 50 * time.Millisecond   // gathers ends: the shortest time between two looks at a server
-	lookRetry = 300 * time.Millisecond  // after a look that failed
+	lookWait = 1200 * time.Millisecond // how long a server waits for an end before it answers
+	// startupWait replaces lookWait while a task that lasts starts: the next one of its step may move once it is at work.
+	startupWait = 200 * time.Millisecond
+	lookPause   = 50 * time.Millisecond  // gathers ends: the shortest time between two looks at a server
+	lookRetry   = 300 * time.Millisecond // after a look that failed
 
 	// placePausePerServer spaces placements, so that a large fleet costs its controller no more than a small one.
 	placePausePerServer = 80 * time.Microsecond
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -177,6 +177,16 @@
 	return false
 }
 
+// startingLasting reports whether a task that lasts isn't at work yet on the server.
+func (v *server) startingLasting() bool {
+	for _, a := range v.attempts {
+		if a.task.step.spec.LongRunning() && a.phase != storing && !a.stopWanted && a.percent < 100 {
+			return true
+		}
+	}
+	return false
+}
+
 // load returns what runs and waits of a job, and what of that runs and will end, in servers of the given capacity.
 func (j *job) load(capacity workload.Resources) (total, running float64) {
 	for occurrence := range j.made {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -82,6 +82,9 @@
 		s.sequence++
 		v.looking, v.sequence, v.lookSent = true, s.sequence, now
 		order := backend.LookOrder{Token: s.Token, Noted: v.noted, Wait: lookWait}
+		if v.startingLasting() {
+			order.Wait = startupWait
+		}
 		if !v.confirmed || v.missed > 0 || v.seen > v.noted {
 			order.Wait = 0
 		}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -44,7 +44,7 @@
 	servers     map[string]*server
 	customers   map[string]workload.Resources // what customers have running
 	waves       map[string]*wave
-	due         map[string]bool // VMs that wait for their maintenance
+	due         map[string]bool  // VMs that wait for their maintenance
 	moves       map[string]*move // by VM
 	poolsLogged time.Time
 	scarce      bool                 // a pool lacks servers
