--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -11,6 +11,7 @@
 	// slowTermInterval is for VMs with little processor time: many of them are in a large fleet, and others go first.
 	slowTermInterval = time.Second
 	tickInterval     = 100 * time.Millisecond
+	loadReads        = 24 // at a time when control begins, of the 64 connections to the store
 	loadTries        = 3 // of a read when control begins, before another entry VM may try
 
 	preferenceStep = 150 * time.Millisecond // by which VMs with less processor time take over later
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -270,11 +270,12 @@
 	c.vm.tasks.Go(func() error { return f.run(c.ctx) })
 }
 
-// readParts reads all parts of a table of jobs at the same time, and returns the version that all are at least as new as.
+// readParts reads all parts of a table of jobs, and returns the version that all are at least as new as.
 func (c *controller) readParts(prefix string) ([]provider.Row, uint64, error) {
 	var rows [intake.Parts][]provider.Row
 	var versions [intake.Parts]uint64
 	reads, _ := group.New(c.ctx)
+	reads.SetLimit(loadReads)
 	for part := range intake.Parts {
 		reads.Go(func() (err error) {
 			rows[part], versions[part], err = c.scan(c.vm.jobTable(part), prefix)
--- a/group/group.go
+++ b/group/group.go
@@ -18,6 +18,9 @@
 	return &Group{tasks: tasks}, ctx
 }
 
+// SetLimit bounds the goroutines of the group that run at a time. Go waits while there are as many.
+func (g *Group) SetLimit(n int) { g.tasks.SetLimit(n) }
+
 // Go starts fn in a goroutine of the group.
 func (g *Group) Go(fn func() error) { g.tasks.Go(fn) }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -19,8 +19,9 @@
 )
 
 // Parts is the number of parts of the store that jobs are spread over. A part applies its transactions one after
-// another: about 150 a second, and two a second while the store is at its slowest.
-const Parts = 32
+// another: about 150 a second, and two a second while the store is at its slowest. Then the parts together still take a
+// burst of 150 jobs a second.
+const Parts = 128
 
 // Prefixes of the rows that intake writes.
 const (
