Tell a slow store from a silent one

The age of the configuration counts from when it was asked for; an answer that waits 0.5 s for a change and takes 0.25 s more is up to 1.5 s old when the next one arrives, over the limit of 1.3 s.

Change: silence counts from the last answer.

--- a/deployment/operators.go
+++ b/deployment/operators.go
@@ -22,7 +22,7 @@
 		whole: feed.Read,
 		take: func(rows []provider.Row, asked time.Time) {
 			v.takeOperations(rows)
-			v.directory.Confirm(asked)
+			v.directory.Confirm(asked, v.Timer.Now())
 		},
 	}
 	return f.run(ctx)
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -124,10 +124,10 @@
 	return nil
 }
 
-// Ready reports whether new connections are welcome: the configuration is known to be recent, and no stop has begun.
+// Ready reports whether new connections are welcome: the store was heard of lately, and no stop has begun.
 func (v *VM) Ready() bool {
-	snapshot, asOf := v.directory.Snapshot()
-	return snapshot != nil && !v.stopping.Load() && v.Timer.Now().Sub(asOf) < storeSilence
+	snapshot, _ := v.directory.Snapshot()
+	return snapshot != nil && !v.stopping.Load() && v.Timer.Now().Sub(v.directory.Heard()) < storeSilence
 }
 
 // Drain starts a planned stop: control is given up, and customers are served until the grace period is nearly over.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -129,8 +129,8 @@
 		return Pass{}, d.refuse(c, "no-configuration", 0)
 	}
 	age := d.Timer.Now().Sub(asOf)
-	// Every call needs the store, and the caller may reach another entry VM that it answers.
-	if age > d.StoreSilence {
+	// Every call needs the store, and the caller may reach another entry VM that it answers. A slow store isn't silent.
+	if d.Timer.Now().Sub(d.Directory.Heard()) > d.StoreSilence {
 		return Pass{}, d.refuse(c, "store-silent", age)
 	}
 	queue, found := snapshot.Match(c.Host, c.Path)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -40,7 +40,7 @@
 			{Name: "open", Host: "h", Prefix: "/p/open/", Pool: "press", Open: true},
 		},
 		[]directory.Customer{{Name: "label", Keys: []string{"key"}}}, nil, 0))
-	current.Confirm(now.Add(-age))
+	current.Confirm(now.Add(-age), now.Add(-age))
 	table := &script{outcomes: outcomes}
 	d := &intake.Desk{
 		Directory: current, Control: table, Timer: timer.System{}, Scope: tally.NoopScope,
@@ -121,3 +121,23 @@
 		assert.Equal(t, kind(outcome), c.want, name)
 	}
 }
+
+// Guards against a slow store that is taken for a silent one: its answer tells of a configuration that was read long
+// before it arrives.
+func TestAdmitGoesOnWhileTheStoreIsSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		asOf, heard time.Duration // ago
+		refused     bool
+	}{
+		"slow":   {3 * time.Second, 0, false},
+		"silent": {3 * time.Second, time.Second, true},
+	} {
+		d, _ := newDesk(time.Minute)
+		d.StoreSilence = 500 * time.Millisecond
+		now := d.Timer.Now()
+		d.Directory.Confirm(now.Add(-c.asOf), now.Add(-c.heard))
+		_, outcome := d.Admit(intake.Call{Host: "h", Path: "/p/1", Key: "key"})
+		_, refused := outcome.(intake.Refused)
+		assert.Equal(t, refused, c.refused, name)
+	}
+}
