--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -7,12 +7,9 @@
 	feedPause    = 30 * time.Millisecond  // gathers jobs that arrive together
 	feedRetry    = 250 * time.Millisecond // after a read that failed
 	serversPause = 300 * time.Millisecond // registrations change with each heartbeat, so they are read in batches
-	termInterval = 200 * time.Millisecond // between two readings of the term row
-	// slowTermInterval is for VMs with little processor time: many of them are in a large fleet, and others go first.
-	slowTermInterval = time.Second
-	tickInterval     = 100 * time.Millisecond
-	loadReads        = 24 // at a time when control begins, of the 64 connections to the store
-	loadTries        = 3 // of a read when control begins, before another entry VM may try
+	tickInterval = 100 * time.Millisecond
+	loadReads    = 24 // at a time when control begins, of the 64 connections to the store
+	loadTries    = 3  // of a read when control begins, before another entry VM may try
 
 	preferenceStep = 150 * time.Millisecond // by which VMs with less processor time take over later
 	fullProcessor  = 0.8                    // of a core: VMs with as much take over first
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -117,50 +117,91 @@
 	}
 }
 
+// stored is what earlier controllers and entry VMs stored.
+type stored struct {
+	progress    map[string]workload.Progress
+	jobs        []provider.Row
+	cancels     []provider.Row
+	waves       []provider.Row
+	vmOrders    []provider.Row
+	operations  []provider.Row
+	jobsFrom    uint64 // the version to follow changes of jobs from
+	cancelsFrom uint64
+}
+
 // load reads what earlier controllers stored, and starts to follow what changes.
 func (c *controller) load() error {
 	began := c.vm.Timer.Now()
 	c.state.Begin(began)
-	progress := make(map[string]workload.Progress)
-	rows, _, err := c.scan(c.vm.control, fleet.ProgressPrefix)
+	s, err := c.readStored()
 	if err != nil {
 		return err
 	}
-	for _, row := range rows {
-		p, err := workload.DecodeProgress(row.Value())
-		if err != nil {
-			return errors.WithMessage(err, row.Key())
-		}
-		progress[row.Key()[len(fleet.ProgressPrefix):]] = p
+	var cancels []string
+	for _, row := range s.cancels {
+		cancels = append(cancels, row.Key()[len(intake.CancelPrefix):])
 	}
-	jobs, cancels, jobsFrom, cancelsFrom, err := c.loadJobs(progress)
-	if err != nil {
-		return err
+	for _, row := range s.vmOrders {
+		c.state.RestoreVMOrders(row)
 	}
-	waves, _, err := c.scan(c.vm.control, fleet.WavesPrefix)
-	if err != nil {
-		return err
+	c.takeOperations(s.operations)
+	open := c.state.Restore(c.openJobs(s), s.progress, s.waves, c.vm.Timer.Now())
+	for _, id := range cancels {
+		c.state.Handle(fleet.CancelArrived{ID: id}, c.vm.Timer.Now())
 	}
+	klog.InfoS("Control begins", "vm", c.vm.Settings.Name(), "token", c.token, "open-jobs", open,
+		"stored-jobs", len(s.progress), "took", c.vm.Timer.Now().Sub(began))
+	c.follow(s.jobsFrom, s.cancelsFrom)
+	return nil
+}
+
+// readStored reads all tables at the same time, as nothing starts until they are read.
+func (c *controller) readStored() (*stored, error) {
+	s := &stored{}
+	reads, _ := group.New(c.ctx)
+	reads.Go(func() (err error) {
+		s.progress, err = c.readProgress()
+		return err
+	})
+	reads.Go(func() (err error) {
+		s.jobs, s.jobsFrom, err = c.readParts(intake.JobPrefix)
+		return err
+	})
+	reads.Go(func() (err error) {
+		s.cancels, s.cancelsFrom, err = c.readParts(intake.CancelPrefix)
+		return err
+	})
+	reads.Go(func() (err error) {
+		s.waves, _, err = c.scan(c.vm.control, fleet.WavesPrefix)
+		return err
+	})
+	reads.Go(func() (err error) {
+		s.operations, _, err = c.vm.feed(platform.OperatorTable).Read()
+		return err
+	})
 	if c.before != "" && c.before != c.vm.Settings.Name() {
-		orders, _, err := c.scan(c.vm.control, fleet.VMOrdersKey)
-		if err != nil {
+		reads.Go(func() (err error) {
+			s.vmOrders, _, err = c.scan(c.vm.control, fleet.VMOrdersKey)
 			return err
-		}
-		for _, row := range orders {
-			c.state.RestoreVMOrders(row)
-		}
+		})
 	}
-	if err := c.loadOperations(); err != nil {
-		return err
+	return s, reads.Wait()
+}
+
+func (c *controller) readProgress() (map[string]workload.Progress, error) {
+	progress := make(map[string]workload.Progress)
+	rows, _, err := c.scan(c.vm.control, fleet.ProgressPrefix)
+	if err != nil {
+		return nil, err
 	}
-	open := c.state.Restore(jobs, progress, waves, c.vm.Timer.Now())
-	for _, id := range cancels {
-		c.state.Handle(fleet.CancelArrived{ID: id}, c.vm.Timer.Now())
+	for _, row := range rows {
+		p, err := workload.DecodeProgress(row.Value())
+		if err != nil {
+			return nil, errors.WithMessage(err, row.Key())
+		}
+		progress[row.Key()[len(fleet.ProgressPrefix):]] = p
 	}
-	klog.InfoS("Control begins", "vm", c.vm.Settings.Name(), "token", c.token, "open-jobs", open,
-		"stored-jobs", len(progress), "took", c.vm.Timer.Now().Sub(began))
-	c.follow(jobsFrom, cancelsFrom)
-	return nil
+	return progress, nil
 }
 
 func (c *controller) scan(t *platform.Table, prefix string) ([]provider.Row, uint64, error) {
@@ -177,32 +218,20 @@
 	}
 }
 
-// loadJobs reads the jobs that aren't over and the wishes to cancel, and the versions to follow their changes from.
-func (c *controller) loadJobs(progress map[string]workload.Progress) (
-	jobs []*workload.Job, cancels []string, jobsFrom, cancelsFrom uint64, err error,
-) {
-	rows, jobsFrom, err := c.readParts(intake.JobPrefix)
-	if err != nil {
-		return nil, nil, 0, 0, err
-	}
-	for _, row := range rows {
+// openJobs returns the stored jobs that aren't over, and takes note of all.
+func (c *controller) openJobs(s *stored) []*workload.Job {
+	var jobs []*workload.Job
+	for _, row := range s.jobs {
 		id := row.Key()[len(intake.JobPrefix):]
 		c.known[id] = true
-		if p, known := progress[id]; known && p.State.Final() && len(p.Tasks) == 0 {
+		if p, known := s.progress[id]; known && p.State.Final() && len(p.Tasks) == 0 {
 			continue
 		}
 		if job := decodeJob(row); job != nil {
 			jobs = append(jobs, job)
 		}
 	}
-	rows, cancelsFrom, err = c.readParts(intake.CancelPrefix)
-	if err != nil {
-		return nil, nil, 0, 0, err
-	}
-	for _, row := range rows {
-		cancels = append(cancels, row.Key()[len(intake.CancelPrefix):])
-	}
-	return jobs, cancels, jobsFrom, cancelsFrom, nil
+	return jobs
 }
 
 func decodeJob(row provider.Row) *workload.Job {
@@ -214,12 +243,8 @@
 	return job
 }
 
-// loadOperations reads what operators asked for before this term.
-func (c *controller) loadOperations() error {
-	rows, _, err := c.vm.feed(platform.OperatorTable).Read()
-	if err != nil {
-		return err
-	}
+// takeOperations takes in what operators asked for before this term.
+func (c *controller) takeOperations(rows []provider.Row) {
 	for _, row := range rows {
 		o, err := platform.DecodeOperation(row)
 		if err != nil {
@@ -230,7 +255,6 @@
 			c.post(fleet.OperationArrived{Operation: o})
 		}
 	}
-	return nil
 }
 
 // follow reads the changes of jobs, cancellations and registrations.
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -15,10 +15,10 @@
 
 // watchTerm reads the term row and takes control when nobody has it.
 func (v *VM) watchTerm(ctx context.Context) error {
-	watch := fleet.Watch{Self: v.Settings.Name(), Preference: v.preference()}
+	watch := v.newWatch()
 	reachable := true
 	for ctx.Err() == nil {
-		timer.Wait(ctx, v.Timer, v.termInterval())
+		timer.Wait(ctx, v.Timer, watch.Pause(v.Timer.Now()))
 		if v.stopping.Load() || v.controller.Load() != nil {
 			continue
 		}
@@ -36,17 +36,16 @@
 			continue
 		}
 		if c := v.takeControl(ctx, term, now); c != nil {
-			watch = fleet.Watch{Self: v.Settings.Name(), Preference: v.preference()}
+			watch = v.newWatch()
 		}
 	}
 	return nil
 }
 
-func (v *VM) termInterval() time.Duration {
-	if v.Settings.Processors() < slowProcessor {
-		return slowTermInterval
+func (v *VM) newWatch() fleet.Watch {
+	return fleet.Watch{
+		Self: v.Settings.Name(), Preference: v.preference(), Slow: v.Settings.Processors() < slowProcessor,
 	}
-	return termInterval
 }
 
 // preference spreads take-overs, so that VMs with much processor time go first and not all try at once.
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -5,13 +5,19 @@
 const (
 	// ShortTerm is how long an entry VM stays in control after it asked the store to renew its term, while the store
 	// answers quickly. It bounds the time until another entry VM takes over.
-	ShortTerm = 1500 * time.Millisecond
+	ShortTerm = time.Second
 	// LongTerm holds while the store is slow: it covers two renewals that take as long as its slowest answers.
 	LongTerm = 3500 * time.Millisecond
 	// slowRenewal is the time of a renewal from which on terms are long.
 	slowRenewal = 250 * time.Millisecond
 	// renewInterval leaves three renewals for a short term.
-	renewInterval = 400 * time.Millisecond
+	renewInterval = 250 * time.Millisecond
+	// watchInterval is the time between two readings of the term row, slowWatchInterval that of VMs with little processor
+	// time: many of them are in a large fleet, and others go first. A row that is older than half of its term is read
+	// every closeWatchInterval, as a renewal is missing.
+	watchInterval      = 200 * time.Millisecond
+	slowWatchInterval  = time.Second
+	closeWatchInterval = 50 * time.Millisecond
 
 	// workLease is how long a backend server works on without word from an entry VM. It covers a term and the time that
 	// a new controller needs to read the store; what an unreachable server runs is started elsewhere only after it.
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -62,6 +62,8 @@
 	Preference time.Duration
 	// Self names the entry VM. A term that an earlier process of it held is over: that process has ended.
 	Self string
+	// Slow watches read the row less often.
+	Slow bool
 
 	term  Term
 	since time.Time
@@ -92,3 +94,17 @@
 	}
 	return now.Sub(w.since) >= w.term.Duration()+leaseSlack+w.Preference
 }
+
+// Pause returns how long to wait before the row is read again.
+//
+// Load pattern: the controller is cut off or loses power at the peak of a burst, and nothing starts until another entry
+// VM has control. The row is read often only while a renewal is missing.
+func (w *Watch) Pause(now time.Time) time.Duration {
+	if w.known && w.term.Holder != "" && now.Sub(w.since) >= w.term.Duration()/2 {
+		return closeWatchInterval
+	}
+	if w.Slow {
+		return slowWatchInterval
+	}
+	return watchInterval
+}
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -117,3 +117,27 @@
 	r.pass(time.Second)
 	assert.Equal(t, len(r.starts()), 0)
 }
+
+// Load pattern: the controller loses power at the peak of a burst. Guards against a take-over that takes longer than the
+// term and the pauses of a close watch, against one while renewals arrive, and against reading the row often all the time.
+func TestWatchNoticesAMissingRenewal(t *testing.T) {
+	w := fleet.Watch{Self: "b"}
+	start := time.Unix(1_000_000, 0)
+	const lastRenewal = 5 * time.Second
+	reads := 0
+	for now := start; ; now = now.Add(w.Pause(now)) {
+		reads++
+		renewals := min(now.Sub(start), lastRenewal) / (300 * time.Millisecond)
+		w.Observe(fleet.Term{
+			Holder: "a", Renewals: int64(renewals), DurationMS: fleet.ShortTerm.Milliseconds(),
+		}.WithVersion(uint64(renewals+1)), now)
+		if !w.Due(now) {
+			continue
+		}
+		silent := now.Sub(start) - lastRenewal
+		assert.Assert(t, silent > 500*time.Millisecond, "taken %v after the last renewal", silent)
+		assert.Assert(t, silent <= 1300*time.Millisecond, "taken %v after the last renewal", silent)
+		assert.Assert(t, reads <= 50, "%d reads", reads)
+		return
+	}
+}
