Let tasks that last share servers

Tasks of two jobs were spread over racks, each job on servers of its own.

Change: a task that lasts goes to a server that has others, then to the rack with the fewest of its step.

--- a/fleet/place.go
+++ b/fleet/place.go
@@ -103,7 +103,7 @@
 	p.servers = append(p.servers, v)
 	p.views = append(p.views, schedule.Server{
 		ID: v.id, Zone: v.reg.Zone, Rack: v.reg.Rack, Kind: v.reg.Kind, Capacity: v.reg.Capacity,
-		Free: v.reg.Capacity.Minus(v.reserved), Failures: v.failures, Leaving: v.due,
+		Free: v.reg.Capacity.Minus(v.reserved), Failures: v.failures, Leaving: v.due, Lasting: v.lasting(),
 	})
 }
 
@@ -148,7 +148,7 @@
 			break
 		}
 		s.assign(t, p, i, t.record.LastRun+1, now)
-		p.count(i)
+		p.count(i, st)
 		placed++
 	}
 	return placed
@@ -193,8 +193,9 @@
 }
 
 // count adds a task of the step at hand to a server.
-func (p *pool) count(i int) {
+func (p *pool) count(i int, st *step) {
 	p.views[i].SameStep++
+	p.views[i].Lasting = p.views[i].Lasting || st.spec.LongRunning()
 	for k := range p.views {
 		if p.views[k].Rack == p.views[i].Rack {
 			p.views[k].RackSameStep++
@@ -276,7 +277,7 @@
 			return 0
 		}
 		p.views[i].Free = p.views[i].Free.Minus(st.spec.Reserves())
-		p.count(i)
+		p.count(i, st)
 		chosen = append(chosen, i)
 	}
 	p.views = before
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -19,6 +19,8 @@
 	Failures int
 	// Avoid tells that the task failed there before.
 	Avoid bool
+	// Lasting tells that the server has tasks that last.
+	Lasting bool
 	// Interference is the number of runs there that the task would disturb or be disturbed by.
 	Interference int
 }
@@ -69,6 +71,9 @@
 	if step.SameRack() && a.RackSameStep != b.RackSameStep {
 		return a.RackSameStep > b.RackSameStep
 	}
+	if step.LongRunning() && a.Lasting != b.Lasting {
+		return a.Lasting
+	}
 	if step.LongRunning() && a.RackSameStep != b.RackSameStep {
 		return a.RackSameStep < b.RackSameStep
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -27,6 +27,8 @@
 	used.SameStep = 1
 	failed := server("failed", 2500)
 	failed.Avoid = true
+	lasting := server("lasting", 6000)
+	lasting.Lasting, lasting.RackSameStep = true, 1
 	for name, c := range map[string]struct {
 		step    workload.Step
 		servers []schedule.Server
@@ -39,6 +41,10 @@
 		"near its data":    {with(func(o *workload.StepOptions) { o.DataRack = "r-a" }), []schedule.Server{server("b", 2500), server("a", 8000)}, 1},
 		"not where failed": {workload.NewStep(two), []schedule.Server{failed, server("a", 8000)}, 1},
 		"filler":           {with(func(o *workload.StepOptions) { o.Filler = true }), []schedule.Server{server("a", 1)}, 0},
+		"beside others that last": {
+			with(func(o *workload.StepOptions) { o.LongRunning = true }),
+			[]schedule.Server{server("empty", 8000), lasting}, 1,
+		},
 	} {
 		assert.Equal(t, schedule.Choose(c.step, c.servers), c.want, name)
 	}
