--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -42,7 +42,8 @@
 func (s *State) endJob(j *job, state workload.JobState, reason string) {
 	j.state = state
 	s.change(j)
-	klog.InfoS("Job ended", "job", j.spec.ID(), "state", state, "reason", reason, "running", j.live)
+	klog.InfoS("Job ended", "job", j.spec.ID(), "state", state, "reason", reason, "running", j.live,
+		"took", s.now.Sub(j.submitted), "objective", j.objective)
 	for _, t := range j.tasks {
 		for _, a := range t.attempts {
 			s.wantStop(a, reason)
