Grow pools by arrivals beyond departures, and keep tasks that last off VMs that are due

Of each step only what runs was taken off the arrivals, but what has just started ends a second later. Besides, a task that was moved for maintenance came back to a VM that was due, as others had no room at that moment, and moved again.

Ruled out: a slow controller (its log goes on every 0.1 s), slow moves (1.8 s from order to registration).

Change: pools grow by the rate of arrivals beyond that of work done, measured alike. Scarce counts servers in service, not those on their way. A task that lasts waits for a VM that isn't due if one would have room once other work ends. The pool line tells rates, what is wanted, and what is short.

--- a/fleet/arrivals.go
+++ b/fleet/arrivals.go
@@ -7,26 +7,36 @@
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
-// arrivalMemory is the time constant of the rate of arrivals: a burst shows within half a second, and single jobs
-// don't look like one.
-const arrivalMemory = 500 * time.Millisecond
+// rateMemory is the time constant of rates of work: a burst shows within half a second, and single jobs don't look like
+// one.
+const rateMemory = 500 * time.Millisecond
 
-// arrivals is the rate at which work for a pool arrives, in servers: seconds of work of a whole server a second.
-type arrivals struct {
+// workRate is the rate at which work of a pool arrives or is done, in servers: seconds of work of a whole server a second.
+type workRate struct {
 	value float64
 	at    time.Time
 }
 
-func (a *arrivals) add(work float64, now time.Time) {
-	a.value = a.rate(now) + work/arrivalMemory.Seconds()
-	a.at = now
+func (r *workRate) add(work float64, now time.Time) {
+	r.value = r.rate(now) + work/rateMemory.Seconds()
+	r.at = now
 }
 
-func (a *arrivals) rate(now time.Time) float64 {
-	if a == nil {
+func (r *workRate) rate(now time.Time) float64 {
+	if r == nil {
 		return 0
 	}
-	return a.value * math.Exp(-now.Sub(a.at).Seconds()/arrivalMemory.Seconds())
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateMemory.Seconds())
+}
+
+// workRates are rates by pool.
+type workRates map[string]*workRate
+
+func (r workRates) add(pool string, work float64, now time.Time) {
+	if r[pool] == nil {
+		r[pool] = &workRate{}
+	}
+	r[pool].add(work, now)
 }
 
 // arrived counts a new job towards the arrivals of its pool.
@@ -35,10 +45,25 @@
 		return
 	}
 	pool := s.poolOf(j)
-	if s.arrivals[pool] == nil {
-		s.arrivals[pool] = &arrivals{}
+	s.arrivals.add(pool, j.work(s.capacityOf(pool)), now)
+}
+
+// worked counts a task that is done towards the work done in its pool.
+func (s *State) worked(t *task) {
+	if t.job.spec.Lasting() || t.job.spec.Scheduled() {
+		return
 	}
-	s.arrivals[pool].add(j.work(s.capacityOf(pool)), now)
+	pool := s.poolOf(t.job)
+	s.departures.add(pool, t.step.taskWork(s.capacityOf(pool)), s.now)
+}
+
+// dropped counts what is left of a job that ends early as if it were done.
+func (s *State) dropped(j *job) {
+	if j.spec.Lasting() || j.spec.Scheduled() {
+		return
+	}
+	pool := s.poolOf(j)
+	s.departures.add(pool, j.work(s.capacityOf(pool)), s.now)
 }
 
 // capacityOf returns the capacity of a VM of a pool.
@@ -57,8 +82,13 @@
 	for occurrence := range j.made {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
-			total += float64(st.left) * st.spec.Reserves().ShareOf(capacity) * st.spec.Estimate().Seconds()
+			total += float64(st.left) * st.taskWork(capacity)
 		}
 	}
 	return total
 }
+
+// taskWork is the declared work of a task.
+func (st *step) taskWork(capacity workload.Resources) float64 {
+	return st.spec.Reserves().ShareOf(capacity) * st.spec.Estimate().Seconds()
+}
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -42,6 +42,7 @@
 func (s *State) endJob(j *job, state workload.JobState, reason string) {
 	j.state = state
 	s.change(j)
+	s.dropped(j)
 	klog.InfoS("Job ended", "job", j.spec.ID(), "state", state, "reason", reason, "running", j.live,
 		"took", s.now.Sub(j.submitted), "objective", j.objective)
 	for _, t := range j.tasks {
@@ -75,6 +76,7 @@
 	}
 	t.record.Done = true
 	t.record.Checkpoint = ""
+	s.worked(t)
 	t.step.left--
 	if len(t.attempts) == 0 {
 		t.step.idle--
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -54,7 +54,8 @@
 			}
 		}
 		klog.InfoS("Pool", "pool", p.Name, "servers", len(p.Servers), "joining", p.Joining, "idle", idle,
-			"load", math.Round(p.Load*10)/10, "lasting", p.Lasting, "over-limit", s.overLimit[p.Name])
+			"load", math.Round(p.Load*10)/10, "lasting", p.Lasting, "over-limit", s.overLimit[p.Name], "short", p.Short,
+			"want", p.Want(), "arriving", math.Round(p.Arriving), "departing", math.Round(p.Departing))
 	}
 }
 
@@ -116,13 +117,11 @@
 	for _, j := range s.jobs {
 		pool := s.poolOf(j)
 		if p, known := byName[pool]; known && !j.state.Final() {
-			load, running := j.load(capacity[pool])
-			p.Load += load
-			p.Running += running
+			p.Load += j.load(capacity[pool])
 		}
 	}
 	for name, p := range byName {
-		p.Arriving = s.arrivals[name].rate(now)
+		p.Arriving, p.Departing = s.arrivals[name].rate(now), s.departures[name].rate(now)
 		p.Short = s.short[name]
 	}
 	pools := make([]schedule.Pool, 0, len(names))
@@ -187,22 +186,18 @@
 	return false
 }
 
-// load returns what runs and waits of a job, and what of that runs and will end, in servers of the given capacity.
-func (j *job) load(capacity workload.Resources) (total, running float64) {
+// load returns what runs and waits of a job, in servers of the given capacity.
+func (j *job) load(capacity workload.Resources) float64 {
+	total := 0.0
 	for occurrence := range j.made {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
-			if st.left == 0 || !j.mayStart(occurrence, st) {
-				continue
-			}
-			each := st.spec.Reserves().ShareOf(capacity)
-			total += float64(st.left) * each
-			if !st.spec.LongRunning() {
-				running += float64(st.left-st.idle) * each
+			if st.left > 0 && j.mayStart(occurrence, st) {
+				total += float64(st.left) * st.spec.Reserves().ShareOf(capacity)
 			}
 		}
 	}
-	return total, running
+	return total
 }
 
 // planMove asks for a move. Its order is sent once the intent is stored.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -140,6 +140,9 @@
 		}
 		p.avoid(t)
 		i := schedule.Choose(st.spec, p.views)
+		if i >= 0 && st.spec.LongRunning() && p.views[i].Leaving && s.fitsElsewhere(st, p.servers[i], now) {
+			i = -1 // it would have to move again
+		}
 		if i < 0 {
 			if st.spec.LongRunning() {
 				p.reserve(st.spec)
@@ -215,11 +218,12 @@
 	return n
 }
 
-// reserve keeps room for a task that lasts and doesn't fit yet, on the server that has the most.
+// reserve keeps room for a task that lasts and doesn't fit yet, on the server that has the most, but on none that is due
+// for maintenance.
 func (p *pool) reserve(spec workload.Step) {
 	best := -1
 	for i := range p.views {
-		if !spec.Reserves().FitsIn(p.views[i].Capacity) || (spec.PerServer() > 0 && p.views[i].SameStep >= spec.PerServer()) {
+		if p.views[i].Leaving || !spec.Reserves().FitsIn(p.views[i].Capacity) || (spec.PerServer() > 0 && p.views[i].SameStep >= spec.PerServer()) {
 			continue
 		}
 		if best < 0 || p.views[i].Free.MilliCores() > p.views[best].Free.MilliCores() {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -47,8 +47,9 @@
 	due         map[string]bool  // VMs that wait for their maintenance
 	moves       map[string]*move // by VM
 	poolsLogged time.Time
-	scarce      bool                 // a pool lacks servers
-	arrivals    map[string]*arrivals // of work, by pool
+	scarce      bool      // a pool lacks servers
+	arrivals    workRates // of work, by pool
+	departures  workRates // of work that is done, by pool
 	vmOrders    []vmOrder
 	ordered     map[string]time.Time // VMs ordered lately, and when
 	// pausedUntil tells when VMs that the controller before ordered lately may be ordered again.
@@ -105,7 +106,7 @@
 	s.vms = make(map[string]backend.VM)
 	s.overLimit = make(map[string]int)
 	s.short = make(map[string]int)
-	s.arrivals = make(map[string]*arrivals)
+	s.arrivals, s.departures = make(workRates), make(workRates)
 	s.ordered = make(map[string]time.Time)
 	s.pausedUntil = make(map[string]time.Time)
 	s.statusKnown = make(map[string]int)
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -270,7 +270,7 @@
 		if !a.task.step.spec.LongRunning() || a.stopWanted || !s.mayMiss(a) {
 			continue
 		}
-		if !s.fitsElsewhere(a, now) {
+		if !s.fitsElsewhere(a.task.step, v, now) {
 			s.short[v.reg.Pool]++
 			continue
 		}
@@ -280,11 +280,10 @@
 
 // fitsElsewhere reports whether a server of the pool that isn't due for maintenance has room for a task that lasts once
 // other tasks there have ended: tasks that last are placed before these.
-func (s *State) fitsElsewhere(a *attempt, now time.Time) bool {
-	st := a.task.step
+func (s *State) fitsElsewhere(st *step, than *server, now time.Time) bool {
 	p := &pool{}
 	for _, v := range s.allServers() {
-		if v != a.server && v.reg.Pool == a.server.reg.Pool && !v.due && s.takesWork(v, now) {
+		if v != than && v.reg.Pool == than.reg.Pool && !v.due && s.takesWork(v, now) {
 			p.add(v)
 			p.views[len(p.views)-1].Free = v.reg.Capacity.Minus(v.lastingReserved())
 		}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,9 +26,12 @@
 	started int
 	ended   int
 
-	held       bool // commits get no outcome
+	held       bool                 // commits get no outcome
+	ends       map[string]time.Time // when the end of a job was stored
+	submitted  map[string]time.Time
 	vms        map[string]*worldVM
 	stops      int
+	moves      int
 	away       map[int]int          // the most tasks of a step that were away because of a stop, by job number
 	maintained map[string]time.Time // when the maintenance of a VM began
 	killed     int                  // runs that ended with their server
@@ -66,11 +70,13 @@
 	return last
 }
 
+const sparePool = "spare"
+
 func newWorld(servers, pools int) *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), version: 10, servers: make(map[string]*worldServer),
 		random: rand.New(rand.NewPCG(1, 2)), vms: make(map[string]*worldVM), away: make(map[int]int),
-		maintained: make(map[string]time.Time),
+		maintained: make(map[string]time.Time), ends: make(map[string]time.Time), submitted: make(map[string]time.Time),
 	}
 	w.state = &fleet.State{
 		Self: "entry", Token: 10, TermSent: w.now, Term: fleet.Term{Holder: "entry", DurationMS: 1500}.WithVersion(10),
@@ -84,6 +90,7 @@
 		queues = append(queues, directory.Queue{Name: name, Pool: name, Attempts: 3})
 		named = append(named, directory.Pool{Name: name})
 	}
+	named = append(named, directory.Pool{Name: sparePool, Spare: true})
 	w.state.Handle(fleet.OperationArrived{Operation: directory.Configured{
 		Snapshot: directory.NewSnapshot(1, queues, nil, named, 0),
 	}}, w.now)
@@ -117,10 +124,18 @@
 func (w *world) takeDown(name string, state backend.VMState, d time.Duration) {
 	vm := w.vms[name]
 	vm.state = state
-	w.killed += len(w.servers[vm.server].running)
-	delete(w.servers, vm.server)
-	w.state.Handle(fleet.ServerUnregistered{ID: vm.server}, w.now)
-	w.after(d, func() { w.boot(name) })
+	if s, up := w.servers[vm.server]; up {
+		w.killed += len(s.running)
+		delete(w.servers, vm.server)
+		w.state.Handle(fleet.ServerUnregistered{ID: vm.server}, w.now)
+	}
+	w.after(d, func() {
+		if vm.pool == sparePool {
+			vm.state, vm.server = backend.VMUp, ""
+			return
+		}
+		w.boot(name)
+	})
 }
 
 func (w *world) after(d time.Duration, run func()) { heap.Push(&w.due, dueEvent{w.now.Add(d), run}) }
@@ -158,6 +173,7 @@
 		}
 		w.after(15*time.Millisecond, func() {
 			w.version++
+			w.store(e.Transaction)
 			w.state.Handle(fleet.CommitEnded{Outcome: provider.NewCommitted(w.version)}, w.now)
 		})
 	case fleet.Look:
@@ -174,8 +190,9 @@
 		})
 	case fleet.MoveVM:
 		w.after(time.Millisecond, func() {
+			w.moves++
 			w.vms[e.VM].pool = e.Pool
-			w.takeDown(e.VM, backend.VMMoving, 1500*time.Millisecond)
+			w.takeDown(e.VM, backend.VMMoving, 1800*time.Millisecond) // with its registration
 			w.state.Handle(fleet.VMMoveEnded{VM: e.VM, Outcome: backend.Accepted{}}, w.now)
 		})
 	case fleet.ListVMs:
@@ -184,6 +201,22 @@
 	}
 }
 
+func (w *world) store(t provider.Transaction) {
+	for _, row := range t.Writes() {
+		id, isProgress := strings.CutPrefix(row.Key(), fleet.ProgressPrefix)
+		if !isProgress {
+			continue
+		}
+		p, err := workload.DecodeProgress(row.Value())
+		if err != nil {
+			panic(err)
+		}
+		if p.State.Final() && w.ends[id].IsZero() {
+			w.ends[id] = w.now
+		}
+	}
+}
+
 func (w *world) list() []backend.VM {
 	var list []backend.VM
 	for name, vm := range w.vms {
@@ -321,8 +354,8 @@
 
 const (
 	lastingSpecification = "lasts"
-	lastingTasks         = 16   // of a job that lasts
-	lastingFrom          = 1000 // the numbers of jobs that last
+	lastingTasks         = 16      // of a job that lasts
+	lastingFrom          = 1000000 // the numbers of jobs that last
 )
 
 func (w *world) isLasting(run backend.Run) bool {
@@ -336,7 +369,7 @@
 	}})
 }
 
-func (w *world) submitJob(n, pool int, specification string, steps []workload.StepOptions) {
+func (w *world) submitJob(n, pool int, specification string, steps []workload.StepOptions) time.Duration {
 	job, err := workload.NewJob(workload.JobOptions{
 		ID: fmt.Sprintf("%016x", n), Queue: fmt.Sprintf("pool-%d", pool), Pool: fmt.Sprintf("pool-%d", pool),
 		Attempts: 3, Stretch: 1.6, SlackMS: 600, Steps: steps, AcceptedMS: w.now.UnixMilli(),
@@ -345,7 +378,9 @@
 	if err != nil {
 		panic(err)
 	}
+	w.submitted[job.ID()] = w.now
 	w.state.Handle(fleet.JobArrived{Job: job}, w.now)
+	return job.Objective()
 }
 
 // BenchmarkControl plays ten seconds of the grown deployments: 350 servers, 60 jobs of 13 tasks a second by turns, more
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -37,8 +37,8 @@
 	Lasting int
 	// Short is the number of servers that tasks that last need, and that fit on none of the pool's.
 	Short int
-	// Arriving is the rate at which work arrives, and Running that at which it is done, in servers.
-	Arriving, Running float64
+	// Arriving is the rate at which work arrives, and Departing that at which it is done, in servers.
+	Arriving, Departing float64
 }
 
 // Move moves a VM to a pool.
@@ -47,13 +47,13 @@
 	To string
 }
 
-// want is the number of servers that a pool needs once a VM that is ordered now has joined it: until then the load grows
-// by what arrives beyond what is done.
-func (p *Pool) want() int {
+// Want is the number of servers that a pool needs once a VM that is ordered now has joined it: until then the load grows
+// by what arrives beyond what is done. While a burst rises, that is the work of as long as a task takes.
+func (p *Pool) Want() int {
 	if p.Spare {
 		return 0
 	}
-	load := (p.Load + max(p.Arriving-p.Running, 0)*moveLead.Seconds()) * poolHeadroom
+	load := (p.Load + max(p.Arriving-p.Departing, 0)*moveLead.Seconds()) * poolHeadroom
 	want := max(int(math.Ceil(load)), p.Lasting, poolMinimum)
 	if p.Short > 0 {
 		want = max(want, len(p.Servers)+p.Short)
@@ -75,7 +75,7 @@
 		if p.Spare && spare == "" {
 			spare = p.Name
 		}
-		want[i], have[i] = p.want(), len(p.Servers)+p.Joining
+		want[i], have[i] = p.Want(), len(p.Servers)+p.Joining
 	}
 	donors := listDonors(pools, want, have)
 	var moves []Move
@@ -105,10 +105,10 @@
 	return moves
 }
 
-// Scarce reports whether a pool has fewer servers than it needs.
+// Scarce reports whether a pool has fewer servers in service than it needs.
 func Scarce(pools []Pool) bool {
 	for i := range pools {
-		if p := &pools[i]; !p.Spare && p.want() > len(p.Servers)+p.Joining {
+		if p := &pools[i]; !p.Spare && p.Want() > len(p.Servers) {
 			return true
 		}
 	}
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -123,7 +123,7 @@
 			pools[0].Servers = append(pools[0].Servers, schedule.PoolServer{VM: fmt.Sprint("spare/", n), Idle: true})
 		}
 		for pool := range replayPools {
-			p := schedule.Pool{Name: fmt.Sprint(pool), Load: loads[pool], Arriving: arriving[pool], Running: min(loads[pool], servers[pool])}
+			p := schedule.Pool{Name: fmt.Sprint(pool), Load: loads[pool], Arriving: arriving[pool], Departing: min(loads[pool], servers[pool])}
 			for _, j := range coming {
 				if j.pool == pool {
 					p.Joining++
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -122,8 +122,8 @@
 		pool  schedule.Pool
 		moves int
 	}{
-		"as much ends as arrives": {schedule.Pool{Load: 100, Arriving: 95, Running: 98}, 0},
-		"the turn begins":         {schedule.Pool{Load: 100, Arriving: 95, Running: 80}, 30},
+		"as much ends as arrives": {schedule.Pool{Load: 100, Arriving: 95, Departing: 98}, 0},
+		"the turn begins":         {schedule.Pool{Load: 100, Arriving: 95, Departing: 80}, 30},
 	} {
 		c.pool.Name, c.pool.Servers = "press", busy
 		assert.Equal(t, len(schedule.PlanMoves([]schedule.Pool{c.pool, spare})), c.moves, name)
