Let late jobs that would soon be in vain go first, within a fifth of the room

Change: a late job whose last possible start is less than 1.5 s away goes before jobs that can be in time, the smallest first, up to a fifth of what the pool does in a second.

--- a/schedule/order.go
+++ b/schedule/order.go
@@ -3,6 +3,7 @@
 package schedule
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"strings"
@@ -35,11 +36,21 @@
 // lateFactor times the objective is when a job's benefit ends, by the users' rules.
 const lateFactor = 3
 
+const (
+	// rescueLead is how long before its last possible start a late job goes before jobs that can be in time: estimates
+	// are off by half, and a start takes a commit and an order.
+	rescueLead = 1500 * time.Millisecond
+	// rescueShare bounds the part of a second of a pool's work that such jobs take, so that late jobs don't make others
+	// late in turn.
+	rescueShare = 0.2
+)
+
 // class of a candidate. Lower goes first.
 type class int
 
 const (
 	classLasting class = iota
+	classRescue        // is late, and soon can't have any benefit
 	classInTime        // can be in time
 	classLate          // can have some benefit
 	classOver
@@ -49,12 +60,14 @@
 // second, in the unit of Candidate.Work: the number of its servers.
 //
 // It chooses as many jobs as can be in time together, then as many of the others as can have some benefit: in the order
-// of their deadlines, and whenever one would miss its own, the largest chosen one gives way.
+// of their deadlines, and whenever one would miss its own, the largest chosen one gives way. Late jobs that would soon
+// be in vain go first, within a share of the room: callers lose more by work that isn't served at all.
 func Order(candidates []Candidate, room float64, now time.Time) {
 	for i := range candidates {
 		candidates[i].class = startClass(&candidates[i])
 	}
-	used := choose(candidates, classInTime, 1, 0, room, now)
+	used := rescue(candidates, room, now)
+	used = choose(candidates, classInTime, 1, used, room, now)
 	choose(candidates, classLate, lateFactor, used, room, now)
 	slices.SortFunc(candidates, func(a, b Candidate) int { return compare(&a, &b) })
 }
@@ -66,6 +79,29 @@
 	return classOver
 }
 
+// rescue chooses the late jobs that have to start soon to have some benefit, the smallest first, and returns their work.
+func rescue(candidates []Candidate, room float64, now time.Time) float64 {
+	var soon []*Candidate
+	for i := range candidates {
+		c := &candidates[i]
+		end := now.Add(c.Remaining)
+		last := c.Submitted.Add(lateFactor * c.Objective)
+		if c.class == classOver && end.After(c.Submitted.Add(c.Objective)) && !end.After(last) && end.Add(rescueLead).After(last) {
+			soon = append(soon, c)
+		}
+	}
+	slices.SortFunc(soon, func(a, b *Candidate) int { return cmp.Compare(a.Work, b.Work) })
+	used := 0.0
+	for _, c := range soon {
+		if used+c.Work > rescueShare*room {
+			break
+		}
+		c.class = classRescue
+		used += c.Work
+	}
+	return used
+}
+
 // choose gives a class to the candidates that can end within factor times their objective, after work of which so much
 // is used already, and returns the work that is used then.
 func choose(candidates []Candidate, to class, factor float64, used, room float64, now time.Time) float64 {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -87,6 +87,29 @@
 }
 
 // Guards against VMs that are taken from pools that need them, or while they run something.
+// Guards against accepted work that is never served because there is always other work that can be in time, and against
+// late work that takes all the room from it.
+func TestOrderRescuesLateJobsWithinAShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	candidate := func(id string, age time.Duration, work float64) schedule.Candidate {
+		return schedule.Candidate{
+			ID: id, Submitted: now.Add(-age), Objective: 2 * time.Second, Remaining: time.Second, Work: work,
+		}
+	}
+	candidates := []schedule.Candidate{
+		candidate("in time", 0, 5), candidate("late", 2500*time.Millisecond, 1),
+		candidate("soon in vain", 4500*time.Millisecond, 1), candidate("soon in vain, large", 4500*time.Millisecond, 3),
+		candidate("in vain", 6*time.Second, 1),
+	}
+	schedule.Order(candidates, 10, now)
+	var order []string
+	for _, c := range candidates {
+		order = append(order, c.ID)
+	}
+	assert.DeepEqual(t, order[:3], []string{"soon in vain", "in time", "soon in vain, large"})
+	assert.Equal(t, order[4], "in vain")
+}
+
 // Guards against tasks that last and wait through one burst after the other, as the burst's pool lacks more servers.
 func TestPlanMovesServesTasksThatLastBeforeABurst(t *testing.T) {
 	moves := schedule.PlanMoves([]schedule.Pool{
