Empty one VM of a pool at a time if its tasks find no room, and mend the stand-in's reports

Two faults: VMs without room elsewhere for their tasks that last were emptied together, so that each lost a task and none was empty, as few of a step may be away; and the stand-in server of the test told of a stopped run only when its look ended (1.2 s), while real servers answer at the first end.

Change: without room elsewhere only one VM of a pool is emptied at a time; the stand-in reports stopped runs at once.

--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -236,8 +236,9 @@
 			s.relieve(v, now)
 		}
 	}
+	front := make(map[string]bool) // pools in which a VM is emptied although its tasks may find no room elsewhere
 	for _, name := range plan.Empty {
-		s.empty(w, name, now)
+		s.empty(w, name, front, now)
 	}
 	for _, name := range plan.Begin {
 		if s.mayOrderVM(name, now) && s.liveOn(name) == 0 {
@@ -303,8 +304,10 @@
 	return total
 }
 
-// empty stops new work on a VM, and moves away what doesn't end by itself.
-func (s *State) empty(w *wave, name string, now time.Time) {
+// empty stops new work on a VM, and moves away what doesn't end by itself. Without room elsewhere that is done for one VM
+// of a pool at a time: VMs that each lose some of their tasks that last would wait for each other, as few of a step may
+// be away, and none of them would be empty.
+func (s *State) empty(w *wave, name string, front map[string]bool, now time.Time) {
 	v, known := s.servers[s.vms[name].Server]
 	if !known {
 		return
@@ -315,7 +318,10 @@
 		klog.InfoS("VM is emptied for maintenance", "vm", name, "server", v.id, "running", len(v.attempts))
 	}
 	v.leaving = true
-	s.moveLasting(v, "maintenance", false)
+	if v.lasting() && !front[v.reg.Pool] {
+		front[v.reg.Pool] = true
+		s.moveLasting(v, "maintenance", false)
+	}
 	if now.Sub(since) < drainPatience {
 		return
 	}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -243,6 +243,9 @@
 			s.number++
 			s.ends = append(s.ends, backend.End{Number: s.number, Run: e.Run, Kind: workload.EndStopped})
 			w.noteAway(e.Run.Task.Job)
+			if s.looking != 0 {
+				w.report(e.Target.ID)
+			}
 		}
 		w.state.Handle(fleet.StopEnded{
 			Server: e.Target.ID, Incarnation: 1, Run: e.Run, Outcome: backend.Accepted{},
