Begin control with the control part alone, and read jobs while at work

Change: a row of progress holds its job until nothing is left to do, so a new controller knows all that may run from the control part. Jobs of which nothing has run yet are read part by part while it works; parts that are down are tried again after the others. The number of waiting jobs is told 1.5 s after control begins, once these are read. Old jobs that are read then don't count as arrivals. Rows of earlier releases are still read.

Before and after: TestControlBeginsWhilePartsOfTheStoreAreDown fails before and passes now.

A job with more than about 600 tasks still doesn't fit its row; listed as open.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +35,7 @@
 	mu     sync.Mutex
 	events []fleet.Event
 	wake   chan struct{}
-	known  map[string]bool // the ids of all jobs that were read, so that none is taken in twice
+	known  map[string]bool // the ids of all jobs that were read, so that none is taken in twice; guarded by mu
 }
 
 // start runs the controller in goroutines of the VM.
@@ -117,19 +116,18 @@
 	}
 }
 
-// stored is what earlier controllers and entry VMs stored.
+// stored is what earlier controllers stored.
 type stored struct {
-	progress    map[string]workload.Progress
-	jobs        []provider.Row
-	cancels     []provider.Row
-	waves       []provider.Row
-	vmOrders    []provider.Row
-	operations  []provider.Row
-	jobsFrom    uint64 // the version to follow changes of jobs from
-	cancelsFrom uint64
+	progress   map[string]workload.Progress
+	jobs       []*workload.Job // that aren't over
+	waves      []provider.Row
+	vmOrders   []provider.Row
+	operations []provider.Row
+	version    uint64 // that all of it is at least as new as
 }
 
-// load reads what earlier controllers stored, and starts to follow what changes.
+// load reads what earlier controllers stored, and starts to follow what changes. Jobs of which nothing has run yet are
+// read while the controller is at work, as some parts of the store may be down.
 func (c *controller) load() error {
 	began := c.vm.Timer.Now()
 	c.state.Begin(began)
@@ -137,40 +135,25 @@
 	if err != nil {
 		return err
 	}
-	var cancels []string
-	for _, row := range s.cancels {
-		cancels = append(cancels, row.Key()[len(intake.CancelPrefix):])
+	for id := range s.progress {
+		c.known[id] = true
 	}
 	for _, row := range s.vmOrders {
 		c.state.RestoreVMOrders(row)
 	}
 	c.takeOperations(s.operations)
-	open := c.state.Restore(c.openJobs(s), s.progress, s.waves, c.vm.Timer.Now())
-	for _, id := range cancels {
-		c.state.Handle(fleet.CancelArrived{ID: id}, c.vm.Timer.Now())
-	}
+	open := c.state.Restore(s.jobs, s.progress, s.waves, c.vm.Timer.Now())
 	klog.InfoS("Control begins", "vm", c.vm.Settings.Name(), "token", c.token, "open-jobs", open,
 		"stored-jobs", len(s.progress), "took", c.vm.Timer.Now().Sub(began))
-	c.follow(s.jobsFrom, s.cancelsFrom)
+	c.follow(s.version)
 	return nil
 }
 
-// readStored reads all tables at the same time, as nothing starts until they are read.
+// readStored reads all tables of the control part at the same time, as nothing starts until they are read.
 func (c *controller) readStored() (*stored, error) {
 	s := &stored{}
 	reads, _ := group.New(c.ctx)
-	reads.Go(func() (err error) {
-		s.progress, err = c.readProgress()
-		return err
-	})
-	reads.Go(func() (err error) {
-		s.jobs, s.jobsFrom, err = c.readParts(intake.JobPrefix)
-		return err
-	})
-	reads.Go(func() (err error) {
-		s.cancels, s.cancelsFrom, err = c.readParts(intake.CancelPrefix)
-		return err
-	})
+	reads.Go(func() error { return c.readProgress(s) })
 	reads.Go(func() (err error) {
 		s.waves, _, err = c.scan(c.vm.control, fleet.WavesPrefix)
 		return err
@@ -188,20 +171,45 @@
 	return s, reads.Wait()
 }
 
-func (c *controller) readProgress() (map[string]workload.Progress, error) {
-	progress := make(map[string]workload.Progress)
-	rows, _, err := c.scan(c.vm.control, fleet.ProgressPrefix)
+func (c *controller) readProgress(s *stored) error {
+	rows, version, err := c.scan(c.vm.control, fleet.ProgressPrefix)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	s.version = version
+	s.progress = make(map[string]workload.Progress)
 	for _, row := range rows {
+		id := row.Key()[len(fleet.ProgressPrefix):]
 		p, err := workload.DecodeProgress(row.Value())
 		if err != nil {
-			return nil, errors.WithMessage(err, row.Key())
+			return errors.WithMessage(err, row.Key())
+		}
+		s.progress[id] = p
+		if p.Over() {
+			continue
+		}
+		job, err := c.storedJob(id, p)
+		if err != nil {
+			return errors.WithMessage(err, row.Key())
 		}
-		progress[row.Key()[len(fleet.ProgressPrefix):]] = p
+		s.jobs = append(s.jobs, job)
+	}
+	return nil
+}
+
+// storedJob returns the job of a row of progress. Rows of releases before this one lack it.
+func (c *controller) storedJob(id string, p workload.Progress) (*workload.Job, error) {
+	if len(p.Job) > 0 {
+		return workload.DecodeJob(p.Job)
 	}
-	return progress, nil
+	rows, _, err := c.scan(c.vm.jobTable(intake.Part(id)), intake.JobPrefix+id)
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) == 0 {
+		return nil, errors.New("the job isn't stored")
+	}
+	return workload.DecodeJob(rows[0].Value())
 }
 
 func (c *controller) scan(t *platform.Table, prefix string) ([]provider.Row, uint64, error) {
@@ -218,22 +226,6 @@
 	}
 }
 
-// openJobs returns the stored jobs that aren't over, and takes note of all.
-func (c *controller) openJobs(s *stored) []*workload.Job {
-	var jobs []*workload.Job
-	for _, row := range s.jobs {
-		id := row.Key()[len(intake.JobPrefix):]
-		c.known[id] = true
-		if p, known := s.progress[id]; known && p.State.Final() && len(p.Tasks) == 0 {
-			continue
-		}
-		if job := decodeJob(row); job != nil {
-			jobs = append(jobs, job)
-		}
-	}
-	return jobs
-}
-
 func decodeJob(row provider.Row) *workload.Job {
 	job, err := workload.DecodeJob(row.Value())
 	if err != nil {
@@ -257,20 +249,19 @@
 	}
 }
 
-// follow reads the changes of jobs, cancellations and registrations.
-func (c *controller) follow(jobsFrom, cancelsFrom uint64) {
-	c.followTable(intake.JobPrefix, feedWait, feedPause, jobsFrom, func(row provider.Row) {
+// follow reads jobs, cancellations and registrations, and their changes after a version.
+func (c *controller) follow(version uint64) {
+	c.followTable(intake.JobPrefix, version, func(row provider.Row) {
 		id := row.Key()[len(intake.JobPrefix):]
 		// A job that was known once may be over, and must not run again.
-		if row.Deleted() || c.known[id] {
+		if row.Deleted() || !c.firstSight(id) {
 			return
 		}
-		c.known[id] = true
 		if job := decodeJob(row); job != nil {
 			c.post(fleet.JobArrived{Job: job})
 		}
 	})
-	c.followTable(intake.CancelPrefix, feedWait, feedPause, cancelsFrom, func(row provider.Row) {
+	c.followTable(intake.CancelPrefix, version, func(row provider.Row) {
 		if !row.Deleted() {
 			c.post(fleet.CancelArrived{ID: row.Key()[len(intake.CancelPrefix):]})
 		}
@@ -278,38 +269,80 @@
 	c.followServers()
 }
 
-func (c *controller) followTable(prefix string, wait, pause time.Duration, from uint64, take func(provider.Row)) {
-	feed := c.vm.feed(prefix[:len(prefix)-1])
-	last := from
-	f := &follower{timer: c.vm.Timer, feed: feed, wait: wait, pause: pause, from: from}
+// firstSight takes note of a job, and reports whether it wasn't known.
+func (c *controller) firstSight(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known[id] {
+		return false
+	}
+	c.known[id] = true
+	return true
+}
+
+// followTable follows a table of jobs: its changes after a version by the feed, and what it held before part by part.
+func (c *controller) followTable(prefix string, from uint64, take func(provider.Row)) {
+	f := &follower{timer: c.vm.Timer, feed: c.vm.feed(prefix[:len(prefix)-1]), wait: feedWait, pause: feedPause, from: from}
 	f.take = func(rows []provider.Row, _ time.Time) {
 		for _, row := range rows {
-			if row.Version() > last {
-				take(row)
-			}
+			take(row)
 		}
-		last = max(last, f.from)
 	}
-	f.whole = func() ([]provider.Row, uint64, error) { return c.readParts(prefix) }
+	f.whole = func() ([]provider.Row, uint64, error) {
+		_, version, err := c.scan(c.vm.control, fleet.TermKey)
+		if err == nil {
+			c.readParts(prefix, take)
+		}
+		return nil, version, err
+	}
+	c.readParts(prefix, take)
 	c.vm.tasks.Go(func() error { return f.run(c.ctx) })
 }
 
-// readParts reads all parts of a table of jobs, and returns the version that all are at least as new as.
-func (c *controller) readParts(prefix string) ([]provider.Row, uint64, error) {
-	var rows [intake.Parts][]provider.Row
-	var versions [intake.Parts]uint64
+// readParts reads all parts of a table of jobs in goroutines of its own. Parts that can't be read are tried again after
+// the others.
+func (c *controller) readParts(prefix string, take func(provider.Row)) {
+	c.vm.tasks.Go(func() error {
+		left, reason := make([]int, 0, intake.Parts), ""
+		for part := range intake.Parts {
+			left = append(left, part)
+		}
+		for round := 1; len(left) > 0 && c.ctx.Err() == nil; round++ {
+			if round > 1 {
+				klog.InfoS("Parts of the store can't be read", "table", prefix, "parts", len(left), "round", round,
+					"reason", reason)
+				timer.Wait(c.ctx, c.vm.Timer, feedRetry)
+			}
+			left, reason = c.tryParts(left, prefix, take)
+		}
+		return nil
+	})
+}
+
+// tryParts reads parts at the same time, and returns those that can't be read, with the reason of one of them.
+func (c *controller) tryParts(parts []int, prefix string, take func(provider.Row)) (failed []int, reason string) {
+	var mu sync.Mutex
 	reads, _ := group.New(c.ctx)
 	reads.SetLimit(loadReads)
-	for part := range intake.Parts {
-		reads.Go(func() (err error) {
-			rows[part], versions[part], err = c.scan(c.vm.jobTable(part), prefix)
-			return err
+	for _, part := range parts {
+		reads.Go(func() error {
+			switch o := c.vm.jobTable(part).Scan(c.ctx, prefix, 0).(type) {
+			case provider.Rows:
+				for _, row := range o.Rows() {
+					take(row)
+				}
+			case provider.Unavailable:
+				mu.Lock()
+				failed, reason = append(failed, part), o.Reason()
+				mu.Unlock()
+			}
+			return nil
 		})
 	}
 	if err := reads.Wait(); err != nil {
-		return nil, 0, err
+		klog.ErrorS(err, "Reading the parts of the store ended early", "table", prefix)
 	}
-	return slices.Concat(rows[:]...), slices.Min(versions[:]), nil
+	return failed, reason
 }
 
 func (c *controller) followServers() {
--- a/deployment/deployment_test.go
+++ b/deployment/deployment_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/platform/emulator"
 )
 
@@ -82,6 +84,24 @@
 	}
 }
 
+// Guards against a controller that can't begin while some parts of the store are down, though the others could be served,
+// and against runs that it stops because it can't read their jobs.
+func TestControlBeginsWhilePartsOfTheStoreAreDown(t *testing.T) {
+	r := newRig(t, 2, 1500*time.Millisecond)
+	running, later := jobID(1), jobID(2)
+	assert.Equal(t, r.submit(r.vms[1], "plates", running, step(3, 1500)), http.StatusOK)
+	r.eventually("tasks run", func() bool { return r.observer.Running() == 3 })
+	up := intake.PartName(intake.Part(later))
+	assert.Assert(t, up != intake.PartName(intake.Part(running)))
+	down := func(part string) bool { return strings.HasPrefix(part, "jobs-") && part != up }
+	r.down.Store(&down)
+	r.vms[0].kill()
+	assert.Equal(t, r.submit(r.vms[1], "proofs", later, step(2, 1000)), http.StatusOK)
+	r.eventually("the later job is complete", func() bool { return r.state(r.vms[1], "proofs", later) == "completed" })
+	r.eventually("the running job is complete", func() bool { return r.state(r.vms[1], "plates", running) == "completed" })
+	assert.Equal(t, r.observer.Starts(running+".0.0.0"), 1)
+}
+
 // Guards against work that stops, or runs twice, when the store loses answers, refuses calls and forgets its history.
 func TestJobsSurviveTheStore(t *testing.T) {
 	r := newRig(t, 2, 100*time.Millisecond)
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -35,6 +35,7 @@
 	tasks    *group.Group
 	ctx      context.Context
 	fault    atomic.Pointer[func(path string) emulator.Fault]
+	down     atomic.Pointer[func(part string) bool]
 }
 
 type entryVM struct {
@@ -53,6 +54,9 @@
 			return (*fault)(path)
 		}
 		return emulator.Healthy
+	}, Down: func(part string) bool {
+		down := r.down.Load()
+		return down != nil && (*down)(part)
 	}}
 	r.platform = &emulator.Platform{Timer: timer.System{}, Store: r.store, Duration: duration, Observer: r.observer}
 	assert.NilError(t, r.platform.Listen())
--- a/fleet/arrivals.go
+++ b/fleet/arrivals.go
@@ -39,9 +39,12 @@
 	r[pool].add(work, now)
 }
 
+// freshJob is how old a job may be that counts as just arrived: older ones were accepted under an earlier controller.
+const freshJob = 2 * time.Second
+
 // arrived counts a new job towards the arrivals of its pool.
 func (s *State) arrived(j *job, now time.Time) {
-	if j.spec.Lasting() || j.spec.Scheduled() {
+	if j.spec.Lasting() || j.spec.Scheduled() || now.Sub(j.spec.Accepted()) > freshJob {
 		return
 	}
 	pool := s.poolOf(j)
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -44,7 +44,8 @@
 	maxRowsInCommit  = 80  // the store takes 100 entries, among them conditions and the committer's own row
 	maxIntentsInPass = 400 // starts that one commit may hold
 	statusInterval   = time.Second
-	sickFailures     = 3 // failed runs in a row after which a server rests
+	firstStatus      = 1500 * time.Millisecond // after control begins, until waiting jobs are read and counted
+	sickFailures     = 3                       // failed runs in a row after which a server rests
 	sickRest         = 4 * time.Second
 	stallTimeout     = 1800 * time.Millisecond // a run whose progress stands still for as long
 )
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -159,6 +159,9 @@
 		}
 		p.Tasks[t.local] = r
 	}
+	if !p.Over() {
+		p.Job = j.spec.Encode()
+	}
 	return p
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -110,6 +110,7 @@
 	s.ordered = make(map[string]time.Time)
 	s.pausedUntil = make(map[string]time.Time)
 	s.statusKnown = make(map[string]int)
+	s.statusAt = now.Add(firstStatus - statusInterval)
 	s.termUntil = s.TermSent.Add(s.Term.Duration())
 	s.renewedAt = s.TermSent
 }
@@ -224,7 +225,7 @@
 func (s *State) Restore(jobs []*workload.Job, progress map[string]workload.Progress, rows []provider.Row, now time.Time) int {
 	for _, spec := range jobs {
 		p, known := progress[spec.ID()]
-		if known && p.State.Final() && len(p.Tasks) == 0 {
+		if known && p.Over() {
 			continue
 		}
 		j := newJob(spec)
--- a/workload/job.go
+++ b/workload/job.go
@@ -38,6 +38,7 @@
 type Job struct {
 	options JobOptions
 	steps   []Step
+	encoded []byte
 }
 
 // NewJob checks the fields and returns the job.
@@ -55,6 +56,11 @@
 		}
 		j.steps = append(j.steps, NewStep(s))
 	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // the fields are strings and numbers
+	}
+	j.encoded = data
 	return j, nil
 }
 
@@ -151,14 +157,8 @@
 	return longest
 }
 
-// Encode returns the job as it is stored.
-func (j *Job) Encode() []byte {
-	data, err := json.Marshal(j.options)
-	if err != nil {
-		panic(err) // the fields are strings and numbers
-	}
-	return data
-}
+// Encode returns the job as it is stored. The caller must not change it.
+func (j *Job) Encode() []byte { return j.encoded }
 
 // DecodeJob reads a stored job.
 func DecodeJob(data []byte) (*Job, error) {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -44,8 +44,14 @@
 type Progress struct {
 	State JobState              `json:"state"`
 	Tasks map[string]TaskRecord `json:"tasks,omitempty"`
+	// Job is the stored job, unless nothing is left to do for it. With it a new controller knows all that runs from one
+	// part of the store, even if the part with the job's own row can't be read.
+	Job json.RawMessage `json:"job,omitempty"`
 }
 
+// Over reports whether nothing is left to do: the job has ended, and no run of it may exist.
+func (p Progress) Over() bool { return p.State.Final() && len(p.Tasks) == 0 }
+
 // Encode returns the progress as it is stored.
 func (p Progress) Encode() []byte {
 	data, err := json.Marshal(p)
