Pace filling tasks by the tail of the tasks that serve beside them

Change: PlanPace stops the filling tasks of a server when a target is missed, slows them down near it, and speeds them up step by step below it. Servers with both report every 0.3 s. A new controller sets the pace anew, as the one before may have slowed a task down.

Before and after: TestFillersGiveWayToTasksThatServe fails without the call in tick.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -82,6 +82,9 @@
 		s.sequence++
 		v.looking, v.sequence, v.lookSent = true, s.sequence, now
 		order := backend.LookOrder{Token: s.Token, Noted: v.noted, Wait: lookWait}
+		if serving, fillers := v.sharing(); len(serving) > 0 && len(fillers) > 0 {
+			order.Wait = sharedWait
+		}
 		if v.startingLasting() {
 			order.Wait = startupWait
 		}
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -24,6 +24,7 @@
 	effects []fleet.Effect
 	rows    map[string][]byte
 	clock   map[string]time.Time // births of servers
+	figures map[backend.Run]int64
 }
 
 func newRig(t *testing.T) *rig {
@@ -154,7 +155,7 @@
 	}
 	report := backend.Report{Incarnation: look.Target.Incarnation, Clock: r.now.Sub(r.clock[id]), Ends: ends}
 	for _, run := range running {
-		report.Running = append(report.Running, backend.Running{Run: run, Percent: 100})
+		report.Running = append(report.Running, backend.Running{Run: run, Percent: 100, Figure: r.figures[run]})
 	}
 	r.handle(fleet.LookEnded{Server: id, Sequence: look.Sequence, Outcome: backend.Reported{Report: report}})
 }
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -161,7 +161,7 @@
 
 // stalled reports whether a run stood still between reports. A server that doesn't report tells nothing of its runs.
 func (s *State) stalled(a *attempt) bool {
-	if a.phase != running || a.stopWanted || a.server.missed > 0 || a.pace < 100 {
+	if a.phase != running || a.stopWanted || a.server.missed > 0 || a.pace < fullPace {
 		return false
 	}
 	spec := a.task.step.spec
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,6 +38,7 @@
 	leaving   bool // is about to be maintained or moved, and takes no more work
 	due       bool // waits for its maintenance, and takes work that fits nowhere else
 	idleSince time.Time
+	pacedAt   time.Time // when the pace of a filling task was set last
 }
 
 func newServer(id string) *server {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -187,6 +187,7 @@
 			s.abandon(v, now, "lease-expired")
 		}
 		s.watchRuns(v, now)
+		s.pace(v, now)
 	}
 	s.listVMs(now)
 	s.upkeep(now)
@@ -260,7 +261,11 @@
 			if v.incarnation == 0 {
 				v.incarnation = a.Incarnation
 			}
-			s.addAttempt(t, v, &attempt{run: a.Run, phase: restored, incarnation: a.Incarnation, since: now})
+			before := &attempt{run: a.Run, phase: restored, incarnation: a.Incarnation, since: now}
+			s.addAttempt(t, v, before)
+			if t.step.spec.Filler() {
+				before.pace = unknownPace
+			}
 		}
 	}
 	if j.state.Final() {
@@ -314,7 +319,7 @@
 
 // addAttempt records a run that may exist from now on.
 func (s *State) addAttempt(t *task, v *server, a *attempt) {
-	a.task, a.server, a.reserves, a.pace = t, v, t.step.spec.Reserves(), 100
+	a.task, a.server, a.reserves, a.pace = t, v, t.step.spec.Reserves(), fullPace
 	if len(t.attempts) == 0 && !t.record.Done {
 		t.step.idle--
 	}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -375,14 +375,3 @@
 		w.ordered[e.VM] = now
 	}
 }
-
-func (s *State) paceEnded(e PaceEnded) {
-	a, known := s.attempt(e.Server, e.Run)
-	if !known {
-		return
-	}
-	a.pacing = false
-	if _, ok := e.Outcome.(backend.Accepted); ok {
-		a.pace = e.Percent
-	}
-}
