Ask the recommendation service, and start advised work with tickets

Cause: work of queues with a recommendation service was started without a ticket, and refused again and again.

Change: a step of such a queue runs only on servers for which it has a ticket. Tickets hold for a server's life and the queue's validity; a refused one is asked for again.

Before and after: TestAdvisedQueueRunsWithTicketsOnly (without tickets the runs are ordered at once). Steps aren't asked about before their turn has come.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -434,6 +434,8 @@
 	case fleet.TellWave:
 		status := &platform.WaveStatus{Client: c.vm.client, Address: c.vm.Settings.StoreAddress()}
 		return fleet.WaveTold{Wave: e.Wave, Complete: e.Complete, Outcome: status.Write(c.ctx, e.Wave, e.Complete)}
+	case fleet.Advise:
+		return c.advise(e, t.Now())
 	case fleet.ListVMs:
 		return c.listVMs(t.Now())
 	case fleet.Commit, fleet.Deposed:
@@ -441,6 +443,15 @@
 	panic("effect without an order")
 }
 
+func (c *controller) advise(e fleet.Advise, asked time.Time) fleet.Event {
+	advisor := &platform.Advisor{Client: c.vm.client, Address: c.vm.Settings.AdviceAddress()}
+	tickets, err := advisor.Advise(e.Step, e.Servers, e.Expected)
+	if err != nil {
+		return fleet.Advised{Step: e.Step, Failure: err.Error()}
+	}
+	return fleet.Advised{Step: e.Step, Tickets: tickets, Asked: asked}
+}
+
 func (c *controller) listVMs(asked time.Time) fleet.Event {
 	list, err := c.vms.List()
 	if err != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -25,8 +26,9 @@
 	Timeout time.Duration
 	// Open queues need no key.
 	Open bool
-	// Advised queues run only on backend servers that the recommendation service names.
-	Advised bool
+	// Recommendation tells how to ask for the backend servers on which the queue's work may run. It is nil if it may run
+	// on all.
+	Recommendation *backend.Recommendation
 }
 
 // Customer submits work.
--- /dev/null
+++ b/fleet/advice_test.go
@@ -0,0 +1,65 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+func (r *rig) advises() []fleet.Advise {
+	var calls []fleet.Advise
+	for _, e := range r.effects {
+		if a, ok := e.(fleet.Advise); ok {
+			calls = append(calls, a)
+		}
+	}
+	return calls
+}
+
+// Guards against runs of an advised queue that are ordered without a ticket or on a server that isn't named, against
+// asking about all servers again and again, and against a refused ticket that is used once more.
+func TestAdvisedQueueRunsWithTicketsOnly(t *testing.T) {
+	r := newRig(t)
+	r.recommendation = &backend.Recommendation{
+		Decision: 100 * time.Millisecond, PerServer: 5 * time.Millisecond, Validity: 10 * time.Second,
+	}
+	r.configure(workload.Resources{})
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	r.take()
+	job := r.job(1, workload.StepOptions{Count: 2, MilliCores: 1000, EstimateMS: 1000})
+	r.handle(fleet.JobArrived{Job: job})
+	calls := r.advises()
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, calls[0].Step, job.ID()+".0.0")
+	assert.Equal(t, len(calls[0].Servers), 3)
+	assert.Equal(t, len(r.starts()), 0)
+
+	r.handle(fleet.Advised{Step: calls[0].Step, Tickets: map[string]string{"i-2": "t-2"}, Asked: r.now})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 2)
+	for _, s := range starts {
+		assert.Equal(t, s.Target.ID, "i-2")
+		assert.Equal(t, s.Order.Ticket, "t-2")
+		r.handle(fleet.StartEnded{
+			Server: "i-2", Incarnation: s.Target.Incarnation, Run: s.Order.Run,
+			Outcome: backend.Refused{Reason: backend.RefusedTicket},
+		})
+	}
+	r.pass(300 * time.Millisecond)
+	calls = r.advises()
+	assert.Equal(t, len(calls), 1)
+	assert.DeepEqual(t, calls[0].Servers, []string{"i-2"})
+	assert.Equal(t, len(r.starts()), 0)
+
+	r.handle(fleet.Advised{Step: calls[0].Step, Failure: "no answer"})
+	r.pass(time.Second)
+	assert.Equal(t, len(r.advises()), 1)
+}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -41,6 +41,7 @@
 	left   int // tasks that aren't done
 	idle   int // of these, tasks without a run
 	number int
+	advice *advice // of the recommendation service, if the queue needs it
 }
 
 // task is a task that has to be done.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -130,6 +130,7 @@
 func (s *State) placeStep(st *step, p *pool, now time.Time) int {
 	placed := 0
 	p.look(st)
+	s.useAdvice(st, p, now)
 	for _, t := range st.tasks {
 		if !t.wants(now) {
 			continue
@@ -274,6 +275,7 @@
 	before := slices.Clone(p.views)
 	chosen := make([]int, 0, len(st.tasks))
 	p.look(st)
+	s.useAdvice(st, p, now)
 	for range st.tasks {
 		i := schedule.Choose(st.spec, p.views)
 		if i < 0 {
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -25,6 +25,8 @@
 	rows    map[string][]byte
 	clock   map[string]time.Time // births of servers
 	figures map[backend.Run]int64
+
+	recommendation *backend.Recommendation // of the queue
 }
 
 func newRig(t *testing.T) *rig {
@@ -39,7 +41,7 @@
 }
 
 func (r *rig) configure(limit workload.Resources) {
-	queues := []directory.Queue{{Name: "plates", Host: "h", Prefix: "/p/", Pool: "press", Attempts: 2}}
+	queues := []directory.Queue{{Name: "plates", Host: "h", Prefix: "/p/", Pool: "press", Attempts: 2, Recommendation: r.recommendation}}
 	pools := []directory.Pool{{Name: "press"}, {Name: "proofs"}, {Name: "spare", Spare: true}}
 	customers := []directory.Customer{{Name: "label", Limit: limit}}
 	r.version++
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -30,7 +30,7 @@
 	klog.V(1).InfoS("Run ordered", "run", a.id(), "server", v.id, "try", a.tries, "term-left", s.termUntil.Sub(now))
 	s.emit(Start{Target: v.target(), Order: backend.StartOrder{
 		Run: a.id(), Specification: a.task.job.spec.Specification(), Deadline: deadline, Token: s.Token,
-		Checkpoint: a.checkpoint,
+		Checkpoint: a.checkpoint, Ticket: a.ticketFor(),
 	}})
 }
 
@@ -93,7 +93,9 @@
 		v.restUntil = now.Add(time.Second)
 	case backend.RefusedInvalid:
 		s.failTask(a.task, v.id)
-	case backend.RefusedOldRun, backend.RefusedTicket, backend.RefusedStaleToken, backend.RefusedUnknown:
+	case backend.RefusedTicket:
+		s.ticketRefused(a.task, v)
+	case backend.RefusedOldRun, backend.RefusedStaleToken, backend.RefusedUnknown:
 	}
 	s.removeAttempt(a)
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -74,6 +74,8 @@
 	commitTook  time.Duration // of the last commit
 	statusAt    time.Time
 	statusKnown map[string]int // waiting jobs by queue, as they were stored last
+	adviceCall  *adviceCall    // the call of the recommendation service under way
+	adviceAt    time.Time      // when it may be called again
 	effects     []Effect
 	counters    counters
 }
@@ -148,6 +150,8 @@
 		s.maintenanceEnded(e, now)
 	case VMMoveEnded:
 		s.moveEnded(e, now)
+	case Advised:
+		s.advised(e, now)
 	case PaceEnded:
 		s.paceEnded(e)
 	case WaveTold:
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -290,6 +290,7 @@
 		}
 	}
 	p.look(st)
+	s.bar(st, p, now)
 	return schedule.Choose(st.spec, p.views) >= 0
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -168,7 +168,7 @@
 	now := d.Timer.Now()
 	o.Queue, o.Customer, o.AcceptedMS = p.queue.Name, p.customer, now.UnixMilli()
 	o.Pool, o.Attempts, o.Priority = p.queue.Pool, p.queue.Attempts, p.queue.Priority
-	o.Stretch, o.SlackMS, o.Advised = p.queue.Stretch, p.queue.Slack.Milliseconds(), p.queue.Advised
+	o.Stretch, o.SlackMS = p.queue.Stretch, p.queue.Slack.Milliseconds()
 	job, err := workload.NewJob(o)
 	if err != nil {
 		return Invalid{Reason: err.Error()}
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -19,6 +19,8 @@
 	Failures int
 	// Avoid tells that the task failed there before.
 	Avoid bool
+	// Barred servers may not run the step.
+	Barred bool
 	// Lasting tells that the server has tasks that last.
 	Lasting bool
 	// Interference is the number of runs there that the task would disturb or be disturbed by.
@@ -43,7 +45,7 @@
 }
 
 func fits(step workload.Step, s *Server) bool {
-	if !step.Reserves().FitsIn(s.Free) {
+	if s.Barred || !step.Reserves().FitsIn(s.Free) {
 		return false
 	}
 	if step.PerServer() > 0 && s.SameStep >= step.PerServer() {
--- a/workload/job.go
+++ b/workload/job.go
@@ -31,7 +31,6 @@
 	Priority int     `json:"priority,omitempty"`
 	Stretch  float64 `json:"stretch,omitempty"`
 	SlackMS  int64   `json:"slack-ms,omitempty"`
-	Advised  bool    `json:"advised,omitempty"`
 }
 
 // Job is work that a customer submitted. It doesn't change after that.
@@ -97,9 +96,6 @@
 // Priority returns the queue's priority. 0 goes first.
 func (j *Job) Priority() int { return j.options.Priority }
 
-// Advised reports whether a recommendation is needed to place the job.
-func (j *Job) Advised() bool { return j.options.Advised }
-
 // Objective returns how long the job may take to be in time, from when it was submitted.
 func (j *Job) Objective() time.Duration {
 	return time.Duration(j.options.Stretch*float64(j.CriticalPath())) + time.Duration(j.options.SlackMS)*time.Millisecond
