--- a/schedule/maintenance.go
+++ b/schedule/maintenance.go
@@ -12,7 +12,9 @@
 	maintenanceReserve = 0.4
 	// emptyFrom is the part of a wave's time that is left when busy VMs are emptied although servers are scarce. Until
 	// then most become idle by themselves, as bursts move on.
-	emptyFrom = 0.7
+	emptyFrom = 0.65
+	// emptyReserve is maintenanceReserve for emptying busy VMs, which takes room from other work.
+	emptyReserve = 0.2
 )
 
 // MaintenanceVM is a VM whose maintenance hasn't begun.
@@ -60,7 +62,7 @@
 	var busy []MaintenanceVM
 	free := max(m.AtOnce, 1) - m.Down
 	if m.Scarce {
-		free = min(max(m.AtOnce, 1), m.pace(len(m.VMs)+m.Down, m.Duration)) - m.Down
+		free = min(max(m.AtOnce, 1), m.pace(len(m.VMs)+m.Down, m.Duration, maintenanceReserve)) - m.Down
 	}
 	emptying := 0
 	for _, vm := range m.VMs {
@@ -82,7 +84,7 @@
 	if m.Scarce && float64(m.TimeLeft) > emptyFrom*float64(m.Within) {
 		return plan
 	}
-	atOnce := min(m.AtOnce, m.pace(len(busy)+emptying, m.Duration+emptyTime))
+	atOnce := min(m.AtOnce, m.pace(len(busy)+emptying, m.Duration+emptyTime, emptyReserve))
 	sort.SliceStable(busy, func(a, b int) bool { return busy[a].Running < busy[b].Running })
 	for _, vm := range busy {
 		if emptying >= atOnce {
@@ -95,8 +97,8 @@
 }
 
 // pace is the number of VMs that have to be worked on at the same time, if each takes so long, to be done in time.
-func (m Maintenance) pace(vms int, each time.Duration) int {
-	rounds := (float64(m.TimeLeft) - maintenanceReserve*float64(m.Within)) / float64(each)
+func (m Maintenance) pace(vms int, each time.Duration, reserve float64) int {
+	rounds := (float64(m.TimeLeft) - reserve*float64(m.Within)) / float64(each)
 	if rounds <= 1 {
 		return vms
 	}
