--- a/deployment/operators.go
+++ b/deployment/operators.go
@@ -87,8 +87,12 @@
 		}
 		f.from = max(f.from, version)
 		f.take(rows, asked)
-		if f.pause > 0 {
-			timer.Wait(ctx, f.timer, f.pause)
+		pause := f.pause
+		if f.from == 0 {
+			pause = feedRetry // nothing was ever written to the store
+		}
+		if pause > 0 {
+			timer.Wait(ctx, f.timer, pause)
 		}
 	}
 	return nil
