Lease for 3.5 s while terms are short, and keep work alive for 2 s after a term

The lease was as long as a take-over with a slow store needs.

Change: leases last 3.5 s while terms are short, else 5.5 s. A controller goes on extending them for 2 s after its term, so that work outlasts an outage of the store as before; it starts nothing then. A new controller waits for these 2 s, and for the lease that the term row of the one before tells, before it starts anew what may run on a server that it can't reach.

The model of the control state has two controllers that reach different servers, and runs that outlast leases; it notices when earlier leases are ignored, and finds no violation in 300 plans.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -23,8 +23,8 @@
 	term  fleet.Term
 	token uint64
 	sent  time.Time
-	// before is the entry VM whose term ran out, or "" if it gave up its term.
-	before string
+	// before is the term before, whose holder is "" if it gave up its term.
+	before fleet.Term
 
 	state    *fleet.State
 	backends *platform.Backends
@@ -47,6 +47,7 @@
 	c.vms = &platform.VMs{Client: c.vm.client, Address: s.VMsAddress(), Holder: s.Name()}
 	c.state = &fleet.State{
 		Self: s.Name(), Term: c.term, Token: c.token, TermSent: c.sent,
+		LeaseBefore:     c.before.Lease(),
 		DutyPause:       s.DutyPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(),
 		Scope: c.vm.Scope.SubScope("control"),
@@ -162,7 +163,7 @@
 		s.operations, _, err = c.vm.feed(platform.OperatorTable).Read()
 		return err
 	})
-	if c.before != "" && c.before != c.vm.Settings.Name() {
+	if c.before.Holder != "" && c.before.Holder != c.vm.Settings.Name() {
 		reads.Go(func() (err error) {
 			s.vmOrders, _, err = c.scan(c.vm.control, fleet.VMOrdersKey)
 			return err
--- a/deployment/term.go
+++ b/deployment/term.go
@@ -75,7 +75,7 @@
 func (v *VM) takeControl(ctx context.Context, was fleet.Term, now time.Time) *controller {
 	term := fleet.Term{
 		Holder: v.Settings.Name(), Process: v.process, Renewals: was.Renewals + 1,
-		DurationMS: fleet.LongTerm.Milliseconds(),
+		DurationMS: fleet.LongTerm.Milliseconds(), LeaseMS: fleet.LongLease.Milliseconds(),
 	}
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.TermKey, was.Version())},
@@ -85,7 +85,7 @@
 		klog.InfoS("Control not taken", "vm", v.Settings.Name(), "term-version", was.Version())
 		return nil
 	}
-	c := &controller{vm: v, term: term.WithVersion(outcome.Version()), sent: now, token: outcome.Version(), before: was.Holder}
+	c := &controller{vm: v, term: term.WithVersion(outcome.Version()), sent: now, token: outcome.Version(), before: was}
 	klog.InfoS("Control taken", "vm", v.Settings.Name(), "token", c.token, "from", was.Holder,
 		"term-version", was.Version())
 	c.start(ctx)
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -65,6 +65,10 @@
 		term := s.Term
 		term.Renewals++
 		term.DurationMS = s.termDuration().Milliseconds()
+		term.LeaseMS = s.leaseBound(now).Milliseconds()
+		if term.Duration() > ShortTerm {
+			term.LeaseMS = LongLease.Milliseconds()
+		}
 		c.term = term
 		if c.release {
 			term.Holder = ""
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -19,13 +19,18 @@
 	slowWatchInterval  = time.Second
 	closeWatchInterval = 50 * time.Millisecond
 
-	// workLease is how long a backend server works on without word from an entry VM. It covers a term and the time that
-	// a new controller needs to read the store; what an unreachable server runs is started elsewhere only after it.
-	workLease = 5500 * time.Millisecond
+	// ShortLease is how long a backend server works on without word from an entry VM, while terms are short. It covers a
+	// term, the time that a new controller needs to read the store, and a look; what a server that doesn't answer runs is
+	// started elsewhere only after it.
+	ShortLease = 3500 * time.Millisecond
+	// LongLease holds with long terms.
+	LongLease = 5500 * time.Millisecond
+	// keepAlive is how long after its term a controller goes on extending leases, so that work outlasts an outage of the
+	// store. It starts nothing then. A new controller waits for that time too before it starts anew what a server that it
+	// can't reach may run.
+	keepAlive = 2 * time.Second
 	// slowestClock is the rate of the slowest clock of a backend server, by the platform's bounds.
 	slowestClock = 0.98
-	// longestLease is what workLease may last on the slowest clock.
-	longestLease = workLease + workLease*(100-98)/98 + leaseSlack
 	// leaseSlack covers the rounding of times to milliseconds.
 	leaseSlack = 100 * time.Millisecond
 
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -43,6 +43,7 @@
 const (
 	noMutation mutation = iota
 	serversIgnoreTokens
+	ignoreLeases // of the controller before
 	storeIgnoresTerms
 )
 
@@ -51,6 +52,8 @@
 	name   string
 	paused bool
 	dead   bool
+	// storeless controllers get no answer from the store.
+	storeless bool
 }
 
 type modelServer struct {
@@ -62,6 +65,7 @@
 	highest map[workload.TaskID]int
 	ends    []backend.End
 	number  int64
+	onlyFor *modelController // the only controller that reaches it, or nil
 	cut     bool
 	lapsed  int64 // the last end that the lease expired after, before it was noted
 }
@@ -132,8 +136,16 @@
 	m.term = m.version
 	m.note("%s takes control with token %d", name, m.version)
 	c := &modelController{name: name}
+	before, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, m.rows[fleet.TermKey], 1))
+	if m.rows[fleet.TermKey] != nil && err != nil {
+		m.t.Fatal(err)
+	}
+	if m.mutation == ignoreLeases {
+		before.LeaseMS = 1
+	}
 	c.state = &fleet.State{
-		Self: name, Token: m.version, TermSent: m.now, DutyPause: time.Second,
+		LeaseBefore: before.Lease(),
+		Self:        name, Token: m.version, TermSent: m.now, DutyPause: time.Second,
 		Term: fleet.Term{Holder: name, DurationMS: 1500}.WithVersion(m.version),
 	}
 	c.state.Begin(m.now)
@@ -231,7 +243,7 @@
 	if m.chance(m.lateOrders, "late") {
 		m.after(900*time.Millisecond, unanswered)
 		m.after(time.Duration(rapid.IntRange(1, 8).Draw(m.t, "late by"))*time.Second, func() {
-			if !s.cut && s.born.Equal(born) { // an order dies with the process that it was sent to
+			if !s.cut && s.onlyFor == nil && s.born.Equal(born) { // an order dies with the process that it was sent to
 				run(s)
 			}
 		})
@@ -239,7 +251,7 @@
 	}
 	lost := m.chance(m.lostAnswers, "lost")
 	m.after(m.delay(4), func() {
-		if s.cut || !s.born.Equal(born) {
+		if s.cut || !s.born.Equal(born) || (s.onlyFor != nil && s.onlyFor != c) {
 			m.after(900*time.Millisecond, unanswered)
 			return
 		}
@@ -287,7 +299,11 @@
 	if len(s.running) >= 3 {
 		m.fail("%v is beyond the capacity of %s", o.Run, s.id)
 	}
-	s.running[o.Run] = m.now.Add(time.Duration(rapid.IntRange(200, 3000).Draw(m.t, "duration")) * time.Millisecond)
+	longest := 3000
+	if m.chance(20, "outlasts a lease") {
+		longest = 12_000
+	}
+	s.running[o.Run] = m.now.Add(time.Duration(rapid.IntRange(200, longest).Draw(m.t, "duration")) * time.Millisecond)
 	return backend.Accepted{Clock: clock}
 }
 
@@ -336,7 +352,7 @@
 }
 
 func (m *model) commit(c *modelController, e fleet.Commit) {
-	if c.dead {
+	if c.dead || c.storeless {
 		return
 	}
 	condition := e.Transaction.Conditions()[0]
@@ -374,7 +390,7 @@
 // trouble injects one fault.
 func (m *model) trouble(step int) {
 	s := m.servers[fmt.Sprintf("i-%d", rapid.IntRange(0, 3).Draw(m.t, "server"))]
-	switch rapid.IntRange(0, 5).Draw(m.t, "fault") {
+	switch rapid.IntRange(0, 6).Draw(m.t, "fault") {
 	case 0: // the controller pauses, another takes over once the term is over, and the first goes on later
 		old := m.current
 		old.paused = true
@@ -398,6 +414,12 @@
 		})
 	case 4:
 		m.lateOrders = rapid.IntRange(0, 20).Draw(m.t, "late orders")
+	case 6: // the controller loses the store, another takes over, and each reaches servers that the other doesn't
+		old := m.current
+		old.storeless, s.onlyFor = true, old
+		m.pass(1700 * time.Millisecond)
+		m.takeOver(fmt.Sprint("entry-", step))
+		m.after(m.delay(9000), func() { s.onlyFor = nil })
 	case 5:
 		m.lostAnswers = rapid.IntRange(0, 20).Draw(m.t, "lost answers")
 	}
@@ -419,7 +441,7 @@
 func (m *model) calm() {
 	m.lateOrders, m.lostAnswers = 0, 0
 	for _, s := range m.servers {
-		s.cut = false
+		s.cut, s.onlyFor = false, nil
 	}
 	m.pass(40 * time.Second)
 	for _, j := range m.jobs {
@@ -447,6 +469,7 @@
 func TestModelNoticesMutations(t *testing.T) {
 	for name, mutated := range map[string]mutation{
 		"servers ignore tokens": serversIgnoreTokens, "the store ignores terms": storeIgnoresTerms,
+		"earlier leases are ignored": ignoreLeases,
 	} {
 		noticed := false
 		rapid.Check(t, func(t *rapid.T) {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -95,8 +95,8 @@
 			order.Noted = 0 // the server may have started again, and numbers its ends anew
 		}
 		// A lease is extended only while the server answers: once it is silent, its lease has to run out.
-		if v.hasClock && v.missed == 0 && now.Before(s.termUntil) {
-			order.Deadline = v.clockNow(now) + workLease
+		if v.hasClock && v.missed == 0 && now.Before(s.termUntil.Add(keepAlive)) {
+			order.Deadline = v.clockNow(now) + s.lease(now)
 			v.granted = max(v.granted, order.Deadline)
 			v.granting()
 		}
@@ -104,6 +104,24 @@
 	}
 }
 
+// lease returns how long a lease that is granted now lasts. Terms and leases are long together, as a new controller needs
+// more time then.
+func (s *State) lease(now time.Time) time.Duration {
+	if s.Term.Duration() <= ShortTerm {
+		return ShortLease
+	}
+	s.longGranted = now
+	return LongLease
+}
+
+// leaseBound bounds what is left of the leases granted so far.
+func (s *State) leaseBound(now time.Time) time.Duration {
+	if now.Sub(s.longGranted) > LongLease-ShortLease {
+		return ShortLease
+	}
+	return LongLease
+}
+
 func (s *State) looked(e LookEnded, now time.Time) {
 	v, known := s.servers[e.Server]
 	if !known || v.sequence != e.Sequence {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -21,7 +21,7 @@
 	if !now.Before(s.termUntil) || !v.hasClock || !v.confirmed {
 		return
 	}
-	deadline := v.clockNow(now) + workLease
+	deadline := v.clockNow(now) + s.lease(now)
 	v.granted = max(v.granted, deadline)
 	v.granting()
 	a.inFlight, a.sent = true, now
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -56,12 +56,15 @@
 // Leases that an earlier controller granted may last longer.
 func (s *server) granting() {
 	left := max(s.granted-s.clock, 0)
-	expires := s.clockAt.Add(time.Duration(float64(left)/slowestClock) + leaseSlack)
+	expires := s.clockAt.Add(onSlowestClock(left) + leaseSlack)
 	if expires.After(s.expiresAt) {
 		s.expiresAt = expires
 	}
 }
 
+// onSlowestClock returns how long a time by a server's clock lasts at most.
+func onSlowestClock(d time.Duration) time.Duration { return time.Duration(float64(d) / slowestClock) }
+
 // silent reports whether the server didn't answer the last look, or none yet. What a server that answers runs is known
 // from its reports.
 func (s *server) silent() bool { return s.missed > 0 || !s.confirmed }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -28,6 +28,8 @@
 	Token uint64
 	// TermSent is when the term was asked for.
 	TermSent time.Time
+	// LeaseBefore bounds the leases that the controller before granted.
+	LeaseBefore time.Duration
 	// DutyPause is the shortest time between orders of two entry VMs for one VM.
 	DutyPause time.Duration
 	// MaintenanceTime is how long the maintenance of a VM takes, MoveTime a move to another pool.
@@ -70,6 +72,7 @@
 	deposed     bool
 	termUntil   time.Time
 	renewedAt   time.Time
+	longGranted time.Time // when a long lease was granted last
 	commit      *commit
 	commitTook  time.Duration // of the last commit
 	statusAt    time.Time
@@ -95,6 +98,9 @@
 		lost: s.Scope.Counter("lost-runs"), cancels: s.Scope.Counter("cancels"), commits: s.Scope.Counter("commits"),
 		waiting: s.Scope.Gauge("waiting-jobs"),
 	}
+	if s.LeaseBefore == 0 {
+		s.LeaseBefore = LongLease
+	}
 	s.began = now
 	s.zonesOut = make(map[string]bool)
 	s.jobs = make(map[string]*job)
@@ -282,9 +288,9 @@
 }
 
 // restoredExpiry is when runs that an earlier controller started have surely ended, if their server can't be reached.
-// The earlier controller's term was over when this one began, and it grants leases only during its term.
+// The earlier controller's term was over when this one began, and it extends leases only for a while after that.
 func (s *State) restoredExpiry() time.Time {
-	return s.began.Add(longestLease + leaseSlack)
+	return s.began.Add(keepAlive + onSlowestClock(s.LeaseBefore) + leaseSlack)
 }
 
 // allServers returns the servers by id.
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -20,6 +20,9 @@
 	Process int64 `json:"process"`
 	// Renewals rises with each renewal.
 	Renewals int64 `json:"renewals"`
+	// LeaseMS bounds how long after the term, and the time that its controller goes on extending leases, a server may work
+	// on, in milliseconds by the server's clock.
+	LeaseMS int64 `json:"lease-ms"`
 	// DurationMS is how long the term lasts from when it was asked for, in milliseconds.
 	DurationMS int64 `json:"duration-ms"`
 
@@ -47,6 +50,14 @@
 // Duration returns how long the term lasts from when it was asked for.
 func (t Term) Duration() time.Duration { return time.Duration(t.DurationMS) * time.Millisecond }
 
+// Lease bounds the leases that its controller granted. Rows of releases that didn't tell it are taken for the longest.
+func (t Term) Lease() time.Duration {
+	if t.LeaseMS == 0 {
+		return LongLease
+	}
+	return time.Duration(t.LeaseMS) * time.Millisecond
+}
+
 // Version returns the version of the row, 0 if there is none.
 func (t Term) Version() uint64 { return t.version }
 
