--- a/deployment/term.go
+++ b/deployment/term.go
@@ -25,7 +25,11 @@
 		term, err := v.readTerm()
 		if (err == nil) != reachable {
 			reachable = err == nil
-			klog.InfoS("Term row", "readable", reachable)
+			reason := ""
+			if err != nil {
+				reason = err.Error()
+			}
+			klog.InfoS("Term row", "readable", reachable, "reason", reason)
 		}
 		if err != nil {
 			continue
@@ -80,9 +84,19 @@
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.TermKey, was.Version())},
 		[]provider.Write{provider.NewPut(fleet.TermKey, term.Encode())})
-	outcome, ok := v.control.Commit(ctx, tx).(provider.Committed)
-	if !ok {
-		klog.InfoS("Control not taken", "vm", v.Settings.Name(), "term-version", was.Version())
+	var outcome provider.Committed
+	switch o := v.control.Commit(ctx, tx).(type) {
+	case provider.Committed:
+		outcome = o
+	case provider.Conflict:
+		klog.InfoS("Control not taken", "vm", v.Settings.Name(), "term-version", was.Version(), "reason", "lost-race",
+			"row-version", o.Row().Version())
+		return nil
+	case provider.Unavailable:
+		klog.InfoS("Control not taken", "vm", v.Settings.Name(), "term-version", was.Version(), "reason", o.Reason())
+		return nil
+	case provider.Unknown:
+		klog.InfoS("Control may be taken", "vm", v.Settings.Name(), "term-version", was.Version(), "reason", o.Reason())
 		return nil
 	}
 	c := &controller{vm: v, term: term.WithVersion(outcome.Version()), sent: now, token: outcome.Version(), before: was}
--- a/fleet/advice.go
+++ b/fleet/advice.go
@@ -49,7 +49,7 @@
 	return q.Recommendation
 }
 
-// stepName names a step of one occurrence for the recommendation service.
+// name names a step of one occurrence for the recommendation service.
 func (st *step) name() string {
 	id := st.tasks[0].id
 	return fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step)
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -43,7 +43,8 @@
 		"filler":           {with(func(o *workload.StepOptions) { o.Filler = true }), []schedule.Server{server("a", 1)}, 0},
 		"beside others that last": {
 			with(func(o *workload.StepOptions) { o.LongRunning = true }),
-			[]schedule.Server{server("empty", 8000), lasting}, 1,
+			[]schedule.Server{server("empty", 8000), lasting},
+			1,
 		},
 	} {
 		assert.Equal(t, schedule.Choose(c.step, c.servers), c.want, name)
