--- a/fleet/place.go
+++ b/fleet/place.go
@@ -73,20 +73,11 @@
 func (s *State) candidate(j *job, capacity workload.Resources) schedule.Candidate {
 	rest := j.rest(capacity)
 	return schedule.Candidate{
-		Customer: j.spec.Customer(), Weight: s.weight(j.spec.Customer()), ID: j.spec.ID(), Lasting: j.lasting, Priority: j.spec.Priority(), Submitted: j.submitted,
+		ID: j.spec.ID(), Lasting: j.lasting, Priority: j.spec.Priority(), Submitted: j.submitted,
 		Objective: j.objective, Remaining: rest.path, Work: rest.work,
 	}
 }
 
-// weight returns a customer's share when all is full, or 0 if it isn't known.
-func (s *State) weight(customer string) float64 {
-	if s.directory == nil {
-		return 0
-	}
-	c, _ := s.directory.Customer(customer)
-	return c.Weight
-}
-
 func (s *State) poolsInService(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, v := range s.allServers() {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -28,9 +28,6 @@
 	Remaining time.Duration
 	// Work is what is left of the job, in seconds of a whole server.
 	Work float64
-	// Customer sent the job. Weight is the customer's share when all is full; 0 means that none is known.
-	Customer string
-	Weight   float64
 
 	class    class
 	deadline time.Time
@@ -63,8 +60,7 @@
 // second, in the unit of Candidate.Work: the number of its servers.
 //
 // It chooses as many jobs as can be in time together, then as many of the others as can have some benefit: in the order
-// of their deadlines, and whenever one would miss its own, the largest chosen one gives way: of a customer that is far over
-// its share of what is chosen, if there is one. Late jobs that would soon
+// of their deadlines, and whenever one would miss its own, the largest chosen one gives way. Late jobs that would soon
 // be in vain go first, within a share of the room: callers lose more by work that isn't served at all.
 func Order(candidates []Candidate, room float64, now time.Time) {
 	for i := range candidates {
@@ -123,13 +119,13 @@
 		}
 		return a.deadline.Compare(b.deadline)
 	})
-	chosen := newShares()
+	var chosen largestFirst
 	for _, c := range waiting {
 		c.class = to
 		used += c.Work
-		chosen.add(c)
-		for used > room*c.deadline.Sub(now).Seconds() && !chosen.empty() {
-			dropped := chosen.drop()
+		heap.Push(&chosen, c)
+		for used > room*c.deadline.Sub(now).Seconds() && len(chosen) > 0 {
+			dropped := heap.Pop(&chosen).(*Candidate)
 			dropped.class = classOver
 			used -= dropped.Work
 		}
@@ -137,86 +133,6 @@
 	return used
 }
 
-// overShare is how many times its share by weight a customer's work is before its jobs give way first. Customers come and
-// go within a burst, so shares are never kept exactly.
-const overShare = 2
-
-// shares are chosen candidates by customer.
-type shares struct {
-	customers map[string]*share
-	work      float64 // of all
-	weight    float64 // of customers that have chosen jobs
-}
-
-type share struct {
-	jobs   largestFirst
-	work   float64
-	weight float64
-}
-
-func newShares() *shares { return &shares{customers: make(map[string]*share)} }
-
-func (s *shares) add(c *Candidate) {
-	of := s.customers[c.Customer]
-	if of == nil {
-		of = &share{weight: c.Weight}
-		s.customers[c.Customer] = of
-	}
-	if len(of.jobs) == 0 {
-		s.weight += of.weight
-	}
-	heap.Push(&of.jobs, c)
-	of.work += c.Work
-	s.work += c.Work
-}
-
-func (s *shares) empty() bool { return s.work <= 0 || len(s.customers) == 0 || s.largest() == nil }
-
-// drop takes out the job that gives way.
-func (s *shares) drop() *Candidate {
-	from := s.largest()
-	if greedy := s.greediest(); greedy != nil {
-		from = greedy
-	}
-	c := heap.Pop(&from.jobs).(*Candidate)
-	from.work -= c.Work
-	s.work -= c.Work
-	if len(from.jobs) == 0 {
-		s.weight -= from.weight
-	}
-	return c
-}
-
-// largest returns the share with the largest job, or nil if none has a job.
-func (s *shares) largest() *share {
-	var best *share
-	var id string
-	for customer, of := range s.customers {
-		if len(of.jobs) == 0 {
-			continue
-		}
-		if best == nil || of.jobs[0].Work > best.jobs[0].Work || (of.jobs[0].Work == best.jobs[0].Work && customer < id) {
-			best, id = of, customer
-		}
-	}
-	return best
-}
-
-// greediest returns the share that is furthest over its part by weight, or nil if none is far over it.
-func (s *shares) greediest() *share {
-	var worst *share
-	ratio := 0.0
-	for _, of := range s.customers {
-		if len(of.jobs) == 0 || of.weight <= 0 || s.weight <= of.weight {
-			continue
-		}
-		if r := of.work / s.work * s.weight / of.weight; r > overShare && r > ratio {
-			worst, ratio = of, r
-		}
-	}
-	return worst
-}
-
 // largestFirst is a heap of candidates, the one with the most work first.
 type largestFirst []*Candidate
 
