--- a/fleet/advice.go
+++ b/fleet/advice.go
@@ -175,22 +175,3 @@
 	delete(t.step.advice.asked, v)
 	t.freeAt = s.now.Add(startRetry)
 }
-
-// Advise asks the recommendation service on which servers a step may run. Expected is how long it takes.
-type Advise struct {
-	Step     string
-	Servers  []string
-	Expected time.Duration
-}
-
-func (Advise) effect() {}
-
-// Advised is the answer of the recommendation service, or the reason why there is none.
-type Advised struct {
-	Step    string
-	Tickets map[string]string // by server
-	Asked   time.Time
-	Failure string
-}
-
-func (Advised) event() {}
--- a/fleet/effect.go
+++ b/fleet/effect.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/provider"
 )
@@ -39,6 +41,13 @@
 	Token   uint64
 }
 
+// Advise asks the recommendation service on which servers a step may run. Expected is how long it takes.
+type Advise struct {
+	Step     string
+	Servers  []string
+	Expected time.Duration
+}
+
 // ListVMs asks for the platform's list of VMs.
 type ListVMs struct{}
 
@@ -70,6 +79,7 @@
 func (Start) effect()      {}
 func (Stop) effect()       {}
 func (Pace) effect()       {}
+func (Advise) effect()     {}
 func (ListVMs) effect()    {}
 func (MaintainVM) effect() {}
 func (MoveVM) effect()     {}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -83,6 +83,14 @@
 	Outcome backend.Outcome
 }
 
+// Advised is the answer of the recommendation service to a call at the time Asked, or the reason why there is none.
+type Advised struct {
+	Step    string
+	Tickets map[string]string // by server
+	Asked   time.Time
+	Failure string
+}
+
 // WaveTold is the outcome of telling operators how far a wave is.
 type WaveTold struct {
 	Wave     string
@@ -107,5 +115,6 @@
 func (MaintenanceEnded) event()   {}
 func (VMMoveEnded) event()        {}
 func (PaceEnded) event()          {}
+func (Advised) event()            {}
 func (WaveTold) event()           {}
 func (Stopping) event()           {}
