Keep the progress of wide jobs within a row of the store

Cause: found by reading. A row of progress has a record of some 100 bytes for each task that ever ran, over all occurrences of a job, and the store takes 64 KB a row. A job of more than about 600 tasks makes it refuse the commit, and all later ones of the controller: nothing would start any more. No site here has such jobs.

Change: steps and tasks that are done are stored by number; at most 400 tasks of a job run at once. Occurrences that are stored are made under a new controller even if they aren't due by its clock. Rows of earlier releases are still read.

A gang of more than about 550 tasks stays open.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -48,9 +48,12 @@
 
 	maxRowsInCommit  = 80  // the store takes 100 entries, among them conditions and the committer's own row
 	maxIntentsInPass = 400 // starts that one commit may hold
-	statusInterval   = time.Second
-	firstStatus      = 1500 * time.Millisecond // after control begins, until waiting jobs are read and counted
-	sickFailures     = 3                       // failed runs in a row after which a server rests
-	sickRest         = 4 * time.Second
-	stallTimeout     = 1800 * time.Millisecond // a run whose progress stands still for as long
+	// maxLiveTasks of a job run at once, so that its row of progress stays below the 64 KB that the store takes: a record
+	// with a run has some 110 bytes.
+	maxLiveTasks   = 400
+	statusInterval = time.Second
+	firstStatus    = 1500 * time.Millisecond // after control begins, until waiting jobs are read and counted
+	sickFailures   = 3                       // failed runs in a row after which a server rests
+	sickRest       = 4 * time.Second
+	stallTimeout   = 1800 * time.Millisecond // a run whose progress stands still for as long
 )
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pistachiolead/pistachiolead/workload"
@@ -108,6 +109,25 @@
 	}
 }
 
+// makeStored makes the tasks of stored occurrences. They may not be due yet by this entry VM's clock.
+func (j *job) makeStored(p workload.Progress) {
+	last := -1
+	for local := range p.Tasks {
+		if id, err := workload.ParseTaskID(j.spec.ID() + "." + local); err == nil {
+			last = max(last, id.Occurrence)
+		}
+	}
+	for _, name := range p.DoneSteps {
+		if id, err := workload.ParseStepID(name); err == nil {
+			last = max(last, id.Occurrence)
+		}
+	}
+	for j.made <= min(last, j.spec.Occurrences()-1) {
+		j.makeOccurrence(j.made)
+		j.made++
+	}
+}
+
 func (j *job) makeOccurrence(occurrence int) {
 	for number, spec := range j.spec.Steps() {
 		s := &step{spec: spec, left: spec.Count(), idle: spec.Count(), number: number}
@@ -147,23 +167,56 @@
 // progress returns what is stored of the job.
 func (j *job) progress() workload.Progress {
 	p := workload.Progress{State: j.state}
-	for _, t := range j.tasks {
-		r := t.stored()
-		if j.state.Final() && len(r.Assignments) == 0 {
+	for _, st := range j.steps {
+		st.store(&p)
+	}
+	slices.Sort(p.DoneSteps)
+	if !p.Over() {
+		p.Job = j.spec.Encode()
+	}
+	return p
+}
+
+// store adds the tasks of a step to the stored progress. Of a job that has ended only runs that may exist matter.
+func (st *step) store(p *workload.Progress) {
+	name := st.id().String()
+	if st.left == 0 && st.live() == 0 {
+		if !p.State.Final() {
+			p.DoneSteps = append(p.DoneSteps, name)
+		}
+		return
+	}
+	for _, t := range st.tasks {
+		if len(t.attempts) == 0 && (p.State.Final() || t.record.LastRun == 0 && !t.record.Done) {
 			continue
 		}
-		if r.LastRun == 0 && !r.Done {
+		if len(t.attempts) == 0 && t.record.Done {
+			if p.DoneTasks == nil {
+				p.DoneTasks = make(map[string][]int)
+			}
+			p.DoneTasks[name] = append(p.DoneTasks[name], t.id.Index)
 			continue
 		}
 		if p.Tasks == nil {
-			p.Tasks = make(map[string]workload.TaskRecord, len(j.tasks))
+			p.Tasks = make(map[string]workload.TaskRecord, len(st.tasks))
 		}
-		p.Tasks[t.local] = r
+		p.Tasks[t.local] = t.stored()
 	}
-	if !p.Over() {
-		p.Job = j.spec.Encode()
+}
+
+// id names the step within its job.
+func (st *step) id() workload.StepID {
+	t := st.tasks[0].id
+	return workload.StepID{Occurrence: t.Occurrence, Step: t.Step}
+}
+
+// live returns the number of runs of the step that may exist.
+func (st *step) live() int {
+	n := 0
+	for _, t := range st.tasks {
+		n += len(t.attempts)
 	}
-	return p
+	return n
 }
 
 // intents returns the runs whose intent isn't stored.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -135,6 +135,9 @@
 		if !t.wants(now) {
 			continue
 		}
+		if t.job.live >= maxLiveTasks {
+			break
+		}
 		if !s.withinLimit(t, 1) {
 			s.overLimit[s.poolOf(t.job)]++
 			break
--- /dev/null
+++ b/fleet/progress_test.go
@@ -0,0 +1,73 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// maxRow is what the store takes in a row.
+const maxRow = 64 << 10
+
+// Guards against a job that is too wide, or runs too often, for the row that holds its progress: the store would refuse
+// every commit of the controller from then on.
+func TestProgressOfAWideJobFitsItsRow(t *testing.T) {
+	w := newWorld(60, 1)
+	steps := []workload.StepOptions{
+		{Count: 700, MilliCores: 1000, EstimateMS: 1000},
+		{Count: 700, MilliCores: 1000, EstimateMS: 1000, After: []int{0}},
+	}
+	w.submitJob(1, 0, "", steps)
+	longest := 0
+	w.observe = func(key string, value []byte) { longest = max(longest, len(value)) }
+	w.pass(20 * time.Second)
+	assert.Equal(t, len(w.ends), 1, "the job hasn't ended")
+	t.Logf("the longest row has %d bytes", longest)
+	assert.Assert(t, longest <= maxRow)
+}
+
+// Guards against tasks that run again because a new controller doesn't know that they are done.
+func TestDoneTasksStayDoneUnderANewController(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.take()
+	job := r.job(1, workload.StepOptions{Count: 3, MilliCores: 1000, EstimateMS: 1000},
+		workload.StepOptions{Count: 1, MilliCores: 1000, EstimateMS: 1000, After: []int{0}})
+	r.handle(fleet.JobArrived{Job: job})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 3)
+	for _, s := range starts {
+		r.started(s)
+	}
+	r.pass(100 * time.Millisecond)
+	end := func(n int64, s fleet.Start) backend.End {
+		return backend.End{Number: n, Run: s.Order.Run, Kind: workload.EndDone}
+	}
+	r.report("i-1", []backend.Run{starts[2].Order.Run}, end(1, starts[0]), end(2, starts[1]))
+	r.pass(time.Second)
+	r.take()
+	r.restart(job)
+	r.register("i-1", "press")
+	r.report("i-1", []backend.Run{starts[2].Order.Run})
+	r.pass(200 * time.Millisecond)
+	for _, e := range r.effects {
+		_, isStart := e.(fleet.Start)
+		assert.Assert(t, !isStart, "%v", e)
+	}
+	r.report("i-1", nil, end(3, starts[2]))
+	r.pass(100 * time.Millisecond)
+	next := r.starts()
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, next[0].Order.Run.Task.Step, 1)
+	r.restart(job)
+	r.register("i-1", "press")
+	r.report("i-1", []backend.Run{next[0].Order.Run})
+	r.pass(time.Second)
+	assert.Equal(t, len(r.starts()), 0)
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -254,6 +254,8 @@
 func (s *State) restoreJob(j *job, p workload.Progress, now time.Time) {
 	j.state = p.State
 	j.started = p.State != workload.JobQueued
+	j.makeStored(p)
+	s.restoreDone(j, p)
 	for local, record := range p.Tasks {
 		t, made := j.tasks[local]
 		if !made {
@@ -287,6 +289,32 @@
 	}
 }
 
+// restoreDone takes in the tasks that are stored as done without a record of their own.
+func (s *State) restoreDone(j *job, p workload.Progress) {
+	done := make(map[string][]int, len(p.DoneSteps)+len(p.DoneTasks))
+	for name, indexes := range p.DoneTasks {
+		done[name] = indexes
+	}
+	for _, name := range p.DoneSteps {
+		done[name] = nil // all
+	}
+	for name, indexes := range done {
+		id, err := workload.ParseStepID(name)
+		st, made := j.steps[[2]int{id.Occurrence, id.Step}]
+		if err != nil || !made {
+			klog.InfoS("Stored step isn't part of its job", "job", j.spec.ID(), "step", name)
+			continue
+		}
+		for _, t := range st.tasks {
+			if indexes == nil || slices.Contains(indexes, t.id.Index) {
+				t.record.Done = true
+				st.left--
+				st.idle--
+			}
+		}
+	}
+}
+
 // restoredExpiry is when runs that an earlier controller started have surely ended, if their server can't be reached.
 // The earlier controller's term was over when this one began, and it extends leases only for a while after that.
 func (s *State) restoredExpiry() time.Time {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -26,8 +26,9 @@
 	started int
 	ended   int
 
-	held       bool                 // commits get no outcome
-	ends       map[string]time.Time // when the end of a job was stored
+	held       bool                           // commits get no outcome
+	observe    func(key string, value []byte) // sees all rows that are stored; may be nil
+	ends       map[string]time.Time           // when the end of a job was stored
 	submitted  map[string]time.Time
 	vms        map[string]*worldVM
 	stops      int
@@ -203,6 +204,9 @@
 
 func (w *world) store(t provider.Transaction) {
 	for _, row := range t.Writes() {
+		if w.observe != nil {
+			w.observe(row.Key(), row.Value())
+		}
 		id, isProgress := strings.CutPrefix(row.Key(), fleet.ProgressPrefix)
 		if !isProgress {
 			continue
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -44,6 +44,10 @@
 type Progress struct {
 	State JobState              `json:"state"`
 	Tasks map[string]TaskRecord `json:"tasks,omitempty"`
+	// DoneSteps names the steps all of whose tasks are done, DoneTasks has the indexes of the tasks that are done of other
+	// steps. A row of the store couldn't hold a record of each task of a wide job that runs many times.
+	DoneSteps []string         `json:"done-steps,omitempty"`
+	DoneTasks map[string][]int `json:"done-tasks,omitempty"`
 	// Job is the stored job, unless nothing is left to do for it. With it a new controller knows all that runs from one
 	// part of the store, even if the part with the job's own row can't be read.
 	Job json.RawMessage `json:"job,omitempty"`
--- a/workload/task.go
+++ b/workload/task.go
@@ -24,6 +24,24 @@
 	return strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// StepID identifies a step in one occurrence of a job.
+type StepID struct{ Occurrence, Step int }
+
+// String returns the step's name within its job.
+func (s StepID) String() string { return strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step) }
+
+// ParseStepID reads a step's name within its job.
+func ParseStepID(name string) (StepID, error) {
+	var s StepID
+	occurrence, step, found := strings.Cut(name, ".")
+	first, err := strconv.Atoi(occurrence)
+	second, err2 := strconv.Atoi(step)
+	if !found || err != nil || err2 != nil || first < 0 || second < 0 {
+		return s, errors.Errorf("step name: found %q, allowed: occurrence.step", name)
+	}
+	return StepID{Occurrence: first, Step: second}, nil
+}
+
 // ParseTaskID reads a task's name.
 func ParseTaskID(name string) (TaskID, error) {
 	parts := strings.Split(name, ".")
