--- a/schedule/pacing.go
+++ b/schedule/pacing.go
@@ -1,10 +1,10 @@
 package schedule
 
 const (
-	fullPace     = 100  // percent
-	paceStep     = 25   // percent by which a pace rises at a time
-	paceOverNear = 0.85 // of a target: from here on fillers are slowed down, as the figure is half a second old
-	paceUnder    = 0.6  // of a target: below it there is room for more
+	fullPace  = 100  // percent
+	paceStep  = 25   // percent by which a pace rises at a time
+	paceNear  = 0.85 // of a target: from here on fillers are slowed down, as the figure is half a second old
+	paceUnder = 0.6  // of a target: below it there is room for more
 )
 
 // Serving is a task that serves its own users.
@@ -28,7 +28,7 @@
 	switch {
 	case worst > 1:
 		return 0
-	case worst > paceOverNear:
+	case worst > paceNear:
 		return pace / 2
 	case worst < paceUnder:
 		return min(pace+paceStep, fullPace)
