--- a/fleet/progress_test.go
+++ b/fleet/progress_test.go
@@ -24,7 +24,7 @@
 	}
 	w.submitJob(1, 0, "", steps)
 	longest := 0
-	w.observe = func(key string, value []byte) { longest = max(longest, len(value)) }
+	w.observe = func(_ string, value []byte) { longest = max(longest, len(value)) }
 	w.pass(20 * time.Second)
 	assert.Equal(t, len(w.ends), 1, "the job hasn't ended")
 	t.Logf("the longest row has %d bytes", longest)
