Know done tasks of occurrences that aren't due yet, and keep three seeds of the soak that failed

The soak has no jobs with set times, so this isn't the cause of its failures.

Change: these occurrences are made too; none starts before it is due by the clock of the controller. The soak makes the directory for its logs, as the logs of the failed seeds were lost without it.

Before and after: TestOccurrenceOfAFasterClockIsKnown: 2 and 1 tasks started.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -117,7 +118,8 @@
 			last = max(last, id.Occurrence)
 		}
 	}
-	for _, name := range p.DoneSteps {
+	steps := slices.Collect(maps.Keys(p.DoneTasks))
+	for _, name := range append(steps, p.DoneSteps...) {
 		if id, err := workload.ParseStepID(name); err == nil {
 			last = max(last, id.Occurrence)
 		}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -111,6 +111,9 @@
 func (s *State) placeJob(j *job, p *pool, now time.Time) int {
 	placed := 0
 	for occurrence := range j.made {
+		if j.spec.Scheduled() && j.spec.Due(occurrence).After(now) {
+			continue // it was begun by an entry VM whose clock is ahead
+		}
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			if st.idle == 0 || !j.mayStart(occurrence, st) {
--- a/fleet/progress_test.go
+++ b/fleet/progress_test.go
@@ -71,3 +71,26 @@
 	r.pass(time.Second)
 	assert.Equal(t, len(r.starts()), 0)
 }
+
+// Guards against done tasks of an occurrence that run again because it isn't due yet by the clock of a new controller.
+func TestOccurrenceOfAFasterClockIsKnown(t *testing.T) {
+	r := newRig(t)
+	job, err := workload.NewJob(workload.JobOptions{
+		ID: "000000000000000a", Queue: "plates", Customer: "label", Pool: "press", Attempts: 2, Specification: "s",
+		Steps:       []workload.StepOptions{{Count: 2, MilliCores: 1000, EstimateMS: 1000}},
+		Repetitions: 1, FirstRunMS: r.now.Add(3 * time.Second).UnixMilli(), IntervalMS: 1000, AcceptedMS: r.now.UnixMilli(),
+	})
+	assert.NilError(t, err)
+	stored := workload.Progress{State: workload.JobRunning, DoneTasks: map[string][]int{"0.0": {0}}, Job: job.Encode()}
+	r.rows[fleet.ProgressPrefix+job.ID()] = stored.Encode()
+	r.restart(job)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.take()
+	r.pass(2 * time.Second)
+	assert.Equal(t, len(r.starts()), 0)
+	r.pass(2 * time.Second)
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Run.Task.Index, 1)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,10 @@
 // kept are seeds that CI runs. A seed that failed once stays here, with a line on the cause.
 var kept = []uint64{
 	1, // the seed of the short run
+	// Failed once beside scores and CI, without logs, and passed each time since; see KNOWN-RED.txt.
+	221931296743,  // a revoked key wasn't refused within 5 s
+	1059965662090, // likewise
+	424485026665,  // a task started after its end was noted
 }
 
 const (
@@ -491,6 +495,7 @@
 	if !w.t.Failed() || *keep == "" {
 		return
 	}
+	assert.NilError(w.t, os.MkdirAll(*keep, 0o700))
 	for _, v := range w.vms {
 		name := filepath.Join(*keep, fmt.Sprintf("%d-%s.log", w.seed, v.name))
 		assert.NilError(w.t, os.WriteFile(name, v.log.Bytes(), 0o600))
