Prefer entry VMs with more processor time as leaders after an outage

Cause: the takeover delay that prefers fast entry VMs counts from the end of the term.

Change: the delay counts from when the row can be read again. An entry VM with at least twice the processor time of the leader claims the term by a row; the leader reads it, resigns once nothing is in flight, and names its successor, which takes over at once.

Tests: TestOutageKeepsPreferenceForFastVMs fails at offset 0 (slow-1 first) without the delay from the first read; TestFastVMSucceedsSlowLeader and TestLeaderResignsForClaimant cover claim, resignation and succession.

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -24,6 +24,9 @@
 	// entry VM becomes the leader first.
 	slowCores = 0.35
 
+	// claimReadInterval is the time between two reads of the claim on its term by a leader with little processor time.
+	claimReadInterval = 500 * time.Millisecond
+
 	// keyAgeMargin is the part of the bound for revoked keys that is left for a call after its key was checked.
 	keyAgeMargin = 800 * time.Millisecond
 	// storeContactTimeout is the time without a response of the store after which calls are refused and the entry VM is
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -99,6 +99,7 @@
 	ticks := c.vm.Clock.Every(tickInterval, func(time.Time) { c.post(fleet.Tick{}) })
 	defer ticks.Stop()
 	c.post(fleet.Tick{})
+	c.watchClaims()
 	var events []fleet.Event
 	for {
 		select {
@@ -120,6 +121,30 @@
 	}
 }
 
+// watchClaims posts claims on the term by faster entry VMs. A leader with much processor time doesn't read them.
+func (c *controller) watchClaims() {
+	if c.vm.Settings.Processors() >= preferredCores {
+		return
+	}
+	c.vm.goroutines.Go(func() error {
+		for c.ctx.Err() == nil {
+			timer.Wait(c.ctx, c.vm.Clock, claimReadInterval)
+			row, err := c.vm.readControlRow(fleet.ClaimKey)
+			if err != nil {
+				klog.InfoS("Failed to read claims on the term", "vm", c.vm.Settings.Name(), "error", err.Error())
+				continue
+			}
+			claim, err := fleet.DecodeClaim(row)
+			if err != nil {
+				klog.ErrorS(err, "Ignored an invalid claim on the term", "row-version", row.Version())
+				continue
+			}
+			c.post(fleet.TermClaimed{Claim: claim})
+		}
+		return nil
+	})
+}
+
 // storedState is the control state as previous controllers stored it.
 type storedState struct {
 	progress   map[string]workload.Progress // by job id
--- a/deployment/election.go
+++ b/deployment/election.go
@@ -37,6 +37,10 @@
 		}
 		now := v.Clock.Now()
 		watch.Observe(term, now)
+		if watch.ClaimDue(now) {
+			watch.RecordClaim(now)
+			v.claimTerm(ctx, term)
+		}
 		if !watch.TakeoverDue(now) {
 			continue
 		}
@@ -50,6 +54,7 @@
 func (v *VM) newWatch() fleet.TermWatch {
 	return fleet.TermWatch{
 		EntryVM: v.Settings.Name(), TakeoverDelay: v.takeoverDelay(), Slow: v.Settings.Processors() < slowCores,
+		Processors: v.Settings.Processors(),
 	}
 }
 
@@ -64,16 +69,48 @@
 }
 
 func (v *VM) readTerm() (fleet.Term, error) {
-	switch o := v.control.Scan(context.Background(), fleet.TermKey, 0).(type) {
+	row, err := v.readControlRow(fleet.TermKey)
+	if err != nil {
+		return fleet.Term{}, err
+	}
+	return fleet.DecodeTerm(row)
+}
+
+// claimTerm asks the leader to resign in favor of this entry VM, unless another one has claimed the same term.
+func (v *VM) claimTerm(ctx context.Context, term fleet.Term) {
+	row, err := v.readControlRow(fleet.ClaimKey)
+	if err != nil {
+		klog.InfoS("Failed to read the claim on the term", "vm", v.Settings.Name(), "error", err.Error())
+		return
+	}
+	claim, err := fleet.DecodeClaim(row)
+	if err != nil {
+		klog.ErrorS(err, "Replacing an invalid claim on the term", "row-version", row.Version())
+	}
+	if claim.Claims(term) && claim.Claimant != v.Settings.Name() {
+		return
+	}
+	claim = fleet.Claim{Claimant: v.Settings.Name(), Holder: term.Holder, Process: term.Process}
+	tx := provider.NewTransaction(
+		[]provider.Condition{provider.NewCondition(fleet.ClaimKey, row.Version())},
+		[]provider.Write{provider.NewPut(fleet.ClaimKey, claim.Encode())})
+	_, committed := v.control.Commit(ctx, tx).(provider.Committed)
+	klog.InfoS("Claimed the term of a leader with less processor time", "vm", v.Settings.Name(), "leader", term.Holder,
+		"leader-processors", term.Processors, "processors", v.Settings.Processors(), "stored", committed)
+}
+
+// readControlRow reads one row of the control partition. A row that doesn't exist has version 0.
+func (v *VM) readControlRow(key string) (provider.Row, error) {
+	switch o := v.control.Scan(context.Background(), key, 0).(type) {
 	case provider.Rows:
 		if len(o.Rows()) == 0 {
-			return fleet.Term{}, nil
+			return provider.Row{}, nil
 		}
-		return fleet.DecodeTerm(o.Rows()[0])
+		return o.Rows()[0], nil
 	case provider.Unavailable:
-		return fleet.Term{}, errors.New(o.Reason())
+		return provider.Row{}, errors.New(o.Reason())
 	}
-	return fleet.Term{}, errors.New("read the term row: the store returned an unexpected outcome of a scan")
+	return provider.Row{}, errors.Errorf("read row %s: the store returned an unexpected outcome of a scan", key)
 }
 
 // acquireTerm makes this entry VM the leader: it writes the term row and starts a controller. It returns nil if another
@@ -83,6 +120,7 @@
 	term := fleet.Term{
 		Holder: v.Settings.Name(), Process: v.processID, Renewals: previous.Renewals + 1,
 		DurationMS: fleet.LongTerm.Milliseconds(), LeaseMS: fleet.LongLease.Milliseconds(),
+		Processors: v.Settings.Processors(),
 	}
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.TermKey, previous.Version())},
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -73,7 +73,7 @@
 		}
 		c.term = term
 		if c.resigns {
-			term.Holder = ""
+			term.Holder, term.Successor = "", s.successor
 		}
 		writes = append(writes, provider.NewPut(TermKey, term.Encode()))
 	}
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -21,6 +21,21 @@
 	slowTermPollInterval = time.Second
 	lateTermPollInterval = 50 * time.Millisecond
 
+	// maxReadGap is the time between two reads of the term row from which on the store counts as having been away. The
+	// slowest schedule reads the row every slowTermPollInterval.
+	maxReadGap = 1500 * time.Millisecond
+	// slowVMOutageDelay is added to the takeover delay of a VM with little processor time after an outage of the store,
+	// because the first reads of faster VMs may hang until their timeout.
+	slowVMOutageDelay = 500 * time.Millisecond
+	// claimFactor is how much more processor time than the leader an entry VM has to have to claim the term.
+	claimFactor = 2
+	// claimDelay is how long a leader is left in place before its term is claimed: it has then read the stored state, and
+	// a planned stop of all VMs in turn doesn't cause a claim at each of them.
+	claimDelay    = 500 * time.Millisecond
+	claimInterval = 5 * time.Second // before a claim without effect is repeated
+	// successorGrace is how long other entry VMs leave a term to the successor that it names.
+	successorGrace = time.Second
+
 	// ShortLease is how long a backend server continues its runs without a poll, while terms are short. It covers a
 	// term, the time in which a new controller reads the store, and a poll. The runs of an unresponsive server are
 	// restarted elsewhere only after its lease.
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -103,6 +103,9 @@
 // no start request is in flight.
 type Stopping struct{}
 
+// TermClaimed says that an entry VM claimed a term. If it is the term of this leader, the leader resigns in its favor.
+type TermClaimed struct{ Claim Claim }
+
 func (Tick) event()                {}
 func (JobArrived) event()          {}
 func (CancelRequested) event()     {}
@@ -120,3 +123,4 @@
 func (RecommendationEnded) event() {}
 func (WaveStatusPublished) event() {}
 func (Stopping) event()            {}
+func (TermClaimed) event()         {}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -71,6 +71,7 @@
 	sortedServers         []*server     // all servers by id, or nil if it has to be rebuilt
 	changedJobs           map[*job]bool // jobs whose progress has to be stored
 	stopping              bool
+	successor             string // the entry VM in whose favor this one resigns, or ""
 	resigned              bool
 	deposed               bool
 	termEndsAt            time.Time
@@ -168,6 +169,8 @@
 		s.wavePublished(e)
 	case Stopping:
 		s.stopping = true
+	case TermClaimed:
+		s.termClaimed(e.Claim)
 	}
 }
 
@@ -209,6 +212,15 @@
 	s.rebalance(now)
 }
 
+// termClaimed resigns in favor of a faster entry VM.
+func (s *State) termClaimed(c Claim) {
+	if s.stopping || !c.Claims(s.Term) {
+		return
+	}
+	klog.InfoS("Resigning in favor of a faster entry VM", "vm", s.EntryVM, "token", s.Token, "successor", c.Claimant)
+	s.stopping, s.successor = true, c.Claimant
+}
+
 func (s *State) depose(reason string) {
 	if s.deposed {
 		return
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -142,3 +144,106 @@
 		return
 	}
 }
+
+// takeoverOrder returns the names of entry VMs in the order in which they may take over, when each reads the same term
+// row at the times of its own schedule.
+func takeoverOrder(watches map[string]*fleet.TermWatch, row func(now time.Time) (fleet.Term, bool), start time.Time) []string {
+	var order []string
+	next := make(map[string]time.Time)
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		for name, w := range watches {
+			if now.Before(next[name]) || slices.Contains(order, name) {
+				continue
+			}
+			if term, readable := row(now); readable {
+				w.Observe(term, now)
+				if w.TakeoverDue(now) {
+					order = append(order, name)
+				}
+			}
+			next[name] = now.Add(w.ReadDelay(now))
+		}
+	}
+	return order
+}
+
+// Load pattern: the store is down for longer than a term and comes back at the peak of a burst. Guards against a leader
+// with little processor time, whose takeover delay had passed before any entry VM could read the term row.
+func TestOutageKeepsPreferenceForFastVMs(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	outageFrom, outageTo := start.Add(1500*time.Millisecond), start.Add(9*time.Second)
+	const lastRenewal = 900 * time.Millisecond
+	row := func(now time.Time) (fleet.Term, bool) {
+		renewals := min(now.Sub(start), lastRenewal) / (250 * time.Millisecond)
+		term := fleet.Term{Holder: "gone", DurationMS: fleet.ShortTerm.Milliseconds()}.WithVersion(uint64(renewals + 1))
+		return term, now.Before(outageFrom) || !now.Before(outageTo)
+	}
+	for offset := range 40 { // of the outage's end against the reads of the VMs
+		outageTo = outageTo.Add(7 * time.Millisecond)
+		watches := map[string]*fleet.TermWatch{
+			"fast":   {EntryVM: "fast", TakeoverDelay: 140 * time.Millisecond},
+			"slow-1": {EntryVM: "slow-1", TakeoverDelay: 230 * time.Millisecond, Slow: true},
+			"slow-2": {EntryVM: "slow-2", TakeoverDelay: 370 * time.Millisecond, Slow: true},
+		}
+		order := takeoverOrder(watches, row, start)
+		assert.Assert(t, len(order) > 0 && order[0] == "fast", "offset %d: %v", offset, order)
+	}
+}
+
+// Load pattern: all entry VMs restart at once under load. Guards against a leader with little processor time that
+// takes over without a delay because the row names it, and against a leader that never gives its term to a faster VM.
+func TestFastVMSucceedsSlowLeader(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	slow := fleet.Term{Holder: "slow", Processors: 0.2, DurationMS: fleet.ShortTerm.Milliseconds()}
+	fast := &fleet.TermWatch{EntryVM: "fast", Processors: 0.8}
+	similar := &fleet.TermWatch{EntryVM: "similar", Processors: 0.3}
+	sawClaim := false
+	for version := range uint64(20) {
+		for _, w := range []*fleet.TermWatch{fast, similar} {
+			w.Observe(slow.WithVersion(version+1), now)
+			assert.Assert(t, !w.TakeoverDue(now))
+		}
+		assert.Assert(t, !similar.ClaimDue(now), "a VM that is hardly faster claims the term")
+		sawClaim = sawClaim || fast.ClaimDue(now)
+		now = now.Add(250 * time.Millisecond)
+	}
+	assert.Assert(t, sawClaim, "the faster VM doesn't claim the term")
+
+	resigned := fleet.Term{Successor: "fast", DurationMS: fleet.ShortTerm.Milliseconds()}.WithVersion(30)
+	fast.Observe(resigned, now)
+	similar.Observe(resigned, now)
+	assert.Assert(t, fast.TakeoverDue(now), "the successor waits")
+	assert.Assert(t, !similar.TakeoverDue(now), "another VM doesn't wait for the successor")
+	now = now.Add(2 * time.Second)
+	assert.Assert(t, similar.TakeoverDue(now), "nobody takes over from a successor that is gone")
+}
+
+// Guards against a slow leader that ignores a claim, and against starts after it has resigned in favor of the claimant.
+func TestLeaderResignsForClaimant(t *testing.T) {
+	r := newRig(t)
+	r.state.Term.Processors = 0.2
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "fast", Holder: "entry", Process: 7}})
+	r.advance(300 * time.Millisecond)
+	term, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, r.rows[fleet.TermKey], 1))
+	assert.NilError(t, err)
+	assert.Equal(t, term.Holder, "entry", "resigned for a claim on another term")
+
+	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "fast", Holder: "entry"}})
+	r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000})})
+	r.advance(time.Second)
+	term, err = fleet.DecodeTerm(provider.NewRow(fleet.TermKey, r.rows[fleet.TermKey], 1))
+	assert.NilError(t, err)
+	assert.Equal(t, term.Holder, "entry", "resigned with a start request in flight")
+	r.acceptStart(starts[0])
+	r.advance(time.Second)
+	term, err = fleet.DecodeTerm(provider.NewRow(fleet.TermKey, r.rows[fleet.TermKey], 1))
+	assert.NilError(t, err)
+	assert.Equal(t, term.Holder, "")
+	assert.Equal(t, term.Successor, "fast")
+	assert.Equal(t, len(r.starts()), 0)
+}
