Count long-running tasks as available only once stops of the previous controller are over

Cause: a controller that resigns may have requested a stop that its server still carries out.

Once a server has this controller's token it refuses older stops.

Test: TestStopOfPreviousControllerCountsAsUnavailable, which fails without the change.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -50,7 +50,7 @@
 		EntryVM: s.Name(), Term: c.term, Token: c.token, TermRequestedAt: c.termRequestedAt,
 		PreviousLease:   c.previousTerm.Lease(),
 		HandoverPause:   s.HandoverPause(),
-		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(),
+		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(),
 		Scope: c.vm.Scope.SubScope("control"),
 	}
 	c.vm.controller.Store(c)
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -55,6 +55,8 @@
 	// startupPollWait replaces pollWait while a long-running task starts up: the next task of its step can migrate only
 	// once this one works at full speed.
 	startupPollWait = 200 * time.Millisecond
+	// stopReportMargin is the time from when a run has stopped until the controller has received a report of it.
+	stopReportMargin = 500 * time.Millisecond
 	// minPollInterval is the shortest time between two polls of a server, so that one report covers several ends of
 	// runs.
 	minPollInterval = 50 * time.Millisecond
--- a/fleet/maintenance_test.go
+++ b/fleet/maintenance_test.go
@@ -7,8 +7,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
 )
 
 // maintain requests the maintenance of every other VM.
@@ -42,6 +44,57 @@
 	}
 }
 
+// Guards against two controllers that together stop more tasks of a step than may be unavailable: the previous one
+// requested a stop just before it resigned, and the server still reports the run as at work while it stops.
+func TestStopOfPreviousControllerCountsAsUnavailable(t *testing.T) {
+	r := newRig(t)
+	job := r.job(1, workload.StepOptions{
+		Count: 2, MilliCores: 1000, MaxPerServer: 1, LongRunning: true, MaxUnavailable: 1,
+	})
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	r.handle(fleet.JobArrived{Job: job})
+	runs := make(map[string][]backend.Run)
+	for _, s := range r.starts() {
+		r.acceptStart(s)
+		runs[s.Target.ID] = []backend.Run{s.Request.Run}
+	}
+	assert.Equal(t, len(runs), 2)
+
+	r.restart(job)
+	r.state.StopTime = 900 * time.Millisecond
+	var vms []backend.VM
+	var due []string
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		r.register(id, "press")
+		r.report(id, runs[id])
+		vms = append(vms, backend.VM{
+			Name: "m-" + id, Pool: "press", State: backend.VMUp, Server: id, Capacity: workload.NewResources(8000, 8000, 0),
+		})
+		if runs[id] != nil {
+			due = append(due, "m-"+id)
+		}
+	}
+	r.handle(fleet.VMsListed{VMs: vms, RequestedAt: r.now})
+	r.handle(fleet.OperationArrived{Operation: directory.Wave{
+		Name: "1", Number: 1, VMs: due, TimeLimit: 20 * time.Second, MaxConcurrent: 1,
+	}})
+	stops := func() (n int) {
+		for _, e := range r.takeEffects() {
+			if _, ok := e.(fleet.Stop); ok {
+				n++
+			}
+		}
+		return n
+	}
+	r.advance(800 * time.Millisecond)
+	assert.Equal(t, stops(), 0, "a task was stopped while a stop of the previous controller may still be in progress")
+	r.advance(2 * time.Second)
+	assert.Equal(t, stops(), 1)
+}
+
 // Load pattern: half of the VMs are due for maintenance while bursts move from pool to pool, and each pool has
 // long-running tasks, of which few may be unavailable at once. Guards against waves that end late because these tasks
 // are migrated last, and against more unavailable tasks than allowed.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -167,6 +167,9 @@
 	if !v.confirmed || v.failedPolls > 0 {
 		s.placeAll = true
 	}
+	if !v.confirmed {
+		v.confirmedAt = now
+	}
 	v.failedPolls, v.confirmed = 0, true
 	v.clock, v.clockAt, v.hasClock = r.Clock, now, true
 	v.nextPollAt = now.Add(minPollInterval)
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -204,17 +204,20 @@
 	}
 	unavailable := 0
 	for _, t := range st.tasks {
-		if t != a.task && !t.atFullSpeed() {
+		if t != a.task && !t.atFullSpeed(s.now.Add(-s.StopTime-stopReportMargin)) {
 			unavailable++
 		}
 	}
 	return unavailable < st.spec.MaxUnavailable()
 }
 
-// atFullSpeed reports whether a long-running task has started up and works at full speed.
-func (t *task) atFullSpeed() bool {
+// atFullSpeed reports whether a long-running task has started up and works at full speed, on a server that has
+// reported to this controller since before the given time. The previous controller may have requested a stop just before
+// the server received this controller's token, and until the run has stopped the server reports it as at work.
+func (t *task) atFullSpeed(reportingSince time.Time) bool {
 	for _, a := range t.attempts {
-		if a.phase == running && !a.stopRequested && a.percent >= 100 && a.server.failedPolls == 0 {
+		if a.phase == running && !a.stopRequested && a.percent >= 100 && a.server.failedPolls == 0 &&
+			!a.server.confirmedAt.After(reportingSince) {
 			return true
 		}
 	}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -15,12 +15,13 @@
 	registered  bool
 	incarnation int64
 
-	confirmed  bool          // it has responded to a poll with this term's token since it last restarted
-	clock      time.Duration // the server's clock in its latest report
-	clockAt    time.Time     // when the report with clock was received
-	hasClock   bool
-	leaseUntil time.Duration // the latest lease expiry that was sent to it, by its clock
-	expiresAt  time.Time     // when all runs started so far have certainly ended, by this entry VM's clock
+	confirmed   bool          // it has responded to a poll with this term's token since it last restarted
+	confirmedAt time.Time     // when confirmed was set
+	clock       time.Duration // the server's clock in its latest report
+	clockAt     time.Time     // when the report with clock was received
+	hasClock    bool
+	leaseUntil  time.Duration // the latest lease expiry that was sent to it, by its clock
+	expiresAt   time.Time     // when all runs started so far have certainly ended, by this entry VM's clock
 
 	pollInFlight bool
 	pollSequence uint64
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -37,6 +37,8 @@
 	HandoverPause time.Duration
 	// MaintenanceTime is how long the maintenance of a VM takes, MoveTime how long a move to another pool takes.
 	MaintenanceTime, MoveTime time.Duration
+	// StopTime is the longest time that a server takes to stop a run.
+	StopTime time.Duration
 	// Scope receives metrics. It may be nil.
 	Scope tally.Scope
 
