--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -36,15 +36,17 @@
 	mu          sync.Mutex // guards events and seenJobs
 	events      []fleet.Event
 	eventsReady chan struct{}
-	seenJobs    map[string]bool // the ids of all jobs that were read, so that none is posted twice
+	requests    chan fleet.Effect // to senders that are idle
+	seenJobs    map[string]bool   // the ids of all jobs that were read, so that none is posted twice
 }
 
 // start starts the controller in goroutines of the entry VM.
 func (c *controller) start(ctx context.Context) {
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.eventsReady, c.seenJobs = make(chan struct{}, 1), make(map[string]bool)
+	c.requests = make(chan fleet.Effect)
 	s := c.vm.Settings
-	c.servers = &platform.BackendClient{Client: c.vm.client}
+	c.servers = &platform.BackendClient{Client: c.vm.serverClient}
 	c.vms = &platform.VMClient{Client: c.vm.client, Address: s.VMsAddress(), Holder: s.Name()}
 	c.state = &fleet.State{
 		EntryVM: s.Name(), Term: c.term, Token: c.token, TermRequestedAt: c.termRequestedAt,
@@ -440,10 +442,24 @@
 		c.vm.committer.Submit(e.Transaction, func(o provider.CommitOutcome) { c.post(fleet.CommitEnded{Outcome: o}) })
 		return
 	}
-	c.vm.goroutines.Go(func() error {
+	select {
+	case c.requests <- e:
+	default:
+		c.vm.goroutines.Go(func() error { return c.runSender(e) })
+	}
+}
+
+// runSender sends the request of an effect, and then those that it takes over from execute until the controller ends.
+// Senders are kept because a new goroutine would grow its stack for each request.
+func (c *controller) runSender(e fleet.Effect) error {
+	for {
 		c.post(c.send(e, c.vm.Clock))
-		return nil
-	})
+		select {
+		case e = <-c.requests:
+		case <-c.ctx.Done():
+			return nil
+		}
+	}
 }
 
 // send sends the request of an effect and returns its outcome.
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -51,11 +51,12 @@
 	writes = append(writes, s.statusWrites(now)...)
 	writes = append(writes, s.vmRequestsWrite(c, now)...)
 	if all {
-		for _, v := range s.allServers() {
+		for v := range s.unstoredEnds {
 			if v.lastEndReceived > v.lastEndStored {
 				c.ends[v.id] = endNumber{incarnation: v.incarnation, number: v.lastEndReceived}
 			}
 		}
+		clear(s.unstoredEnds)
 	}
 	c.resigns = s.stopping && all && !s.startsInFlight() && len(s.vmRequests) == 0
 	c.renews = c.resigns || now.Sub(s.renewedAt) >= renewInterval
@@ -210,6 +211,11 @@
 
 func (s *State) commitNotApplied(c *commit, reason string) {
 	klog.InfoS("Commit not applied", "reason", reason, "jobs", len(c.jobs))
+	for id := range c.ends {
+		if v, known := s.servers[id]; known {
+			s.unstoredEnds[v] = true
+		}
+	}
 	for _, j := range c.jobs {
 		s.markChanged(j)
 	}
@@ -258,7 +264,7 @@
 		v, known := s.servers[id]
 		if known && last.incarnation == v.incarnation && last.number > v.lastEndStored {
 			v.lastEndStored = last.number
-			v.nextPollAt = earlier(v.nextPollAt, now.Add(minPollInterval))
+			s.pollAt(v, earlier(v.nextPollAt, now.Add(s.pollInterval())))
 		}
 	}
 }
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -58,7 +58,7 @@
 	// stopReportMargin is the time from when a run has stopped until the controller has received a report of it.
 	stopReportMargin = 500 * time.Millisecond
 	// minPollInterval is the shortest time between two polls of a server, so that one report covers several ends of
-	// runs.
+	// runs. In a large fleet it is the time between two placement passes, as no run starts in between.
 	minPollInterval = 50 * time.Millisecond
 	pollRetryDelay  = 300 * time.Millisecond // after a failed poll
 
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -18,7 +18,7 @@
 	steps       map[[2]int]*step
 	occurrences int // number of occurrences whose tasks are created
 	changed     bool
-	// estimate caches the remaining work. It is reset when a task is done.
+	// estimate caches the remaining work. It is reset when a task is done and when an occurrence is due.
 	estimate *estimate
 	// submitted is the start of the objective, by the clock of the entry VM that accepted the job.
 	submitted    time.Time
@@ -33,6 +33,7 @@
 type estimate struct {
 	path     time.Duration // duration of the longest chain of steps
 	work     float64       // in server-seconds for servers of the capacity
+	load     float64       // resources that the running and pending tasks need, in servers of the capacity
 	capacity workload.Resources
 }
 
@@ -132,6 +133,7 @@
 }
 
 func (j *job) createOccurrence(occurrence int) {
+	j.estimate = nil
 	for number, spec := range j.spec.Steps() {
 		s := &step{spec: spec, remaining: spec.Count(), unassigned: spec.Count(), number: number}
 		for index := range spec.Count() {
@@ -264,7 +266,7 @@
 // remaining returns the estimated remaining work of the job, in server-seconds for servers of the given capacity.
 func (j *job) remaining(capacity workload.Resources) estimate {
 	if j.estimate == nil || j.estimate.capacity != capacity {
-		j.estimate = &estimate{path: j.remainingPath(), work: j.remainingWork(capacity), capacity: capacity}
+		j.estimate = &estimate{path: j.remainingPath(), work: j.remainingWork(capacity), load: j.load(capacity), capacity: capacity}
 	}
 	return *j.estimate
 }
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -100,7 +100,8 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	for _, vm := range s.vms {
+	for _, name := range s.vmNames {
+		vm := s.vms[name]
 		p, known := byName[vm.Pool]
 		if !known {
 			continue
@@ -118,7 +119,7 @@
 	for _, j := range s.jobs {
 		pool := s.poolOf(j)
 		if p, known := byName[pool]; known && !j.state.Final() {
-			p.Load += j.load(capacity[pool])
+			p.Load += j.remaining(capacity[pool]).load
 		}
 	}
 	for name, p := range byName {
@@ -127,9 +128,7 @@
 	}
 	pools := make([]schedule.Pool, 0, len(names))
 	for _, name := range names {
-		p := byName[name]
-		sort.Slice(p.Servers, func(a, b int) bool { return p.Servers[a].VM < p.Servers[b].VM })
-		pools = append(pools, *p)
+		pools = append(pools, *byName[name])
 	}
 	return pools
 }
@@ -169,17 +168,13 @@
 }
 
 // hasLongRunning reports whether the server has runs of long-running tasks.
-func (v *server) hasLongRunning() bool {
-	for _, a := range v.attempts {
-		if a.task.step.spec.LongRunning() {
-			return true
-		}
-	}
-	return false
-}
+func (v *server) hasLongRunning() bool { return v.longRunning > 0 }
 
 // startsLongRunning reports whether a long-running task on the server is starting up.
 func (v *server) startsLongRunning() bool {
+	if !v.hasLongRunning() {
+		return false
+	}
 	for _, a := range v.attempts {
 		if a.task.step.spec.LongRunning() && a.phase != storing && !a.stopRequested && a.percent < 100 {
 			return true
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -15,6 +15,9 @@
 	servers []*server
 	views   []schedule.Server
 	jobs    []*job
+	// unplaceable holds the resources of tasks without constraints that fit on no server. Capacity isn't released during
+	// a pass, so tasks that need as much don't fit either.
+	unplaceable []workload.Resources
 }
 
 // placeIfDue places pending tasks in the pools in which a change may allow starts. While a commit is in flight it
@@ -23,7 +26,7 @@
 	if !s.maySendRequests(now) || s.commit != nil || (!s.placeAll && len(s.dirtyPools) == 0) {
 		return
 	}
-	if now.Sub(s.placedAt) < time.Duration(len(s.servers))*placementIntervalPerServer {
+	if now.Sub(s.placedAt) < s.placementInterval() {
 		return
 	}
 	s.placedAt = now
@@ -32,6 +35,11 @@
 	clear(s.dirtyPools)
 }
 
+// placementInterval returns the shortest time between two placement passes.
+func (s *State) placementInterval() time.Duration {
+	return time.Duration(len(s.servers)) * placementIntervalPerServer
+}
+
 // place assigns pending tasks to servers. The runs are started once their intents are stored.
 func (s *State) place(now time.Time) {
 	pools := s.poolsInService(now)
@@ -133,6 +141,9 @@
 // placeStep assigns the tasks of a step one by one until one can't be placed, and returns the number of assigned tasks.
 func (s *State) placeStep(st *step, p *placementPool, now time.Time) int {
 	placed := 0
+	if !p.mayFit(st.spec) {
+		return 0
+	}
 	p.countStepRuns(st)
 	s.applyRecommendation(st, p, now)
 	for _, t := range st.tasks {
@@ -155,6 +166,8 @@
 			if st.spec.LongRunning() {
 				p.reserveCapacity(st.spec)
 				s.longRunningShortage[s.poolOf(t.job)] += st.missingServers()
+			} else if !st.spec.Constrained() && s.recommendation(t.job) == nil {
+				p.unplaceable = append(p.unplaceable, st.spec.Reserves())
 			}
 			break
 		}
@@ -165,6 +178,20 @@
 	return placed
 }
 
+// mayFit reports whether a task might fit on a server. Long-running tasks always might, as capacity is then reserved for
+// them.
+func (p *placementPool) mayFit(spec workload.Step) bool {
+	if spec.LongRunning() {
+		return true
+	}
+	for _, r := range p.unplaceable {
+		if r.FitsIn(spec.Reserves()) {
+			return false
+		}
+	}
+	return true
+}
+
 // missingServers returns the number of additional servers that the unassigned tasks of a step need.
 func (st *step) missingServers() int {
 	perServer := max(st.spec.MaxPerServer(), 1)
@@ -207,6 +234,9 @@
 func (p *placementPool) countRun(i int, st *step) {
 	p.views[i].SameStepRuns++
 	p.views[i].HasLongRunning = p.views[i].HasLongRunning || st.spec.LongRunning()
+	if !st.spec.SameRack() && !st.spec.LongRunning() {
+		return // the number of runs on the rack isn't used
+	}
 	for k := range p.views {
 		if p.views[k].Rack == p.views[i].Rack {
 			p.views[k].RackSameStepRuns++
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -27,7 +27,8 @@
 	}
 	klog.InfoS("Backend server registered", "server", r.ID, "pool", r.Pool, "zone", r.Zone, "rack", r.Rack,
 		"draining", r.Draining, "incarnation", r.Incarnation)
-	v.nextPollAt, v.idleSince = now, now
+	v.idleSince = now
+	s.pollAt(v, now)
 	s.placeAll = true
 	if r.Draining {
 		s.stopLongRunning(v, "draining", true)
@@ -53,7 +54,7 @@
 	v.incarnation = incarnation
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
 	v.leaseUntil, v.consecutiveFailures = 0, 0
-	v.nextPollAt = now
+	s.pollAt(v, now)
 	for _, a := range v.attempts {
 		// Outcomes of requests to the earlier incarnation are ignored.
 		a.incarnation, a.inFlight, a.stopInFlight, a.stopAccepted = incarnation, false, false, false
@@ -75,10 +76,7 @@
 
 // sendPolls polls the servers that are due, and extends their leases.
 func (s *State) sendPolls(now time.Time) {
-	for _, v := range s.allServers() {
-		if v.pollInFlight || now.Before(v.nextPollAt) || v.reg.Address == "" {
-			continue
-		}
+	for v := s.nextDuePoll(now); v != nil; v = s.nextDuePoll(now) {
 		s.pollSequence++
 		v.pollInFlight, v.pollSequence, v.pollSentAt = true, s.pollSequence, now
 		request := backend.PollRequest{Token: s.Token, AcknowledgedEnd: v.lastEndStored, MaxWait: pollWait}
@@ -146,7 +144,7 @@
 
 func (s *State) pollFailed(v *server, reason string, now time.Time) {
 	v.failedPolls++
-	v.nextPollAt = now.Add(pollRetryDelay)
+	s.pollAt(v, now.Add(pollRetryDelay))
 	if v.failedPolls == 1 {
 		klog.InfoS("Backend server unresponsive", "server", v.id, "reason", reason, "running", len(v.attempts),
 			"expires-in", v.expiresAt.Sub(now))
@@ -172,12 +170,13 @@
 	}
 	v.failedPolls, v.confirmed = 0, true
 	v.clock, v.clockAt, v.hasClock = r.Clock, now, true
-	v.nextPollAt = now.Add(minPollInterval)
+	s.pollAt(v, now.Add(s.pollInterval()))
 
 	lastEnd := v.lastEndReceived
 	for _, end := range r.Ends {
 		if end.Number > lastEnd {
 			s.runEnded(v, end, now)
+			s.unstoredEnds[v] = true
 			v.lastEndReceived = max(v.lastEndReceived, end.Number)
 		}
 	}
@@ -198,7 +197,7 @@
 		s.updateAttempt(a, running, now)
 	}
 	if len(r.Ends) >= backend.MaxReportedEnds {
-		v.nextPollAt = now
+		s.pollAt(v, now)
 		return
 	}
 	for _, a := range v.attempts {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -89,7 +89,7 @@
 	klog.InfoS("Start request refused", "run", a.id(), "server", v.id, "reason", reason)
 	switch reason {
 	case backend.RefusedExpired:
-		v.nextPollAt = now
+		s.pollAt(v, now)
 		a.task.retryAt = now.Add(startRetryDelay)
 	case backend.RefusedBusy, backend.RefusedUnreachable, backend.RefusedCapacity, backend.RefusedIncarnation:
 		v.cooldownUntil = now.Add(refusalCooldown)
@@ -138,7 +138,7 @@
 			a.phase, a.confirmedAt = running, now
 			a.inFlight = false
 		}
-		a.server.nextPollAt = now
+		s.pollAt(a.server, now)
 	case backend.Refused:
 		if o.Reason == backend.RefusedStaleToken {
 			s.depose("server-knows-newer-token")
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -27,11 +27,13 @@
 	pollSequence uint64
 	pollSentAt   time.Time
 	nextPollAt   time.Time
+	pollIndex    int // in State.polls, or notQueued
 	failedPolls  int // consecutive failed polls
 
 	lastEndReceived     int64 // number of the last end of a run that was received
 	lastEndStored       int64 // number of the last end of a run that is stored
 	attempts            map[backend.Run]*attempt
+	longRunning         int // number of attempts of long-running tasks
 	reserved            workload.Resources
 	orphans             map[backend.Run]time.Time // runs that aren't recorded, with the time of the last stop request
 	consecutiveFailures int
@@ -43,7 +45,7 @@
 }
 
 func newServer(id string) *server {
-	return &server{id: id, attempts: make(map[backend.Run]*attempt), orphans: make(map[backend.Run]time.Time)}
+	return &server{id: id, pollIndex: notQueued, attempts: make(map[backend.Run]*attempt), orphans: make(map[backend.Run]time.Time)}
 }
 
 func (v *server) target() backend.Target {
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -396,20 +396,23 @@
 	return job.Objective()
 }
 
-// BenchmarkControl simulates ten seconds of a large deployment: 350 servers and 60 jobs of 13 tasks a second, sent
-// to one pool after the other and more than the pool's capacity. The time per operation is the processor time of these
-// ten seconds.
+// BenchmarkControl simulates ten seconds of large deployments, whose jobs of 13 tasks go to one pool after the other and
+// ask for more than the pool's capacity. The time per operation is the processor time of these ten seconds.
 func BenchmarkControl(b *testing.B) {
-	for b.Loop() {
-		sm := newSimulation(350, 5)
-		n := 0
-		for second := range 10 {
-			for range 60 {
-				n++
-				sm.submit(n, second/4%5)
-				sm.advance(time.Second / 60)
+	for _, size := range []struct{ servers, jobsPerSecond int }{{350, 60}, {1100, 120}} {
+		b.Run(fmt.Sprintf("servers=%d", size.servers), func(b *testing.B) {
+			for b.Loop() {
+				sm := newSimulation(size.servers, 5)
+				n := 0
+				for second := range 10 {
+					for range size.jobsPerSecond {
+						n++
+						sm.submit(n, second/4%5)
+						sm.advance(time.Second / time.Duration(size.jobsPerSecond))
+					}
+				}
+				b.ReportMetric(float64(sm.started)/10, "starts/s")
 			}
-		}
-		b.ReportMetric(float64(sm.started)/10, "starts/s")
+		})
 	}
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -64,11 +64,14 @@
 	longRunningShortage   map[string]int // additional servers that long-running tasks need, by pool
 	overLimit             map[string]int // steps held back by a customer's limit in the last pass, by pool
 	vms                   map[string]backend.VM
+	vmNames               []string // the keys of vms in order
 	vmsListedAt           time.Time
 	listingVMs            bool
 	pollSequence          uint64
-	placeAll              bool            // a change may allow starts in any pool
-	dirtyPools            map[string]bool // pools in which a change may allow starts
+	polls                 pollQueue
+	unstoredEnds          map[*server]bool // servers that reported ends since the last commit that stored all ends
+	placeAll              bool             // a change may allow starts in any pool
+	dirtyPools            map[string]bool  // pools in which a change may allow starts
 	placedAt              time.Time
 	sortedServers         []*server     // all servers by id, or nil if it has to be rebuilt
 	changedJobs           map[*job]bool // jobs whose progress has to be stored
@@ -113,6 +116,7 @@
 	s.earlyCancels = make(map[string]bool)
 	s.servers = make(map[string]*server)
 	s.dirtyPools = make(map[string]bool)
+	s.unstoredEnds = make(map[*server]bool)
 	s.changedJobs = make(map[*job]bool)
 	s.customerUsage = make(map[string]workload.Resources)
 	s.waves = make(map[string]*wave)
@@ -356,6 +360,8 @@
 }
 
 func (s *State) dropServer(v *server) {
+	s.cancelPolls(v)
+	delete(s.unstoredEnds, v)
 	delete(s.servers, v.id)
 	s.sortedServers = nil
 }
@@ -387,6 +393,9 @@
 	t.record.LastRun = max(t.record.LastRun, a.runNumber)
 	v.attempts[backend.Run{Task: t.id, Number: a.runNumber}] = a
 	v.reserved = v.reserved.Plus(a.reserves)
+	if t.step.spec.LongRunning() {
+		v.longRunning++
+	}
 	t.job.activeRuns++
 	if a.phase == storing {
 		t.job.unstoredRuns++
@@ -409,6 +418,9 @@
 	}
 	delete(v.attempts, a.id())
 	v.reserved = v.reserved.Minus(a.reserves)
+	if t.step.spec.LongRunning() {
+		v.longRunning--
+	}
 	v.idleSince = s.now
 	t.job.activeRuns--
 	if a.phase == storing {
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -184,9 +185,12 @@
 		return
 	}
 	s.vms = make(map[string]backend.VM, len(e.VMs))
+	s.vmNames = s.vmNames[:0]
 	for _, vm := range e.VMs {
 		s.vms[vm.Name] = vm
+		s.vmNames = append(s.vmNames, vm.Name)
 	}
+	slices.Sort(s.vmNames)
 }
 
 // inProgress reports whether a VM is being drained, or its maintenance is requested and hasn't begun.
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -34,17 +34,34 @@
 // servers on which the task hasn't failed and servers on the rack of the task's data.
 func SelectServer(step workload.Step, servers []Server) int {
 	best := -1
+	var bestOne choice
 	for i := range servers {
 		if !fits(step, &servers[i]) {
 			continue
 		}
-		if best < 0 || preferable(step, &servers[i], &servers[best]) {
-			best = i
+		one := choice{server: &servers[i]}
+		if best < 0 || preferable(step, &one, &bestOne) {
+			best, bestOne = i, one
 		}
 	}
 	return best
 }
 
+// choice is a server with its utilization, which is computed when a comparison needs it.
+type choice struct {
+	server      *Server
+	utilization float64
+	computed    bool
+}
+
+func (c *choice) use() float64 {
+	if !c.computed {
+		s := c.server
+		c.utilization, c.computed = s.Capacity.Minus(s.Free).DominantShare(s.Capacity), true
+	}
+	return c.utilization
+}
+
 // fits reports whether the server has the capacity for a task of the step and satisfies its constraints.
 func fits(step workload.Step, s *Server) bool {
 	if s.Excluded || !step.Reserves().FitsIn(s.Free) {
@@ -56,8 +73,9 @@
 	return step.Label() == "" || step.Label() == s.Kind || step.Label() == s.Rack
 }
 
-// preferable reports whether server a is a better choice than b.
-func preferable(step workload.Step, a, b *Server) bool {
+// preferable reports whether the first server is a better choice than the second one.
+func preferable(step workload.Step, first, second *choice) bool {
+	a, b := first.server, second.server
 	if a.TaskFailedBefore != b.TaskFailedBefore {
 		return !a.TaskFailedBefore
 	}
@@ -85,9 +103,8 @@
 	if a.MaintenanceDue != b.MaintenanceDue {
 		return !a.MaintenanceDue
 	}
-	useA, useB := a.Capacity.Minus(a.Free).DominantShare(a.Capacity), b.Capacity.Minus(b.Free).DominantShare(b.Capacity)
-	if useA != useB {
-		return useA > useB
+	if first.use() != second.use() {
+		return first.use() > second.use()
 	}
 	return a.ID < b.ID
 }
--- a/workload/step.go
+++ b/workload/step.go
@@ -72,6 +72,9 @@
 // MaxPerServer returns how many tasks of the step may run on one backend server. 0 means any number.
 func (s Step) MaxPerServer() int { return s.options.MaxPerServer }
 
+// Constrained reports whether the step may run only on servers with a label, or only on some servers at a time.
+func (s Step) Constrained() bool { return s.options.Label != "" || s.options.MaxPerServer > 0 }
+
 // Duplicable reports whether several runs of a task may exist at the same time.
 func (s Step) Duplicable() bool { return s.options.Duplicable }
 
