Size pools for jobs that can be in time, release servers of late backlogs, and don't poll ended servers

Cause: a pool with a backlog of late jobs counted all of it and never had an idle server, so the queue whose turn came next was late too (small twin of the large site: one pool holds 50 to 80 of 132 servers with a load of 500 while the next one has 14). The order of jobs took the servers of long-running tasks for free capacity.

Change: three loads a pool, of jobs that can meet their objective, their hard deadline, or neither; VMs go to them in this order; PlanReleases names the servers that get no new runs while another pool lacks servers for more urgent work. The capacity for ordering jobs leaves out long-running tasks and allows for packing. Ended servers are retired; unresponsive servers without runs are polled less often. The list of VMs takes at most a tenth of the link.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -53,7 +53,8 @@
 		PreviousLease:   c.previousTerm.Lease(),
 		HandoverPause:   s.HandoverPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(),
-		Scope: c.vm.Scope.SubScope("control"),
+		LinkMbps: s.LinkMbps(),
+		Scope:    c.vm.Scope.SubScope("control"),
 	}
 	c.vm.controller.Store(c)
 	c.vm.goroutines.Go(func() error {
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -61,6 +61,8 @@
 	// runs. In a large fleet it is the time between two placement passes, as no run starts in between.
 	minPollInterval = 50 * time.Millisecond
 	pollRetryDelay  = 300 * time.Millisecond // after a failed poll
+	// maxPollBackoff times pollRetryDelay is the longest time between two polls of an unresponsive server without runs.
+	maxPollBackoff = 4
 
 	// placementIntervalPerServer times the number of servers is the shortest time between two placement passes, so that
 	// the processor time of placement doesn't grow with the fleet.
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -37,6 +37,21 @@
 	for _, m := range schedule.PlanMoves(pools) {
 		s.requestMove(m.VM, m.To, now)
 	}
+	s.releaseServers(schedule.PlanReleases(pools))
+}
+
+// releaseServers sets on which servers no new runs are placed because another pool needs their VMs.
+func (s *State) releaseServers(vms []string) {
+	for _, v := range s.releasing {
+		v.releasing = false
+	}
+	s.releasing = s.releasing[:0]
+	for _, vm := range vms {
+		if v, known := s.servers[s.vms[vm].Server]; known {
+			v.releasing = true
+			s.releasing = append(s.releasing, v)
+		}
+	}
 }
 
 // logPools logs the size and load of each pool every statusInterval.
@@ -54,7 +69,8 @@
 			}
 		}
 		klog.InfoS("Pool status", "pool", p.Name, "servers", len(p.Servers), "joining", p.Joining, "idle", idle,
-			"load", math.Round(p.Load*10)/10, "long-running-servers", p.LongRunningServers, "over-limit", s.overLimit[p.Name],
+			"load", math.Round(p.Load*10)/10, "late-load", math.Round(p.LateLoad*10)/10,
+			"expired-load", math.Round(p.ExpiredLoad*10)/10, "long-running-servers", p.LongRunningServers, "over-limit", s.overLimit[p.Name],
 			"long-running-shortage", p.LongRunningShortage, "target-size", p.TargetSize(),
 			"arrival-rate", math.Round(p.ArrivalRate), "departure-rate", math.Round(p.DepartureRate))
 	}
@@ -119,7 +135,7 @@
 	for _, j := range s.jobs {
 		pool := s.poolOf(j)
 		if p, known := byName[pool]; known && !j.state.Final() {
-			p.Load += j.remaining(capacity[pool]).load
+			s.addLoad(p, j, j.remaining(capacity[pool]), now)
 		}
 	}
 	for name, p := range byName {
@@ -133,6 +149,22 @@
 	return pools
 }
 
+// addLoad adds the running and pending work of a job to the load of its pool.
+func (s *State) addLoad(p *schedule.Pool, j *job, rest estimate, now time.Time) {
+	if j.longRunning || j.spec.Scheduled() {
+		p.Load += rest.load
+		return
+	}
+	switch schedule.Outlook(j.submitted, j.objective, rest.path, now) {
+	case schedule.OnTime:
+		p.Load += rest.load
+	case schedule.Late:
+		p.LateLoad += rest.load
+	case schedule.Expired:
+		p.ExpiredLoad += rest.load
+	}
+}
+
 func (s *State) addToPool(p *schedule.Pool, vm backend.VM, now time.Time) {
 	if _, moving := s.moves[vm.Name]; moving || vm.State != backend.VMUp || !s.vmRequestAllowed(vm.Name, now) {
 		return
@@ -150,7 +182,8 @@
 	}
 	ps := schedule.PoolServer{
 		VM: vm.Name, Idle: len(v.attempts) == 0 && !v.cordoned, IdleFor: now.Sub(v.idleSince),
-		MaintenanceDue: s.maintenanceDue[vm.Name],
+		MaintenanceDue: s.maintenanceDue[vm.Name], Runs: len(v.attempts), HasLongRunning: v.hasLongRunning(),
+		Releasing: v.releasing,
 	}
 	if v.hasLongRunning() {
 		p.LongRunningServers++
@@ -222,7 +255,7 @@
 	case backend.Accepted:
 		m.accepted = true
 		if v, known := s.servers[m.server]; known {
-			s.markRunsLost(v, now, "moved")
+			s.retire(v, "moved", now)
 		}
 	case backend.Refused:
 		klog.InfoS("Move refused", "vm", e.VM, "reason", o.Reason)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -20,6 +20,9 @@
 	unplaceable []workload.Resources
 }
 
+// packingEfficiency is the share of a server's capacity that tasks of different sizes use while others wait.
+const packingEfficiency = 0.8
+
 // placeIfDue places pending tasks in the pools in which a change may allow starts. While a commit is in flight it
 // places none, as the intents would have to wait for that commit anyway.
 func (s *State) placeIfDue(now time.Time) {
@@ -58,7 +61,7 @@
 		for _, j := range p.jobs {
 			candidates = append(candidates, s.candidate(j, p.servers[0].reg.Capacity))
 		}
-		schedule.SortCandidates(candidates, float64(len(p.servers)), now)
+		schedule.SortCandidates(candidates, p.workRate(), now)
 		for i := range candidates {
 			if budget <= 0 {
 				return
@@ -68,6 +71,16 @@
 	}
 }
 
+// workRate returns the work of jobs that the pool does in one second, in server-seconds. Long-running tasks take part of
+// its capacity, and tasks don't fill a server exactly.
+func (p *placementPool) workRate() float64 {
+	total := 0.0
+	for _, v := range p.servers {
+		total += 1 - v.longRunningReserved().DominantShare(v.reg.Capacity)
+	}
+	return total * packingEfficiency
+}
+
 // poolOf returns the pool that the job's queue currently uses, or the pool at acceptance if the queue was removed.
 func (s *State) poolOf(j *job) string {
 	if s.directory != nil {
@@ -104,7 +117,7 @@
 
 // acceptsPlacement reports whether new runs may be placed on a server.
 func (s *State) acceptsPlacement(v *server, now time.Time) bool {
-	return v.usable(now) && !v.cordoned && !s.evacuatedZones[v.reg.Zone]
+	return v.usable(now) && !v.cordoned && !v.releasing && !s.evacuatedZones[v.reg.Zone]
 }
 
 func (p *placementPool) add(v *server) {
--- a/fleet/polls.go
+++ b/fleet/polls.go
@@ -52,7 +52,7 @@
 	switch {
 	case v.pollIndex != notQueued:
 		heap.Fix(&s.polls, v.pollIndex)
-	case !v.pollInFlight && v.reg.Address != "":
+	case !v.pollInFlight && !v.retired && v.reg.Address != "":
 		heap.Push(&s.polls, v)
 	}
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -53,7 +53,7 @@
 	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation)
 	v.incarnation = incarnation
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
-	v.leaseUntil, v.consecutiveFailures = 0, 0
+	v.leaseUntil, v.consecutiveFailures, v.retired = 0, 0, false
 	s.pollAt(v, now)
 	for _, a := range v.attempts {
 		// Outcomes of requests to the earlier incarnation are ignored.
@@ -74,6 +74,13 @@
 	}
 }
 
+// retire records that the platform has ended a server with its runs. Its registration remains for some seconds.
+func (s *State) retire(v *server, reason string, now time.Time) {
+	s.markRunsLost(v, now, reason)
+	s.cancelPolls(v)
+	v.retired = true
+}
+
 // sendPolls polls the servers that are due, and extends their leases.
 func (s *State) sendPolls(now time.Time) {
 	for v := s.nextDuePoll(now); v != nil; v = s.nextDuePoll(now) {
@@ -144,7 +151,11 @@
 
 func (s *State) pollFailed(v *server, reason string, now time.Time) {
 	v.failedPolls++
-	s.pollAt(v, now.Add(pollRetryDelay))
+	delay := pollRetryDelay
+	if len(v.attempts) == 0 {
+		delay *= time.Duration(min(v.failedPolls, maxPollBackoff))
+	}
+	s.pollAt(v, now.Add(delay))
 	if v.failedPolls == 1 {
 		klog.InfoS("Backend server unresponsive", "server", v.id, "reason", reason, "running", len(v.attempts),
 			"expires-in", v.expiresAt.Sub(now))
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -39,6 +39,8 @@
 	consecutiveFailures int
 	cooldownUntil       time.Time // gets no new runs before that (failureCooldown, refusalCooldown)
 	cordoned            bool      // gets no new runs, as it is about to be maintained or moved
+	retired             bool      // the platform has ended this incarnation
+	releasing           bool      // gets no new runs, as another pool needs its VM
 	maintenanceDue      bool      // its maintenance is due, so it gets only runs that fit on no other server
 	idleSince           time.Time
 	paceSetAt           time.Time // when the pace of a best-effort task was last set
@@ -74,6 +76,6 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
-	return v.registered && v.confirmed && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
+	return v.registered && v.confirmed && !v.retired && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
 		!now.Before(v.cooldownUntil)
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -39,6 +39,8 @@
 	MaintenanceTime, MoveTime time.Duration
 	// StopTime is the longest time that a server takes to stop a run.
 	StopTime time.Duration
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is unknown.
+	LinkMbps float64
 	// Scope receives metrics. It may be nil.
 	Scope tally.Scope
 
@@ -64,7 +66,8 @@
 	longRunningShortage   map[string]int // additional servers that long-running tasks need, by pool
 	overLimit             map[string]int // steps held back by a customer's limit in the last pass, by pool
 	vms                   map[string]backend.VM
-	vmNames               []string // the keys of vms in order
+	vmNames               []string  // the keys of vms in order
+	releasing             []*server // servers whose VMs other pools need
 	vmsListedAt           time.Time
 	listingVMs            bool
 	pollSequence          uint64
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	vmListInterval = 400 * time.Millisecond // between two reads of the list of VMs
+	vmListInterval   = 400 * time.Millisecond // between two reads of the list of VMs
+	bytesPerListedVM = 250
+	vmListLinkShare  = 0.1
 	// drainGracePeriod is the time from the start of a drain until tasks with checkpoints are stopped.
 	drainGracePeriod = 2500 * time.Millisecond
 	// maintenanceRetryDelay is the time until a maintenance request that was refused or got no response is repeated.
@@ -153,9 +155,15 @@
 	}
 }
 
-// listVMs requests the platform's list of VMs every vmListInterval.
+// listVMs requests the platform's list of VMs every vmListInterval, or less often if it would take more than
+// vmListLinkShare of the VM's network link.
 func (s *State) listVMs(now time.Time) {
-	if !s.listingVMs && now.Sub(s.vmsListedAt) >= vmListInterval {
+	interval := vmListInterval
+	if s.LinkMbps > 0 {
+		bits := float64(8 * bytesPerListedVM * len(s.vms))
+		interval = max(interval, time.Duration(bits/(vmListLinkShare*s.LinkMbps*1e6)*float64(time.Second)))
+	}
+	if !s.listingVMs && now.Sub(s.vmsListedAt) >= interval {
 		s.listingVMs = true
 		s.emit(ListVMs{})
 	}
@@ -306,6 +314,9 @@
 // longRunningReserved returns the resources that long-running tasks reserve on a server.
 func (v *server) longRunningReserved() workload.Resources {
 	var total workload.Resources
+	if !v.hasLongRunning() {
+		return total
+	}
 	for _, a := range v.attempts {
 		if a.task.step.spec.LongRunning() {
 			total = total.Plus(a.reserves)
@@ -369,7 +380,7 @@
 		w.begunAt[e.VM], w.changed = now, true
 		s.placeAll = true
 		if v, known := s.servers[s.vms[e.VM].Server]; known {
-			s.markRunsLost(v, now, "maintenance")
+			s.retire(v, "maintenance", now)
 		}
 	case backend.Refused:
 		klog.InfoS("Maintenance refused", "vm", e.VM, "wave", w.spec.Name, "reason", o.Reason)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -47,6 +47,27 @@
 	expiringShare = 0.2
 )
 
+// JobOutlook is what a job can still meet.
+type JobOutlook int
+
+// Outlooks of a job.
+const (
+	OnTime  JobOutlook = iota // its objective
+	Late                      // its hard deadline
+	Expired                   // neither
+)
+
+// Outlook returns what a job can still meet if nothing delays its remaining steps.
+func Outlook(submitted time.Time, objective, remaining time.Duration, now time.Time) JobOutlook {
+	switch end := now.Add(remaining); {
+	case !end.After(submitted.Add(objective)):
+		return OnTime
+	case !end.After(submitted.Add(hardDeadlineFactor * objective)):
+		return Late
+	}
+	return Expired
+}
+
 // priorityClass is the first sort key of candidates. Lower goes first.
 type priorityClass int
 
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -31,6 +31,11 @@
 	IdleFor time.Duration
 	// MaintenanceDue marks a VM that is due for maintenance. It moves to another pool last.
 	MaintenanceDue bool
+	// Runs is the number of runs on the server. HasLongRunning marks a server with long-running tasks.
+	Runs           int
+	HasLongRunning bool
+	// Releasing marks a server that PlanReleases returned the last time.
+	Releasing bool
 }
 
 // Pool is the state of a pool.
@@ -41,9 +46,10 @@
 	Servers []PoolServer
 	// Joining is the number of VMs that are moving into the pool.
 	Joining int
-	// Load is the running and pending work, in servers. LongRunningServers is the number of servers with long-running
-	// tasks.
-	Load               float64
+	// Load is the running and pending work of jobs that can meet their objective and of long-running tasks, in servers.
+	// LateLoad is that of jobs that can only meet their hard deadline, ExpiredLoad that of all others.
+	Load, LateLoad, ExpiredLoad float64
+	// LongRunningServers is the number of servers with long-running tasks.
 	LongRunningServers int
 	// LongRunningShortage is the number of additional servers needed for long-running tasks that fit on no server of the
 	// pool.
@@ -59,14 +65,32 @@
 	To string
 }
 
-// TargetSize returns the number of servers that the pool needs at the time when a VM that starts moving now has joined
-// it. Until then the load grows by the difference of the arrival and departure rates. At the start of a burst nothing
-// departs for the duration of a task, so all that arrives adds to the load.
-func (p *Pool) TargetSize() int {
+// need is what a pool is sized for.
+type need int
+
+const (
+	needOnTime need = iota // jobs that can meet their objective
+	needLate               // also jobs that can meet their hard deadline
+	needAll
+)
+
+// TargetSize returns the number of servers that the pool needs for jobs that can meet their objective, at the time when a
+// VM that starts moving now has joined it. Until then the load grows by the difference of the arrival and departure
+// rates. At the start of a burst nothing departs for the duration of a task, so all that arrives adds to the load.
+func (p *Pool) TargetSize() int { return p.sizeFor(needOnTime) }
+
+func (p *Pool) sizeFor(n need) int {
 	if p.Spare {
 		return 0
 	}
-	load := (p.Load + max(p.ArrivalRate-p.DepartureRate, 0)*moveDuration.Seconds()) * headroomFactor
+	load := p.Load
+	if n >= needLate {
+		load += p.LateLoad
+	}
+	if n >= needAll {
+		load += p.ExpiredLoad
+	}
+	load = (load + max(p.ArrivalRate-p.DepartureRate, 0)*moveDuration.Seconds()) * headroomFactor
 	want := max(int(math.Ceil(load)), p.LongRunningServers, minPoolServers)
 	if p.LongRunningShortage > 0 {
 		want = max(want, len(p.Servers)+p.LongRunningShortage)
@@ -79,45 +103,135 @@
 // Each queue in turn submits about five times its mean rate for some seconds, which is more than its pool can run, and
 // a twentieth of its mean in between. Idle VMs of the other pools and of the spare pool move to the pool with the
 // burst. VMs that no pool needs move to the spare pool, where they are switched off.
+//
+// If demand exceeds the fleet, a backlog of jobs that are late would keep the VMs that jobs of other queues need to be in
+// time. VMs therefore go first to pools with jobs that can meet their objective, then to jobs that can meet their hard
+// deadline, then to the others.
 func PlanMoves(pools []Pool) []Move {
-	spare := ""
-	want := make([]int, len(pools))
 	have := make([]int, len(pools))
 	for i := range pools {
-		p := &pools[i]
-		if p.Spare && spare == "" {
-			spare = p.Name
-		}
-		want[i], have[i] = p.TargetSize(), len(p.Servers)+p.Joining
+		have[i] = len(pools[i].Servers) + pools[i].Joining
 	}
-	surplus := listSurplusVMs(pools, want, have)
 	var moves []Move
-	for len(surplus) > 0 {
+	moved := make(map[string]bool)
+	for n := needOnTime; n <= needAll; n++ {
+		moves = append(moves, planMovesFor(pools, n, have, moved)...)
+	}
+	return append(moves, planSwitchOffs(pools, have, moved)...)
+}
+
+// planMovesFor moves idle VMs to pools that are smaller than they need to be, and updates the numbers of servers and the
+// set of moved VMs.
+func planMovesFor(pools []Pool, n need, have []int, moved map[string]bool) []Move {
+	want := sizes(pools, n)
+	var moves []Move
+	for _, v := range listSurplusVMs(pools, want, have) {
 		target := mostUndersized(pools, want, have)
 		if target < 0 {
 			break
 		}
-		v := surplus[0]
-		surplus = surplus[1:]
-		if v.pool == target || (!pools[v.pool].Spare && have[v.pool] <= want[v.pool]) {
+		if moved[v.vm] || v.pool == target || (!pools[v.pool].Spare && have[v.pool] <= want[v.pool]) {
 			continue
 		}
+		moved[v.vm] = true
 		have[v.pool]--
 		have[target]++
 		moves = append(moves, Move{VM: v.vm, To: pools[target].Name})
 	}
+	return moves
+}
+
+// planSwitchOffs moves VMs that no pool needs to the spare pool.
+func planSwitchOffs(pools []Pool, have []int, moved map[string]bool) []Move {
+	spare := ""
+	for i := range pools {
+		if pools[i].Spare {
+			spare = pools[i].Name
+			break
+		}
+	}
 	if spare == "" {
-		return moves
+		return nil
 	}
-	for _, v := range surplus {
-		if !pools[v.pool].Spare && v.idleFor >= minIdleBeforeSwitchOff && have[v.pool] > want[v.pool] {
-			have[v.pool]--
-			moves = append(moves, Move{VM: v.vm, To: spare})
+	want := sizes(pools, needAll)
+	var moves []Move
+	for _, v := range listSurplusVMs(pools, want, have) {
+		if moved[v.vm] || pools[v.pool].Spare || v.idleFor < minIdleBeforeSwitchOff || have[v.pool] <= want[v.pool] {
+			continue
 		}
+		have[v.pool]--
+		moves = append(moves, Move{VM: v.vm, To: spare})
 	}
 	return moves
 }
 
+func sizes(pools []Pool, n need) []int {
+	want := make([]int, len(pools))
+	for i := range pools {
+		want[i] = pools[i].sizeFor(n)
+	}
+	return want
+}
+
+// PlanReleases returns the VMs whose servers should get no new runs, so that they become idle and can move to a pool
+// that needs them more.
+//
+// A pool with a backlog starts a task wherever one ends, so its servers never become idle. While other pools lack servers
+// for jobs that can meet their objective, or their hard deadline, it gives up the servers that only later jobs use.
+func PlanReleases(pools []Pool) []string {
+	released := make(map[string]bool)
+	var names []string
+	for n := needOnTime; n < needAll; n++ {
+		missing := 0
+		for i := range pools {
+			p := &pools[i]
+			missing += max(p.sizeFor(n)-len(p.Servers)-p.Joining, 0)
+			if p.Spare {
+				missing -= len(p.Servers)
+			}
+		}
+		for i := range pools {
+			p := &pools[i]
+			if p.Spare || missing <= 0 {
+				continue
+			}
+			for _, vm := range p.releasable(len(p.Servers) - p.sizeFor(n)) {
+				if missing > 0 && !released[vm] {
+					released[vm] = true
+					names = append(names, vm)
+				}
+				missing--
+			}
+		}
+	}
+	return names
+}
+
+// releasable returns the names of up to count VMs that run no long-running tasks, those that are released already and
+// those with the fewest runs first. Idle VMs can move without being released.
+func (p *Pool) releasable(count int) []string {
+	if count <= 0 {
+		return nil
+	}
+	var servers []PoolServer
+	for _, s := range p.Servers {
+		if !s.HasLongRunning {
+			servers = append(servers, s)
+		}
+	}
+	sort.SliceStable(servers, func(a, b int) bool {
+		if servers[a].Releasing != servers[b].Releasing {
+			return servers[a].Releasing
+		}
+		return servers[a].Runs < servers[b].Runs
+	})
+	names := make([]string, 0, count)
+	for _, s := range servers[:min(count, len(servers))] {
+		names = append(names, s.VM)
+	}
+	return names
+}
+
 // CapacityShortage reports whether any pool has fewer servers in service than it needs.
 func CapacityShortage(pools []Pool) bool {
 	for i := range pools {
