Let a report decide on a run whose start request got no response, and count pending jobs once all are read

Cause: a second start request that was refused, even because it couldn't be sent, stopped the run that the first one had started.

Change: after a lost response the next report that was asked for later decides: a listed run is kept, another one is stopped before its task starts elsewhere. The number of pending jobs is stored once all partitions are read.

The rig of the tests remembers open polls.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -330,17 +330,21 @@
 	w.list = func() ([]provider.Row, uint64, error) {
 		_, listVersion, err := c.scan(c.vm.control, fleet.TermKey)
 		if err == nil {
-			c.readPartitions(prefix, handle)
+			c.readPartitions(prefix, handle, func() {})
 		}
 		return nil, listVersion, err
 	}
-	c.readPartitions(prefix, handle)
+	c.readPartitions(prefix, handle, func() {
+		if prefix == intake.JobPrefix {
+			c.post(fleet.JobsRead{})
+		}
+	})
 	c.vm.goroutines.Go(func() error { return w.run(c.ctx) })
 }
 
 // readPartitions reads a table from all job partitions in a goroutine of its own. It retries partitions that can't be
-// read after it has read the others.
-func (c *controller) readPartitions(prefix string, handle func(provider.Row)) {
+// read after it has read the others, and calls done once it has read all of them.
+func (c *controller) readPartitions(prefix string, handle func(provider.Row), done func()) {
 	c.vm.goroutines.Go(func() error {
 		unread, reason := make([]int, 0, intake.Partitions), ""
 		for partition := range intake.Partitions {
@@ -354,6 +358,9 @@
 			}
 			unread, reason = c.tryPartitions(unread, prefix, handle)
 		}
+		if len(unread) == 0 {
+			done()
+		}
 		return nil
 	})
 }
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -150,9 +150,10 @@
 	return writes, all
 }
 
-// statusWrites returns the writes of the number of pending jobs for each queue in which it changed.
+// statusWrites returns the writes of the number of pending jobs for each queue in which it changed. Until a new controller
+// knows all jobs, the rows of the previous one stay.
 func (s *State) statusWrites(now time.Time) []provider.Write {
-	if now.Sub(s.statusWrittenAt) < statusInterval {
+	if !s.jobsRead || now.Sub(s.statusWrittenAt) < statusInterval {
 		return nil
 	}
 	s.statusWrittenAt = now
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -77,9 +77,8 @@
 	// accepts: the record of a task with a run has some 110 bytes.
 	maxActiveRuns          = 400
 	statusInterval         = time.Second
-	firstStatusDelay       = 1500 * time.Millisecond // until a new controller has read the pending jobs and counts them
-	failuresBeforeCooldown = 3                       // consecutive failed runs that start a failureCooldown
-	failureCooldown        = 4 * time.Second         // without new runs for the server
+	failuresBeforeCooldown = 3               // consecutive failed runs that start a failureCooldown
+	failureCooldown        = 4 * time.Second // without new runs for the server
 	// refusalCooldown is the time without new runs for a server that refused a start request because it is busy, full,
 	// unreachable or restarted.
 	refusalCooldown = time.Second
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -18,6 +18,9 @@
 // JobArrived is a job that an entry VM accepted and stored.
 type JobArrived struct{ Job *workload.Job }
 
+// JobsRead says that all jobs that were stored before the term have arrived.
+type JobsRead struct{}
+
 // CancelRequested is a stored request to cancel a job, which may be read before the job itself.
 type CancelRequested struct{ ID string }
 
@@ -108,6 +111,7 @@
 
 func (Tick) event()                {}
 func (JobArrived) event()          {}
+func (JobsRead) event()            {}
 func (CancelRequested) event()     {}
 func (OperationArrived) event()    {}
 func (ServerRegistered) event()    {}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -81,6 +81,8 @@
 	startSentAt      time.Time // time of the last start request
 	startRequests    int
 	inFlight         bool      // a start request has no outcome yet
+	awaitsReport     bool      // a report decides whether the run was started
+	awaitsSince      time.Time // when awaitsReport was set
 	confirmedAt      time.Time // when the server last accepted or reported the run
 	startedAt        time.Time // when the run was assigned, or confirmed by its server
 	percent          int       // progress of the run, or for a long-running task its speed
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -212,6 +212,10 @@
 		return
 	}
 	for _, a := range v.attempts {
+		if a.phase == requested && a.awaitsReport && !listed[a.id()] && v.pollSentAt.After(a.awaitsSince) {
+			s.requestStop(a, a.stopReason)
+			continue
+		}
 		if listed[a.id()] || a.inFlight || a.phase == storing || a.phase == requested {
 			continue
 		}
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -24,6 +24,7 @@
 	effects      []fleet.Effect
 	rows         map[string][]byte
 	bootTimes    map[string]time.Time  // start times of servers, by id
+	openPolls    map[string]fleet.Poll // polls without a response, by server id
 	measurements map[backend.Run]int64 // reported tail latencies in milliseconds
 
 	recommendation *backend.Recommendation // of the queue
@@ -33,7 +34,7 @@
 	t.Helper()
 	r := &rig{
 		t: t, now: time.Unix(1_000_000, 0), version: 10,
-		rows: make(map[string][]byte), bootTimes: make(map[string]time.Time),
+		rows: make(map[string][]byte), bootTimes: make(map[string]time.Time), openPolls: make(map[string]fleet.Poll),
 	}
 	r.begin(10)
 	r.configure(workload.Resources{})
@@ -95,6 +96,9 @@
 		}
 		for _, e := range effects {
 			r.effects = append(r.effects, e)
+			if p, ok := e.(fleet.Poll); ok {
+				r.openPolls[p.Target.ID] = p
+			}
 			if c, ok := e.(fleet.Commit); ok && !r.holdCommits {
 				r.commit(c)
 			}
@@ -149,15 +153,11 @@
 // report responds to the current poll of a server.
 func (r *rig) report(id string, running []backend.Run, ends ...backend.RunEnd) {
 	r.t.Helper()
-	var poll *fleet.Poll
-	for _, e := range r.effects {
-		if p, ok := e.(fleet.Poll); ok && p.Target.ID == id {
-			poll = &p
-		}
-	}
-	if poll == nil {
+	poll, open := r.openPolls[id]
+	if !open {
 		r.t.Fatalf("no poll of %s", id)
 	}
+	delete(r.openPolls, id)
 	report := backend.Report{Incarnation: poll.Target.Incarnation, Clock: r.now.Sub(r.bootTimes[id]), Ends: ends}
 	for _, run := range running {
 		report.Running = append(report.Running, backend.ActiveRun{Run: run, Percent: 100, Measurement: r.measurements[run]})
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -68,7 +68,7 @@
 	case backend.OutcomeUnknown, backend.Reported:
 		klog.InfoS("No response to start request", "run", e.Run, "server", e.Server, "try", a.startRequests)
 		if a.startRequests >= maxStartRequests {
-			s.requestStop(a, "no-answer-to-start")
+			s.awaitReport(a, "no-answer-to-start", now)
 		}
 	}
 }
@@ -82,8 +82,7 @@
 		return // an earlier request started the run
 	}
 	if a.startRequests > 1 {
-		// An earlier request without a response may still start the run, unless the server gets a stop request.
-		s.requestStop(a, "start-refused")
+		s.awaitReport(a, "start-refused", now)
 		return
 	}
 	klog.InfoS("Start request refused", "run", a.id(), "server", v.id, "reason", reason)
@@ -102,6 +101,14 @@
 	s.removeAttempt(a)
 }
 
+// awaitReport sends no further start requests for a run of which an earlier one got no response. If that request was
+// carried out, the server's next report lists the run. Otherwise the run is stopped for the given reason, because a delayed
+// request may still start it.
+func (s *State) awaitReport(a *attempt, reason string, now time.Time) {
+	a.awaitsReport, a.stopReason, a.awaitsSince = true, reason, now
+	s.pollAt(a.server, now)
+}
+
 // requestStop stops a run for the given reason. A run whose intent isn't stored yet is never started.
 func (s *State) requestStop(a *attempt, reason string) {
 	if a.stopRequested {
@@ -154,7 +161,7 @@
 		case a.stopRequested && a.phase == storing:
 		case a.stopRequested && !a.stopAccepted && now.Sub(a.stopTriedAt) >= startRetryDelay && v.failedPolls == 0:
 			s.sendStop(a, now)
-		case a.phase == requested && !a.inFlight && !a.stopRequested &&
+		case a.phase == requested && !a.inFlight && !a.stopRequested && !a.awaitsReport &&
 			now.Sub(a.startSentAt) >= startRetryDelay && v.failedPolls == 0:
 			s.sendStart(a, now)
 		case s.stalled(a):
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -87,6 +87,7 @@
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
 	lastCommitDuration    time.Duration // duration of the last commit
+	jobsRead              bool          // all jobs that were stored before the term are known
 	statusWrittenAt       time.Time
 	pendingStored         map[string]int      // pending jobs by queue, as last written
 	recommendationCall    *recommendationCall // the current call of the recommendation service, or nil
@@ -131,7 +132,6 @@
 	s.recentVMRequests = make(map[string]time.Time)
 	s.vmRequestsAllowedAt = make(map[string]time.Time)
 	s.pendingStored = make(map[string]int)
-	s.statusWrittenAt = now.Add(firstStatusDelay - statusInterval)
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
 	s.renewedAt = s.TermRequestedAt
 }
@@ -148,6 +148,8 @@
 		s.tick(now)
 	case JobArrived:
 		s.addJob(e.Job, now)
+	case JobsRead:
+		s.jobsRead = true
 	case CancelRequested:
 		s.cancel(e.ID, now)
 	case OperationArrived:
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,3 +189,58 @@
 		{VM: "s", To: "burst"}, {VM: "a", To: "burst"}, {VM: "b", To: "burst"}, {VM: "c", To: "burst"},
 	})
 }
+
+func busyServers(pool string, count, runs int) []schedule.PoolServer {
+	var servers []schedule.PoolServer
+	for n := range count {
+		servers = append(servers, schedule.PoolServer{VM: fmt.Sprint(pool, "-", n), Runs: runs})
+	}
+	return servers
+}
+
+// Load pattern: demand exceeds the fleet, and the queue whose turn is over has a backlog of late jobs. Guards against a
+// backlog that keeps its servers while the next queue could still be in time, and against releases that nobody needs.
+func TestPlanReleasesOfLateBacklog(t *testing.T) {
+	backlog := schedule.Pool{Name: "backlog", Servers: busyServers("backlog", 70, 3), Load: 20, LateLoad: 200, ExpiredLoad: 300}
+	backlog.Servers[4].HasLongRunning = true
+	backlog.Servers[9].Runs, backlog.Servers[8].Releasing = 1, true
+	next := schedule.Pool{Name: "next", Servers: busyServers("next", 15, 3), Load: 30}
+	spare := schedule.Pool{Name: "spare", Spare: true, Servers: busyServers("spare", 10, 0)}
+
+	// The pool "next" needs 30 servers with headroom, 35: 20 more. Ten are switched off.
+	released := schedule.PlanReleases([]schedule.Pool{backlog, next, spare})
+	assert.Equal(t, len(released), 10)
+	assert.DeepEqual(t, released[:2], []string{"backlog-8", "backlog-9"})
+	assert.Assert(t, !slices.Contains(released, "backlog-4"), "a server with long-running tasks is released")
+
+	// A pool gives up no server that its own jobs need to be in time.
+	backlog.Load = 70
+	assert.Equal(t, len(schedule.PlanReleases([]schedule.Pool{backlog, next, spare})), 0)
+
+	// Without a shortage elsewhere the backlog keeps its servers.
+	backlog.Load, next.Load = 20, 13
+	assert.Equal(t, len(schedule.PlanReleases([]schedule.Pool{backlog, next, spare})), 0)
+
+	// Jobs that can meet their hard deadline go before those that can't.
+	expired := schedule.Pool{Name: "expired", Servers: busyServers("expired", 40, 3), ExpiredLoad: 400}
+	next.LateLoad = 50
+	assert.Equal(t, len(schedule.PlanReleases([]schedule.Pool{expired, next})), 37) // a pool keeps three servers
+}
+
+// Load pattern: as above. Guards against idle VMs that go to the largest backlog.
+func TestPlanMovesPrefersJobsInTime(t *testing.T) {
+	idle := busyServers("spare", 12, 0)
+	for n := range idle {
+		idle[n].Idle = true
+	}
+	moves := schedule.PlanMoves([]schedule.Pool{
+		{Name: "backlog", Servers: busyServers("backlog", 10, 3), Load: 5, LateLoad: 500},
+		{Name: "next", Servers: busyServers("next", 10, 3), Load: 15},
+		{Name: "spare", Spare: true, Servers: idle},
+	})
+	count := make(map[string]int)
+	for _, m := range moves {
+		count[m.To]++
+	}
+	assert.DeepEqual(t, count, map[string]int{"next": 8, "backlog": 4})
+}
