Request maintenance only of VMs whose listed server is present, and end only the server that was asked for

Cause: the list of VMs may be older than a move or restart. A request without a response was repeated although the VM's new server had runs, and an accepted repetition gave up the runs of the server listed by then, which went on.

Change: a request needs a listed server that is registered, or a list that is newer than the end of the server and than a move that was given up; a repetition needs an empty VM; the server that ends is the one at the first request.

Tests: TestVMWithEndedServerIsNotMaintained and TestRepeatedMaintenanceRequestKeepsRunsOfNewServer fail without the change.

--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -82,7 +82,11 @@
 		vm, listed := s.vms[name]
 		arrived := m.accepted && listed && vm.Pool == m.pool && vm.State == backend.VMUp && vm.Server != m.server &&
 			(s.inService(vm.Server, now) || s.isSpare(m.pool))
-		if arrived || (!m.inFlight && now.Sub(m.sent) > s.MoveTime+moveSettleTime) {
+		switch {
+		case arrived:
+			s.endMove(name, m)
+		case !m.inFlight && now.Sub(m.sent) > s.MoveTime+moveSettleTime:
+			s.moveGivenUpAt[name] = now
 			s.endMove(name, m)
 		}
 	}
@@ -170,7 +174,7 @@
 		return
 	}
 	if p.Spare {
-		idle := !s.inMaintenance(vm.Name) && !s.evacuatedZones[vm.Zone]
+		idle := s.listIsCurrent(vm.Name) && !s.inMaintenance(vm.Name) && !s.evacuatedZones[vm.Zone]
 		p.Servers = append(p.Servers, schedule.PoolServer{
 			VM: vm.Name, Idle: idle, IdleFor: now.Sub(s.began), MaintenanceDue: s.maintenanceDue[vm.Name],
 		})
--- /dev/null
+++ b/fleet/stalelist_test.go
@@ -0,0 +1,85 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// listVM lists the VM m-1 with a server.
+func (r *rig) listVM(server string, requestedAt time.Time) {
+	r.handle(fleet.VMsListed{RequestedAt: requestedAt, VMs: []backend.VM{{
+		Name: "m-1", Pool: "press", State: backend.VMUp, Server: server, Capacity: workload.NewResources(8000, 8000, 0),
+	}}})
+}
+
+func (r *rig) maintenanceRequests() int {
+	n := 0
+	for _, e := range r.takeEffects() {
+		if _, ok := e.(fleet.MaintainVM); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rig) addWave(vms ...string) {
+	r.handle(fleet.OperationArrived{Operation: directory.Wave{
+		Name: "1", Number: 1, VMs: vms, TimeLimit: 20 * time.Second, MaxConcurrent: 1,
+	}})
+}
+
+// Guards against the maintenance of a VM whose listed server has ended: another server may run tasks on the VM.
+func TestVMWithEndedServerIsNotMaintained(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.listVM("i-1", r.now)
+	r.handle(fleet.ServerUnregistered{ID: "i-1"})
+	r.register("i-2", "press") // on the same VM, which the list doesn't show yet
+	r.report("i-2", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, LongRunning: true})})
+	r.takeEffects()
+	r.addWave("m-1")
+	r.advance(time.Second)
+	assert.Equal(t, r.maintenanceRequests(), 0)
+}
+
+// Guards against runs of a new server that are taken for ended: the first request for the maintenance of its VM was carried
+// out without a response, and the second one is accepted because the maintenance is over.
+func TestRepeatedMaintenanceRequestKeepsRunsOfNewServer(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.listVM("i-1", r.now)
+	r.addWave("m-1")
+	r.advance(200 * time.Millisecond)
+	assert.Equal(t, r.maintenanceRequests(), 1)
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.OutcomeUnknown{Reason: "no response"}})
+	r.handle(fleet.ServerUnregistered{ID: "i-1"})
+
+	r.register("i-2", "press")
+	r.report("i-2", nil)
+	r.listVM("i-2", r.now)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{
+		Count: 1, MilliCores: 1000, DeclaredDurationMS: 60_000,
+	})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Target.ID, "i-2")
+	r.acceptStart(starts[0])
+	r.advance(time.Second)
+	assert.Equal(t, r.maintenanceRequests(), 0, "repeated while the VM's new server has a run")
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.Accepted{}})
+	r.report("i-2", []backend.Run{starts[0].Request.Run})
+	r.register("i-3", "press")
+	r.report("i-3", nil)
+	r.advance(3 * time.Second)
+	assert.Equal(t, len(r.starts()), 0, "the run was started again although it goes on")
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -66,8 +66,10 @@
 	longRunningShortage   map[string]int // additional servers that long-running tasks need, by pool
 	overLimit             map[string]int // steps held back by a customer's limit in the last pass, by pool
 	vms                   map[string]backend.VM
-	vmNames               []string  // the keys of vms in order
-	releasing             []*server // servers whose VMs other pools need
+	vmNames               []string             // the keys of vms in order
+	droppedAt             map[string]time.Time // when servers that the list of VMs may still show were dropped, by id
+	moveGivenUpAt         map[string]time.Time // when moves whose end the list of VMs didn\'t show were given up, by VM
+	releasing             []*server            // servers whose VMs other pools need
 	vmsListedAt           time.Time
 	listingVMs            bool
 	pollSequence          uint64
@@ -121,6 +123,7 @@
 	s.servers = make(map[string]*server)
 	s.dirtyPools = make(map[string]bool)
 	s.unstoredEnds = make(map[*server]bool)
+	s.droppedAt, s.moveGivenUpAt = make(map[string]time.Time), make(map[string]time.Time)
 	s.changedJobs = make(map[*job]bool)
 	s.customerUsage = make(map[string]workload.Resources)
 	s.waves = make(map[string]*wave)
@@ -368,6 +371,7 @@
 	s.cancelPolls(v)
 	delete(s.unstoredEnds, v)
 	delete(s.servers, v.id)
+	s.droppedAt[v.id] = s.now
 	s.sortedServers = nil
 }
 
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -32,6 +32,7 @@
 	begunAt       map[string]time.Time // when the maintenance request was accepted, by VM
 	requestedAt   map[string]time.Time // last request that has no outcome or has to be repeated, by VM
 	inFlight      map[string]bool
+	server        map[string]string    // the server of a VM at the first request that has no outcome
 	drainingSince map[string]time.Time // when the drain of a VM began
 	complete      bool
 	changed       bool
@@ -68,7 +69,7 @@
 func newWave(spec directory.Wave) *wave {
 	return &wave{
 		spec: spec, begunAt: make(map[string]time.Time), requestedAt: make(map[string]time.Time),
-		inFlight: make(map[string]bool), drainingSince: make(map[string]time.Time), skipped: make(map[string]bool),
+		inFlight: make(map[string]bool), server: make(map[string]string), drainingSince: make(map[string]time.Time), skipped: make(map[string]bool),
 	}
 }
 
@@ -194,11 +195,18 @@
 	}
 	s.vms = make(map[string]backend.VM, len(e.VMs))
 	s.vmNames = s.vmNames[:0]
+	listedServers := make(map[string]bool, len(e.VMs))
 	for _, vm := range e.VMs {
+		listedServers[vm.Server] = true
 		s.vms[vm.Name] = vm
 		s.vmNames = append(s.vmNames, vm.Name)
 	}
 	slices.Sort(s.vmNames)
+	for id, at := range s.droppedAt {
+		if s.vmsListedAt.After(at) && !listedServers[id] {
+			delete(s.droppedAt, id)
+		}
+	}
 }
 
 // inProgress reports whether a VM is being drained, or its maintenance is requested and hasn't begun.
@@ -256,7 +264,7 @@
 		s.drainVM(w, name, drainingPools, now)
 	}
 	for _, name := range plan.Start {
-		if s.vmRequestAllowed(name, now) && s.runsOn(name) == 0 {
+		if s.vmRequestAllowed(name, now) && s.runsOn(name) == 0 && s.listIsCurrent(name) {
 			s.requestMaintenance(w, name, now)
 		}
 	}
@@ -264,12 +272,25 @@
 
 func (s *State) retryMaintenance(w *wave, now time.Time) {
 	for name, sent := range w.requestedAt {
-		if !w.inFlight[name] && now.Sub(sent) >= maintenanceRetryDelay {
+		if w.inFlight[name] || now.Sub(sent) < maintenanceRetryDelay {
+			continue
+		}
+		// If the last request was carried out without a response, a new server may already have runs.
+		if s.runsOn(name) == 0 && s.vmRequestAllowed(name, now) {
 			s.requestMaintenance(w, name, now)
 		}
 	}
 }
 
+// listIsCurrent reports whether the list of VMs shows the VM's present server. The list may be older than a move or a
+// restart, and the new server may already have runs.
+func (s *State) listIsCurrent(vm string) bool {
+	if v, known := s.servers[s.vms[vm].Server]; known {
+		return v.registered && !v.retired
+	}
+	return s.vmsListedAt.After(s.droppedAt[s.vms[vm].Server]) && s.vmsListedAt.After(s.moveGivenUpAt[vm])
+}
+
 func (s *State) runsOn(vm string) int {
 	if v, known := s.servers[s.vms[vm].Server]; known {
 		return len(v.attempts)
@@ -355,6 +376,9 @@
 }
 
 func (s *State) requestMaintenance(w *wave, name string, now time.Time) {
+	if w.requestedAt[name].IsZero() {
+		w.server[name] = s.vms[name].Server
+	}
 	w.inFlight[name], w.requestedAt[name] = true, now
 	if v, known := s.servers[s.vms[name].Server]; known {
 		v.cordoned = true
@@ -379,7 +403,7 @@
 		delete(w.requestedAt, e.VM)
 		w.begunAt[e.VM], w.changed = now, true
 		s.placeAll = true
-		if v, known := s.servers[s.vms[e.VM].Server]; known {
+		if v, known := s.servers[w.server[e.VM]]; known {
 			s.retire(v, "maintenance", now)
 		}
 	case backend.Refused:
