Renew the term while a new controller reads the stored state, in pages that fit its link, and copy a job once

Each change of progress stored the whole job again. Operators' rows that were read at takeover were applied after changes that arrived meanwhile, so a restored zone could count as evacuated.

Change: the control state renews its term and holds other events back until Restore; operators' rows are applied before them. A page of rows takes about a quarter of a second of the link. The job has a row of its own beside the progress, which is written once and removed when the job is settled; rows of earlier releases are still read, and theirs can read these.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/intake"
@@ -53,8 +54,8 @@
 		PreviousLease:   c.previousTerm.Lease(),
 		HandoverPause:   s.HandoverPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(),
-		LinkMbps: s.LinkMbps(),
-		Scope:    c.vm.Scope.SubScope("control"),
+		LinkMbps: s.LinkMbps(), AwaitRestore: true,
+		Scope: c.vm.Scope.SubScope("control"),
 	}
 	c.vm.controller.Store(c)
 	c.vm.goroutines.Go(func() error {
@@ -95,19 +96,26 @@
 
 // run is the event loop. Only its goroutine uses the control state.
 func (c *controller) run() error {
-	if err := c.load(); err != nil {
-		klog.InfoS("Controller ended: failed to load the control state", "vm", c.vm.Settings.Name(), "error", err.Error())
-		return nil
-	}
+	c.state.Begin(c.vm.Clock.Now())
 	ticks := c.vm.Clock.Every(tickInterval, func(time.Time) { c.post(fleet.Tick{}) })
 	defer ticks.Stop()
 	c.post(fleet.Tick{})
 	c.watchClaims()
+	loaded := make(chan *storedState, 1)
+	c.vm.goroutines.Go(func() error {
+		loaded <- c.load()
+		return nil
+	})
 	var events []fleet.Event
 	for {
 		select {
 		case <-c.ctx.Done():
 			return nil
+		case s := <-loaded:
+			if s == nil {
+				return nil
+			}
+			c.restore(s)
 		case <-c.eventsReady:
 		}
 		events = c.drainEvents(events)
@@ -150,44 +158,54 @@
 
 // storedState is the control state as previous controllers stored it.
 type storedState struct {
-	progress   map[string]workload.Progress // by job id
-	jobs       []*workload.Job              // those that aren't settled
-	waves      []provider.Row
+	fleet.Stored
+	copies     map[string][]byte // jobs in their stored form, by id
 	vmRequests []provider.Row
 	operations []provider.Row
 	version    uint64 // the table version of progress, from which changes of jobs are read
+	took       time.Duration
 }
 
-// load restores the control state from the store and starts to watch the tables. Jobs that haven't started are read
-// later in other goroutines, because some partitions of the store may be down.
-func (c *controller) load() error {
+// load reads the control state from the store while the event loop renews the term. It returns nil if that fails.
+func (c *controller) load() *storedState {
 	began := c.vm.Clock.Now()
-	c.state.Begin(began)
 	s, err := c.readStored()
 	if err != nil {
-		return err
+		klog.InfoS("Controller ended: failed to load the control state", "vm", c.vm.Settings.Name(), "error", err.Error())
+		return nil
 	}
-	for id := range s.progress {
+	s.took = c.vm.Clock.Now().Sub(began)
+	return s
+}
+
+// restore restores the control state and starts to watch the tables. Jobs that haven't started are read later in other
+// goroutines, because some partitions of the store may be down.
+func (c *controller) restore(s *storedState) {
+	for id := range s.Progress {
 		c.seenJobs[id] = true
 	}
 	for _, row := range s.vmRequests {
 		c.state.RestoreVMRequests(row)
 	}
-	c.postOperations(s.operations)
-	open := c.state.Restore(s.jobs, s.progress, s.waves, c.vm.Clock.Now())
+	s.Operations = decodeOperations(s.operations)
+	open := c.state.Restore(s.Stored, c.vm.Clock.Now())
 	klog.InfoS("Controller started", "vm", c.vm.Settings.Name(), "token", c.token, "open-jobs", open,
-		"stored-jobs", len(s.progress), "took", c.vm.Clock.Now().Sub(began))
+		"stored-jobs", len(s.Progress), "took", s.took)
 	c.watchTables(s.version)
-	return nil
 }
 
 // readStored reads the tables of the control partition in parallel, because no task can start until they are read.
 func (c *controller) readStored() (*storedState, error) {
 	s := &storedState{}
 	reads, _ := group.New(c.ctx)
-	reads.Go(func() error { return c.readProgress(s) })
+	var progress []provider.Row
+	reads.Go(func() (err error) {
+		progress, s.version, err = c.scan(c.vm.control, fleet.ProgressPrefix)
+		return err
+	})
+	reads.Go(func() error { return c.readCopies(s) })
 	reads.Go(func() (err error) {
-		s.waves, _, err = c.scan(c.vm.control, fleet.WavesPrefix)
+		s.Waves, _, err = c.scan(c.vm.control, fleet.WavesPrefix)
 		return err
 	})
 	reads.Go(func() (err error) {
@@ -200,39 +218,52 @@
 			return err
 		})
 	}
-	return s, reads.Wait()
+	if err := reads.Wait(); err != nil {
+		return nil, err
+	}
+	return s, c.decodeStored(s, progress)
 }
 
-func (c *controller) readProgress(s *storedState) error {
-	rows, version, err := c.scan(c.vm.control, fleet.ProgressPrefix)
-	if err != nil {
-		return err
+// readCopies reads the copies of unsettled jobs.
+func (c *controller) readCopies(s *storedState) error {
+	rows, _, err := c.scan(c.vm.control, fleet.JobsPrefix)
+	s.copies, s.Copied = make(map[string][]byte, len(rows)), make(map[string]bool, len(rows))
+	for _, row := range rows {
+		id := row.Key()[len(fleet.JobsPrefix):]
+		s.copies[id], s.Copied[id] = row.Value(), true
 	}
-	s.version = version
-	s.progress = make(map[string]workload.Progress)
+	return err
+}
+
+// decodeStored decodes the rows of progress and the jobs that aren't settled.
+func (c *controller) decodeStored(s *storedState, rows []provider.Row) error {
+	s.Progress = make(map[string]workload.Progress, len(rows))
 	for _, row := range rows {
 		id := row.Key()[len(fleet.ProgressPrefix):]
 		p, err := workload.DecodeProgress(row.Value())
 		if err != nil {
 			return errors.WithMessage(err, row.Key())
 		}
-		s.progress[id] = p
+		s.Progress[id] = p
 		if p.Settled() {
 			continue
 		}
-		job, err := c.storedJob(id, p)
+		job, err := c.storedJob(id, p, s.copies[id])
 		if err != nil {
 			return errors.WithMessage(err, row.Key())
 		}
-		s.jobs = append(s.jobs, job)
+		s.Jobs = append(s.Jobs, job)
 	}
 	return nil
 }
 
-// storedJob returns the job that a progress row belongs to. Progress rows of earlier releases don't hold the job, which
-// is then read from its own row.
-func (c *controller) storedJob(id string, p workload.Progress) (*workload.Job, error) {
-	if len(p.Job) > 0 {
+// storedJob returns the job that a row of progress belongs to. Earlier releases stored the job in that row, or didn't copy
+// it, so that it is read from its own row.
+func (c *controller) storedJob(id string, p workload.Progress, stored []byte) (*workload.Job, error) {
+	switch {
+	case stored != nil:
+		return workload.DecodeJob(stored)
+	case len(p.Job) > 0:
 		return workload.DecodeJob(p.Job)
 	}
 	rows, _, err := c.scan(c.vm.jobPartition(intake.PartitionOf(id)), intake.JobPrefix+id)
@@ -270,8 +301,9 @@
 	return job
 }
 
-// postOperations posts the operations that operators requested before this term.
-func (c *controller) postOperations(rows []provider.Row) {
+// decodeOperations returns the operations that operators requested before this term.
+func decodeOperations(rows []provider.Row) []directory.Operation {
+	var operations []directory.Operation
 	for _, row := range rows {
 		o, err := platform.DecodeOperation(row)
 		if err != nil {
@@ -279,9 +311,10 @@
 			continue
 		}
 		if o != nil {
-			c.post(fleet.OperationArrived{Operation: o})
+			operations = append(operations, o)
 		}
 	}
+	return operations
 }
 
 // watchTables reads jobs, cancellations and registrations, and their changes after the table version.
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -83,6 +83,7 @@
 	now := v.Clock.Now()
 	v.processID = now.UnixMilli()
 	v.client = platform.NewClient()
+	v.client.LinkMbps = v.Settings.LinkMbps()
 	v.serverClient = platform.NewServerClient()
 	v.directory = &directory.Cache{}
 	v.drained = make(chan struct{})
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -11,10 +11,12 @@
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
-// Prefixes of the keys of the rows that the controller writes. They are followed by a job id, a queue name and a wave
-// name.
+// Prefixes of the keys of the rows that the controller writes. The first two are followed by a job id, the others by a
+// queue name and a wave name. JobsPrefix is of copies of unsettled jobs: with them a new controller learns of all runs from
+// one partition of the store, even if the partition with the job's own row can't be read.
 const (
 	ProgressPrefix    = "progress/"
+	JobsPrefix        = "specs/"
 	PendingJobsPrefix = "waiting/"
 	WavesPrefix       = "waves/"
 )
@@ -24,6 +26,7 @@
 	sentAt  time.Time
 	renews  bool
 	jobs    []*job
+	copied  []*job // jobs whose copy it stores
 	intents []*attempt
 	waves   []committedWave
 	ends    map[string]endNumber // the last end of a run that it stores, by server id
@@ -130,24 +133,31 @@
 		}
 		return changed[a].spec.ID() < changed[b].spec.ID()
 	})
-	if len(changed) > maxRowsPerCommit {
-		changed = changed[:maxRowsPerCommit]
-	} else {
-		all = true
-	}
-	for _, j := range changed {
+	for n, j := range changed {
+		if len(writes) >= maxRowsPerCommit {
+			c.jobs = changed[:n]
+			return writes, false
+		}
 		if j.state == workload.JobQueued && j.started {
 			j.state = workload.JobRunning
 		}
 		if j.unstoredRuns > 0 {
 			c.intents = append(c.intents, j.intents()...)
 		}
-		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), j.progress().Encode()))
+		p := j.progress()
+		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), p.Encode()))
+		switch {
+		case p.Settled() && j.copyStored:
+			writes = append(writes, provider.NewDelete(JobsPrefix+j.spec.ID()))
+		case !p.Settled() && !j.copyStored:
+			writes = append(writes, provider.NewPut(JobsPrefix+j.spec.ID(), j.spec.Encode()))
+			c.copied = append(c.copied, j)
+		}
 		j.changed = false
 		delete(s.changedJobs, j)
 	}
 	c.jobs = changed
-	return writes, all
+	return writes, true
 }
 
 // statusWrites returns the writes of the number of pending jobs for each queue in which it changed. Until a new controller
@@ -247,6 +257,9 @@
 		}
 		s.sendStart(a, now)
 	}
+	for _, j := range c.copied {
+		j.copyStored = true
+	}
 	for _, w := range c.waves {
 		w.wave.storedComplete = w.complete
 	}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -23,6 +23,7 @@
 	// submitted is the start of the objective, by the clock of the entry VM that accepted the job.
 	submitted    time.Time
 	started      bool
+	copyStored   bool // the row with the copy of the job exists
 	longRunning  bool
 	objective    time.Duration
 	activeRuns   int // runs that may exist
@@ -178,9 +179,6 @@
 		st.store(&p)
 	}
 	slices.Sort(p.DoneSteps)
-	if !p.Settled() {
-		p.Job = j.spec.Encode()
-	}
 	return p
 }
 
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -162,7 +162,8 @@
 			progress[j.ID()] = p
 		}
 	}
-	c.state.Restore(m.jobs, progress, nil, m.now)
+	c.state.Restore(fleet.Stored{Jobs: m.jobs, Progress: progress}, m.now)
+	c.state.Handle(fleet.JobsRead{}, m.now)
 	m.current = c
 	for id, s := range m.servers {
 		m.register(c, id, s)
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -76,7 +76,7 @@
 			progress[j.ID()] = p
 		}
 	}
-	r.state.Restore(jobs, progress, nil, r.now)
+	r.state.Restore(fleet.Stored{Jobs: jobs, Progress: progress}, r.now)
 	r.configure(workload.Resources{})
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -39,12 +39,17 @@
 	MaintenanceTime, MoveTime time.Duration
 	// StopTime is the longest time that a server takes to stop a run.
 	StopTime time.Duration
+	// AwaitRestore holds back all events until Restore is called, but for those that renew the term. Reading the stored
+	// state may take longer than a term.
+	AwaitRestore bool
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is unknown.
 	LinkMbps float64
 	// Scope receives metrics. It may be nil.
 	Scope tally.Scope
 
 	began            time.Time
+	restored         bool
+	held             []Event   // events that wait for Restore
 	now              time.Time // time of the current event
 	directory        *directory.Snapshot
 	evacuatedZones   map[string]bool
@@ -116,7 +121,7 @@
 	if s.PreviousLease == 0 {
 		s.PreviousLease = LongLease
 	}
-	s.began = now
+	s.began, s.restored = now, !s.AwaitRestore
 	s.evacuatedZones = make(map[string]bool)
 	s.jobs = make(map[string]*job)
 	s.earlyCancels = make(map[string]bool)
@@ -146,6 +151,12 @@
 		return
 	}
 	s.now = now
+	if s.holdsBack(e) {
+		if _, tick := e.(Tick); !tick {
+			s.held = append(s.held, e)
+		}
+		return
+	}
 	switch e := e.(type) {
 	case Tick:
 		s.tick(now)
@@ -205,7 +216,9 @@
 
 // maySendRequests reports whether this entry VM is certainly the leader and not about to stop, so that it may start
 // runs and send requests for VMs.
-func (s *State) maySendRequests(now time.Time) bool { return !s.stopping && now.Before(s.termEndsAt) }
+func (s *State) maySendRequests(now time.Time) bool {
+	return s.restored && !s.stopping && now.Before(s.termEndsAt)
+}
 
 func (s *State) tick(now time.Time) {
 	s.placeAll = true
@@ -262,26 +275,59 @@
 	s.placeAll = true
 }
 
-// Restore loads what earlier controllers stored: jobs, their progress by job id, and the rows of waves. It is called
-// after Begin and before the first event, and returns the number of jobs that aren't finished.
-func (s *State) Restore(
-	jobs []*workload.Job, progress map[string]workload.Progress, waves []provider.Row, now time.Time,
-) int {
-	for _, spec := range jobs {
+// Stored is what earlier controllers and operators stored.
+type Stored struct {
+	Jobs     []*workload.Job
+	Progress map[string]workload.Progress // by job id
+	// Copied holds the ids of the jobs with a row under JobsPrefix.
+	Copied     map[string]bool
+	Waves      []provider.Row
+	Operations []directory.Operation
+}
+
+// Restore loads what was stored before the term, then handles the events that were held back. It returns the number of
+// jobs that aren't finished.
+func (s *State) Restore(stored Stored, now time.Time) int {
+	progress := stored.Progress
+	for _, spec := range stored.Jobs {
 		p, known := progress[spec.ID()]
 		if known && p.Settled() {
 			continue
 		}
 		j := newJob(spec)
 		j.createDueOccurrences(now)
+		j.copyStored = stored.Copied[spec.ID()]
 		s.jobs[spec.ID()] = j
 		if known {
 			s.restoreJob(j, p, now)
 		}
 	}
-	s.restoreWaves(waves)
+	s.restoreWaves(stored.Waves)
 	s.placeAll = true
-	return len(s.jobs)
+	s.restored = true
+	for _, o := range stored.Operations {
+		s.Handle(OperationArrived{Operation: o}, now)
+	}
+	open := len(s.jobs)
+	held := s.held
+	s.held = nil
+	for _, e := range held {
+		s.Handle(e, now)
+	}
+	return open
+}
+
+// holdsBack reports whether an event has to wait until the stored state is restored. Until then the term is renewed, and
+// nothing else happens.
+func (s *State) holdsBack(e Event) bool {
+	if s.restored {
+		return false
+	}
+	switch e.(type) {
+	case CommitEnded, Stopping, TermClaimed:
+		return false
+	}
+	return true
 }
 
 func (s *State) restoreJob(j *job, p workload.Progress, now time.Time) {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -50,8 +50,7 @@
 	// would have more records than fit into a row of the store.
 	DoneSteps []string         `json:"done-steps,omitempty"`
 	DoneTasks map[string][]int `json:"done-tasks,omitempty"`
-	// Job is the stored form of the job while the progress isn't settled. With it a new controller learns of all runs from
-	// one partition of the store, even if the partition with the job's own row can't be read.
+	// Job is the stored form of the job in rows of earlier releases. It now has a row of its own.
 	Job json.RawMessage `json:"job,omitempty"`
 }
 
