--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -96,6 +97,7 @@
 
 // run is the event loop. Only its goroutine uses the control state.
 func (c *controller) run() error {
+	defer c.endAfterPanic("event loop")
 	c.state.Begin(c.vm.Clock.Now())
 	ticks := c.vm.Clock.Every(tickInterval, func(time.Time) { c.post(fleet.Tick{}) })
 	defer ticks.Stop()
@@ -103,6 +105,7 @@
 	c.watchClaims()
 	loaded := make(chan *storedState, 1)
 	c.vm.goroutines.Go(func() error {
+		defer c.endAfterPanic("load")
 		loaded <- c.load()
 		return nil
 	})
@@ -132,6 +135,16 @@
 	}
 }
 
+// endAfterPanic ends the controller instead of the process if its goroutine panicked. Calls are served on, and another
+// entry VM becomes the leader.
+func (c *controller) endAfterPanic(part string) {
+	if r := recover(); r != nil {
+		klog.ErrorS(nil, "Controller ended after a panic", "vm", c.vm.Settings.Name(), "part", part, "panic", r,
+			"stack", string(debug.Stack()))
+		c.cancel()
+	}
+}
+
 // watchClaims posts claims on the term by faster entry VMs. A leader with much processor time doesn't read them.
 func (c *controller) watchClaims() {
 	if c.vm.Settings.Processors() >= preferredCores {
@@ -357,7 +370,7 @@
 	}
 	w.handle = func(rows []provider.Row, _ time.Time) {
 		for _, row := range rows {
-			handle(row)
+			handleRow(row, handle)
 		}
 	}
 	w.list = func() ([]provider.Row, uint64, error) {
@@ -411,7 +424,7 @@
 			switch o := c.vm.jobPartition(partition).Scan(c.ctx, prefix, 0).(type) {
 			case provider.Rows:
 				for _, row := range o.Rows() {
-					handle(row)
+					handleRow(row, handle)
 				}
 			case provider.Unavailable:
 				mu.Lock()
@@ -433,7 +446,7 @@
 	registered := make(map[string]bool)
 	handle := func(rows []provider.Row, _ time.Time) {
 		for _, row := range rows {
-			c.postRegistration(row, registered)
+			handleRow(row, func(row provider.Row) { c.postRegistration(row, registered) })
 		}
 	}
 	list := func() ([]provider.Row, uint64, error) {
@@ -493,6 +506,7 @@
 // runSender sends the request of an effect, and then those that it takes over from execute until the controller ends.
 // Senders are kept because a new goroutine would grow its stack for each request.
 func (c *controller) runSender(e fleet.Effect) error {
+	defer c.endAfterPanic("request")
 	for {
 		c.post(c.send(e, c.vm.Clock))
 		select {
--- a/deployment/watch.go
+++ b/deployment/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,21 +33,36 @@
 // leader.
 func (v *VM) applyOperations(rows []provider.Row) {
 	for _, row := range rows {
-		o, err := platform.DecodeOperation(row)
-		if err != nil {
-			klog.ErrorS(err, "Failed to decode operator row", "key", row.Key(), "version", row.Version())
-			continue
-		}
-		if o == nil {
-			continue
-		}
-		if c, ok := o.(directory.ConfigurationPublished); ok && v.directory.Update(c.Snapshot) {
-			klog.InfoS("Applied configuration", "version", c.Snapshot.Version(), "row-version", row.Version(),
-				"queues", c.Snapshot.QueueCount())
-		}
-		if c := v.controller.Load(); c != nil {
-			c.post(fleet.OperationArrived{Operation: o})
+		handleRow(row, v.applyOperation)
+	}
+}
+
+// handleRow handles a row that another process wrote. If that panics, the other rows aren't affected.
+func handleRow(row provider.Row, handle func(provider.Row)) {
+	defer func() {
+		if r := recover(); r != nil {
+			klog.ErrorS(nil, "Ignored a row after a panic", "key", row.Key(), "version", row.Version(), "panic", r,
+				"stack", string(debug.Stack()))
 		}
+	}()
+	handle(row)
+}
+
+func (v *VM) applyOperation(row provider.Row) {
+	o, err := platform.DecodeOperation(row)
+	if err != nil {
+		klog.ErrorS(err, "Failed to decode operator row", "key", row.Key(), "version", row.Version())
+		return
+	}
+	if o == nil {
+		return
+	}
+	if c, ok := o.(directory.ConfigurationPublished); ok && v.directory.Update(c.Snapshot) {
+		klog.InfoS("Applied configuration", "version", c.Snapshot.Version(), "row-version", row.Version(),
+			"queues", c.Snapshot.QueueCount())
+	}
+	if c := v.controller.Load(); c != nil {
+		c.post(fleet.OperationArrived{Operation: o})
 	}
 }
 
