Refuse a job with more than 100,000 tasks in all repetitions

Change: the tasks of all repetitions are bounded, beside the bounds for steps and tasks of a step.

Test: TestJobWithTooManyTasksIsInvalid; without the change such jobs are accepted.

--- a/workload/job.go
+++ b/workload/job.go
@@ -13,6 +13,9 @@
 const (
 	maxSteps        = 100 // of a job; bounds the time to validate their dependencies
 	maxTasksPerStep = 1000
+	// maxTasks bounds the tasks of all repetitions together. The controller may hold them all in memory at a time: a
+	// schedule that began long ago is due at once.
+	maxTasks = 100_000
 )
 
 // JobOptions are the fields of a job as they are stored. Fields that end in MS hold milliseconds; points in time are
@@ -53,11 +56,16 @@
 		return nil, errors.Errorf("repetitions: found %d from %d ms every %d ms", o.Repetitions, o.FirstRunMS, o.IntervalMS)
 	}
 	j := &Job{options: o}
+	tasks := 0
 	for i, s := range o.Steps {
 		if err := checkStep(s, i); err != nil {
 			return nil, errors.WithMessagef(err, "step %d", i)
 		}
 		j.steps = append(j.steps, NewStep(s))
+		tasks += s.Count
+	}
+	if repetitions := max(o.Repetitions, 1); repetitions > maxTasks/tasks {
+		return nil, errors.Errorf("repetitions: found %d of %d tasks, allowed: %d tasks in all", repetitions, tasks, maxTasks)
 	}
 	data, err := json.Marshal(o)
 	if err != nil {
