Collect garbage and plan moves less often on the leader of a large fleet

Cause: 13% of the leader's processor time went into garbage collection, most of it scanning the stacks of a goroutine for each backend server, and 8% into planning moves ten times a second.

Change: GOGC is 200 while an entry VM leads; moves are planned every 150 us a VM, 165 ms at 1,100 VMs.

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -11,7 +11,10 @@
 	// registrationsBatchDelay is longer than jobsBatchDelay because registrations change with each heartbeat.
 	registrationsBatchDelay = 300 * time.Millisecond
 	tickInterval            = 100 * time.Millisecond
-	maxParallelReads        = 24 // when the controller starts; the client has 64 connections to the store
+	// controllerGCPercent is the target percentage of the garbage collector (GOGC) while this entry VM is the leader. A
+	// collection scans the stack of a goroutine for each backend server, so the leader collects less often than others.
+	controllerGCPercent = 200
+	maxParallelReads    = 24 // when the controller starts; the client has 64 connections to the store
 	// maxReadRetries bounds the retries of one read when the controller starts. Then the controller ends, so that
 	// another entry VM may become the leader.
 	maxReadRetries = 3
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -29,6 +29,8 @@
 	// previousTerm is the term before this one. Its holder is "" if the previous controller resigned or there was none.
 	previousTerm fleet.Term
 
+	previousGCPercent int // of the runtime, restored when the controller ends
+
 	state   *fleet.State
 	servers *platform.BackendClient
 	vms     *platform.VMClient
@@ -58,6 +60,7 @@
 		LinkMbps: s.LinkMbps(), AwaitRestore: true,
 		Scope: c.vm.Scope.SubScope("control"),
 	}
+	c.previousGCPercent = debug.SetGCPercent(controllerGCPercent)
 	c.vm.controller.Store(c)
 	c.vm.goroutines.Go(func() error {
 		defer c.release()
@@ -68,6 +71,7 @@
 // release ends the controller's goroutines and lets the entry VM take part in the next election.
 func (c *controller) release() {
 	c.cancel()
+	debug.SetGCPercent(c.previousGCPercent)
 	c.vm.controller.CompareAndSwap(c, nil)
 }
 
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -16,6 +16,10 @@
 // report.
 const moveSettleTime = 2500 * time.Millisecond
 
+// rebalanceIntervalPerVM times the number of VMs is the shortest time between two plans of moves, so that the processor
+// time of planning doesn't grow with the fleet.
+const rebalanceIntervalPerVM = 150 * time.Microsecond
+
 // move is the move of a VM to another pool.
 type move struct {
 	pool     string
@@ -28,6 +32,10 @@
 // rebalance moves VMs to the pools that need more servers.
 func (s *State) rebalance(now time.Time) {
 	s.finishMoves(now)
+	if now.Sub(s.rebalancedAt) < time.Duration(len(s.vms))*rebalanceIntervalPerVM {
+		return
+	}
+	s.rebalancedAt = now
 	if len(s.vms) == 0 || s.directory == nil || !s.maySendRequests(now) {
 		return
 	}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -83,6 +83,7 @@
 	placeAll              bool             // a change may allow starts in any pool
 	dirtyPools            map[string]bool  // pools in which a change may allow starts
 	placedAt              time.Time
+	rebalancedAt          time.Time
 	sortedServers         []*server     // all servers by id, or nil if it has to be rebuilt
 	changedJobs           map[*job]bool // jobs whose progress has to be stored
 	stopping              bool
