Acknowledge ends only on connections that have carried a report

Cause: a backend server that restarts under its id and address numbers the ends of its runs anew.

Change: polls have connections of their own, and no connection is opened for a poll with an acknowledgement; it is repeated without one. A connection in the pool has carried a report, and a restart closes all connections, so an acknowledgement reaches only the incarnation that the controller knows.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -50,7 +50,7 @@
 	c.eventsReady, c.seenJobs = make(chan struct{}, 1), make(map[string]bool)
 	c.requests = make(chan fleet.Effect)
 	s := c.vm.Settings
-	c.servers = &platform.BackendClient{Client: c.vm.serverClient}
+	c.servers = platform.NewBackendClient()
 	c.vms = &platform.VMClient{Client: c.vm.client, Address: s.VMsAddress(), Holder: s.Name()}
 	c.state = &fleet.State{
 		EntryVM: s.Name(), Term: c.term, Token: c.token, TermRequestedAt: c.termRequestedAt,
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -29,16 +29,15 @@
 	Scope        tally.Scope
 	WriteMetrics func(io.Writer) error
 
-	client       *platform.Client
-	serverClient *platform.Client
-	directory    *directory.Cache
-	handler      *intake.Handler
-	control      *platform.Table
-	committer    *commit.Committer // writes the control partition
-	goroutines   *group.Group
-	processID    int64 // start time of the process in Unix milliseconds
-	stopping     atomic.Bool
-	drained      chan struct{} // closed when the graceful shutdown is complete
+	client     *platform.Client
+	directory  *directory.Cache
+	handler    *intake.Handler
+	control    *platform.Table
+	committer  *commit.Committer // writes the control partition
+	goroutines *group.Group
+	processID  int64 // start time of the process in Unix milliseconds
+	stopping   atomic.Bool
+	drained    chan struct{} // closed when the graceful shutdown is complete
 
 	// controller is nil while this entry VM isn't the leader.
 	controller atomic.Pointer[controller]
@@ -84,7 +83,6 @@
 	v.processID = now.UnixMilli()
 	v.client = platform.NewClient()
 	v.client.LinkMbps = v.Settings.LinkMbps()
-	v.serverClient = platform.NewServerClient()
 	v.directory = &directory.Cache{}
 	v.drained = make(chan struct{})
 	v.control = &platform.Table{Client: v.client, Address: v.Settings.StoreAddress(), Partition: "control"}
