Start up to 1,200 runs in a placement pass

Cause: a pass placed at most 400 runs, and a large fleet has eight to ten passes a second.

Change: 1,200 runs a pass; its jobs are stored by several commits if needed.

--- a/fleet/bursts_test.go
+++ b/fleet/bursts_test.go
@@ -118,3 +118,29 @@
 	assert.Assert(t, result.served*100 >= result.jobs*99)
 	assert.Assert(t, result.inTime*100 >= result.jobs*90)
 }
+
+// Load pattern: the largest burst of a fleet of 1,100 servers, which asks for 5,000 starts a second and has the servers for
+// them. Guards against a limit on the number of starts that leaves servers idle while jobs wait.
+func TestStartsKeepUpWithLargestBurst(t *testing.T) {
+	sm := newSimulation(1100, 1)
+	sm.advance(2 * time.Second)
+	const jobsPerSecond = 385
+	objectives := make(map[string]time.Duration)
+	for n := range jobsPerSecond * 9 {
+		id := fmt.Sprintf("%016x", n+1)
+		sm.submit(n+1, 0)
+		if n >= jobsPerSecond*6 { // by then the VMs that were switched off have joined the pool
+			objectives[id] = 1600*2*time.Millisecond + 600*time.Millisecond
+		}
+		sm.advance(time.Second / jobsPerSecond)
+	}
+	sm.advance(10 * time.Second)
+	inTime := 0
+	for id, objective := range objectives {
+		if at := sm.endedAt[id]; !at.IsZero() && at.Sub(sm.submittedAt[id]) <= objective {
+			inTime++
+		}
+	}
+	t.Logf("%d of %d jobs within their objective", inTime, len(objectives))
+	assert.Assert(t, inTime*100 >= len(objectives)*90)
+}
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -71,8 +71,8 @@
 	startRetryDelay  = 150 * time.Millisecond // before a request without a response is sent again
 	maxStartRequests = 3                      // without a response, before the run is stopped
 
-	maxRowsPerCommit  = 80  // the store accepts 100 entries, including conditions and the committer's own row
-	maxIntentsPerPass = 400 // starts in one placement pass, all stored by one commit
+	maxRowsPerCommit  = 80   // the store accepts 100 entries, including conditions and the committer's own row
+	maxIntentsPerPass = 1200 // starts in one placement pass; a large fleet has ten passes a second
 	// maxActiveRuns bounds the runs of a job at a time, as its progress row must stay below the 64 KB that the store
 	// accepts: the record of a task with a run has some 110 bytes.
 	maxActiveRuns          = 400
