Honour a claim only in the term that it was made in

Cause: a claim named the leader's process, which may lead again after its claimant has gone: the leader would then resign each time, and no other entry VM would claim (found by reading).

Change: a leader ignores claims that were stored before its term began, and a claim without effect goes stale.

Tests: TestLeaderResignsForClaimant with a claim on an earlier term of the same process, TestClaimGoesStale.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -167,7 +167,7 @@
 				klog.ErrorS(err, "Ignored an invalid claim on the term", "row-version", row.Version())
 				continue
 			}
-			c.post(fleet.TermClaimed{Claim: claim})
+			c.post(fleet.TermClaimed{Claim: claim, Version: row.Version()})
 		}
 		return nil
 	})
--- a/deployment/election.go
+++ b/deployment/election.go
@@ -54,7 +54,7 @@
 func (v *VM) newWatch() fleet.TermWatch {
 	return fleet.TermWatch{
 		EntryVM: v.Settings.Name(), TakeoverDelay: v.takeoverDelay(), Slow: v.Settings.Processors() < slowCores,
-		Processors: v.Settings.Processors(),
+		Processors: v.Settings.Processors(), SufficientProcessors: preferredCores,
 	}
 }
 
@@ -87,10 +87,12 @@
 	if err != nil {
 		klog.ErrorS(err, "Replacing an invalid claim on the term", "row-version", row.Version())
 	}
-	if claim.Claims(term) && claim.Claimant != v.Settings.Name() {
+	if claim.Claims(term) && !claim.Stale(term) && claim.Claimant != v.Settings.Name() {
 		return
 	}
-	claim = fleet.Claim{Claimant: v.Settings.Name(), Holder: term.Holder, Process: term.Process}
+	claim = fleet.Claim{
+		Claimant: v.Settings.Name(), Holder: term.Holder, Process: term.Process, Renewals: term.Renewals,
+	}
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.ClaimKey, row.Version())},
 		[]provider.Write{provider.NewPut(fleet.ClaimKey, claim.Encode())})
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -33,6 +33,8 @@
 	// a planned stop of all VMs in turn doesn't cause a claim at each of them.
 	claimDelay    = 500 * time.Millisecond
 	claimInterval = 5 * time.Second // before a claim without effect is repeated
+	// maxRenewalsAfterClaim is how often a leader renews its term while it reads a claim and stores its changes.
+	maxRenewalsAfterClaim = 12
 	// successorGrace is how long other entry VMs leave a term to the successor that it names.
 	successorGrace = time.Second
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -107,7 +107,11 @@
 type Stopping struct{}
 
 // TermClaimed says that an entry VM claimed a term. If it is the term of this leader, the leader resigns in its favor.
-type TermClaimed struct{ Claim Claim }
+// Version is the store version of the claim's row.
+type TermClaimed struct {
+	Claim   Claim
+	Version uint64
+}
 
 func (Tick) event()                {}
 func (JobArrived) event()          {}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -73,7 +73,7 @@
 	vms                   map[string]backend.VM
 	vmNames               []string             // the keys of vms in order
 	droppedAt             map[string]time.Time // when servers that the list of VMs may still show were dropped, by id
-	moveGivenUpAt         map[string]time.Time // when moves whose end the list of VMs didn\'t show were given up, by VM
+	moveGivenUpAt         map[string]time.Time // when moves whose end the list of VMs didn't show were given up, by VM
 	releasing             []*server            // servers whose VMs other pools need
 	vmsListedAt           time.Time
 	listingVMs            bool
@@ -196,7 +196,7 @@
 	case Stopping:
 		s.stopping = true
 	case TermClaimed:
-		s.termClaimed(e.Claim)
+		s.termClaimed(e)
 	}
 }
 
@@ -240,13 +240,14 @@
 	s.rebalance(now)
 }
 
-// termClaimed resigns in favor of a faster entry VM.
-func (s *State) termClaimed(c Claim) {
-	if s.stopping || !c.Claims(s.Term) {
+// termClaimed resigns in favor of a faster entry VM. A claim that was stored before this term is on an earlier one, and its
+// claimant may be gone.
+func (s *State) termClaimed(e TermClaimed) {
+	if s.stopping || !e.Claim.Claims(s.Term) || e.Version <= s.Token {
 		return
 	}
-	klog.InfoS("Resigning in favor of a faster entry VM", "vm", s.EntryVM, "token", s.Token, "successor", c.Claimant)
-	s.stopping, s.successor = true, c.Claimant
+	klog.InfoS("Resigning in favor of a faster entry VM", "vm", s.EntryVM, "token", s.Token, "successor", e.Claim.Claimant)
+	s.stopping, s.successor = true, e.Claim.Claimant
 }
 
 func (s *State) depose(reason string) {
@@ -418,7 +419,9 @@
 	s.cancelPolls(v)
 	delete(s.unstoredEnds, v)
 	delete(s.servers, v.id)
-	s.droppedAt[v.id] = s.now
+	if len(s.vms) > 0 {
+		s.droppedAt[v.id] = s.now
+	}
 	s.sortedServers = nil
 }
 
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -82,6 +82,8 @@
 	Claimant string `json:"claimant"`
 	Holder   string `json:"holder"`
 	Process  int64  `json:"process"`
+	// Renewals is that of the term row when the claim was made.
+	Renewals int64 `json:"renewals"`
 }
 
 // Encode returns the value of the claim's row.
@@ -102,6 +104,12 @@
 	return c, errors.Wrap(json.Unmarshal(row.Value(), &c), "decode the claim row")
 }
 
+// Stale reports whether the claim is on the given term, and the leader has renewed the term too often since. The claimant
+// may then be gone.
+func (c Claim) Stale(t Term) bool {
+	return c.Claims(t) && t.Renewals-c.Renewals > maxRenewalsAfterClaim
+}
+
 // Claims reports whether the claim is on the given term.
 func (c Claim) Claims(t Term) bool {
 	return t.Holder != "" && c.Holder == t.Holder && c.Process == t.Process
@@ -120,6 +128,8 @@
 	Slow bool
 	// Processors is the processor time of this entry VM in cores.
 	Processors float64
+	// SufficientProcessors is the processor time from which on a leader's term isn't claimed. 0 stands for no limit.
+	SufficientProcessors float64
 
 	term     Term
 	since    time.Time // when the present version of the row was first read
@@ -183,6 +193,9 @@
 	if !w.known || w.term.Holder == "" || w.term.Processors <= 0 || w.Processors < claimFactor*w.term.Processors {
 		return false
 	}
+	if w.SufficientProcessors > 0 && w.term.Processors >= w.SufficientProcessors {
+		return false
+	}
 	return now.Sub(w.heldFrom) >= claimDelay+w.TakeoverDelay && (w.claimedAt.IsZero() || now.Sub(w.claimedAt) >= claimInterval)
 }
 
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -227,13 +227,14 @@
 	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000})})
 	starts := r.starts()
 	assert.Equal(t, len(starts), 1)
-	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "fast", Holder: "entry", Process: 7}})
+	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "fast", Holder: "entry", Process: 7}, Version: 1000})
+	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "gone", Holder: "entry"}, Version: r.state.Token - 1})
 	r.advance(300 * time.Millisecond)
 	term, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, r.rows[fleet.TermKey], 1))
 	assert.NilError(t, err)
-	assert.Equal(t, term.Holder, "entry", "resigned for a claim on another term")
+	assert.Equal(t, term.Holder, "entry", "resigned for a claim on another term, or an earlier one of the same process")
 
-	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "fast", Holder: "entry"}})
+	r.handle(fleet.TermClaimed{Claim: fleet.Claim{Claimant: "fast", Holder: "entry"}, Version: 1000})
 	r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000})})
 	r.advance(time.Second)
 	term, err = fleet.DecodeTerm(provider.NewRow(fleet.TermKey, r.rows[fleet.TermKey], 1))
@@ -247,3 +248,14 @@
 	assert.Equal(t, term.Successor, "fast")
 	assert.Equal(t, len(r.starts()), 0)
 }
+
+// Guards against a claimant that is gone and keeps others from claiming the term.
+func TestClaimGoesStale(t *testing.T) {
+	term := fleet.Term{Holder: "slow", Process: 3, Renewals: 100}
+	claim := fleet.Claim{Claimant: "gone", Holder: "slow", Process: 3, Renewals: 98}
+	assert.Assert(t, claim.Claims(term) && !claim.Stale(term))
+	term.Renewals = 120
+	assert.Assert(t, claim.Stale(term))
+	term.Process = 4
+	assert.Assert(t, !claim.Claims(term) && !claim.Stale(term))
+}
