--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -67,8 +67,10 @@
 	maxPollBackoff = 4
 
 	// placementIntervalPerServer times the number of servers is the shortest time between two placement passes, so that
-	// the processor time of placement doesn't grow with the fleet.
+	// the processor time of placement grows less than the fleet.
 	placementIntervalPerServer = 80 * time.Microsecond
+	// maxPlacementInterval bounds the time by which placement, and polls with it, delay each step of a job.
+	maxPlacementInterval = 100 * time.Millisecond
 
 	startRetryDelay  = 150 * time.Millisecond // before a request without a response is sent again
 	maxStartRequests = 3                      // without a response, before the run is stopped
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -16,9 +16,12 @@
 // report.
 const moveSettleTime = 2500 * time.Millisecond
 
-// rebalanceIntervalPerVM times the number of VMs is the shortest time between two plans of moves, so that the processor
-// time of planning doesn't grow with the fleet.
-const rebalanceIntervalPerVM = 150 * time.Microsecond
+// rebalanceIntervalPerVM times the number of VMs is the shortest time between two plans of moves, up to
+// maxRebalanceInterval, so that the processor time of planning grows less than the fleet.
+const (
+	rebalanceIntervalPerVM = 150 * time.Microsecond
+	maxRebalanceInterval   = 200 * time.Millisecond // bounds the delay of moves at the start of a burst
+)
 
 // move is the move of a VM to another pool.
 type move struct {
@@ -32,7 +35,7 @@
 // rebalance moves VMs to the pools that need more servers.
 func (s *State) rebalance(now time.Time) {
 	s.finishMoves(now)
-	if now.Sub(s.rebalancedAt) < time.Duration(len(s.vms))*rebalanceIntervalPerVM {
+	if now.Sub(s.rebalancedAt) < min(time.Duration(len(s.vms))*rebalanceIntervalPerVM, maxRebalanceInterval) {
 		return
 	}
 	s.rebalancedAt = now
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -40,7 +40,7 @@
 
 // placementInterval returns the shortest time between two placement passes.
 func (s *State) placementInterval() time.Duration {
-	return time.Duration(len(s.servers)) * placementIntervalPerServer
+	return min(time.Duration(len(s.servers))*placementIntervalPerServer, maxPlacementInterval)
 }
 
 // place assigns pending tasks to servers. The runs are started once their intents are stored.
