Log the load of the controller once a second

The line "Controller load" gives events, polls and start requests of the last second, the time in the control state, the longest delay of an event, and the processor time of the process.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -34,8 +34,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu          sync.Mutex // guards events and seenJobs
+	mu          sync.Mutex // guards events, eventsSince and seenJobs
 	events      []fleet.Event
+	eventsSince time.Time // when the first of events was posted
 	eventsReady chan struct{}
 	requests    chan fleet.Effect // to senders that are idle
 	seenJobs    map[string]bool   // the ids of all jobs that were read, so that none is posted twice
@@ -78,6 +79,9 @@
 // post queues an event for the control state.
 func (c *controller) post(e fleet.Event) {
 	c.mu.Lock()
+	if len(c.events) == 0 {
+		c.eventsSince = c.vm.Clock.Now()
+	}
 	c.events = append(c.events, e)
 	c.mu.Unlock()
 	select {
@@ -86,14 +90,15 @@
 	}
 }
 
-// drainEvents returns the queued events, and uses the array of the given slice for the next ones.
-func (c *controller) drainEvents(reuse []fleet.Event) []fleet.Event {
+// drainEvents returns the queued events and when the first of them was posted. It uses the array of the given slice for
+// the next ones.
+func (c *controller) drainEvents(reuse []fleet.Event) ([]fleet.Event, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	events := c.events
 	clear(reuse)
 	c.events = reuse[:0]
-	return events
+	return events, c.eventsSince
 }
 
 // run is the event loop. Only its goroutine uses the control state.
@@ -111,6 +116,8 @@
 		return nil
 	})
 	var events []fleet.Event
+	var posted time.Time
+	var load controllerLoad
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -122,17 +129,23 @@
 			c.restore(s)
 		case <-c.eventsReady:
 		}
-		events = c.drainEvents(events)
+		events, posted = c.drainEvents(events)
 		now := c.vm.Clock.Now()
 		for _, e := range events {
 			c.state.Handle(e, now)
 		}
-		for _, e := range c.state.TakeEffects(c.vm.Clock.Now()) {
+		effects := c.state.TakeEffects(c.vm.Clock.Now())
+		if len(events) > 0 {
+			load.recordBatch(len(events), now.Sub(posted), c.vm.Clock.Now().Sub(now))
+		}
+		for _, e := range effects {
 			if _, deposed := e.(fleet.Deposed); deposed {
 				return nil
 			}
+			load.recordEffect(e)
 			c.execute(e)
 		}
+		load.log(c.vm.Settings.Name(), c.vm.Settings.Processors(), c.vm.Clock.Now())
 	}
 }
 
