Select a server once for the tasks of a step that fit on it

Cause: at 3,700 starts a second a third of the control state's processor time is SelectServer, which compares all servers of a pool for each task, although the next task of a step goes to the same server until it is full. Runs of a server were also counted at each poll to find best-effort tasks, and all servers searched for the capacity of a pool.

Change: StaysBest (a property test compares it with SelectServer), kept counts, the capacity by pool.

--- a/fleet/pacing.go
+++ b/fleet/pacing.go
@@ -41,8 +41,12 @@
 	}
 }
 
-// colocated returns the latencies of the running latency-sensitive tasks of a server, and its best-effort tasks.
+// colocated returns the latencies of the running latency-sensitive tasks of a server, and its best-effort tasks. It
+// returns nothing if there are no best-effort tasks.
 func (v *server) colocated() (latencies []schedule.TaskLatency, bestEffort []*attempt) {
+	if v.bestEffort == 0 {
+		return nil, nil
+	}
 	for _, a := range v.attempts {
 		spec := a.task.step.spec
 		switch {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -159,6 +159,7 @@
 	}
 	p.countStepRuns(st)
 	s.applyRecommendation(st, p, now)
+	last := -1 // the server of the previous task
 	for _, t := range st.tasks {
 		if !t.needsRun(now) {
 			continue
@@ -171,7 +172,10 @@
 			break
 		}
 		p.markFailedServers(t)
-		i := schedule.SelectServer(st.spec, p.views)
+		i := last
+		if i < 0 || len(t.failedOn) > 0 || !schedule.StaysBest(st.spec, &p.views[i]) {
+			i = schedule.SelectServer(st.spec, p.views)
+		}
 		if i >= 0 && st.spec.LongRunning() && p.views[i].MaintenanceDue && s.fitsElsewhere(st, p.servers[i], now) {
 			i = -1 // it would soon have to migrate
 		}
@@ -187,6 +191,11 @@
 		s.assign(t, p, i, t.record.LastRun+1, now)
 		p.countRun(i, st)
 		placed++
+		last = i
+		if len(t.failedOn) > 0 {
+			last = -1 // selected by the failures of this task
+			p.clearFailedServers()
+		}
 	}
 	return placed
 }
@@ -243,6 +252,13 @@
 	}
 }
 
+// clearFailedServers removes the marks of markFailedServers.
+func (p *placementPool) clearFailedServers() {
+	for i := range p.views {
+		p.views[i].TaskFailedBefore = false
+	}
+}
+
 // countRun adds a run of the current step to the view of server i and to those of its rack.
 func (p *placementPool) countRun(i int, st *step) {
 	p.views[i].SameStepRuns++
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -71,15 +71,8 @@
 	s.departures.add(pool, j.remainingWork(s.serverCapacity(pool)), s.now)
 }
 
-// serverCapacity returns the capacity of a server of a pool, or zero if no server of the pool is known.
-func (s *State) serverCapacity(pool string) workload.Resources {
-	for _, v := range s.servers {
-		if v.reg.Pool == pool {
-			return v.reg.Capacity
-		}
-	}
-	return workload.Resources{}
-}
+// serverCapacity returns the capacity of the server of a pool that registered last, or zero if none did.
+func (s *State) serverCapacity(pool string) workload.Resources { return s.poolCapacity[pool] }
 
 // remainingWork returns the declared work that is left of a job, in server-seconds for servers of the given capacity.
 func (j *job) remainingWork(capacity workload.Resources) float64 {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -22,6 +22,7 @@
 		v.incarnation = r.Incarnation
 	}
 	v.reg, v.registered = r, true
+	s.poolCapacity[r.Pool] = r.Capacity
 	if !changed {
 		return
 	}
@@ -87,7 +88,7 @@
 		s.pollSequence++
 		v.pollInFlight, v.pollSequence, v.pollSentAt = true, s.pollSequence, now
 		request := backend.PollRequest{Token: s.Token, AcknowledgedEnd: v.lastEndStored, MaxWait: pollWait}
-		if latencies, bestEffort := v.colocated(); len(latencies) > 0 && len(bestEffort) > 0 {
+		if latencies, _ := v.colocated(); len(latencies) > 0 && v.bestEffort > 0 {
 			request.MaxWait = colocatedPollWait
 		}
 		if v.startsLongRunning() {
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -34,6 +34,7 @@
 	lastEndStored       int64 // number of the last end of a run that is stored
 	attempts            map[backend.Run]*attempt
 	longRunning         int // number of attempts of long-running tasks
+	bestEffort          int // number of attempts of best-effort tasks
 	reserved            workload.Resources
 	orphans             map[backend.Run]time.Time // runs that aren't recorded, with the time of the last stop request
 	consecutiveFailures int
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -399,8 +399,8 @@
 // BenchmarkControl simulates ten seconds of large deployments, whose jobs of 13 tasks go to one pool after the other and
 // ask for more than the pool's capacity. The time per operation is the processor time of these ten seconds.
 func BenchmarkControl(b *testing.B) {
-	for _, size := range []struct{ servers, jobsPerSecond int }{{350, 60}, {1100, 120}} {
-		b.Run(fmt.Sprintf("servers=%d", size.servers), func(b *testing.B) {
+	for _, size := range []struct{ servers, jobsPerSecond int }{{350, 60}, {1100, 120}, {1100, 370}} {
+		b.Run(fmt.Sprintf("servers=%d,jobs=%d", size.servers, size.jobsPerSecond), func(b *testing.B) {
 			for b.Loop() {
 				sm := newSimulation(size.servers, 5)
 				n := 0
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -56,6 +56,7 @@
 	jobs             map[string]*job
 	earlyCancels     map[string]bool // cancellations that were read before their jobs
 	servers          map[string]*server
+	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
 	waves            map[string]*wave
 	maintenanceDue   map[string]bool  // VMs of a wave whose maintenance hasn't begun
@@ -132,6 +133,7 @@
 	s.droppedAt, s.moveGivenUpAt = make(map[string]time.Time), make(map[string]time.Time)
 	s.changedJobs = make(map[*job]bool)
 	s.customerUsage = make(map[string]workload.Resources)
+	s.poolCapacity = make(map[string]workload.Resources)
 	s.waves = make(map[string]*wave)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
@@ -455,6 +457,9 @@
 	if t.step.spec.LongRunning() {
 		v.longRunning++
 	}
+	if t.step.spec.BestEffort() {
+		v.bestEffort++
+	}
 	t.job.activeRuns++
 	if a.phase == storing {
 		t.job.unstoredRuns++
@@ -480,6 +485,9 @@
 	if t.step.spec.LongRunning() {
 		v.longRunning--
 	}
+	if t.step.spec.BestEffort() {
+		v.bestEffort--
+	}
 	v.idleSince = s.now
 	t.job.activeRuns--
 	if a.phase == storing {
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -47,6 +47,13 @@
 	return best
 }
 
+// StaysBest reports whether the server that SelectServer returned for a task is certainly the best one for the next task of
+// the step too. It is if the task fits: a run only raises the server's utilization, unless runs of the step on one server
+// or rack count.
+func StaysBest(step workload.Step, selected *Server) bool {
+	return !step.LongRunning() && !step.SameRack() && fits(step, selected)
+}
+
 // choice is a server with its utilization, which is computed when a comparison needs it.
 type choice struct {
 	server      *Server
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/schedule"
+	_ "github.com/pistachiolead/pistachiolead/seed"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -244,3 +246,41 @@
 	}
 	assert.DeepEqual(t, count, map[string]int{"next": 8, "backlog": 4})
 }
+
+// Guards against a shortcut that places tasks on another server than a full selection would.
+func TestStaysBestAgreesWithSelectServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		step := workload.NewStep(workload.StepOptions{
+			Count: 8, MilliCores: rapid.Int64Range(1, 40).Draw(t, "cores"), LongRunning: rapid.Bool().Draw(t, "long"),
+			SameRack: rapid.Bool().Draw(t, "same-rack"), MaxPerServer: rapid.IntRange(0, 3).Draw(t, "per-server"),
+			DataRack: rapid.SampledFrom([]string{"", "r0", "r1"}).Draw(t, "data-rack"),
+		})
+		servers := make([]schedule.Server, rapid.IntRange(1, 6).Draw(t, "servers"))
+		for i := range servers {
+			servers[i] = schedule.Server{
+				ID: fmt.Sprint(i), Rack: rapid.SampledFrom([]string{"r0", "r1"}).Draw(t, "rack"),
+				Capacity:            workload.NewResources(64, 0, 0),
+				Free:                workload.NewResources(rapid.Int64Range(0, 64).Draw(t, "free"), 0, 0),
+				ConsecutiveFailures: rapid.IntRange(0, 1).Draw(t, "failures"),
+				MaintenanceDue:      rapid.Bool().Draw(t, "due"),
+				InterferingRuns:     rapid.IntRange(0, 1).Draw(t, "interfering"),
+			}
+		}
+		for {
+			i := schedule.SelectServer(step, servers)
+			if i < 0 {
+				return
+			}
+			servers[i].Free = servers[i].Free.Minus(step.Reserves())
+			servers[i].SameStepRuns++
+			for k := range servers {
+				if servers[k].Rack == servers[i].Rack {
+					servers[k].RackSameStepRuns++
+				}
+			}
+			if schedule.StaysBest(step, &servers[i]) && schedule.SelectServer(step, servers) != i {
+				t.Fatalf("server %d stays best, but SelectServer returns %d", i, schedule.SelectServer(step, servers))
+			}
+		}
+	})
+}
