Spread the leader's requests to backend servers over entry VMs

Hypotheses of docs/measurements.md: leadership that changes at the peak of a burst, VMs that move in the first seconds of a turn, the leader's processor. "Controller load" shows the leader at 0.70 to 0.75 of its 0.8 cores in each burst, with 3,200 to 3,700 start requests a second where 4,700 are needed, so jobs of the second half of a burst are late and hold the servers of the next one.

Cause: one entry VM sends all polls and start requests of the fleet. Class: work that grows with the fleet on one VM.

Change: package relay. The leader decides and commits; entry VMs that it selects by processor time send its requests to backend servers and return outcomes in batches. A start request isn't sent after the term, also by the leader itself (a suspended process sent it before). A lost relay's polls are repeated, other outcomes are unknown. TestEntryVMsShareRequestsOfSlowLeader has no relayed requests before the change.

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -30,6 +30,11 @@
 	// claimReadInterval is the time between two reads of the claim on its term by a leader with little processor time.
 	claimReadInterval = 500 * time.Millisecond
 
+	announceRetryDelay = time.Second
+	// membersReadInterval is the time between two reads of the entry VMs by the leader. A new VM is used as a relay after
+	// the next read.
+	membersReadInterval = 5 * time.Second
+
 	// keyAgeMargin is the part of the bound for revoked keys that is left for a call after its key was checked.
 	keyAgeMargin = 800 * time.Millisecond
 	// storeContactTimeout is the time without a response of the store after which calls are refused and the entry VM is
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -8,11 +8,13 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/platform"
 	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/relay"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -30,6 +32,7 @@
 
 	state   *fleet.State
 	servers *platform.BackendClient
+	relays  *relay.Pool
 	vms     *platform.VMClient
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -49,6 +52,9 @@
 	c.requests = make(chan fleet.Effect)
 	s := c.vm.Settings
 	c.servers = platform.NewBackendClient()
+	c.relays = &relay.Pool{
+		Leader: s.Name(), Processors: s.Processors(), Clock: c.vm.Clock, Post: c.postAll, SendDirectly: c.sendDirectly,
+	}
 	c.vms = &platform.VMClient{Client: c.vm.client, Address: s.VMsAddress(), Holder: s.Name()}
 	c.state = &fleet.State{
 		EntryVM: s.Name(), Term: c.term, Token: c.token, TermRequestedAt: c.termRequestedAt,
@@ -77,12 +83,15 @@
 func (c *controller) resign() { c.post(fleet.Stopping{}) }
 
 // post queues an event for the control state.
-func (c *controller) post(e fleet.Event) {
+func (c *controller) post(e fleet.Event) { c.postAll([]fleet.Event{e}) }
+
+// postAll queues events for the control state.
+func (c *controller) postAll(events []fleet.Event) {
 	c.mu.Lock()
 	if len(c.events) == 0 {
 		c.eventsSince = c.vm.Clock.Now()
 	}
-	c.events = append(c.events, e)
+	c.events = append(c.events, events...)
 	c.mu.Unlock()
 	select {
 	case c.eventsReady <- struct{}{}:
@@ -109,6 +118,7 @@
 	defer ticks.Stop()
 	c.post(fleet.Tick{})
 	c.watchClaims()
+	c.watchMembers()
 	loaded := make(chan *storedState, 1)
 	c.vm.goroutines.Go(func() error {
 		defer c.endAfterPanic("load")
@@ -133,6 +143,9 @@
 		now := c.vm.Clock.Now()
 		for _, e := range events {
 			c.state.Handle(e, now)
+			if _, tick := e.(fleet.Tick); tick {
+				c.relays.Resize(c.ctx, c.vm.goroutines, c.state.ServerCount())
+			}
 		}
 		effects := c.state.TakeEffects(c.vm.Clock.Now())
 		if len(events) > 0 {
@@ -145,6 +158,7 @@
 			load.recordEffect(e)
 			c.execute(e)
 		}
+		c.relays.Flush()
 		load.log(c.vm.Settings.Name(), c.vm.Settings.Processors(), c.vm.Clock.Now())
 	}
 }
@@ -349,6 +363,13 @@
 		c.vm.committer.Submit(e.Transaction, func(o provider.CommitOutcome) { c.post(fleet.CommitEnded{Outcome: o}) })
 		return
 	}
+	if !c.relays.Send(e) {
+		c.sendDirectly(e)
+	}
+}
+
+// sendDirectly sends the request of an effect from this entry VM.
+func (c *controller) sendDirectly(e fleet.Effect) {
 	select {
 	case c.requests <- e:
 	default:
@@ -379,9 +400,12 @@
 			Outcome: c.servers.Poll(e.Target, e.Request),
 		}
 	case fleet.Start:
+		var outcome backend.Outcome = backend.Refused{Reason: backend.RefusedExpired}
+		if t.Now().Before(e.ValidUntil) {
+			outcome = c.servers.Start(e.Target, e.Request)
+		}
 		return fleet.StartEnded{
-			Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Request.Run,
-			Outcome: c.servers.Start(e.Target, e.Request),
+			Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Request.Run, Outcome: outcome,
 		}
 	case fleet.Stop:
 		return fleet.StopEnded{
--- a/deployment/deployment_test.go
+++ b/deployment/deployment_test.go
@@ -185,3 +185,32 @@
 	}
 	<-r.vms[0].done
 }
+
+// Guards against a leader that runs out of processor time because it sends the requests to all backend servers itself
+// (SHORT on omotnica-prod-large).
+func TestEntryVMsShareRequestsOfSlowLeader(t *testing.T) {
+	r := newRig(t, 0, 200*time.Millisecond)
+	for n := range 3 {
+		r.startVMWithProcessors(fmt.Sprintf("entry-%d", n), 0.02) // enough for five servers
+	}
+	relayed := func() (total float64) {
+		for _, v := range r.vms {
+			total += v.counter("relay.requests")
+		}
+		return total
+	}
+	r.eventually("the leader uses other entry VMs", func() bool { return relayed() > 0 })
+	before := relayed()
+	for n := range 30 {
+		assert.Equal(t, r.submit(r.vms[n%3], "plates", jobID(n), step(4, 1500), step(2, 1000, 0)), http.StatusOK)
+	}
+	for n := range 30 {
+		id := jobID(n)
+		r.eventually("job "+id+" is complete", func() bool { return r.state(r.vms[1], "plates", id) == "completed" })
+	}
+	// At least a start request for each task.
+	assert.Assert(t, relayed()-before >= 6*30, "entry VMs relayed %g requests", relayed()-before)
+	r.vms[0].kill()
+	assert.Equal(t, r.submit(r.vms[1], "plates", jobID(31), step(4, 1500)), http.StatusOK)
+	r.eventually("the job is complete", func() bool { return r.state(r.vms[1], "plates", jobID(31)) == "completed" })
+}
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -42,6 +42,7 @@
 type entryVM struct {
 	address string
 	vm      *deployment.VM
+	scope   tally.TestScope
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -116,21 +117,58 @@
 
 func (r *rig) startVM(name string) *entryVM {
 	r.t.Helper()
+	return r.startVMWithProcessors(name, 0.8)
+}
+
+// twoFreePorts returns the first of two consecutive ports that are free.
+func twoFreePorts(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		first, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		port := first.Addr().(*net.TCPAddr).Port
+		second, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+		assert.NilError(t, first.Close())
+		if err == nil {
+			assert.NilError(t, second.Close())
+			return port
+		}
+	}
+	t.Fatal("no two consecutive ports are free")
+	return 0
+}
+
+// counter returns the value of a counter of the entry VM.
+func (v *entryVM) counter(name string) float64 {
+	for _, c := range v.scope.Snapshot().Counters() {
+		if c.Name() == name {
+			return float64(c.Value())
+		}
+	}
+	return 0
+}
+
+func (r *rig) startVMWithProcessors(name string, processors float64) *entryVM {
+	r.t.Helper()
+	ports := twoFreePorts(r.t)
 	address := freeAddress(r.t)
 	set, err := platform.ParseSettings([]byte(fmt.Sprintf(`
 NodeName: %q
 Zone: z0
 ListenAddresses: {Frontend: %q, Readiness: %q}
-Limits: {CpuShare: 0.8, CpuCores: 1}
+IpAddress: 127.0.0.1
+InternalPortRange: [%d, %d]
+Limits: {CpuShare: %g, CpuCores: 1}
 Bounds: {GraceS: 2, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3}
 platform: {Address: %q}
 CloudApi: {Address: %q}
-`, name, address, freeAddress(r.t), r.platform.StoreAddress(), r.platform.VMsAddress())))
+`, name, address, freeAddress(r.t), ports, ports+1, processors, r.platform.StoreAddress(), r.platform.VMsAddress())))
 	assert.NilError(r.t, err)
 	ctx, cancel := context.WithCancel(r.ctx)
+	scope := tally.NewTestScope("", nil)
 	v := &entryVM{
-		address: address, cancel: cancel, done: make(chan struct{}),
-		vm: &deployment.VM{Settings: set, Clock: timer.NewBoot(), Scope: tally.NoopScope},
+		address: address, cancel: cancel, done: make(chan struct{}), scope: scope,
+		vm: &deployment.VM{Settings: set, Clock: timer.NewBoot(), Scope: scope},
 	}
 	v.vm.Init()
 	r.vms = append(r.vms, v)
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/platform"
+	"github.com/pistachiolead/pistachiolead/relay"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -119,6 +120,9 @@
 	ingress := &platform.Ingress{Listener: customers, Handler: v.handler, Clock: v.Clock, Stopping: v.stopping.Load}
 	v.goroutines.Go(func() error { return ingress.Run(ctx) })
 	v.goroutines.Go(func() error { return (&platform.ProbeServer{Listener: probes, Ready: v.Ready}).Run(ctx) })
+	if err := v.listenForLeaders(ctx); err != nil {
+		return err
+	}
 	if v.Settings.MetricsAddress() == "" {
 		return nil
 	}
@@ -131,6 +135,22 @@
 	return nil
 }
 
+// listenForLeaders serves as a relay for leaders, if the settings give an address for it.
+func (v *VM) listenForLeaders(ctx context.Context) error {
+	address := v.Settings.RelayAddress()
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for leaders")
+	}
+	s := &relay.Server{Listener: l, Sender: platform.NewBackendClient(), Clock: v.Clock, Scope: v.Scope.SubScope("relay")}
+	v.goroutines.Go(func() error { return s.Run(ctx) })
+	v.goroutines.Go(func() error { return v.announce(ctx, l.Addr().String()) })
+	return nil
+}
+
 // Ready reports whether the entry VM accepts new connections: it has a configuration, the store has responded within
 // storeContactTimeout, and no shutdown has started.
 func (v *VM) Ready() bool {
--- a/fleet/effect.go
+++ b/fleet/effect.go
@@ -21,10 +21,12 @@
 	Sequence uint64
 }
 
-// Start requests a backend server to start a run. Its outcome is StartEnded.
+// Start requests a backend server to start a run. Its outcome is StartEnded. After ValidUntil the request must not be
+// sent, as another entry VM may be the leader. Its outcome is then a refusal with RefusedExpired.
 type Start struct {
-	Target  backend.Target
-	Request backend.StartRequest
+	Target     backend.Target
+	Request    backend.StartRequest
+	ValidUntil time.Time
 }
 
 // Stop requests a backend server to stop a run. Its outcome is StopEnded.
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -32,7 +32,7 @@
 	s.emit(Start{Target: v.target(), Request: backend.StartRequest{
 		Run: a.id(), Specification: a.task.job.spec.Specification(), LeaseExpiry: deadline, Token: s.Token,
 		Checkpoint: a.checkpoint, Ticket: a.ticketFor(),
-	}})
+	}, ValidUntil: s.termEndsAt})
 }
 
 // acceptsStarts reports whether a start request may be sent to a server. The server may have begun to drain since the
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -217,6 +217,9 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
+// ServerCount returns the number of backend servers that are registered or may have runs.
+func (s *State) ServerCount() int { return len(s.servers) }
+
 // maySendRequests reports whether this entry VM is certainly the leader and not about to stop, so that it may start
 // runs and send requests for VMs.
 func (s *State) maySendRequests(now time.Time) bool {
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,236 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/group"
+)
+
+// errSilent is the reason why a relay that sends no frames counts as lost.
+var errSilent = errors.New("the relay sent no frame in time")
+
+// session is the leader's connection to one relay.
+type session struct {
+	pool  *Pool
+	relay Member
+	conn  net.Conn
+	ready chan struct{} // signals that there are requests to send
+
+	mu         sync.Mutex
+	requests   []queuedRequest
+	pending    map[uint64]fleet.Effect // without an outcome, by request id
+	lastID     uint64
+	relayClock time.Time // in the last frame that was received
+	receivedAt time.Time // when that frame was received, by the leader's clock
+	closed     bool
+}
+
+type queuedRequest struct {
+	wire       wireRequest
+	validUntil time.Time // by the leader's clock
+}
+
+// connect connects to a relay. The relay is usable once it has sent its clock.
+func (p *Pool) connect(ctx context.Context, m Member) (*session, *bufio.Reader, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", m.address)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "connect to a relay")
+	}
+	s := &session{
+		pool: p, relay: m, conn: conn, ready: make(chan struct{}, 1), pending: make(map[uint64]fleet.Effect),
+		receivedAt: p.Clock.Now(),
+	}
+	return s, bufio.NewReader(conn), nil
+}
+
+// run sends requests and receives outcomes until the connection fails or the relay sends nothing. It returns why.
+func (s *session) run(ctx context.Context, r *bufio.Reader) error {
+	goroutines, ctx := group.New(ctx)
+	goroutines.Go(func() error {
+		<-ctx.Done()
+		return s.conn.Close()
+	})
+	goroutines.Go(func() error { return s.write(ctx) })
+	goroutines.Go(func() error { return s.read(r) })
+	return goroutines.Wait()
+}
+
+// send queues a request. It reports whether the session is open.
+func (s *session) send(e fleet.Effect) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.lastID++
+	w, validUntil, ok := encodeRequest(s.lastID, e)
+	if !ok {
+		return false
+	}
+	s.pending[s.lastID] = e
+	s.requests = append(s.requests, queuedRequest{wire: w, validUntil: validUntil})
+	return true
+}
+
+// flush starts to send the queued requests.
+func (s *session) flush() {
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
+
+// write sends the queued requests in batches, and an empty frame every heartbeatInterval.
+func (s *session) write(ctx context.Context) error {
+	var silent error
+	heartbeat := s.pool.Clock.Every(heartbeatInterval, func(time.Time) { s.flush() })
+	defer heartbeat.Stop()
+	for silent == nil {
+		if err := writeFrame(s.conn, s.takeFrame()); err != nil {
+			return err
+		}
+		select {
+		case <-s.ready:
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		}
+		silent = s.checkSilent()
+	}
+	return silent
+}
+
+func (s *session) checkSilent() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pool.Clock.Now().Sub(s.receivedAt) >= sessionTimeout {
+		return errSilent
+	}
+	return nil
+}
+
+// takeFrame returns a frame with the queued requests. The time until which a start request is valid is converted to the
+// relay's clock: its last frame was sent before it was received, so the request expires too early rather than too late.
+func (s *session) takeFrame() wireFrame {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := wireFrame{ClockMS: s.pool.Clock.Now().UnixMilli(), Requests: make([]wireRequest, 0, len(s.requests))}
+	for _, q := range s.requests {
+		if q.wire.Kind == startRequest {
+			q.wire.ValidUntilMS = s.relayClock.Add(q.validUntil.Sub(s.receivedAt) - clockMargin).UnixMilli()
+		}
+		f.Requests = append(f.Requests, q.wire)
+	}
+	s.requests = nil
+	return f
+}
+
+// read receives frames and posts their outcomes.
+func (s *session) read(r *bufio.Reader) error {
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			return err
+		}
+		if events := s.received(f); len(events) > 0 {
+			s.pool.Post(events)
+		}
+	}
+}
+
+// received records a frame and returns the events for its outcomes.
+func (s *session) received(f wireFrame) []fleet.Event {
+	now := s.pool.Clock.Now()
+	events := make([]fleet.Event, 0, len(f.Outcomes))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayClock, s.receivedAt = time.UnixMilli(f.ClockMS), now
+	for _, o := range f.Outcomes {
+		if e, known := s.pending[o.ID]; known {
+			delete(s.pending, o.ID)
+			events = append(events, outcomeEvent(e, o.decode()))
+		}
+	}
+	return events
+}
+
+// closeIfUnused closes the connection if no request awaits an outcome.
+func (s *session) closeIfUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending) == 0 {
+		_ = s.conn.Close() // the reader gets the error, which ends the session
+	}
+}
+
+// close ends the session and returns the requests without an outcome.
+func (s *session) close() []fleet.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	lost := make([]fleet.Effect, 0, len(s.pending))
+	for _, e := range s.pending {
+		lost = append(lost, e)
+	}
+	s.pending = nil
+	return lost
+}
+
+// runSession connects to a relay and uses it until it is lost.
+func (p *Pool) runSession(ctx context.Context, m Member) {
+	s, r, err := p.connect(ctx, m)
+	if err != nil {
+		klog.InfoS("Failed to connect to relay", "relay", m.name, "address", m.address, "error", err.Error())
+		return
+	}
+	f, err := s.handshake(r)
+	if err != nil {
+		klog.InfoS("Relay didn't answer", "relay", m.name, "address", m.address, "error", err.Error())
+		_ = s.conn.Close() // nothing was sent on it
+		return
+	}
+	s.received(f)
+	p.addSession(s)
+	klog.InfoS("Connected to relay", "relay", m.name, "address", m.address)
+	err = s.run(ctx, r)
+	p.removeSession(s)
+	lost := s.close()
+	klog.InfoS("Lost relay", "relay", m.name, "reason", err.Error(), "requests", len(lost))
+	if ctx.Err() == nil {
+		p.recover(lost)
+	}
+}
+
+// handshake waits for the first frame of the relay.
+func (s *session) handshake(r *bufio.Reader) (wireFrame, error) {
+	timeout := s.pool.Clock.After(sessionTimeout, func(time.Time) {
+		_ = s.conn.Close() // the reader gets the error
+	})
+	defer timeout.Stop()
+	return readFrame(r)
+}
+
+// recover handles the requests of a lost relay that have no outcome. Polls may be repeated. All other requests may have
+// been carried out.
+func (p *Pool) recover(lost []fleet.Effect) {
+	var events []fleet.Event
+	for _, e := range lost {
+		if _, poll := e.(fleet.Poll); poll {
+			p.SendDirectly(e)
+			continue
+		}
+		events = append(events, outcomeEvent(e, backend.OutcomeUnknown{Reason: "the relay was lost"}))
+	}
+	if len(events) > 0 {
+		p.Post(events)
+	}
+}
--- /dev/null
+++ b/relay/constants.go
@@ -0,0 +1,24 @@
+package relay
+
+import "time"
+
+const (
+	// heartbeatInterval is the longest time between two frames in each direction.
+	heartbeatInterval = 100 * time.Millisecond
+	// sessionTimeout is the time without a frame after which a session counts as lost. Outcomes of its requests are then
+	// unknown long before the leases of the servers expire.
+	sessionTimeout = 500 * time.Millisecond
+	// idleSessionTimeout is the time without a frame after which a relay closes the connection of a leader that is gone.
+	idleSessionTimeout = 3 * time.Second
+	dialTimeout        = 400 * time.Millisecond
+	redialDelay        = time.Second
+	// batchDelay is how long a relay collects outcomes before it sends them in one frame.
+	batchDelay = 3 * time.Millisecond
+	// clockMargin covers the rounding of times to milliseconds.
+	clockMargin = 2 * time.Millisecond
+	// maxRelaySenders bounds the requests in flight of one leader at a relay. Most of them are polls, one a server.
+	maxRelaySenders = 4096
+	// serversPerProcessor is the number of backend servers whose requests an entry VM with one core of processor time
+	// sends.
+	serversPerProcessor = 250
+)
