Send the start request of a run at most once

Callers saw: a task that crashes servers crashed one more server for each repeated request, and the crashes counted as one.

Cause: a start request without a response was sent again up to twice. A server that crashes while it handles the request and starts again under its id before the poll fails gets the second request as a new run. Class: a repeated request that reaches another incarnation.

Change: after a missing response the server's next report decides. If it lists the run, the run goes on, else it is stopped and the task gets another run. The tests of runs with a lost response expected the second request; they now expect that there is none, and otherwise what they expected before. Both fail without the change.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -72,8 +72,7 @@
 	// maxPlacementInterval bounds the time by which placement, and polls with it, delay each step of a job.
 	maxPlacementInterval = 100 * time.Millisecond
 
-	startRetryDelay  = 150 * time.Millisecond // before a request without a response is sent again
-	maxStartRequests = 3                      // without a response, before the run is stopped
+	startRetryDelay = 150 * time.Millisecond // before a stop request without a response is sent again, or another run started
 
 	maxRowsPerCommit  = 80   // the store accepts 100 entries, including conditions and the committer's own row
 	maxIntentsPerPass = 1200 // starts in one placement pass; a large fleet has ten passes a second
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -79,8 +79,7 @@
 	phase            phase
 	reserves         workload.Resources
 	checkpoint       string
-	startSentAt      time.Time // time of the last start request
-	startRequests    int
+	startSentAt      time.Time // time of the start request, of which there is one at most
 	inFlight         bool      // a start request has no outcome yet
 	awaitsReport     bool      // a report decides whether the run was started
 	awaitsSince      time.Time // when awaitsReport was set
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -25,9 +25,8 @@
 	v.leaseUntil = max(v.leaseUntil, deadline)
 	v.extendExpiry()
 	a.inFlight, a.startSentAt = true, now
-	a.startRequests++
 	s.counters.starts.Inc(1)
-	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id, "try", a.startRequests,
+	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id,
 		"term-left", s.termEndsAt.Sub(now))
 	s.emit(Start{Target: v.target(), Request: backend.StartRequest{
 		Run: a.id(), Specification: a.task.job.spec.Specification(), LeaseExpiry: deadline, Token: s.Token,
@@ -66,10 +65,8 @@
 	case backend.Refused:
 		s.startRefused(v, a, o.Reason, now)
 	case backend.OutcomeUnknown, backend.Reported:
-		klog.InfoS("No response to start request", "run", e.Run, "server", e.Server, "try", a.startRequests)
-		if a.startRequests >= maxStartRequests {
-			s.awaitReport(a, "no-answer-to-start", now)
-		}
+		klog.InfoS("No response to start request", "run", e.Run, "server", e.Server)
+		s.awaitReport(a, "no-answer-to-start", now)
 	}
 }
 
@@ -81,10 +78,6 @@
 	if a.phase == running {
 		return // an earlier request started the run
 	}
-	if a.startRequests > 1 {
-		s.awaitReport(a, "start-refused", now)
-		return
-	}
 	klog.InfoS("Start request refused", "run", a.id(), "server", v.id, "reason", reason)
 	switch reason {
 	case backend.RefusedExpired:
@@ -101,9 +94,9 @@
 	s.removeAttempt(a)
 }
 
-// awaitReport sends no further start requests for a run of which an earlier one got no response. If that request was
-// carried out, the server's next report lists the run. Otherwise the run is stopped for the given reason, because a delayed
-// request may still start it.
+// awaitReport waits for a report after a start request without a response. If the request was carried out, the server's next
+// report lists the run. Otherwise the run is stopped for the given reason, because a delayed request may still start it. The
+// request isn't repeated: the server may have crashed and started again meanwhile, and would crash once more.
 func (s *State) awaitReport(a *attempt, reason string, now time.Time) {
 	a.awaitsReport, a.stopReason, a.awaitsSince = true, reason, now
 	s.pollAt(a.server, now)
@@ -161,8 +154,7 @@
 		case a.stopRequested && a.phase == storing:
 		case a.stopRequested && !a.stopAccepted && now.Sub(a.stopTriedAt) >= startRetryDelay && v.failedPolls == 0:
 			s.sendStop(a, now)
-		case a.phase == requested && !a.inFlight && !a.stopRequested && !a.awaitsReport &&
-			now.Sub(a.startSentAt) >= startRetryDelay && v.failedPolls == 0:
+		case a.phase == requested && a.startSentAt.IsZero() && !a.stopRequested && v.failedPolls == 0:
 			s.sendStart(a, now)
 		case s.stalled(a):
 			s.requestStop(a, "stalled")
