Isolate tasks under which servers crashed, and give up those that crash them

Cause: a lost server counted for nothing. Only ends that a server reports count as attempts, and a crashed one reports none. Class: a failure that is recorded nowhere.

Change: a server that is lost with a run is recorded in the task's row, with whether it had started and reported the run. It counts as a crash once it restarts, or a list of VMs that is younger than the loss doesn't show it on a running VM; a report shows that it was only cut off, and VMs that are moved or maintained don't count. From the second crash on (from the first while others crash servers) the next run starts isolated: its server starts no run of another job until the run has survived its start. A crash then is certainly the task's own, and its job fails from the second certain crash on. Five crashes end a job in any case, and while the cause of some isn't known a task isn't started after three, so a task is started twice at most after three crashes. The state of a loss is stored with the assignment, so a hand-over loses no crash and counts none twice; servers may be restored with several incarnations.

--- /dev/null
+++ b/fleet/crashes.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/schedule"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+const (
+	// startupTime is how long a run has to be at work before it has survived its start.
+	startupTime = 300 * time.Millisecond
+	// maxCauseWait bounds the time that a task waits until the cause of a loss is known.
+	maxCauseWait = 6 * time.Second
+	// crashAlertTime is how long tasks are isolated after their first crash, since a task crashed two servers.
+	crashAlertTime = time.Minute
+	// maxIncarnation is above the incarnation of any server.
+	maxIncarnation = math.MaxInt64
+)
+
+// lossKey identifies a run that was lost with its server.
+type lossKey struct {
+	task *task
+	run  int
+}
+
+// losses holds the runs that were lost with a server of which isn't known whether it crashed, by the server's id. The
+// tasks' records hold the same losses.
+type losses map[string]map[lossKey]bool
+
+func (l losses) add(server string, key lossKey) {
+	if l[server] == nil {
+		l[server] = make(map[lossKey]bool)
+	}
+	l[server][key] = true
+}
+
+func (l losses) remove(server string, key lossKey) {
+	delete(l[server], key)
+	if len(l[server]) == 0 {
+		delete(l, server)
+	}
+}
+
+// of returns the lost runs of a server in a fixed order.
+func (l losses) of(server string) []lossKey {
+	keys := make([]lossKey, 0, len(l[server]))
+	for key := range l[server] {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b lossKey) int {
+		return cmp.Or(strings.Compare(a.task.id.String(), b.task.id.String()), a.run-b.run)
+	})
+	return keys
+}
+
+// recordLosses records that a server was lost with the runs of its incarnations before the given one. The end of a draining
+// server is no crash.
+func (s *State) recordLosses(v *server, before int64, now time.Time) {
+	if v.reg.Draining {
+		return
+	}
+	for _, a := range v.attempts {
+		sent := a.phase != storing && (a.phase != requested || !a.startSentAt.IsZero())
+		if sent && a.incarnation < before {
+			s.recordLoss(a, now)
+		}
+	}
+}
+
+// recordLoss records that a server was lost with a run. Whether the server crashed is known later: from the list of VMs, a
+// restart, or a report that it goes on.
+func (s *State) recordLoss(a *attempt, now time.Time) {
+	t := a.task
+	if t.record.Done || t.job.state.Final() || a.lossRecorded {
+		return
+	}
+	a.lossRecorded = true
+	t.record.Losses = append(t.record.Losses, workload.Loss{
+		Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber, Started: a.accepted || a.reported,
+		AtStart: !a.reported, Isolated: a.isolated,
+	})
+	t.lostAt = now
+	s.losses.add(a.server.id, lossKey{task: t, run: a.runNumber})
+	s.markChanged(t.job)
+}
+
+// forgetLosses removes the losses of a task that isn't started again.
+func (s *State) forgetLosses(t *task) {
+	for _, l := range t.record.Losses {
+		s.losses.remove(l.Server, lossKey{task: t, run: l.Run})
+	}
+	t.record.Losses = nil
+}
+
+// serverCrashed confirms that a server crashed, for the runs that were lost with its incarnations before the given one.
+func (s *State) serverCrashed(id string, before int64, evidence string) {
+	s.resolveLosses(id, before, func(t *task, l workload.Loss) {
+		t.record.Crashes++
+		if l.Started {
+			t.record.CertainCrashes++
+		}
+		if l.Started && l.Isolated {
+			t.record.IsolatedCrashes++
+		}
+		t.record.CrashedAtStart = t.record.CrashedAtStart || l.AtStart
+		s.counters.crashes.Inc(1)
+		klog.InfoS("Backend server crashed under a task", "task", t.id, "run", l.Run, "server", id, "evidence", evidence,
+			"crashes", t.record.Crashes, "started", l.Started, "at-start", l.AtStart, "isolated", l.Isolated)
+		if schedule.RaisesAlert(t.crashes()) {
+			s.crashAlertUntil = s.now.Add(crashAlertTime)
+		}
+		if schedule.FailsByCrashes(t.crashes()) && !t.record.Done && !t.job.state.Final() {
+			s.endJob(t.job, workload.JobFailed, "crashes-servers")
+		}
+	})
+}
+
+// serverSurvived records that a server was unresponsive for a while and goes on with the same incarnation.
+func (s *State) serverSurvived(id string, incarnation int64, evidence string) {
+	s.resolveLosses(id, incarnation+1, func(t *task, l workload.Loss) {
+		klog.InfoS("Backend server hadn't crashed", "task", t.id, "run", l.Run, "server", id, "evidence", evidence)
+	})
+}
+
+// resolveLosses removes the losses with the incarnations of a server before the given one, and calls resolve for each.
+func (s *State) resolveLosses(id string, before int64, resolve func(*task, workload.Loss)) {
+	for _, key := range s.losses.of(id) {
+		recorded := key.task.record.Losses
+		i := slices.IndexFunc(recorded, func(l workload.Loss) bool { return l.Server == id && l.Run == key.run })
+		if i < 0 {
+			s.losses.remove(id, key) // the job has ended meanwhile
+			continue
+		}
+		l := recorded[i]
+		if l.Incarnation >= before {
+			continue
+		}
+		s.losses.remove(id, key)
+		key.task.record.Losses = slices.Delete(recorded, i, i+1)
+		s.markChanged(key.task.job)
+		s.dirtyPools[s.poolOf(key.task.job)] = true
+		resolve(key.task, l)
+	}
+}
+
+// resolveByVMs decides by a list of VMs on servers that were lost before the list was requested: a server that no running VM
+// has any more crashed, and one whose VM is being moved or maintained was ended for that.
+func (s *State) resolveByVMs(vms []backend.VM, requestedAt time.Time) {
+	states := make(map[string]backend.VMState, len(vms))
+	for _, vm := range vms {
+		states[vm.Server] = vm.State
+	}
+	for id, lost := range s.losses {
+		state, listed := states[id]
+		switch {
+		case listed && state == backend.VMUp || anyLostAfter(lost, requestedAt):
+		case listed && (state == backend.VMMoving || state == backend.VMMaintenance):
+			s.serverSurvived(id, maxIncarnation-1, "vm-"+string(state))
+		default:
+			s.serverCrashed(id, maxIncarnation, "not-listed")
+		}
+	}
+}
+
+func anyLostAfter(lost map[lossKey]bool, t time.Time) bool {
+	for key := range lost {
+		if key.task.lostAt.After(t) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/crashes_test.go
@@ -0,0 +1,217 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// crashTest runs jobs for some time beside jobs that crash the servers that start their first task.
+type crashTest struct {
+	sm       *simulation
+	crashing []string
+	jobs     int
+}
+
+func newCrashTest(crashing func(n int) bool) *crashTest {
+	c := &crashTest{sm: newSimulation(12, 1)}
+	c.sm.crashesServer = func(r backend.Run) bool {
+		return slices.Contains(c.crashing, r.Task.Job) && r.Task.Step == 0 && r.Task.Index == 0
+	}
+	for n := range 60 {
+		id := fmt.Sprintf("%016x", n)
+		if crashing(n) {
+			c.crashing = append(c.crashing, id)
+		}
+		c.sm.submit(n, 0)
+		c.sm.advance(200 * time.Millisecond)
+	}
+	c.jobs = 60
+	c.sm.advance(60 * time.Second)
+	return c
+}
+
+func (c *crashTest) check(t *testing.T) {
+	t.Helper()
+	for n := range c.jobs {
+		id := fmt.Sprintf("%016x", n)
+		want := workload.JobCompleted
+		if slices.Contains(c.crashing, id) {
+			want = workload.JobFailed
+		}
+		assert.Equal(t, c.sm.states[id], want, "job %s", id)
+	}
+	for task, starts := range c.sm.startsAfter {
+		assert.Assert(t, starts < 3, "%v was started %d times after three servers had crashed under it", task, starts)
+	}
+}
+
+// Guards against a task that crashes server after server, and against jobs that are given up because they ran beside it.
+func TestTaskThatCrashesServersIsGivenUp(t *testing.T) {
+	for name, crashing := range map[string]func(int) bool{
+		"one job":       func(n int) bool { return n == 10 },
+		"some jobs":     func(n int) bool { return n%12 == 3 },
+		"all of a time": func(n int) bool { return n >= 10 && n < 20 },
+	} {
+		t.Run(name, func(t *testing.T) { newCrashTest(crashing).check(t) })
+	}
+}
+
+// Guards against a long-running task that crashes server after server.
+func TestLongRunningTaskThatCrashesServersIsGivenUp(t *testing.T) {
+	sm := newSimulation(24, 1)
+	sm.crashesServer = func(r backend.Run) bool { return sm.isLongRunning(r) && r.Task.Index == 3 }
+	sm.submitLongRunning(0, 0)
+	sm.submit(1, 0)
+	sm.advance(60 * time.Second)
+	assert.Equal(t, sm.states[fmt.Sprintf("%016x", firstLongRunningJob)], workload.JobFailed)
+	assert.Equal(t, sm.states[fmt.Sprintf("%016x", 1)], workload.JobCompleted)
+	for _, starts := range sm.startsAfter {
+		assert.Assert(t, starts < 3)
+	}
+}
+
+// Guards against a gang of which a task crashes server after server.
+func TestGangThatCrashesServersIsGivenUp(t *testing.T) {
+	sm := newSimulation(12, 1)
+	sm.crashesServer = func(r backend.Run) bool { return r.Task.Job == fmt.Sprintf("%016x", 0) && r.Task.Index == 2 }
+	sm.submitJob(0, 0, "", []workload.StepOptions{
+		{Count: 8, MilliCores: 5700, MemoryMB: 20000, DeclaredDurationMS: 1000, Gang: true},
+	})
+	for n := range 20 {
+		sm.submit(n+1, 0)
+		sm.advance(200 * time.Millisecond)
+	}
+	sm.advance(60 * time.Second)
+	assert.Equal(t, sm.states[fmt.Sprintf("%016x", 0)], workload.JobFailed)
+	for n := range 20 {
+		assert.Equal(t, sm.states[fmt.Sprintf("%016x", n+1)], workload.JobCompleted)
+	}
+}
+
+// crashRig runs one task on a server that can be restarted.
+type crashRig struct {
+	*rig
+	job *workload.Job
+}
+
+func newCrashRig(t *testing.T) *crashRig {
+	c := &crashRig{rig: newRig(t)}
+	c.register("i-1", "press")
+	c.report("i-1", nil)
+	c.job = c.rig.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	c.takeEffects()
+	c.handle(fleet.JobArrived{Job: c.job})
+	return c
+}
+
+// restartServer registers the server with a new incarnation.
+func (c *crashRig) restartServer() {
+	c.bootTimes["i-1"] = c.now
+	c.register("i-1", "press")
+}
+
+// partition lets the next poll of the server fail.
+func (c *crashRig) partition() {
+	c.advance(200 * time.Millisecond)
+	c.handle(fleet.PollEnded{
+		Server: "i-1", Sequence: c.openPolls["i-1"].Sequence, Outcome: backend.OutcomeUnknown{Reason: "no response"},
+	})
+}
+
+func (c *crashRig) record() workload.TaskRecord {
+	c.t.Helper()
+	p, err := workload.DecodeProgress(c.rows[fleet.ProgressPrefix+c.job.ID()])
+	assert.NilError(c.t, err)
+	return p.Tasks["0.0.0"]
+}
+
+// Guards against crashes that a new controller doesn't count: the server restarted while no controller was there.
+func TestCrashDuringHandoverCounts(t *testing.T) {
+	c := newCrashRig(t)
+	assert.Equal(t, len(c.starts()), 1)
+	c.now = c.now.Add(time.Second)
+	c.restart(c.job)
+	c.restartServer()
+	assert.Equal(t, c.record().Crashes, 1)
+}
+
+// Guards against a crash that counts twice because a new controller finds the run still recorded when the server restarts
+// once more.
+func TestCrashCountsOnceAfterHandover(t *testing.T) {
+	c := newCrashRig(t)
+	assert.Equal(t, len(c.starts()), 1)
+	c.now = c.now.Add(time.Second)
+	c.restartServer()
+	assert.Equal(t, c.record().Crashes, 1)
+	c.now = c.now.Add(time.Second)
+	c.restart(c.job)
+	c.now = c.now.Add(time.Second)
+	c.restartServer()
+	assert.Equal(t, c.record().Crashes, 1)
+}
+
+// Guards against crashes that are lost because the earlier controller had stored the restart of the server for another job
+// only.
+func TestCrashCountsIfRestartWasStoredForAnotherJob(t *testing.T) {
+	c := newCrashRig(t)
+	other := c.rig.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	c.handle(fleet.JobArrived{Job: other})
+	assert.Equal(t, len(c.starts()), 2)
+	unchanged := c.rows[fleet.ProgressPrefix+other.ID()]
+	c.now = c.now.Add(time.Second)
+	c.restartServer()
+	c.rows[fleet.ProgressPrefix+other.ID()] = unchanged
+	c.now = c.now.Add(time.Second)
+	c.restart(c.job, other)
+	c.register("i-1", "press")
+	assert.Equal(t, c.record().Crashes, 1)
+	p, err := workload.DecodeProgress(c.rows[fleet.ProgressPrefix+other.ID()])
+	assert.NilError(t, err)
+	assert.Equal(t, p.Tasks["0.0.0"].Crashes, 1)
+}
+
+// Guards against a server that was only cut off counting as crashed.
+func TestPartitionedServerDoesNotCountAsCrashed(t *testing.T) {
+	c := newCrashRig(t)
+	assert.Equal(t, len(c.starts()), 1)
+	c.partition()
+	c.advance(9 * time.Second)
+	assert.Equal(t, len(c.record().Losses), 1)
+	c.handle(fleet.VMsListed{RequestedAt: c.now, VMs: []backend.VM{{Name: "m-1", Pool: "press", Server: "i-1", State: backend.VMUp}}})
+	assert.Equal(t, c.record().Crashes, 0)
+	c.report("i-1", nil)
+	assert.Equal(t, c.record().Crashes, 0)
+	assert.Equal(t, len(c.record().Losses), 0)
+}
+
+// Guards against a crash that isn't noticed because the server comes back under another id.
+func TestServerThatNoVMRunsCountsAsCrashed(t *testing.T) {
+	c := newCrashRig(t)
+	assert.Equal(t, len(c.starts()), 1)
+	c.partition()
+	c.advance(9 * time.Second)
+	c.handle(fleet.VMsListed{RequestedAt: c.now, VMs: []backend.VM{{Name: "m-1", Pool: "press", Server: "i-2", State: backend.VMUp}}})
+	assert.Equal(t, c.record().Crashes, 1)
+}
+
+// Guards against the end of a server that drains counting as a crash.
+func TestDrainedServerDoesNotCountAsCrashed(t *testing.T) {
+	c := newCrashRig(t)
+	assert.Equal(t, len(c.starts()), 1)
+	c.handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: "i-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Draining: true,
+		Incarnation: c.bootTimes["i-1"].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+	c.partition()
+	c.advance(9 * time.Second)
+	assert.Equal(t, len(c.record().Losses), 0)
+	assert.Equal(t, c.record().Crashes, 0)
+}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -58,6 +58,7 @@
 	attempts  []*attempt
 	failedOn  []string  // ids of servers on which it failed or stalled
 	retryAt   time.Time // before that the task isn't placed
+	lostAt    time.Time // when a server was last lost under it
 }
 
 // phase is the progress of an attempt.
@@ -91,6 +92,11 @@
 	pace             int   // percent of full speed, or unknownPace
 	paceInFlight     bool
 
+	accepted     bool // the server accepted a start request
+	reported     bool // a report of the server listed the run
+	isolated     bool // the server starts no runs of other jobs
+	lossRecorded bool // the loss of the server is recorded
+
 	stopRequested bool
 	stopInFlight  bool      // a stop request has no outcome yet
 	stopAccepted  bool      // the server accepted the stop request
@@ -243,6 +249,7 @@
 	for _, a := range t.attempts {
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber,
+			Isolated: a.isolated, LossRecorded: a.lossRecorded,
 		})
 	}
 	return r
@@ -250,7 +257,7 @@
 
 // needsRun reports whether the task can be assigned to a server now.
 func (t *task) needsRun(now time.Time) bool {
-	return !t.record.Done && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.job.state.Final()
+	return !t.record.Done && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.job.state.Final() && !t.awaitsCause(now)
 }
 
 func (t *task) failedOnServer(server string) bool {
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -46,6 +46,7 @@
 	klog.InfoS("Job ended", "job", j.spec.ID(), "state", state, "reason", reason, "running", j.activeRuns,
 		"took", s.now.Sub(j.submitted), "objective", j.objective)
 	for _, t := range j.tasks {
+		s.forgetLosses(t)
 		for _, a := range t.attempts {
 			s.requestStop(a, reason)
 		}
@@ -76,6 +77,7 @@
 	}
 	t.record.Done = true
 	t.record.Checkpoint = ""
+	s.forgetLosses(t)
 	s.recordDeparture(t)
 	t.step.remaining--
 	if len(t.attempts) == 0 {
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -155,7 +155,7 @@
 	}
 	for name, p := range byName {
 		p.ArrivalRate, p.DepartureRate = s.arrivals[name].rate(now), s.departures[name].rate(now)
-		p.LongRunningShortage = s.longRunningShortage[name]
+		p.LongRunningShortage, p.IsolatedServers = s.longRunningShortage[name], s.isolatedServers[name]
 	}
 	pools := make([]schedule.Pool, 0, len(names))
 	for _, name := range names {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -18,6 +18,7 @@
 	// unplaceable holds the resources of tasks without constraints that fit on no server. Capacity isn't released during
 	// a pass, so tasks that need as much don't fit either.
 	unplaceable []workload.Resources
+	isolation   isolation
 }
 
 // packingEfficiency is the share of a server's capacity that tasks of different sizes use while others wait.
@@ -59,7 +60,7 @@
 		s.overLimit[name], s.longRunningShortage[name] = 0, 0
 		candidates := make([]schedule.Candidate, 0, len(p.jobs))
 		for _, j := range p.jobs {
-			candidates = append(candidates, s.candidate(j, p.servers[0].reg.Capacity))
+			candidates = append(candidates, s.candidate(j, s.serverCapacity(name)))
 		}
 		schedule.SortCandidates(candidates, p.workRate(), now)
 		for i := range candidates {
@@ -68,6 +69,8 @@
 			}
 			budget -= s.placeJob(s.jobs[candidates[i].ID], p, now)
 		}
+		budget -= s.placeRemainingIsolated(candidates, p, now)
+		s.isolatedServers[name] = p.isolatedServers()
 	}
 }
 
@@ -107,9 +110,13 @@
 		}
 		p := pools[v.reg.Pool]
 		if p == nil {
-			p = &placementPool{}
+			p = &placementPool{isolation: newIsolation()}
 			pools[v.reg.Pool] = p
 		}
+		if j := v.isolatedJob(); j != nil {
+			p.isolation.add(j, v)
+			continue
+		}
 		p.add(v)
 	}
 	return pools
@@ -122,11 +129,15 @@
 
 func (p *placementPool) add(v *server) {
 	p.servers = append(p.servers, v)
-	p.views = append(p.views, schedule.Server{
+	p.views = append(p.views, placementView(v))
+}
+
+func placementView(v *server) schedule.Server {
+	return schedule.Server{
 		ID: v.id, Zone: v.reg.Zone, Rack: v.reg.Rack, Kind: v.reg.Kind, Capacity: v.reg.Capacity,
 		Free: v.reg.Capacity.Minus(v.reserved), ConsecutiveFailures: v.consecutiveFailures,
 		MaintenanceDue: v.maintenanceDue, HasLongRunning: v.hasLongRunning(),
-	})
+	}
 }
 
 // placeJob assigns the tasks of a job that may start to servers, and returns their number.
@@ -171,6 +182,12 @@
 			s.overLimit[s.poolOf(t.job)]++
 			break
 		}
+		if s.needsIsolation(t, now) {
+			if s.placeIsolated(t, p, now) {
+				placed++
+			}
+			continue
+		}
 		p.markFailedServers(t)
 		i := last
 		if i < 0 || len(t.failedOn) > 0 || !schedule.StaysBest(st.spec, &p.views[i]) {
@@ -318,16 +335,21 @@
 }
 
 func (s *State) assign(t *task, p *placementPool, i, run int, now time.Time) {
-	v := p.servers[i]
+	a := s.assignTo(t, p.servers[i], run, now)
+	p.views[i].Free = p.views[i].Free.Minus(a.reserves)
+}
+
+// assignTo assigns the next run of a task to a server.
+func (s *State) assignTo(t *task, v *server, run int, now time.Time) *attempt {
 	a := &attempt{
 		runNumber: run, phase: storing, incarnation: v.incarnation, checkpoint: t.record.Checkpoint, startedAt: now,
 	}
 	s.addAttempt(t, v, a)
-	p.views[i].Free = p.views[i].Free.Minus(a.reserves)
 	t.job.started = true
 	s.markChanged(t.job)
 	klog.V(1).InfoS("Run placed", "run", a.id(), "server", v.id, "wait", now.Sub(t.job.submitted),
 		"objective", t.job.spec.Objective(), "report-age", now.Sub(v.clockAt))
+	return a
 }
 
 // placeGang assigns all tasks of a gang at once, or none, and returns their number.
@@ -342,23 +364,50 @@
 	if !s.withinLimit(st.tasks[0], int64(len(st.tasks))) {
 		return 0
 	}
-	unchanged := slices.Clone(p.views)
-	chosen := make([]int, 0, len(st.tasks))
 	p.countStepRuns(st)
 	s.applyRecommendation(st, p, now)
+	if s.gangNeedsIsolation(st, now) {
+		if chosen := p.selectForGang(st, true); chosen != nil {
+			for n, t := range st.tasks {
+				if p.servers[chosen[n]].isolatedRuns == 0 {
+					s.isolateServer(t.job, p, chosen[n])
+				}
+				s.assignIsolated(t, p.servers[chosen[n]], run, now)
+			}
+			return len(chosen)
+		}
+		p.isolation.waiting[st.tasks[0].job] = true
+		if now.Sub(st.lostAt()) < isolationWait {
+			return 0
+		}
+	}
+	chosen := p.selectForGang(st, false)
+	for n, i := range chosen {
+		s.assign(st.tasks[n], p, i, run, now)
+	}
+	return len(chosen)
+}
+
+// selectForGang returns the indexes of servers for all tasks of a gang, or nil if they don't fit. For an isolated gang
+// these are servers without runs.
+func (p *placementPool) selectForGang(st *step, isolated bool) []int {
+	unchanged := p.views
+	defer func() { p.views = unchanged }()
+	p.views = slices.Clone(p.views)
+	for i, v := range p.servers {
+		if isolated && len(v.attempts) > 0 {
+			p.views[i].Excluded = true
+		}
+	}
+	chosen := make([]int, 0, len(st.tasks))
 	for range st.tasks {
 		i := schedule.SelectServer(st.spec, p.views)
 		if i < 0 {
-			p.views = unchanged
-			return 0
+			return nil
 		}
 		p.views[i].Free = p.views[i].Free.Minus(st.spec.Reserves())
 		p.countRun(i, st)
 		chosen = append(chosen, i)
 	}
-	p.views = unchanged
-	for n, t := range st.tasks {
-		s.assign(t, p, chosen[n], run, now)
-	}
-	return len(chosen)
+	return chosen
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -15,6 +15,7 @@
 		return
 	}
 	changed := !v.registered || v.reg.Draining != r.Draining || v.incarnation != r.Incarnation
+	s.serverCrashed(r.ID, r.Incarnation, "restarted")
 	if v.incarnation != 0 && r.Incarnation > v.incarnation {
 		s.serverRestarted(v, r.Incarnation, now)
 	}
@@ -56,7 +57,12 @@
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
 	v.leaseUntil, v.consecutiveFailures, v.retired = 0, 0, false
 	s.pollAt(v, now)
+	s.recordLosses(v, incarnation, now)
+	s.serverCrashed(v.id, incarnation, "restarted")
 	for _, a := range v.attempts {
+		if a.incarnation >= incarnation {
+			continue // restored with an earlier incarnation of other runs
+		}
 		// Outcomes of requests to the earlier incarnation are ignored.
 		a.incarnation, a.inFlight, a.stopInFlight, a.stopAccepted = incarnation, false, false, false
 		s.requestStop(a, "server-started-again")
@@ -91,7 +97,7 @@
 		if latencies, _ := v.colocated(); len(latencies) > 0 && v.bestEffort > 0 {
 			request.MaxWait = colocatedPollWait
 		}
-		if v.startsLongRunning() {
+		if v.startsLongRunning() || v.isolatedRuns > 0 {
 			request.MaxWait = startupPollWait
 		}
 		if !v.confirmed || v.failedPolls > 0 || v.lastEndReceived > v.lastEndStored {
@@ -180,6 +186,9 @@
 	if !v.confirmed {
 		v.confirmedAt = now
 	}
+	if len(s.losses[v.id]) > 0 {
+		s.serverSurvived(v.id, v.incarnation, "report")
+	}
 	v.failedPolls, v.confirmed = 0, true
 	v.clock, v.clockAt, v.hasClock = r.Clock, now, true
 	s.pollAt(v, now.Add(s.pollInterval()))
@@ -242,6 +251,8 @@
 		a.percent, a.percentChangedAt = r.Percent, now
 	}
 	a.measurement = r.Measurement
+	a.reported = true
+	s.endIsolation(a, now)
 }
 
 // stopOrphan stops a run that isn't recorded: it was started by a delayed request or by an earlier controller.
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -58,6 +58,7 @@
 	v := a.server
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
+		a.accepted = true
 		if a.phase == requested {
 			a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -35,6 +35,7 @@
 	attempts            map[backend.Run]*attempt
 	longRunning         int // number of attempts of long-running tasks
 	bestEffort          int // number of attempts of best-effort tasks
+	isolatedRuns        int // number of isolated attempts
 	reserved            workload.Resources
 	orphans             map[backend.Run]time.Time // runs that aren't recorded, with the time of the last stop request
 	consecutiveFailures int
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -58,6 +58,9 @@
 	servers          map[string]*server
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
+	losses           losses
+	crashAlertUntil  time.Time
+	isolatedServers  map[string]int // servers that isolated runs have or need, by pool
 	waves            map[string]*wave
 	maintenanceDue   map[string]bool  // VMs of a wave whose maintenance hasn't begun
 	moves            map[string]*move // by VM
@@ -106,8 +109,8 @@
 }
 
 type counters struct {
-	starts, ends, failures, lost, cancels, commits tally.Counter
-	pending                                        tally.Gauge
+	starts, ends, failures, lost, crashes, cancels, commits tally.Counter
+	pending                                                 tally.Gauge
 }
 
 // Begin initializes the state at the start of the term. It must be called before any other method.
@@ -117,8 +120,8 @@
 	}
 	s.counters = counters{
 		starts: s.Scope.Counter("starts"), ends: s.Scope.Counter("ends"), failures: s.Scope.Counter("failed-runs"),
-		lost: s.Scope.Counter("lost-runs"), cancels: s.Scope.Counter("cancels"), commits: s.Scope.Counter("commits"),
-		pending: s.Scope.Gauge("waiting-jobs"),
+		lost: s.Scope.Counter("lost-runs"), crashes: s.Scope.Counter("crashes"), cancels: s.Scope.Counter("cancels"),
+		commits: s.Scope.Counter("commits"), pending: s.Scope.Gauge("waiting-jobs"),
 	}
 	if s.PreviousLease == 0 {
 		s.PreviousLease = LongLease
@@ -134,6 +137,7 @@
 	s.changedJobs = make(map[*job]bool)
 	s.customerUsage = make(map[string]workload.Resources)
 	s.poolCapacity = make(map[string]workload.Resources)
+	s.losses, s.isolatedServers = make(losses), make(map[string]int)
 	s.waves = make(map[string]*wave)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
@@ -235,6 +239,7 @@
 	}
 	for _, v := range s.allServers() {
 		if len(v.attempts) > 0 && v.unresponsive() && now.After(v.expiresAt) {
+			s.recordLosses(v, maxIncarnation, now)
 			s.markRunsLost(v, now, "lease-expired")
 		}
 		s.superviseRuns(v, now)
@@ -310,6 +315,7 @@
 		}
 	}
 	s.restoreWaves(stored.Waves)
+	s.restoreIsolation()
 	s.placeAll = true
 	s.restored = true
 	for _, o := range stored.Operations {
@@ -356,15 +362,22 @@
 		}
 		for _, stored := range record.Assignments {
 			v := s.ensureServer(stored.Server)
-			if v.incarnation == 0 {
-				v.incarnation = stored.Incarnation
+			if v.incarnation == 0 || stored.Incarnation < v.incarnation {
+				v.incarnation = stored.Incarnation // runs of a later incarnation survive the restart that is then noticed
+			}
+			a := &attempt{
+				runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now,
+				isolated: stored.Isolated, lossRecorded: stored.LossRecorded,
 			}
-			a := &attempt{runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now}
 			s.addAttempt(t, v, a)
 			if t.step.spec.BestEffort() {
 				a.pace = unknownPace
 			}
 		}
+		for _, l := range record.Losses {
+			t.lostAt = now
+			s.losses.add(l.Server, lossKey{task: t, run: l.Run})
+		}
 	}
 	if j.state.Final() {
 		for _, t := range j.tasks {
@@ -484,6 +497,9 @@
 		t.step.unassigned++
 	}
 	delete(v.attempts, a.id())
+	if a.isolated {
+		v.isolatedRuns--
+	}
 	v.reserved = v.reserved.Minus(a.reserves)
 	if t.step.spec.LongRunning() {
 		v.longRunning--
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -202,6 +202,7 @@
 		s.vmNames = append(s.vmNames, vm.Name)
 	}
 	slices.Sort(s.vmNames)
+	s.resolveByVMs(e.VMs, e.RequestedAt)
 	for id, at := range s.droppedAt {
 		if s.vmsListedAt.After(at) && !listedServers[id] {
 			delete(s.droppedAt, id)
--- /dev/null
+++ b/schedule/crashes.go
@@ -0,0 +1,67 @@
+package schedule
+
+// Crashes is what is known of the backend servers that were lost while they ran a task.
+type Crashes struct {
+	// Confirmed is the number of servers that certainly crashed. Certain is the number of these that had certainly started
+	// the task, and Isolated the number of these in turn on which no run of another job was starting.
+	Confirmed, Certain, Isolated int
+	// Unresolved is the number of servers that were lost and may have crashed, or may only be partitioned.
+	Unresolved int
+	// AtStart says that a server was lost before it had reported the run, so that the start may have caused it.
+	AtStart bool
+}
+
+const (
+	// suspiciousCrashes is the number of crashes from which on a task is started isolated.
+	suspiciousCrashes = 2
+	// minCrashesToFail is the number of crashes from which on a job may fail. By the users' rules a task may be given up
+	// once two servers have crashed under it.
+	minCrashesToFail = 2
+	// maxCrashes is the number of crashes after which a task is started only once their cause is known. By the users'
+	// rules it may be started less than three times after as many crashes.
+	maxCrashes = 3
+	// crashLimit is the number of crashes after which a task isn't started again: by its next start the rule would be broken.
+	crashLimit = maxCrashes + 2
+)
+
+// NeedsIsolation reports whether the next run of a task has to be isolated: until the run has survived its start, its
+// server starts no run of another job. RaisesAlert has returned true for another task a short time ago if alert is set.
+//
+// A task that crashes each server that starts it takes all runs on these servers with it. It can't be told from its
+// neighbors there. Isolated starts tell them apart: the run survives, or the crash is certainly its own. A single crash is
+// mostly a fault of the server, unless tasks that crash servers are about.
+func NeedsIsolation(c Crashes, alert bool) bool {
+	return c.Confirmed+c.Unresolved >= suspiciousCrashes || alert && c.AtStart && c.Confirmed > 0
+}
+
+// RaisesAlert reports whether crashes under a task are a sign that tasks crash servers.
+func RaisesAlert(c Crashes) bool { return c.AtStart && c.Confirmed >= suspiciousCrashes }
+
+// IsIsolatedThroughout reports whether runs of a task are isolated until they end, not only while they start.
+func IsIsolatedThroughout(c Crashes) bool { return c.Confirmed+c.Unresolved >= maxCrashes }
+
+// CauseWait is how long a task waits until it is known whether the lost servers crashed.
+type CauseWait uint8
+
+// The kinds of CauseWait.
+const (
+	NoWait CauseWait = iota
+	BoundedWait
+	UnboundedWait
+)
+
+// AwaitsCause returns how long a task isn't started because it isn't known whether servers crashed under it.
+func AwaitsCause(c Crashes) CauseWait {
+	switch total := c.Confirmed + c.Unresolved; {
+	case c.Unresolved == 0 || total < maxCrashes:
+		return NoWait
+	case total < crashLimit:
+		return BoundedWait
+	}
+	return UnboundedWait
+}
+
+// FailsByCrashes reports whether a job fails because one of its tasks crashes servers.
+func FailsByCrashes(c Crashes) bool {
+	return c.Isolated > 0 && c.Certain >= minCrashesToFail || c.Confirmed >= crashLimit
+}
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -54,6 +54,8 @@
 	// LongRunningShortage is the number of additional servers needed for long-running tasks that fit on no server of the
 	// pool.
 	LongRunningShortage int
+	// IsolatedServers is the number of servers that isolated runs have or need, as they share them with no other starts.
+	IsolatedServers int
 	// ArrivalRate is the rate at which work is submitted, DepartureRate the rate at which it is completed. Both are in
 	// server-seconds per second.
 	ArrivalRate, DepartureRate float64
@@ -91,7 +93,7 @@
 		load += p.ExpiredLoad
 	}
 	load = (load + max(p.ArrivalRate-p.DepartureRate, 0)*moveDuration.Seconds()) * headroomFactor
-	want := max(int(math.Ceil(load)), p.LongRunningServers, minPoolServers)
+	want := max(int(math.Ceil(load)), p.LongRunningServers, minPoolServers) + p.IsolatedServers
 	if p.LongRunningShortage > 0 {
 		want = max(want, len(p.Servers)+p.LongRunningShortage)
 	}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -27,6 +27,20 @@
 	Server      string `json:"server"`
 	Incarnation int64  `json:"incarnation"`
 	Run         int    `json:"run"`
+	// Isolated says that the server started no runs of other jobs. LossRecorded says that the loss of the server is recorded
+	// in the task's record.
+	Isolated     bool `json:"isolated,omitempty"`
+	LossRecorded bool `json:"loss-recorded,omitempty"`
+}
+
+// Loss is a run that was lost with its backend server.
+type Loss struct {
+	Server      string `json:"server"`
+	Incarnation int64  `json:"incarnation"`
+	Run         int    `json:"run"`
+	Started     bool   `json:"started,omitempty"`  // the server had accepted or reported the run
+	AtStart     bool   `json:"at-start,omitempty"` // the server hadn't reported the run
+	Isolated    bool   `json:"isolated,omitempty"` // no run of another job was starting on the server
 }
 
 // TaskRecord is the stored state of a task.
@@ -36,6 +50,15 @@
 	EndedRun   int    `json:"ended-run,omitempty"` // the highest number of a run whose end is stored
 	Failures   int    `json:"failures,omitempty"`  // the number of failed runs
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Crashes is the number of backend servers that crashed while they may have run the task. CertainCrashes is the number
+	// of these that had certainly started it, IsolatedCrashes the number of these in turn on which no run of another job was
+	// starting. CrashedAtStart says that one of the servers crashed before it had reported the run.
+	Crashes         int  `json:"crashes,omitempty"`
+	CertainCrashes  int  `json:"certain-crashes,omitempty"`
+	IsolatedCrashes int  `json:"isolated-crashes,omitempty"`
+	CrashedAtStart  bool `json:"crashed-at-start,omitempty"`
+	// Losses are the runs that were lost with a backend server of which isn't known yet whether it crashed.
+	Losses []Loss `json:"losses,omitempty"`
 	// Assignments are the runs that may exist. There is more than one only for a duplicable step.
 	Assignments []Assignment `json:"assignments,omitempty"`
 }
