Count failed runs that were considered lost

Cause: the end of a run that was considered lost, as its server was cut off beyond its lease, counted only if the run had done its task. Found by reading the code for ways by which the count is lost.

Change: it counts as an attempt. The numbers of the failed runs are stored with the count, as an end is received again by a controller whose predecessor didn't acknowledge it.

TestFailedRunCountsAfterItWasConsideredLost fails without the change; TestFailedRunCountsOnceAfterHandover guards the other direction.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -289,26 +289,35 @@
 		v.consecutiveFailures = 0
 		s.finishTask(t)
 	case workload.EndFailed:
-		s.runFailed(v, t, now)
+		s.runFailed(v, a, now)
 	case workload.EndStopped, workload.EndExpired, workload.EndGangBroken, workload.EndGangIncomplete:
 	}
 }
 
-// unknownRunEnded handles the end of a run that was considered lost. If the run did its task, the task is done.
+// unknownRunEnded handles the end of a run that was considered lost. If the run did its task, the task is done. If it failed,
+// that counts as an attempt.
 func (s *State) unknownRunEnded(v *server, end backend.RunEnd) {
 	j, known := s.jobs[end.Run.Task.Job]
-	if !known || end.Kind != workload.EndDone {
+	if !known {
 		return
 	}
 	t, made := j.tasks[end.Run.Task.LocalName()]
 	if !made || t.record.Done || end.Run.Number > t.record.LastRun {
 		return
 	}
-	klog.InfoS("Run that was considered lost is done", "run", end.Run, "server", v.id)
-	s.finishTask(t)
+	switch end.Kind {
+	case workload.EndDone:
+		klog.InfoS("Run that was considered lost is done", "run", end.Run, "server", v.id)
+		s.finishTask(t)
+	case workload.EndFailed:
+		klog.InfoS("Run that was considered lost has failed", "run", end.Run, "server", v.id)
+		s.failTask(t, v.id, end.Run.Number)
+	case workload.EndStopped, workload.EndExpired, workload.EndGangBroken, workload.EndGangIncomplete:
+	}
 }
 
-func (s *State) runFailed(v *server, t *task, now time.Time) {
+func (s *State) runFailed(v *server, a *attempt, now time.Time) {
+	t := a.task
 	s.counters.failures.Inc(1)
 	v.consecutiveFailures++
 	klog.InfoS("Run failed", "task", t.id, "server", v.id, "failures", t.record.Failures+1,
@@ -319,5 +328,5 @@
 		klog.InfoS("Backend server in cooldown after failed runs", "server", v.id, "cooldown", failureCooldown)
 		s.stopLongRunning(v, "server-fails", false)
 	}
-	s.failTask(t, v.id)
+	s.failTask(t, v.id, a.runNumber)
 }
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -87,7 +87,7 @@
 	case backend.RefusedBusy, backend.RefusedUnreachable, backend.RefusedCapacity, backend.RefusedIncarnation:
 		v.cooldownUntil = now.Add(refusalCooldown)
 	case backend.RefusedInvalid:
-		s.failTask(a.task, v.id)
+		s.failTask(a.task, v.id, a.runNumber)
 	case backend.RefusedTicket:
 		s.discardTicket(a.task, v)
 	case backend.RefusedOldRun, backend.RefusedStaleToken, backend.RefusedOther:
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -50,6 +50,9 @@
 	EndedRun   int    `json:"ended-run,omitempty"` // the highest number of a run whose end is stored
 	Failures   int    `json:"failures,omitempty"`  // the number of failed runs
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// FailedRuns are the numbers of the failed runs that Failures counts, except in rows of earlier releases and for
+	// long-running tasks. An end may be received twice.
+	FailedRuns []int `json:"failed-runs,omitempty"`
 	// Crashes is the number of backend servers that crashed while they may have run the task. CertainCrashes is the number
 	// of these that had certainly started it, IsolatedCrashes the number of these in turn on which no run of another job was
 	// starting. CrashedAtStart says that one of the servers crashed before it had reported the run.
