Check the capacity of a server again before a run is started

Cause: a run is placed by the capacity that its server had before the run's intent was stored.

Change: a run is started only if it fits beside the runs that may exist on the server, including those that are being stopped. Otherwise it is stopped before it starts and the task placed again.

--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -18,6 +18,10 @@
 		s.requestStop(a, "server-takes-no-work")
 		return
 	}
+	if !v.hasCapacityFor(a) {
+		s.requestStop(a, "server-has-shrunk")
+		return
+	}
 	if !now.Before(s.termEndsAt) || !v.hasClock || !v.confirmed {
 		return
 	}
@@ -40,6 +44,21 @@
 	return v.registered && !v.reg.Draining && !s.evacuatedZones[v.reg.Zone]
 }
 
+// hasCapacityFor reports whether a run fits on its server beside those that may exist there. The server's capacity may have
+// shrunk since the run was placed.
+func (v *server) hasCapacityFor(a *attempt) bool {
+	if v.reserved.FitsIn(v.reg.Capacity) {
+		return true
+	}
+	needed := a.reserves
+	for _, other := range v.attempts {
+		if other != a && (other.phase == running || other.phase == restored || !other.startSentAt.IsZero()) {
+			needed = needed.Plus(other.reserves)
+		}
+	}
+	return needed.FitsIn(v.reg.Capacity)
+}
+
 func (s *State) findAttempt(server string, run backend.Run) (*attempt, bool) {
 	v, known := s.servers[server]
 	if !known {
