Emulate tasks that crash servers and servers that shrink, and play both in the soak

Change: a task whose specification begins with "crash" ends the emulated server that starts it, which comes back after 0.8 s under its id; the list of VMs shows it as down meanwhile. SetCapacity shrinks and restores a server while it runs. The observer records a violation if such a task is started three times after three servers crashed under it, and if a start brings a server over its capacity, or for 5 s after it has shrunk over the earlier one. The soak submits one such job in 128 numbers twice, and resizes servers; the draws of the other faults of a seed are unchanged.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -45,9 +46,10 @@
 }
 
 const (
-	entryVMCount    = 4
-	jobEndTimeout   = 40 * time.Second // from the end of fault injection until all accepted jobs have ended
-	revocationLimit = 5 * time.Second  // from the write of the configuration until a revoked key is refused
+	entryVMCount     = 4
+	serverMilliCores = 8000
+	jobEndTimeout    = 40 * time.Second // from the end of fault injection until all accepted jobs have ended
+	revocationLimit  = 5 * time.Second  // from the write of the configuration until a revoked key is refused
 )
 
 // Guards against jobs that are lost, run twice or run after a refusal, and against revoked keys that are accepted,
@@ -68,7 +70,7 @@
 			if len(all) > 1 {
 				t.Parallel()
 			}
-			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1))}).run()
+			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2))}).run()
 		})
 	}
 }
@@ -78,7 +80,8 @@
 	t             *testing.T
 	binary        string
 	seed          uint64
-	random        *rand.Rand
+	random        *rand.Rand // of the faults
+	sizes         *rand.Rand // of the capacities of servers
 	store         *emulator.Store
 	platform      *emulator.Platform
 	observer      *emulator.Observer
@@ -157,7 +160,7 @@
 		pool := []string{"press", "press", "press", "proofs", "proofs", "proofs", "spare", "spare"}[i]
 		b.servers = append(b.servers, &emulator.Server{
 			ID: fmt.Sprintf("i-%d", i), Pool: pool, Zone: fmt.Sprintf("z%d", i%2), Rack: fmt.Sprintf("r%d", i),
-			MilliCores: 8000, MemoryMB: 16000,
+			MilliCores: serverMilliCores, MemoryMB: 16000,
 		})
 	}
 	b.configure("key-1", "key-2")
@@ -293,12 +296,17 @@
 	if id == "warm-up" {
 		id = fmt.Sprintf("%016x", 0xffff)
 	}
-	b.observer.ExpectSpecification("work of " + id)
+	specification := "work of " + id
+	if crashesServers(id) {
+		specification = "crash by " + id
+	}
+	b.observer.ExpectSpecification(specification)
+	b.observer.ExpectSteps(id, 1500, 1000)
 	queue := "press"
 	if id[15]%2 == 0 {
 		queue = "proofs"
 	}
-	body := map[string]any{"Specification": "work of " + id, "Steps": []any{
+	body := map[string]any{"Specification": specification, "Steps": []any{
 		map[string]any{"Count": 3, "Cpu": 1500, "MemMb": 100, "EstimatedMs": 250},
 		map[string]any{"Count": 2, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 250, "After": []int{0}},
 	}}
@@ -306,6 +314,11 @@
 	return status
 }
 
+// crashesServers reports whether the first task of a job crashes each server that starts it.
+func crashesServers(id string) bool {
+	return strings.HasSuffix(id, "0d") || strings.HasSuffix(id, "8d")
+}
+
 func (b *testbed) jobPath(id string) string {
 	if id[15]%2 == 0 {
 		return "/proofs/" + id
@@ -354,6 +367,7 @@
 	modes := []soak.Mode{soak.Pass, soak.Pass, soak.Delay, soak.DiscardAll, soak.DiscardResponses, soak.Reset}
 	mode := modes[b.random.IntN(len(modes))]
 	server := b.servers[b.random.IntN(len(b.servers))]
+	b.resizeServer()
 	switch b.random.IntN(11) {
 	case 0:
 		b.kill(v)
@@ -383,6 +397,17 @@
 	}
 }
 
+// resizeServer shrinks or restores the capacity of a server now and then.
+func (b *testbed) resizeServer() {
+	server := b.servers[b.sizes.IntN(len(b.servers))]
+	switch b.sizes.IntN(6) {
+	case 0:
+		server.SetCapacity(serverMilliCores / 4)
+	case 1:
+		server.SetCapacity(serverMilliCores)
+	}
+}
+
 func (b *testbed) setStoreFault() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -434,6 +459,9 @@
 		p.SetMode(soak.Reset)
 		p.SetMode(soak.Pass)
 	}
+	for _, s := range b.servers {
+		s.SetCapacity(serverMilliCores)
+	}
 }
 
 // check waits until all accepted jobs have ended, and checks what the system guarantees.
@@ -477,7 +505,8 @@
 	var unfinished []string
 	for id, requested := range cancelRequested {
 		status, state := b.call(b.randomEntryVM(), http.MethodGet, b.jobPath(id), "key-1", nil)
-		if status == http.StatusOK && (state == "completed" || (state == "cancelled" && requested)) {
+		ended := state == "completed" || (state == "cancelled" && requested) || (state == "failed" && b.observer.MayFail(id))
+		if status == http.StatusOK && ended {
 			b.finished[id] = true
 			continue
 		}
