Poll a server that doesn't respond to its relay another way

Cause: a relay that is slow, or cut off from a backend server, got no response to its polls, and the leader took the server for lost although others reach it: its lease wasn't extended and its runs were started again elsewhere.

Change: after a poll without a response the next requests to the server go through the relay that is next by rendezvous hashing, or from the leader itself, for 2 s. TestServerThatDoesNotRespondToRelayIsReachedAnotherWay sends the second poll through the same relay without the change.

--- a/relay/client.go
+++ b/relay/client.go
@@ -151,18 +151,34 @@
 
 // received records a frame and returns the events for its outcomes.
 func (s *session) received(f wireFrame) []fleet.Event {
+	events, unresponsive := s.takeOutcomes(f)
+	if len(unresponsive) > 0 {
+		s.pool.avoid(s.relay.name, unresponsive)
+	}
+	return events
+}
+
+// takeOutcomes returns the events for the outcomes of a frame, and the servers that didn't respond to a poll.
+func (s *session) takeOutcomes(f wireFrame) (events []fleet.Event, unresponsive []string) {
 	now := s.pool.Clock.Now()
-	events := make([]fleet.Event, 0, len(f.Outcomes))
+	events = make([]fleet.Event, 0, len(f.Outcomes))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relayClock, s.receivedAt = time.UnixMilli(f.ClockMS), now
 	for _, o := range f.Outcomes {
-		if e, known := s.pending[o.ID]; known {
-			delete(s.pending, o.ID)
-			events = append(events, outcomeEvent(e, o.decode()))
+		e, known := s.pending[o.ID]
+		if !known {
+			continue
+		}
+		delete(s.pending, o.ID)
+		outcome := o.decode()
+		_, unknown := outcome.(backend.OutcomeUnknown)
+		if poll, ok := e.(fleet.Poll); ok && unknown {
+			unresponsive = append(unresponsive, poll.Target.ID)
 		}
+		events = append(events, outcomeEvent(e, outcome))
 	}
-	return events
+	return events, unresponsive
 }
 
 // closeIfUnused closes the connection if no request awaits an outcome.
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -12,6 +12,8 @@
 	idleSessionTimeout = 3 * time.Second
 	dialTimeout        = 400 * time.Millisecond
 	redialDelay        = time.Second
+	// avoidTime is how long a relay isn't used for a backend server from which it got no response.
+	avoidTime = 2 * time.Second
 	// batchDelay is the shortest time between two frames in one direction: requests and outcomes are collected meanwhile.
 	batchDelay = 3 * time.Millisecond
 	// clockMargin covers the rounding of times to milliseconds.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -109,6 +109,7 @@
 	lostAt   map[string]time.Time // when a relay was last lost or couldn't be reached
 	running  map[string]bool      // relays with a session or an attempt to connect
 	selected map[string]bool      // relays that are used, once they are connected
+	avoided  map[string]avoidance // by backend server
 	sessions []*session
 }
 
@@ -193,14 +194,23 @@
 }
 
 // route returns the session of the relay for a backend server, or nil if there are no relays. Relays get servers in
-// proportion to their processor time, by weighted rendezvous hashing, so that few servers change relays when one is lost.
+// proportion to their processor time, by weighted rendezvous hashing, so that few servers change relays when one is lost. A
+// server that didn't respond to a relay gets another one, or the leader itself, for some time.
 func (p *Pool) route(server string) *session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	avoided := ""
+	if a, known := p.avoided[server]; known {
+		if p.Clock.Now().Before(a.until) {
+			avoided = a.relay
+		} else {
+			delete(p.avoided, server)
+		}
+	}
 	var best *session
 	highest := 0.0
 	for _, s := range p.sessions {
-		if !p.selected[s.relay.name] {
+		if !p.selected[s.relay.name] || s.relay.name == avoided {
 			continue
 		}
 		hash := (float64(xxhash.Sum64String(server+"/"+s.relay.name)>>11) + 0.5) / (1 << 53)
@@ -211,6 +221,25 @@
 	return best
 }
 
+// avoidance is a relay that isn't used for a backend server for some time.
+type avoidance struct {
+	relay string
+	until time.Time
+}
+
+// avoid makes the requests to backend servers take another way than a relay that got no response from them. A relay that is
+// slow or cut off from a server would make it look lost although others reach it.
+func (p *Pool) avoid(relay string, servers []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.avoided == nil {
+		p.avoided = make(map[string]avoidance)
+	}
+	for _, server := range servers {
+		p.avoided[server] = avoidance{relay: relay, until: p.Clock.Now().Add(avoidTime)}
+	}
+}
+
 func (p *Pool) addSession(s *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -306,6 +306,20 @@
 	assert.Equal(t, n.pool.Connections(), 0)
 }
 
+// Guards against a server that counts as lost because its relay gets no response from it, although others reach it.
+func TestServerThatDoesNotRespondToRelayIsReachedAnotherWay(t *testing.T) {
+	n := newNetwork(t)
+	s := &sender{outcome: backend.OutcomeUnknown{Reason: "no response"}}
+	address, _ := n.startRelay(s, timer.System{})
+	n.connect(address)
+	target := backend.Target{ID: "i-1", Address: "a"}
+	n.send(fleet.Poll{Target: target, Sequence: 1})
+	n.awaitEvents(1)
+	assert.Assert(t, !n.pool.Send(fleet.Poll{Target: target, Sequence: 2}), "sent through the same relay")
+	n.send(fleet.Poll{Target: backend.Target{ID: "i-2", Address: "b"}, Sequence: 3})
+	n.awaitEvents(2)
+}
+
 // Guards against malformed frames that end an entry VM instead of one connection.
 func TestRelaySurvivesMalformedFrames(t *testing.T) {
 	n := newNetwork(t)
