Keep a run that a restarted server started before it registered again

Cause: a server that restarts under its id registers again some 100 ms later. A run that it started meanwhile was recorded with the earlier incarnation. The registration then counted a crash under its task, and stopped the run. With two such counts the job of a task that crashes nothing was given up.

Change: the response to a start request carries the server's clock, which starts anew with each incarnation. A run that was started on a clock below the least that it can show belongs to the next incarnation.

TestRunStartedAfterRestartIsKept counts a crash without the change.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -50,6 +50,8 @@
 	leaseExtensionGrace = 2 * time.Second
 	// minClockRate is the rate of the slowest clock of a backend server that the platform allows.
 	minClockRate = 0.98
+	// clockRounding covers the rounding of a server's clock to milliseconds, in two responses.
+	clockRounding = 2 * time.Millisecond
 	// leaseMargin covers the rounding of times to milliseconds.
 	leaseMargin = 100 * time.Millisecond
 
--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -69,7 +69,7 @@
 	}
 	for _, a := range v.attempts {
 		sent := a.phase != storing && (a.phase != requested || !a.startSentAt.IsZero())
-		if sent && a.incarnation < before {
+		if sent && a.incarnation < before && !(a.onNextIncarnation && before != maxIncarnation) {
 			s.recordLoss(a, now)
 		}
 	}
--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -215,3 +215,31 @@
 	assert.Equal(t, len(c.record().Losses), 0)
 	assert.Equal(t, c.record().Crashes, 0)
 }
+
+// Guards against a run that counts as lost in a crash before its start: the server had restarted under its id, and hadn't
+// registered yet.
+func TestRunStartedAfterRestartIsKept(t *testing.T) {
+	c := newCrashRig(t)
+	c.advance(2 * time.Second)
+	c.report("i-1", []backend.Run{c.starts()[0].Request.Run})
+	other := c.rig.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	c.handle(fleet.JobArrived{Job: other})
+	started := c.starts()
+	assert.Equal(t, len(started), 1)
+	s := started[0]
+	c.handle(fleet.StartEnded{
+		Server: s.Target.ID, Incarnation: s.Target.Incarnation, Run: s.Request.Run,
+		Outcome: backend.Accepted{Clock: 300 * time.Millisecond},
+	})
+	c.takeEffects()
+	c.restartServer()
+	assert.Equal(t, c.record().Crashes, 1) // of the run that was there before
+	p, err := workload.DecodeProgress(c.rows[fleet.ProgressPrefix+other.ID()])
+	assert.NilError(t, err)
+	assert.Equal(t, p.Tasks["0.0.0"].Crashes, 0)
+	for _, e := range c.takeEffects() {
+		if stop, ok := e.(fleet.Stop); ok {
+			assert.Assert(t, stop.Run != s.Request.Run)
+		}
+	}
+}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -73,24 +73,26 @@
 
 // attempt is the controller's record of a run that may exist on a server.
 type attempt struct {
-	task             *task
-	runNumber        int // rises with each run of the task
-	server           *server
-	incarnation      int64
-	phase            phase
-	reserves         workload.Resources
-	checkpoint       string
-	startSentAt      time.Time // time of the start request, of which there is one at most
-	inFlight         bool      // a start request has no outcome yet
-	awaitsReport     bool      // a report decides whether the run was started
-	awaitsSince      time.Time // when awaitsReport was set
-	confirmedAt      time.Time // when the server last accepted or reported the run
-	startedAt        time.Time // when the run was assigned, or confirmed by its server
-	percent          int       // progress of the run, or for a long-running task its speed
-	percentChangedAt time.Time
-	measurement      int64 // last reported, in milliseconds of tail latency for a latency-sensitive task
-	pace             int   // percent of full speed, or unknownPace
-	paceInFlight     bool
+	task              *task
+	runNumber         int // rises with each run of the task
+	server            *server
+	incarnation       int64
+	phase             phase
+	reserves          workload.Resources
+	checkpoint        string
+	startSentAt       time.Time     // time of the start request, of which there is one at most
+	earliestClock     time.Duration // the least that the server's clock shows at the start, unless the server has restarted
+	onNextIncarnation bool          // the server had restarted before the start, and its new incarnation isn't known yet
+	inFlight          bool          // a start request has no outcome yet
+	awaitsReport      bool          // a report decides whether the run was started
+	awaitsSince       time.Time     // when awaitsReport was set
+	confirmedAt       time.Time     // when the server last accepted or reported the run
+	startedAt         time.Time     // when the run was assigned, or confirmed by its server
+	percent           int           // progress of the run, or for a long-running task its speed
+	percentChangedAt  time.Time
+	measurement       int64 // last reported, in milliseconds of tail latency for a latency-sensitive task
+	pace              int   // percent of full speed, or unknownPace
+	paceInFlight      bool
 
 	accepted     bool // the server accepted a start request
 	reported     bool // a report of the server listed the run
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -60,8 +60,11 @@
 	s.recordLosses(v, incarnation, now)
 	s.serverCrashed(v.id, incarnation, "restarted")
 	for _, a := range v.attempts {
+		if a.onNextIncarnation {
+			a.incarnation, a.onNextIncarnation = incarnation, false
+		}
 		if a.incarnation >= incarnation {
-			continue // restored with an earlier incarnation of other runs
+			continue // started there, or restored with an earlier incarnation of other runs
 		}
 		// Outcomes of requests to the earlier incarnation are ignored.
 		a.incarnation, a.inFlight, a.stopInFlight, a.stopAccepted = incarnation, false, false, false
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -29,6 +29,7 @@
 	v.leaseUntil = max(v.leaseUntil, deadline)
 	v.extendExpiry()
 	a.inFlight, a.startSentAt = true, now
+	a.earliestClock = v.clock + time.Duration(minClockRate*float64(now.Sub(v.clockAt))) - clockRounding
 	s.counters.starts.Inc(1)
 	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id,
 		"term-left", s.termEndsAt.Sub(now))
@@ -78,6 +79,7 @@
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
 		a.accepted = true
+		a.onNextIncarnation = o.Clock > 0 && o.Clock < a.earliestClock
 		if a.phase == requested {
 			a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		}
