Take servers for down once their VMs don't run them any more

What callers saw: tasks of a crashed server waited until its lease had expired, 3.5 to 3.8 s, before they started elsewhere. A server that fell silent got new runs until a poll failed, up to 2.1 s. Tasks that crash servers took as long to be told from others.

Cause: a lease was the only proof that runs have ended, though the list of VMs, which the controller reads every 0.4 s, tells a VM that is down from a server that is only partitioned.

Change: registrations carry the server's VM. A list that was requested after the last sign of life of a server, and doesn't show it on its VM, ends its runs; a run without a response to its start request is kept until the lease expires, as the request may still arrive. The server gets no runs until it registers with a new incarnation or reports. The emulator's registrations carry the VM, the model lists VMs, and a new mutation lists partitioned servers as down; the model detects it. The simulation now ends a gang's other runs when one is lost, and doesn't boot a VM twice when a maintenance and a move overlap, as the platform doesn't.

TestRunsOfDownVMStartElsewhereAtOnce and TestDownServerGetsNoRuns fail before.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -15,6 +15,8 @@
 	Pool    string
 	Address string // host and port for requests
 	Zone    string
+	// VM is the name of the VM that runs the server, or "" if it is unknown.
+	VM string
 	// Incarnation is when the server process started, in Unix milliseconds. A server that restarts keeps its id and gets a
 	// higher incarnation.
 	Incarnation int64
--- /dev/null
+++ b/fleet/downservers.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+)
+
+// detectDownServers finds the servers that their VMs don't run any more, by a list of VMs that was requested at the given
+// time. Their runs have ended, so their tasks needn't wait for the lease to expire. A server that is only partitioned is listed
+// as before, and keeps its runs.
+func (s *State) detectDownServers(requestedAt time.Time) {
+	for _, v := range s.allServers() {
+		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) {
+			continue // the list may be older than the server's incarnation
+		}
+		if state, down := s.hostState(v); down && !v.down {
+			v.down = true
+			s.serverDown(v, state)
+		}
+	}
+}
+
+// hostState returns the state of the VM that ran a server, and whether it has certainly ended the server.
+func (s *State) hostState(v *server) (backend.VMState, bool) {
+	vm, listed := s.vms[v.reg.VM]
+	switch {
+	case !listed:
+		return backend.VMDown, v.failedPolls > 0
+	case vm.State == backend.VMUp && vm.Server == v.id:
+		return backend.VMUp, false
+	}
+	return vm.State, v.failedPolls > 0 || !v.reg.Draining // a draining server may still work on a VM that is leaving
+}
+
+// serverDown gives up the runs that a server had when it ended. A run that isn't known to have started is kept until the lease
+// expires: its start request may still arrive at the next incarnation.
+func (s *State) serverDown(v *server, state backend.VMState) {
+	if !v.retired {
+		klog.InfoS("Backend server is down", "server", v.id, "vm", v.reg.VM, "vm-state", state, "running", len(v.attempts),
+			"report-age", s.now.Sub(v.clockAt), "list-age", s.now.Sub(s.vmsListedAt))
+	}
+	crashed := state != backend.VMMoving && state != backend.VMMaintenance
+	for _, a := range v.attempts {
+		if a.phase != running {
+			continue
+		}
+		if crashed && !v.reg.Draining {
+			s.recordLoss(a, s.now)
+		}
+		s.loseRun(a, "vm-"+string(state), s.now)
+	}
+	if crashed {
+		s.serverCrashed(v.id, maxIncarnation, "vm-"+string(state))
+	}
+}
--- /dev/null
+++ b/fleet/downservers_test.go
@@ -0,0 +1,111 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// downRig runs a task on a server of two, each on a VM of its own.
+type downRig struct {
+	*rig
+	start  fleet.Start
+	server string // runs the task
+	other  string
+}
+
+func newDownRig(t *testing.T) *downRig {
+	d := &downRig{rig: newRig(t)}
+	for _, id := range []string{"i-1", "i-2"} {
+		d.register(id, "press")
+		d.report(id, nil)
+	}
+	d.list(d.now, backend.VMUp)
+	d.takeEffects()
+	d.handle(fleet.JobArrived{Job: d.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	starts := d.starts()
+	assert.Equal(t, len(starts), 1)
+	d.start, d.server, d.other = starts[0], starts[0].Target.ID, "i-1"
+	if d.server == "i-1" {
+		d.other = "i-2"
+	}
+	return d
+}
+
+// list delivers a list of VMs in which the VM of the task's server has the given state.
+func (d *downRig) list(requestedAt time.Time, state backend.VMState) {
+	var vms []backend.VM
+	for _, id := range []string{"i-1", "i-2"} {
+		vm := backend.VM{Name: "m" + id[1:], Pool: "press", Server: id, State: backend.VMUp}
+		if id == d.server {
+			vm.State = state
+		}
+		vms = append(vms, vm)
+	}
+	d.handle(fleet.VMsListed{RequestedAt: requestedAt, VMs: vms})
+}
+
+// Guards against tasks of a crashed server that wait until its lease expires, and against servers that are taken for running
+// until their polls fail.
+func TestRunsOfDownVMStartElsewhereAtOnce(t *testing.T) {
+	d := newDownRig(t)
+	d.acceptStart(d.start)
+	d.advance(200 * time.Millisecond)
+	d.list(d.now, backend.VMDown)
+	starts := d.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Target.ID, d.other)
+	p, err := workload.DecodeProgress(d.rows[fleet.ProgressPrefix+d.start.Request.Run.Task.Job])
+	assert.NilError(t, err)
+	assert.Equal(t, p.Tasks["0.0.0"].CertainCrashes, 1)
+}
+
+// Guards against runs that are given up because of a list that is older than the server's last response.
+func TestListOlderThanResponseEndsNoRuns(t *testing.T) {
+	d := newDownRig(t)
+	requestedAt := d.now
+	d.advance(200 * time.Millisecond)
+	d.acceptStart(d.start)
+	d.list(requestedAt, backend.VMDown)
+	assert.Equal(t, len(d.starts()), 0)
+}
+
+// Guards against runs of a partitioned server that are given up before its lease expires.
+func TestRunsOfPartitionedServerOnListedVMGoOn(t *testing.T) {
+	d := newDownRig(t)
+	d.acceptStart(d.start)
+	d.advance(200 * time.Millisecond)
+	d.handle(fleet.PollEnded{
+		Server: d.server, Sequence: d.openPolls[d.server].Sequence, Outcome: backend.OutcomeUnknown{Reason: "no response"},
+	})
+	d.list(d.now, backend.VMUp)
+	assert.Equal(t, len(d.starts()), 0)
+}
+
+// Guards against a task that starts elsewhere although its late start request may still reach the server once it is back.
+func TestRunWithoutResponseOutlastsDownVM(t *testing.T) {
+	d := newDownRig(t)
+	d.advance(200 * time.Millisecond)
+	d.list(d.now, backend.VMDown)
+	assert.Equal(t, len(d.starts()), 0)
+}
+
+// Guards against new runs on a server whose VM is down, as long as no poll has failed.
+func TestDownServerGetsNoRuns(t *testing.T) {
+	d := newDownRig(t)
+	d.advance(200 * time.Millisecond)
+	d.list(d.now, backend.VMDown)
+	for n := range 4 {
+		d.handle(fleet.JobArrived{Job: d.job(n+2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	}
+	starts := d.starts()
+	assert.Equal(t, len(starts), 4)
+	for _, s := range starts {
+		assert.Equal(t, s.Target.ID, d.other)
+	}
+}
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -50,6 +50,7 @@
 	serversIgnoreTokens
 	ignoreLeases // leases of the previous controller
 	storeIgnoresTerms
+	listPartitionedAsDown // VMs of partitioned servers are listed as down
 )
 
 type modelController struct {
@@ -203,7 +204,7 @@
 
 func (m *model) register(c *modelController, id string, s *modelServer) {
 	c.state.Handle(fleet.ServerRegistered{Registration: backend.Registration{
-		ID: id, Pool: "press", Address: id, Zone: "z", Rack: id, Incarnation: s.bootedAt.UnixMilli(),
+		ID: id, VM: "m-" + id, Pool: "press", Address: id, Zone: "z", Rack: id, Incarnation: s.bootedAt.UnixMilli(),
 		Capacity: workload.NewResources(3000, 3000, 0),
 	}}, m.now)
 }
@@ -254,7 +255,25 @@
 			func(o backend.Outcome) fleet.Event {
 				return fleet.PollEnded{Server: e.Target.ID, Sequence: e.Sequence, Outcome: o}
 			})
+	case fleet.ListVMs:
+		requestedAt := m.now
+		m.after(m.delay(4), func() {
+			list := m.listVMs()
+			m.after(m.delay(400), func() { m.handle(c, fleet.VMsListed{RequestedAt: requestedAt, VMs: list}) })
+		})
+	}
+}
+
+func (m *model) listVMs() []backend.VM {
+	var list []backend.VM
+	for id, s := range m.servers {
+		vm := backend.VM{Name: "m-" + id, Pool: "press", State: backend.VMUp, Server: id, Capacity: workload.NewResources(3000, 3000, 0)}
+		if s.down || s.partitioned && m.mutation == listPartitionedAsDown {
+			vm.State, vm.Server = backend.VMDown, ""
+		}
+		list = append(list, vm)
 	}
+	return list
 }
 
 func (m *model) delay(ms int) time.Duration {
--- a/fleet/mutations_test.go
+++ b/fleet/mutations_test.go
@@ -14,7 +14,7 @@
 func TestModelDetectsMutations(t *testing.T) {
 	for name, mutated := range map[string]mutation{
 		"servers ignore tokens": serversIgnoreTokens, "the store ignores terms": storeIgnoresTerms,
-		"earlier leases are ignored": ignoreLeases,
+		"earlier leases are ignored": ignoreLeases, "partitioned servers are listed as down": listPartitionedAsDown,
 	} {
 		detected := false
 		for range mutationRounds {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -29,7 +29,7 @@
 	}
 	klog.InfoS("Backend server registered", "server", r.ID, "pool", r.Pool, "zone", r.Zone, "rack", r.Rack,
 		"draining", r.Draining, "incarnation", r.Incarnation)
-	v.idleSince = now
+	v.idleSince, v.aliveAt, v.down = now, now, false
 	s.pollAt(v, now)
 	s.placeAll = true
 	if r.Draining {
@@ -78,12 +78,16 @@
 		if a.phase == storing {
 			continue
 		}
-		klog.InfoS("Run lost", "run", a.id(), "server", v.id, "reason", reason, "report-age", now.Sub(v.clockAt))
-		s.counters.lost.Inc(1)
-		s.removeAttempt(a)
+		s.loseRun(a, reason, now)
 	}
 }
 
+func (s *State) loseRun(a *attempt, reason string, now time.Time) {
+	klog.InfoS("Run lost", "run", a.id(), "server", a.server.id, "reason", reason, "report-age", now.Sub(a.server.clockAt))
+	s.counters.lost.Inc(1)
+	s.removeAttempt(a)
+}
+
 // retire records that the platform has ended a server with its runs. Its registration remains for some seconds.
 func (s *State) retire(v *server, reason string, now time.Time) {
 	s.markRunsLost(v, now, reason)
@@ -192,7 +196,7 @@
 	if len(s.losses[v.id]) > 0 {
 		s.serverSurvived(v.id, v.incarnation, "report")
 	}
-	v.failedPolls, v.confirmed = 0, true
+	v.failedPolls, v.confirmed, v.down, v.aliveAt = 0, true, false, now
 	v.clock, v.clockAt, v.hasClock = r.Clock, now, true
 	s.pollAt(v, now.Add(s.pollInterval()))
 
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -145,7 +145,7 @@
 		r.bootTimes[id] = r.now
 	}
 	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
-		ID: id, Pool: pool, Address: "10.0.0.1:1", Zone: "z", Rack: "r-" + id,
+		ID: id, VM: "m" + id[1:], Pool: pool, Address: "10.0.0.1:1", Zone: "z", Rack: "r-" + id,
 		Incarnation: r.bootTimes[id].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
 	}})
 }
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -42,6 +42,8 @@
 	cooldownUntil       time.Time // gets no new runs before that (failureCooldown, refusalCooldown)
 	cordoned            bool      // gets no new runs, as it is about to be maintained or moved
 	retired             bool      // the platform has ended this incarnation
+	down                bool      // its VM doesn't run it any more; until it registers with a new incarnation or reports
+	aliveAt             time.Time // last sign that the server was running: a report, a response or a new registration
 	releasing           bool      // gets no new runs, as another pool needs its VM
 	maintenanceDue      bool      // its maintenance is due, so it gets only runs that fit on no other server
 	idleSince           time.Time
@@ -78,6 +80,6 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
-	return v.registered && v.confirmed && !v.retired && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
+	return v.registered && v.confirmed && !v.retired && !v.down && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
 		!now.Before(v.cooldownUntil)
 }
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -38,16 +38,18 @@
 	runsLost       int                          // runs that were lost with their server
 	crashes        map[workload.TaskID]int      // servers that crashed under a task, by task
 	startsAfter    map[workload.TaskID]int      // starts of a task after three servers had crashed under it
+	gangs          map[string]bool              // jobs of one gang
 	crashesServer  func(backend.Run) bool       // whether a run crashes the server that starts it; may be nil
 	states         map[string]workload.JobState // stored states, by job
 }
 
 // simVM is a VM. Its server gets a new id with each boot.
 type simVM struct {
-	pool   string
-	server string
-	boots  int
-	state  backend.VMState
+	pool    string
+	server  string
+	boots   int
+	outages int
+	state   backend.VMState
 }
 
 type simServer struct {
@@ -83,7 +85,7 @@
 		random: rand.New(rand.NewPCG(1, 2)), vms: make(map[string]*simVM), maxUnavailable: make(map[int]int),
 		maintainedAt: make(map[string]time.Time), endedAt: make(map[string]time.Time),
 		submittedAt: make(map[string]time.Time), crashes: make(map[workload.TaskID]int),
-		startsAfter: make(map[workload.TaskID]int), states: make(map[string]workload.JobState),
+		startsAfter: make(map[workload.TaskID]int), gangs: make(map[string]bool), states: make(map[string]workload.JobState),
 	}
 	sm.state = &fleet.State{
 		EntryVM: "entry", Token: 10, TermRequestedAt: sm.now,
@@ -123,7 +125,7 @@
 		panic(err)
 	}
 	sm.state.Handle(fleet.ServerRegistered{Registration: backend.Registration{
-		ID: vm.server, Pool: vm.pool, Address: "a", Zone: "z", Rack: fmt.Sprint("r", n/8),
+		ID: vm.server, VM: name, Pool: vm.pool, Address: "a", Zone: "z", Rack: fmt.Sprint("r", n/8),
 		Incarnation: 1, Capacity: workload.NewResources(64_000, 256_000, 0),
 	}}, sm.now)
 }
@@ -137,7 +139,12 @@
 		delete(sm.servers, vm.server)
 		sm.state.Handle(fleet.ServerUnregistered{ID: vm.server}, sm.now)
 	}
+	vm.outages++
+	outage := vm.outages
 	sm.after(d, func() {
+		if vm.outages != outage {
+			return // another move or maintenance began meanwhile
+		}
 		if vm.pool == sparePool {
 			vm.state, vm.server = backend.VMUp, ""
 			return
@@ -152,10 +159,13 @@
 	vm := sm.vms[s.vm]
 	vm.state = backend.VMDown
 	sm.runsLost += len(s.running)
+	delete(sm.servers, id)
 	for run := range s.running {
 		sm.crashes[run.Task]++
+		if sm.gangs[run.Task.Job] {
+			sm.breakGang(run.Task.Job)
+		}
 	}
-	delete(sm.servers, id)
 	if s.pollSequence != 0 {
 		sm.state.Handle(fleet.PollEnded{
 			Server: id, Sequence: s.pollSequence, Outcome: backend.OutcomeUnknown{Reason: "the connection was closed"},
@@ -165,6 +175,22 @@
 	sm.after(d, func() { sm.boot(s.vm) })
 }
 
+// breakGang ends the runs of a gang on the remaining servers.
+func (sm *simulation) breakGang(job string) {
+	for id, s := range sm.servers {
+		for run := range s.running {
+			if run.Task.Job == job {
+				delete(s.running, run)
+				s.lastEnd++
+				s.ends = append(s.ends, backend.RunEnd{Number: s.lastEnd, Run: run, Kind: workload.EndGangBroken})
+			}
+		}
+		if s.pollSequence != 0 && len(s.ends) > 0 {
+			sm.report(id)
+		}
+	}
+}
+
 func (sm *simulation) after(d time.Duration, run func()) {
 	heap.Push(&sm.events, dueEvent{sm.now.Add(d), run})
 }
@@ -426,7 +452,7 @@
 	if err != nil {
 		panic(err)
 	}
-	sm.submittedAt[job.ID()] = sm.now
+	sm.submittedAt[job.ID()], sm.gangs[job.ID()] = sm.now, steps[0].Gang
 	sm.state.Handle(fleet.JobArrived{Job: job}, sm.now)
 	return job.Objective()
 }
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -203,6 +203,7 @@
 	}
 	slices.Sort(s.vmNames)
 	s.resolveByVMs(e.VMs, e.RequestedAt)
+	s.detectDownServers(e.RequestedAt)
 	for id, at := range s.droppedAt {
 		if s.vmsListedAt.After(at) && !listedServers[id] {
 			delete(s.droppedAt, id)
