Reserve servers for isolated runs while jobs wait for one

Cause: an isolated run needs a server on which nothing starts. In a busy pool other jobs fill each server that becomes free. Jobs to isolate were also passed over, and not counted as waiting, once a task without constraints fitted on no server.

Change: as many servers as isolated runs needed in the last pass, half of the pool at most, get isolated runs only, those with the fewest runs first. A step under whose tasks a server was lost is considered even if others didn't fit.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -87,7 +87,7 @@
 		Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber, Started: a.accepted || a.reported,
 		AtStart: !a.reported, Isolated: a.isolated,
 	})
-	t.lostAt = now
+	t.lostAt, t.step.lostServers = now, true
 	s.losses.add(a.server.id, lossKey{task: t, run: a.runNumber})
 	s.markChanged(t.job)
 }
--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -243,3 +243,35 @@
 		}
 	}
 }
+
+// Load pattern: for ten seconds jobs ask for twice the capacity of the pool, then for nine tenths of it, while jobs that were late
+// are still pending. Guards against tasks that have to be isolated and find no server, as other jobs take all that is free.
+func TestTasksThatCrashServersAreIsolatedUnderLoad(t *testing.T) {
+	sm := newSimulation(12, 1)
+	crashing := make(map[string]bool)
+	for n := 10; n < 40; n += 5 {
+		crashing[fmt.Sprintf("%016x", n)] = true
+	}
+	sm.crashesServer = func(r backend.Run) bool {
+		return crashing[r.Task.Job] && r.Task.Step == 0 && r.Task.Index == 0
+	}
+	n := 0
+	for range 200 {
+		sm.submit(n, 0)
+		n++
+		sm.advance(50 * time.Millisecond)
+	}
+	for range 270 {
+		sm.submit(n, 0)
+		n++
+		sm.advance(110 * time.Millisecond)
+	}
+	suspects := 0
+	for task := range sm.crashes {
+		if crashing[task.Job] && task.Step == 0 && task.Index == 0 {
+			suspects++
+			assert.Equal(t, sm.states[task.Job], workload.JobFailed, "job %s", task.Job)
+		}
+	}
+	assert.Assert(t, suspects >= 3, "only %d jobs were started", suspects)
+}
--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,12 +24,45 @@
 	servers map[*job][]*server
 	count   int           // of servers
 	waiting map[*job]bool // jobs that found no server
+	// reserved holds the free resources of servers on which only isolated runs are placed, by their index in the pool.
+	reserved map[int]workload.Resources
 	// unlimited lets isolated runs use all servers, once the jobs without isolated runs are placed.
 	unlimited bool
 }
 
 func newIsolation() isolation {
-	return isolation{servers: make(map[*job][]*server), waiting: make(map[*job]bool)}
+	return isolation{
+		servers: make(map[*job][]*server), waiting: make(map[*job]bool), reserved: make(map[int]workload.Resources),
+	}
+}
+
+// reserveServers reserves up to n servers for isolated runs, those with the fewest runs. Without it other jobs would fill each
+// server that becomes free, while jobs that may crash servers wait for one without starting runs.
+func (p *placementPool) reserveServers(n int) {
+	n = min(n, len(p.servers)/2)
+	if n <= 0 {
+		return
+	}
+	byRuns := make([]int, 0, len(p.servers))
+	for i, v := range p.servers {
+		if !v.hasLongRunning() {
+			byRuns = append(byRuns, i)
+		}
+	}
+	slices.SortStableFunc(byRuns, func(a, b int) int { return len(p.servers[a].attempts) - len(p.servers[b].attempts) })
+	for _, i := range byRuns[:min(n, len(byRuns))] {
+		p.isolation.reserved[i] = p.views[i].Free
+		p.views[i].Free = workload.Resources{}
+	}
+}
+
+// isolationView returns the view of server i for an isolated run.
+func (p *placementPool) isolationView(i int) schedule.Server {
+	view := p.views[i]
+	if free, reserved := p.isolation.reserved[i]; reserved {
+		view.Free = free
+	}
+	return view
 }
 
 func (o *isolation) add(j *job, v *server) {
@@ -94,7 +128,7 @@
 		if best >= 0 && len(p.servers[best].attempts) <= len(v.attempts) {
 			continue
 		}
-		if schedule.SelectServer(t.step.spec, p.views[i:i+1]) == 0 {
+		if schedule.SelectServer(t.step.spec, []schedule.Server{p.isolationView(i)}) == 0 {
 			best = i
 		}
 	}
@@ -104,6 +138,7 @@
 // isolateServer keeps the runs of other jobs from a server for the rest of the pass.
 func (s *State) isolateServer(j *job, p *placementPool, i int) {
 	p.views[i].Free = workload.Resources{}
+	delete(p.isolation.reserved, i)
 	p.isolation.add(j, p.servers[i])
 }
 
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -45,6 +45,7 @@
 	remaining       int // number of tasks that aren't done
 	unassigned      int // of these, tasks without a run that may exist
 	number          int
+	lostServers     bool                 // a server was lost under one of the tasks, so that it may have to be isolated
 	recommendations *stepRecommendations // nil if the queue needs no recommendation
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -58,6 +58,7 @@
 	budget := maxIntentsPerPass
 	for name, p := range pools {
 		s.overLimit[name], s.longRunningShortage[name] = 0, 0
+		p.reserveServers(s.isolatedServers[name] - p.isolation.count)
 		candidates := make([]schedule.Candidate, 0, len(p.jobs))
 		for _, j := range p.jobs {
 			candidates = append(candidates, s.candidate(j, s.serverCapacity(name)))
@@ -165,7 +166,8 @@
 // placeStep assigns the tasks of a step one by one until one can't be placed, and returns the number of assigned tasks.
 func (s *State) placeStep(st *step, p *placementPool, now time.Time) int {
 	placed := 0
-	if !p.mayFit(st.spec) {
+	mayFit := p.mayFit(st.spec)
+	if !mayFit && !st.lostServers {
 		return 0
 	}
 	p.countStepRuns(st)
@@ -188,6 +190,9 @@
 			}
 			continue
 		}
+		if !mayFit {
+			continue
+		}
 		p.markFailedServers(t)
 		i := last
 		if i < 0 || len(t.failedOn) > 0 || !schedule.StaysBest(st.spec, &p.views[i]) {
@@ -395,9 +400,11 @@
 	defer func() { p.views = unchanged }()
 	p.views = slices.Clone(p.views)
 	for i, v := range p.servers {
-		if isolated && len(v.attempts) > 0 {
-			p.views[i].Excluded = true
+		if !isolated {
+			continue
 		}
+		p.views[i].Free = p.isolationView(i).Free
+		p.views[i].Excluded = p.views[i].Excluded || len(v.attempts) > 0
 	}
 	chosen := make([]int, 0, len(st.tasks))
 	for range st.tasks {
