Count a crash at the start of a run on a server that has begun to drain

Cause: the end of a draining server was never taken for a crash. A task that crashes servers and reaches one that has just begun to drain could be started once more than its count showed.

Change: the loss counts if the server had accepted the run and no report has listed it since. A server drains for two seconds and more, and reports at least each 1.2 s, so a run that it still had at its announced end was reported.

TestCrashAtStartOnDrainingServerCounts fails before; TestDrainedServerDoesNotCountAsCrashed still passes.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -61,12 +61,8 @@
 	return keys
 }
 
-// recordLosses records that a server was lost with the runs of its incarnations before the given one. The end of a draining
-// server is no crash.
+// recordLosses records that a server was lost with the runs of its incarnations before the given one.
 func (s *State) recordLosses(v *server, before int64, now time.Time) {
-	if v.reg.Draining {
-		return
-	}
 	for _, a := range v.attempts {
 		sent := a.phase != storing && (a.phase != requested || !a.startSentAt.IsZero())
 		if sent && a.incarnation < before && !(a.onNextIncarnation && before != maxIncarnation) {
@@ -76,10 +72,10 @@
 }
 
 // recordLoss records that a server was lost with a run. Whether the server crashed is known later: from the list of VMs, a
-// restart, or a report that it goes on.
+// restart, or a report that it goes on. A draining server ends as announced, unless it doesn't report a run that it has started.
 func (s *State) recordLoss(a *attempt, now time.Time) {
 	t := a.task
-	if t.record.Done || t.job.state.Final() || a.lossRecorded {
+	if t.record.Done || t.job.state.Final() || a.lossRecorded || a.server.reg.Draining && !a.mayHaveCrashedAtStart() {
 		return
 	}
 	a.lossRecorded = true
@@ -92,6 +88,9 @@
 	s.markChanged(t.job)
 }
 
+// mayHaveCrashedAtStart reports whether the server accepted the run, and no report has listed it since.
+func (a *attempt) mayHaveCrashedAtStart() bool { return a.accepted && !a.reported }
+
 // forgetLosses removes the losses of a task that isn't started again.
 func (s *State) forgetLosses(t *task) {
 	for _, l := range t.record.Losses {
--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -202,15 +202,31 @@
 	assert.Equal(t, c.record().Crashes, 1)
 }
 
-// Guards against the end of a server that drains counting as a crash.
-func TestDrainedServerDoesNotCountAsCrashed(t *testing.T) {
-	c := newCrashRig(t)
-	assert.Equal(t, len(c.starts()), 1)
+// drain registers the server as draining, and lets its polls fail.
+func (c *crashRig) drain() {
 	c.handle(fleet.ServerRegistered{Registration: backend.Registration{
 		ID: "i-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Draining: true,
 		Incarnation: c.bootTimes["i-1"].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
 	}})
 	c.partition()
+}
+
+// Guards against a task that crashes a server which has just begun to drain, and isn't counted.
+func TestCrashAtStartOnDrainingServerCounts(t *testing.T) {
+	c := newCrashRig(t)
+	c.acceptStart(c.starts()[0])
+	c.drain()
+	c.advance(9 * time.Second)
+	assert.Equal(t, len(c.record().Losses), 1)
+	c.handle(fleet.VMsListed{RequestedAt: c.now, VMs: []backend.VM{{Name: "m-1", Pool: "press", Server: "i-2", State: backend.VMUp}}})
+	assert.Equal(t, c.record().CertainCrashes, 1)
+}
+
+// Guards against the end of a server that drains counting as a crash.
+func TestDrainedServerDoesNotCountAsCrashed(t *testing.T) {
+	c := newCrashRig(t)
+	assert.Equal(t, len(c.starts()), 1)
+	c.drain()
 	c.advance(9 * time.Second)
 	assert.Equal(t, len(c.record().Losses), 0)
 	assert.Equal(t, c.record().Crashes, 0)
--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -47,7 +47,7 @@
 		if a.phase != running {
 			continue
 		}
-		if crashed && !v.reg.Draining {
+		if crashed {
 			s.recordLoss(a, s.now)
 		}
 		s.loseRun(a, "vm-"+string(state), s.now)
