Count a job as pending until a server has started a run of it

What callers saw: MIXED on the large site: a queue was said to have no waiting jobs while eight had waited for five seconds.

Cause: a job stopped counting as pending when a run of it was placed. If the start request is refused, gets no response or waits behind others, as it does on an overloaded leader, the job goes on waiting and isn't counted.

Change: it counts until a server has accepted or reported a run, or an end or a certain crash of a run is stored.

TestJobWithRefusedStartIsPending counts 0 instead of 1 before.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -170,7 +170,7 @@
 	pending := make(map[string]int)
 	total := 0
 	for _, j := range s.jobs {
-		if !j.started && !j.state.Final() {
+		if !j.begun && !j.state.Final() {
 			pending[j.spec.Queue()]++
 			total++
 		}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -22,7 +22,8 @@
 	estimate *estimate
 	// submitted is the start of the objective, by the clock of the entry VM that accepted the job.
 	submitted    time.Time
-	started      bool
+	started      bool // a run was placed
+	begun        bool // a server has started a run
 	copyStored   bool // the row with the copy of the job exists
 	longRunning  bool
 	objective    time.Duration
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -258,7 +258,7 @@
 		a.percent, a.percentChangedAt = r.Percent, now
 	}
 	a.measurement = r.Measurement
-	a.reported = true
+	a.reported, a.task.job.begun = true, true
 	s.endIsolation(a, now)
 }
 
@@ -282,6 +282,7 @@
 		return
 	}
 	t := a.task
+	t.job.begun = true
 	klog.V(1).InfoS("Run ended", "run", end.Run, "server", v.id, "kind", end.Kind, "took", now.Sub(a.startedAt))
 	if end.Checkpoint != "" {
 		a.checkpoint = end.Checkpoint
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -78,7 +78,7 @@
 	v := a.server
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
-		a.accepted = true
+		a.accepted, a.task.job.begun = true, true
 		a.onNextIncarnation = o.Clock > 0 && o.Clock < a.earliestClock
 		if a.phase == requested {
 			a.phase, a.startedAt, a.percentChangedAt = running, now, now
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -348,6 +348,7 @@
 	j.started = p.State != workload.JobQueued
 	j.createStoredOccurrences(p)
 	s.restoreDone(j, p)
+	j.begun = len(p.DoneSteps) > 0 || len(p.DoneTasks) > 0
 	for local, record := range p.Tasks {
 		t, made := j.tasks[local]
 		if !made {
@@ -355,6 +356,7 @@
 			continue
 		}
 		t.record = record
+		j.begun = j.begun || record.HasBegun()
 		t.record.Assignments = nil
 		t.step.lostServers = t.step.lostServers || record.Crashes > 0 || len(record.Losses) > 0
 		if record.Done {
--- a/fleet/status_test.go
+++ b/fleet/status_test.go
@@ -27,6 +27,35 @@
 	assert.Equal(t, n, 2)
 }
 
+// Guards against a job that isn't counted as pending because a run of it was placed, although no server has started one.
+func TestJobWithRefusedStartIsPending(t *testing.T) {
+	r := newRig(t)
+	r.handle(fleet.JobsRead{})
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000})})
+	pending := func() int {
+		stored, written := r.rows[fleet.PendingJobsPrefix+"plates"]
+		if !written {
+			return 0
+		}
+		n, err := fleet.DecodePendingJobs(provider.NewRow("waiting/plates", stored, 1))
+		assert.NilError(t, err)
+		return n
+	}
+	refused := r.starts()[0]
+	r.handle(fleet.StartEnded{
+		Server: "i-1", Incarnation: refused.Target.Incarnation, Run: refused.Request.Run,
+		Outcome: backend.Refused{Reason: backend.RefusedBusy},
+	})
+	r.advance(1500 * time.Millisecond)
+	assert.Equal(t, pending(), 1)
+	r.advance(2 * time.Second)
+	r.acceptStart(r.starts()[0])
+	r.advance(2 * time.Second)
+	assert.Equal(t, pending(), 0)
+}
+
 // Guards against a term that ends while the stored state is read, and against a zone that is evacuated again: the operator
 // restored it after its row was read.
 func TestTermIsRenewedWhileStoredStateIsRead(t *testing.T) {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -66,6 +66,11 @@
 	Assignments []Assignment `json:"assignments,omitempty"`
 }
 
+// HasBegun reports whether a server has certainly started a run of the task.
+func (r TaskRecord) HasBegun() bool {
+	return r.Done || r.EndedRun > 0 || r.Failures > 0 || r.CertainCrashes > 0
+}
+
 // Progress is the stored state of a job.
 type Progress struct {
 	State JobState `json:"state"`
