Keep the runs of a server when a request for its VM is accepted

Class: an acceptance taken for proof of an effect that happened now. Moves have the same path.

Change: an accepted request ends no runs any more; a list of VMs shows the server as gone, or its lease expires. A server that registers while a request for its VM is open is cordoned. A server without runs is taken out of service as before, and returns to it if a later list shows it: until now it stayed idle for good.

TestMaintenanceThatWasDoneBeforeEndsNoRuns and TestAcceptedRequestForVMDoesNotEndRuns fail before.

--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -16,13 +16,26 @@
 		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) {
 			continue // the list may be older than the server's incarnation
 		}
-		if state, down := s.hostState(v); down && !v.down {
+		state, down := s.hostState(v)
+		switch {
+		case down && !v.down:
 			v.down = true
 			s.serverDown(v, state)
+		case !down && v.retired && requestedAt.After(v.retiredAt):
+			s.serverWasNotEnded(v)
 		}
 	}
 }
 
+// serverWasNotEnded returns a server to service whose VM had been moved or maintained before, so that the accepted request for it
+// changed nothing.
+func (s *State) serverWasNotEnded(v *server) {
+	klog.InfoS("Backend server goes on after an accepted request for its VM", "server", v.id, "vm", v.reg.VM)
+	v.retired, v.cordoned = false, false
+	s.pollAt(v, s.now)
+	s.placeAll = true
+}
+
 // hostState returns the state of the VM that ran a server, and whether it has certainly ended the server.
 func (s *State) hostState(v *server) (backend.VMState, bool) {
 	vm, listed := s.vms[v.reg.VM]
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -30,6 +30,7 @@
 	klog.InfoS("Backend server registered", "server", r.ID, "pool", r.Pool, "zone", r.Zone, "rack", r.Rack,
 		"draining", r.Draining, "incarnation", r.Incarnation)
 	v.idleSince, v.aliveAt, v.down = now, now, false
+	v.cordoned = v.cordoned || s.hasOpenRequest(r)
 	s.pollAt(v, now)
 	s.placeAll = true
 	if r.Draining {
@@ -88,11 +89,30 @@
 	s.removeAttempt(a)
 }
 
-// retire records that the platform has ended a server with its runs. Its registration remains for some seconds.
+// retire records that the platform has accepted the request for the move or maintenance of a server's VM, which ends the server.
+// Its registration remains for some seconds. If the request was done before, on behalf of an earlier controller, the server goes
+// on: a later list of VMs shows it, and runs that it has are given up only if a list shows that it is gone, or their lease expires.
 func (s *State) retire(v *server, reason string, now time.Time) {
-	s.markRunsLost(v, now, reason)
+	if len(v.attempts) > 0 {
+		klog.InfoS("Request for a VM was accepted while its server has runs", "server", v.id, "vm", v.reg.VM, "reason", reason,
+			"running", len(v.attempts))
+		return
+	}
 	s.cancelPolls(v)
-	v.retired = true
+	v.retired, v.retiredAt = true, now
+}
+
+// hasOpenRequest reports whether a request for the move or maintenance of a server's VM has no outcome yet.
+func (s *State) hasOpenRequest(r backend.Registration) bool {
+	if m, moving := s.moves[r.VM]; moving && m.inFlight && m.server == r.ID {
+		return true
+	}
+	for _, w := range s.waves {
+		if !w.requestedAt[r.VM].IsZero() && w.server[r.VM] == r.ID {
+			return true
+		}
+	}
+	return false
 }
 
 // sendPolls polls the servers that are due, and extends their leases.
--- a/fleet/stalelist_test.go
+++ b/fleet/stalelist_test.go
@@ -83,3 +83,53 @@
 	r.advance(3 * time.Second)
 	assert.Equal(t, len(r.starts()), 0, "the run was started again although it goes on")
 }
+
+// Guards against runs that are started twice: an earlier controller had a VM maintained, this one requests it again before the VM's
+// new server has registered, and the request is accepted because the maintenance is over.
+func TestMaintenanceThatWasDoneBeforeEndsNoRuns(t *testing.T) {
+	r := newRig(t)
+	r.listVM("i-1", r.now)
+	r.addWave("m-1")
+	r.advance(200 * time.Millisecond)
+	assert.Equal(t, r.maintenanceRequests(), 1)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 60_000})})
+	assert.Equal(t, len(r.starts()), 0, "a run was started while the maintenance may begin")
+
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.Accepted{}})
+	r.advance(100 * time.Millisecond)
+	r.listVM("i-1", r.now)
+	r.advance(100 * time.Millisecond)
+	r.report("i-1", nil)
+	r.advance(100 * time.Millisecond)
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	r.acceptStart(starts[0])
+	r.register("i-2", "press")
+	r.report("i-2", nil)
+	r.advance(time.Second)
+	assert.Equal(t, len(r.starts()), 0)
+}
+
+// Guards against runs that are given up, and started again elsewhere, when a request for their server's VM is accepted.
+func TestAcceptedRequestForVMDoesNotEndRuns(t *testing.T) {
+	r := newRig(t)
+	r.listVM("i-1", r.now)
+	r.addWave("m-1")
+	r.advance(200 * time.Millisecond)
+	assert.Equal(t, r.maintenanceRequests(), 1)
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{ // without its VM
+		ID: "i-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Incarnation: 1, Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 60_000})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	r.acceptStart(starts[0])
+	r.register("i-2", "press")
+	r.report("i-2", nil)
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.Accepted{}})
+	r.advance(time.Second)
+	assert.Equal(t, len(r.starts()), 0, "the run was started again although it goes on")
+}
