--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -211,12 +212,29 @@
 	})
 }
 
+// The ports of entry VMs are below the range of ephemeral ports. A process that is killed keeps its port for its restart:
+// neither an outgoing connection nor another seed takes it meanwhile.
+const (
+	firstPort = 30_000
+	portCount = 2_700
+)
+
+var lastPort atomic.Uint32 // offset from firstPort, modulo portCount
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	lastPort.CompareAndSwap(0, rand.Uint32N(portCount))
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue // of another process
+		}
+		assert.NilError(t, l.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (b *testbed) addEntryVM(name string) {
