--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -28,6 +28,9 @@
 	term      uint64 // the version of the term row
 	jobs      []*workload.Job
 	servers   map[string]*modelServer
+	vms       map[string]*modelVM
+	wave      *directory.Wave // requested by operators, or nil
+	waveStep  int             // of the faults, before which the wave is requested, or -1
 	current   *modelController
 	violation string
 	trace     []string                 // events on servers, printed with a violation
@@ -73,6 +76,9 @@
 	lastEnd             int64
 	reachableBy         *modelController // the only controller that can reach it, or nil
 	partitioned         bool
+	vm                  string
+	registered          bool
+	gone                bool  // ended for good by the maintenance of its VM
 	down                bool  // crashed, and not started again yet
 	lastEndBeforeExpiry int64 // number of the last end before the latest expiry of the lease
 }
@@ -83,10 +89,13 @@
 		servers: make(map[string]*modelServer), done: make(map[workload.TaskID]bool),
 		crashing: make(map[string]bool), crashes: make(map[workload.TaskID]int),
 		lostWith: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int),
+		vms: make(map[string]*modelVM), waveStep: -1,
 	}
 	for n := range 4 {
 		id := fmt.Sprintf("i-%d", n)
-		m.servers[id] = &modelServer{id: id}
+		vm := fmt.Sprintf("m-%d", n)
+		m.vms[vm] = &modelVM{server: id, state: backend.VMUp}
+		m.servers[id] = &modelServer{id: id, vm: vm, registered: true}
 		m.boot(id)
 	}
 	return m
@@ -114,6 +123,9 @@
 	}
 	clear(s.running)
 	m.after(200*time.Millisecond+m.delay(600), func() {
+		if s.gone {
+			return
+		}
 		m.boot(s.id)
 		s.down = false
 		m.after(m.delay(600), func() { m.register(m.current, s.id, s) })
@@ -193,18 +205,23 @@
 			progress[j.ID()] = p
 		}
 	}
-	c.state.Restore(fleet.Stored{Jobs: m.jobs, Progress: progress}, m.now)
+	c.state.Restore(fleet.Stored{
+		Jobs: m.jobs, Progress: progress, Waves: m.storedWaves(), Operations: m.operations(),
+	}, m.now)
 	c.state.Handle(fleet.JobsRead{}, m.now)
 	m.current = c
 	for id, s := range m.servers {
-		m.register(c, id, s)
+		if s.registered {
+			m.register(c, id, s)
+		}
 	}
 	m.tick(c)
 }
 
 func (m *model) register(c *modelController, id string, s *modelServer) {
+	s.registered = true
 	c.state.Handle(fleet.ServerRegistered{Registration: backend.Registration{
-		ID: id, VM: "m-" + id, Pool: "press", Address: id, Zone: "z", Rack: id, Incarnation: s.bootedAt.UnixMilli(),
+		ID: id, VM: s.vm, Pool: "press", Address: id, Zone: "z", Rack: id, Incarnation: s.bootedAt.UnixMilli(),
 		Capacity: workload.NewResources(3000, 3000, 0),
 	}}, m.now)
 }
@@ -255,6 +272,8 @@
 			func(o backend.Outcome) fleet.Event {
 				return fleet.PollEnded{Server: e.Target.ID, Sequence: e.Sequence, Outcome: o}
 			})
+	case fleet.MaintainVM:
+		m.requestMaintenance(c, e)
 	case fleet.ListVMs:
 		requestedAt := m.now
 		m.after(m.delay(4), func() {
@@ -264,18 +283,6 @@
 	}
 }
 
-func (m *model) listVMs() []backend.VM {
-	var list []backend.VM
-	for id, s := range m.servers {
-		vm := backend.VM{Name: "m-" + id, Pool: "press", State: backend.VMUp, Server: id, Capacity: workload.NewResources(3000, 3000, 0)}
-		if s.down || s.partitioned && m.mutation == listPartitionedAsDown {
-			vm.State, vm.Server = backend.VMDown, ""
-		}
-		list = append(list, vm)
-	}
-	return list
-}
-
 func (m *model) delay(ms int) time.Duration {
 	return time.Duration(rapid.IntRange(1, ms).Draw(m.t, "delay")) * time.Millisecond
 }
@@ -459,7 +466,11 @@
 
 // injectFault injects one random fault.
 func (m *model) injectFault(step int) {
-	s := m.servers[fmt.Sprintf("i-%d", rapid.IntRange(0, 3).Draw(m.t, "server"))]
+	n := rapid.IntRange(0, 3).Draw(m.t, "server")
+	s, up := m.servers[m.vms[fmt.Sprintf("m-%d", n)].server]
+	if !up {
+		s = m.servers[fmt.Sprintf("i-%d", n)] // its VM is being maintained
+	}
 	fault := rapid.IntRange(0, 6).Draw(m.t, "fault")
 	if m.mutation == ignoreLeases {
 		fault = 6 // the fault in which a lease outlasts the term
@@ -500,6 +511,9 @@
 			m.submit()
 			m.advance(m.delay(400))
 		}
+		if step == m.waveStep {
+			m.startWave()
+		}
 		m.injectFault(step)
 		m.advance(m.delay(1500))
 	}
--- /dev/null
+++ b/fleet/modelvms_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// modelVM is a VM. Its server gets a new id with the maintenance, of which there is one.
+type modelVM struct {
+	server     string
+	state      backend.VMState
+	token      uint64
+	maintained bool
+}
+
+// startWave lets operators request the maintenance of all VMs.
+func (m *model) startWave() {
+	w := directory.Wave{Name: "1", Number: 1, TimeLimit: 10 * time.Second, MaxConcurrent: 2}
+	for n := range len(m.vms) {
+		w.VMs = append(w.VMs, fmt.Sprintf("m-%d", n))
+	}
+	m.wave = &w
+	m.handle(m.current, fleet.OperationArrived{Operation: w})
+}
+
+// operations returns the operators' rows that a new controller reads.
+func (m *model) operations() []directory.Operation {
+	if m.wave == nil {
+		return nil
+	}
+	return []directory.Operation{*m.wave}
+}
+
+// storedWaves returns the stored progress of the wave.
+func (m *model) storedWaves() []provider.Row {
+	key := fleet.WavesPrefix + "1"
+	if value, stored := m.rows[key]; stored {
+		return []provider.Row{provider.NewRow(key, value, 1)}
+	}
+	return nil
+}
+
+// requestMaintenance carries out a request for a VM: at once or late, or its response is lost.
+func (m *model) requestMaintenance(c *modelController, e fleet.MaintainVM) {
+	respond := func(o backend.Outcome) { m.handle(c, fleet.MaintenanceEnded{VM: e.VM, Outcome: o}) }
+	if m.chance(m.lateRequests, "late") {
+		m.after(2*time.Second, func() { respond(backend.OutcomeUnknown{Reason: "lost"}) })
+		m.after(time.Duration(rapid.IntRange(1, 4).Draw(m.t, "late by"))*time.Second, func() { m.maintain(e) })
+		return
+	}
+	lost := m.chance(m.lostResponses, "lost")
+	m.after(m.delay(4), func() {
+		outcome := m.maintain(e)
+		if lost {
+			m.after(2*time.Second, func() { respond(backend.OutcomeUnknown{Reason: "lost"}) })
+			return
+		}
+		m.after(m.delay(800), func() { respond(outcome) })
+	})
+}
+
+// maintain ends the server of a VM, and starts another one under a new id after the maintenance.
+func (m *model) maintain(e fleet.MaintainVM) backend.Outcome {
+	vm := m.vms[e.VM]
+	old := m.servers[vm.server]
+	switch {
+	case e.Token < vm.token:
+		return backend.Refused{Reason: backend.RefusedStaleToken}
+	case vm.maintained:
+		vm.token = e.Token
+		return backend.Accepted{}
+	case old.down:
+		return backend.Refused{Reason: backend.RefusedBusy}
+	}
+	m.logf("maintenance of %s ends %s", e.VM, old.id)
+	vm.token, vm.maintained, vm.state, vm.server = e.Token, true, backend.VMMaintenance, ""
+	old.down, old.gone = true, true
+	clear(old.running)
+	m.after(500*time.Millisecond+m.delay(500), func() {
+		s := &modelServer{id: old.id + "-1", vm: old.vm}
+		m.servers[s.id] = s
+		m.boot(s.id)
+		vm.state, vm.server = backend.VMUp, s.id
+		m.after(m.delay(1000), func() { m.register(m.current, s.id, s) })
+	})
+	m.after(m.delay(2000), func() {
+		old.registered = false
+		m.handle(m.current, fleet.ServerUnregistered{ID: old.id})
+	})
+	return backend.Accepted{}
+}
+
+func (m *model) listVMs() []backend.VM {
+	list := make([]backend.VM, 0, len(m.vms))
+	for name, v := range m.vms {
+		vm := backend.VM{
+			Name: name, Pool: "press", State: v.state, Server: v.server, Capacity: workload.NewResources(3000, 3000, 0),
+		}
+		s, exists := m.servers[v.server]
+		if exists && (s.down || s.partitioned && m.mutation == listPartitionedAsDown) {
+			vm.State, vm.Server = backend.VMDown, ""
+		}
+		list = append(list, vm)
+	}
+	return list
+}
+
+// Guards against two concurrent runs of a task, and against jobs that never end, while the VMs of a wave are maintained, controllers
+// are killed or paused, and requests are late or get no response.
+func TestRunsAreSafeDuringMaintenanceUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.waveStep = rapid.IntRange(0, 5).Draw(t, "wave")
+		m.playFaults()
+		m.recoverAndCheck(40 * time.Second)
+		if m.violation != "" {
+			t.Fatal(m.violation)
+		}
+	})
+}
