--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -65,7 +65,8 @@
 func (s *State) recordLosses(v *server, before int64, now time.Time) {
 	for _, a := range v.attempts {
 		sent := a.phase != storing && (a.phase != requested || !a.startSentAt.IsZero())
-		if sent && a.incarnation < before && !(a.onNextIncarnation && before != maxIncarnation) {
+		survived := a.onNextIncarnation && before < maxIncarnation
+		if sent && a.incarnation < before && !survived {
 			s.recordLoss(a, now)
 		}
 	}
@@ -83,7 +84,7 @@
 		Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber, Started: a.accepted || a.reported,
 		AtStart: !a.reported, Isolated: a.isolated,
 	})
-	t.lostAt, t.step.lostServers = now, true
+	t.lostAt, t.step.mayNeedIsolation = now, true
 	s.losses.add(a.server.id, lossKey{task: t, run: a.runNumber})
 	s.markChanged(t.job)
 }
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -41,13 +41,13 @@
 
 // step is one step of one occurrence of a job.
 type step struct {
-	spec            workload.Step
-	tasks           []*task
-	remaining       int // number of tasks that aren't done
-	unassigned      int // of these, tasks without a run that may exist
-	number          int
-	lostServers     bool                 // a server was lost under one of the tasks, so that it may have to be isolated
-	recommendations *stepRecommendations // nil if the queue needs no recommendation
+	spec             workload.Step
+	tasks            []*task
+	remaining        int // number of tasks that aren't done
+	unassigned       int // of these, tasks without a run that may exist
+	number           int
+	mayNeedIsolation bool                 // a server was lost under one of the tasks
+	recommendations  *stepRecommendations // nil if the queue needs no recommendation
 }
 
 // task is one task of a step.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -167,7 +167,7 @@
 func (s *State) placeStep(st *step, p *placementPool, now time.Time) int {
 	placed := 0
 	mayFit := p.mayFit(st.spec)
-	if !mayFit && !st.lostServers {
+	if !mayFit && !st.mayNeedIsolation {
 		return 0
 	}
 	p.countStepRuns(st)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -358,7 +358,7 @@
 		t.record = record
 		j.begun = j.begun || record.HasBegun()
 		t.record.Assignments = nil
-		t.step.lostServers = t.step.lostServers || record.Crashes > 0 || len(record.Losses) > 0
+		t.step.mayNeedIsolation = t.step.mayNeedIsolation || record.Crashes > 0 || len(record.Losses) > 0
 		if record.Done {
 			t.step.remaining--
 			t.step.unassigned--
