Keep long-running jobs when servers crash under their tasks

Cause: the record of a task counted the servers that crashed under it over its whole life. After the fourth or fifth crash, one of them isolated, the job ended as failed, and all of its other tasks, at work on sound servers, were stopped at once. By the users' pages long-running tasks run until the job is cancelled and are restarted however they end; a task under which servers crash may be given up, but no line lets the others be stopped. The class: an end of a whole job by the controller's own decision while long-running tasks are at work. The same end followed from failed attempts of another step of such a job.

Change: for a long-running task only crashes count that come before a run has survived its start, and a run that survives it clears the record. A task that crashes each server at its start is given up alone, after three certain crashes of which two were isolated. A job with long-running tasks is never ended but by its customer; if one of its other tasks is given up, it is shown as failed, and its long-running tasks go on until it is cancelled.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -76,7 +76,8 @@
 // restart, or a report that it goes on. A draining server ends as announced, unless it doesn't report a run that it has started.
 func (s *State) recordLoss(a *attempt, now time.Time) {
 	t := a.task
-	if t.record.Done || t.job.state.Final() || a.lossRecorded || a.server.reg.Draining && !a.mayHaveCrashedAtStart() {
+	if t.record.Done || t.record.GivenUp || t.job.state.Final() || a.lossRecorded ||
+		a.server.reg.Draining && !a.mayHaveCrashedAtStart() || t.step.spec.LongRunning() && a.survived {
 		return
 	}
 	a.lossRecorded = true
@@ -92,6 +93,19 @@
 // mayHaveCrashedAtStart reports whether the server accepted the run, and no report has listed it since.
 func (a *attempt) mayHaveCrashedAtStart() bool { return a.accepted && !a.reported }
 
+// runSurvivedStart records that a run is at work for startupTime. If it is long-running, the crashes before were not its doing.
+func (s *State) runSurvivedStart(a *attempt) {
+	a.survived = true
+	r := &a.task.record
+	if !a.task.step.spec.LongRunning() || r.Crashes == 0 && len(r.Losses) == 0 {
+		return
+	}
+	klog.InfoS("Run survived its start", "run", a.id(), "server", a.server.id, "crashes", r.Crashes, "unresolved", len(r.Losses))
+	s.forgetLosses(a.task)
+	r.Crashes, r.CertainCrashes, r.IsolatedCrashes, r.CrashedAtStart = 0, 0, 0, false
+	s.markChanged(a.task.job)
+}
+
 // forgetLosses removes the losses of a task that isn't started again.
 func (s *State) forgetLosses(t *task) {
 	for _, l := range t.record.Losses {
@@ -117,8 +131,8 @@
 		if schedule.RaisesAlert(t.crashes()) {
 			s.crashAlertUntil = s.now.Add(crashAlertTime)
 		}
-		if schedule.FailsByCrashes(t.crashes()) && !t.record.Done && !t.job.state.Final() {
-			s.endJob(t.job, workload.JobFailed, "crashes-servers")
+		if schedule.GivesUp(t.crashes()) {
+			s.giveUp(t, "crashes-servers")
 		}
 	})
 }
--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -151,8 +151,8 @@
 }
 
 // endIsolation lets the server of a run that has survived its start run other jobs.
-func (s *State) endIsolation(a *attempt, now time.Time) {
-	if !a.isolated || now.Sub(a.startedAt) < startupTime || schedule.IsIsolatedThroughout(a.task.crashes()) {
+func (s *State) endIsolation(a *attempt) {
+	if !a.isolated || !a.survived || schedule.IsIsolatedThroughout(a.task.crashes()) {
 		return
 	}
 	a.isolated = false
@@ -226,7 +226,8 @@
 // crashes returns what is known of the crashes under the task.
 func (t *task) crashes() schedule.Crashes {
 	c := schedule.Crashes{
-		Confirmed: t.record.Crashes, Certain: t.record.CertainCrashes, Isolated: t.record.IsolatedCrashes,
+		LongRunning: t.step.spec.LongRunning(),
+		Confirmed:   t.record.Crashes, Certain: t.record.CertainCrashes, Isolated: t.record.IsolatedCrashes,
 		Unresolved: len(t.record.Losses), AtStart: t.record.CrashedAtStart,
 	}
 	for _, l := range t.record.Losses {
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -25,7 +25,8 @@
 	started      bool // a run was placed
 	begun        bool // a server has started a run
 	copyStored   bool // the row with the copy of the job exists
-	longRunning  bool
+	longRunning  bool // it has a step whose tasks run until it is cancelled
+	failed       bool // a task was given up without which it is never completed
 	objective    time.Duration
 	activeRuns   int // runs that may exist
 	unstoredRuns int // of these, runs whose intent isn't stored yet
@@ -45,6 +46,7 @@
 	tasks            []*task
 	remaining        int // number of tasks that aren't done
 	unassigned       int // of these, tasks without a run that may exist
+	givenUp          int // of those that aren't done, tasks that aren't started again
 	number           int
 	mayNeedIsolation bool                 // a server was lost under one of the tasks
 	recommendations  *stepRecommendations // nil if the queue needs no recommendation
@@ -98,6 +100,7 @@
 
 	accepted     bool // the server accepted a start request
 	reported     bool // a report of the server listed the run
+	survived     bool // a report listed the run startupTime after its start or later
 	isolated     bool // the server starts no runs of other jobs
 	lossRecorded bool // the loss of the server is recorded
 
@@ -183,7 +186,7 @@
 
 // progress returns the progress of the job as it is to be stored.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{State: j.state}
+	p := workload.Progress{State: j.state, Failed: j.failed}
 	for _, st := range j.steps {
 		st.store(&p)
 	}
@@ -261,7 +264,8 @@
 
 // needsRun reports whether the task can be assigned to a server now.
 func (t *task) needsRun(now time.Time) bool {
-	return !t.record.Done && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.job.state.Final() && !t.awaitsCause(now)
+	return !t.record.Done && !t.record.GivenUp && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.job.state.Final() &&
+		!t.awaitsCause(now)
 }
 
 func (t *task) failedOnServer(server string) bool {
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -78,6 +78,10 @@
 	}
 	t.record.Done = true
 	t.record.Checkpoint = ""
+	if t.record.GivenUp {
+		t.record.GivenUp = false
+		t.step.givenUp--
+	}
 	s.forgetLosses(t)
 	s.recordDeparture(t)
 	t.step.remaining--
@@ -117,7 +121,41 @@
 	if t.step.spec.LongRunning() || t.job.state.Final() {
 		return
 	}
-	if t.record.Failures >= s.maxAttempts(t.job) && !t.record.Done {
-		s.endJob(t.job, workload.JobFailed, "attempts-used")
+	if t.record.Failures >= s.maxAttempts(t.job) {
+		s.giveUp(t, "attempts-used")
+	}
+}
+
+// giveUp gives up a task that isn't started again, and its job with it. A job with long-running tasks goes on without the task
+// or its gang: what is at work runs until the job is cancelled.
+func (s *State) giveUp(t *task, reason string) {
+	j := t.job
+	if t.record.Done || t.record.GivenUp || j.state.Final() {
+		return
+	}
+	if !j.longRunning {
+		s.endJob(j, workload.JobFailed, reason)
+		return
+	}
+	klog.InfoS("Task given up", "task", t.id, "reason", reason, "gang", t.step.spec.Gang(), "failures", t.record.Failures,
+		"crashes", t.record.Crashes)
+	j.failed = j.failed || !t.step.spec.LongRunning()
+	members := []*task{t}
+	if t.step.spec.Gang() {
+		members = t.step.tasks
 	}
+	for _, m := range members {
+		if m.record.Done {
+			continue
+		}
+		m.record.GivenUp = true
+		m.step.givenUp++
+		s.forgetLosses(m)
+		for _, a := range m.attempts {
+			if !m.step.spec.LongRunning() || !a.survived {
+				s.requestStop(a, reason)
+			}
+		}
+	}
+	s.markChanged(j)
 }
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -224,7 +224,7 @@
 		return false
 	}
 	for _, a := range v.attempts {
-		if a.task.step.spec.LongRunning() && a.phase != storing && !a.stopRequested && a.percent < 100 {
+		if a.task.step.spec.LongRunning() && a.phase != storing && !a.stopRequested && (a.percent < 100 || !a.survived) {
 			return true
 		}
 	}
@@ -238,7 +238,7 @@
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			if st.remaining > 0 && j.dependenciesDone(occurrence, st) {
-				total += float64(st.remaining) * st.spec.Reserves().DominantShare(capacity)
+				total += float64(st.remaining-st.givenUp) * st.spec.Reserves().DominantShare(capacity)
 			}
 		}
 	}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -239,7 +239,7 @@
 // missingServers returns the number of additional servers that the unassigned tasks of a step need.
 func (st *step) missingServers() int {
 	perServer := max(st.spec.MaxPerServer(), 1)
-	return (st.unassigned + perServer - 1) / perServer
+	return (max(st.unassigned-st.givenUp, 1) + perServer - 1) / perServer
 }
 
 // countStepRuns fills in the fields of the views that depend on the step.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -279,7 +279,10 @@
 	}
 	a.measurement = r.Measurement
 	a.reported, a.task.job.begun = true, true
-	s.endIsolation(a, now)
+	if !a.survived && now.Sub(a.startedAt) >= startupTime {
+		s.runSurvivedStart(a)
+	}
+	s.endIsolation(a)
 }
 
 // stopOrphan stops a run that isn't recorded: it was started by a delayed request or by an earlier controller.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -345,7 +345,7 @@
 
 func (s *State) restoreJob(j *job, p workload.Progress, now time.Time) {
 	j.state = p.State
-	j.started = p.State != workload.JobQueued
+	j.started, j.failed = p.State != workload.JobQueued, p.Failed
 	j.createStoredOccurrences(p)
 	s.restoreDone(j, p)
 	j.begun = len(p.DoneSteps) > 0 || len(p.DoneTasks) > 0
@@ -359,9 +359,12 @@
 		j.begun = j.begun || record.HasBegun()
 		t.record.Assignments = nil
 		t.step.mayNeedIsolation = t.step.mayNeedIsolation || record.Crashes > 0 || len(record.Losses) > 0
-		if record.Done {
+		switch {
+		case record.Done:
 			t.step.remaining--
 			t.step.unassigned--
+		case record.GivenUp:
+			t.step.givenUp++
 		}
 		for _, stored := range record.Assignments {
 			v := s.ensureServer(stored.Server)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -265,7 +265,7 @@
 			klog.ErrorS(err, "Failed to decode stored job progress", "job", id)
 			return OutcomeUnknown{Reason: err.Error()}
 		}
-		return JobStatus{State: p.State}
+		return JobStatus{State: p.VisibleState()}
 	}
 	_, found, reason = read(h.JobTables[PartitionOf(id)], JobPrefix+id)
 	switch {
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -1,7 +1,11 @@
 package schedule
 
-// Crashes is what is known of the backend servers that were lost while they ran a task.
+// Crashes is what is known of the backend servers that were lost while they ran a task. For a long-running task only those
+// count that were lost before a run of the task had survived its start: a task that is at work for days is on many servers
+// that crash, and by the users' rules it is restarted however it ends.
 type Crashes struct {
+	// LongRunning says that the task is long-running.
+	LongRunning bool
 	// Confirmed is the number of servers that certainly crashed. Certain is the number of these that had certainly started
 	// the task, and Isolated the number of these in turn on which no run of another job was starting.
 	Confirmed, Certain, Isolated int
@@ -14,12 +18,16 @@
 const (
 	// suspiciousCrashes is the number of crashes from which on a task is started isolated.
 	suspiciousCrashes = 2
-	// minCrashesToFail is the number of crashes from which on a job may fail. By the users' rules a task may be given up
+	// minCrashesToFail is the number of crashes from which on a task may be given up. By the users' rules a task may be given up
 	// once two servers have crashed under it.
 	minCrashesToFail = 2
 	// maxCrashes is the number of crashes after which a task is started only once their cause is known. By the users'
 	// rules it may be started less than three times after as many crashes.
 	maxCrashes = 3
+	// minLongRunningCrashes and minLongRunningIsolated are the numbers of certain and of isolated crashes in turn from which on
+	// a long-running task is given up. Nothing starts it again until its job is cancelled, so it takes more than chance.
+	minLongRunningCrashes  = 3
+	minLongRunningIsolated = 2
 	// crashLimit is the number of crashes after which a task isn't started again: by its next start the rule would be broken.
 	crashLimit = maxCrashes + 2
 )
@@ -61,7 +69,13 @@
 	return UnboundedWait
 }
 
-// FailsByCrashes reports whether a job fails because one of its tasks crashes servers.
-func FailsByCrashes(c Crashes) bool {
-	return c.Isolated > 0 && c.Certain >= minCrashesToFail || c.Confirmed >= crashLimit
+// GivesUp reports whether a task is given up because it crashes servers.
+func GivesUp(c Crashes) bool {
+	if c.Confirmed >= crashLimit {
+		return true
+	}
+	if c.LongRunning {
+		return c.Isolated >= minLongRunningIsolated && c.Certain >= minLongRunningCrashes
+	}
+	return c.Isolated > 0 && c.Certain >= minCrashesToFail
 }
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -56,12 +56,15 @@
 	// Crashes is the number of backend servers that crashed while they may have run the task. CertainCrashes is the number
 	// of these that had certainly started it, IsolatedCrashes the number of these in turn on which no run of another job was
 	// starting. CrashedAtStart says that one of the servers crashed before it had reported the run.
+	// For a long-running task they count since a run of the task last survived its start.
 	Crashes         int  `json:"crashes,omitempty"`
 	CertainCrashes  int  `json:"certain-crashes,omitempty"`
 	IsolatedCrashes int  `json:"isolated-crashes,omitempty"`
 	CrashedAtStart  bool `json:"crashed-at-start,omitempty"`
 	// Losses are the runs that were lost with a backend server of which isn't known yet whether it crashed.
 	Losses []Loss `json:"losses,omitempty"`
+	// GivenUp says that the task isn't started again, while its job goes on.
+	GivenUp bool `json:"given-up,omitempty"`
 	// Assignments are the runs that may exist. There is more than one only for a duplicable step.
 	Assignments []Assignment `json:"assignments,omitempty"`
 }
@@ -74,6 +77,8 @@
 // Progress is the stored state of a job.
 type Progress struct {
 	State JobState `json:"state"`
+	// Failed says that a task was given up without which the job is never completed, while its long-running tasks go on.
+	Failed bool `json:"failed,omitempty"`
 	// Tasks holds the records, by TaskID.LocalName, of started tasks that aren't done or have runs that may exist.
 	Tasks map[string]TaskRecord `json:"tasks,omitempty"`
 	// DoneSteps are the names of the steps whose tasks are all done. DoneTasks holds, by the name of another step, the
@@ -85,6 +90,14 @@
 	Job json.RawMessage `json:"job,omitempty"`
 }
 
+// VisibleState returns the state of the job as its customer sees it.
+func (p Progress) VisibleState() JobState {
+	if p.Failed && !p.State.Final() {
+		return JobFailed
+	}
+	return p.State
+}
+
 // Settled reports whether the job has ended and none of its runs may exist any more.
 func (p Progress) Settled() bool { return p.State.Final() && len(p.Tasks) == 0 }
 
