--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -71,7 +71,8 @@
 	s.departures.add(pool, j.remainingWork(s.serverCapacity(pool)), s.now)
 }
 
-// serverCapacity returns the capacity of the server of a pool that registered last, or zero if none did.
+// serverCapacity returns the capacity of the server of a pool that last registered and reported. While none has reported, it is
+// that of the first that registered, or zero.
 func (s *State) serverCapacity(pool string) workload.Resources { return s.poolCapacity[pool] }
 
 // remainingWork returns the declared work that is left of a job, in server-seconds for servers of the given capacity.
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -23,7 +23,9 @@
 		v.incarnation = r.Incarnation
 	}
 	v.reg, v.registered = r, true
-	s.poolCapacity[r.Pool] = r.Capacity
+	if _, known := s.poolCapacity[r.Pool]; !known || v.confirmed {
+		s.poolCapacity[r.Pool] = r.Capacity
+	}
 	if !changed {
 		return
 	}
@@ -212,6 +214,9 @@
 	}
 	if !v.confirmed {
 		v.confirmedAt = now
+		if v.registered {
+			s.poolCapacity[v.reg.Pool] = v.reg.Capacity
+		}
 	}
 	if len(s.losses[v.id]) > 0 {
 		s.serverSurvived(v.id, v.incarnation, "report")
