Start long-running tasks again that end as done

Cause: the end done finished the task, without regard to its step.

Change: the end of such a run, in time or late, alone or of a gang, is followed by a new run; rows of earlier releases in which such a task is done start it again as well.

--- /dev/null
+++ b/fleet/longrunning_test.go
@@ -0,0 +1,92 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// newLongRunningRig runs a job of long-running tasks on one server.
+func newLongRunningRig(t *testing.T, step workload.StepOptions) (*crashRig, []fleet.Start) {
+	t.Helper()
+	c := &crashRig{rig: newRig(t)}
+	c.register("i-1", "press")
+	c.report("i-1", nil)
+	step.LongRunning, step.MilliCores, step.DeclaredDurationMS = true, 1000, 1000
+	c.job = c.rig.job(1, step)
+	c.takeEffects()
+	c.handle(fleet.JobArrived{Job: c.job})
+	starts := c.starts()
+	assert.Equal(t, len(starts), step.Count)
+	for _, s := range starts {
+		c.acceptStart(s)
+	}
+	c.advance(500 * time.Millisecond)
+	return c, starts
+}
+
+func (c *crashRig) state() workload.JobState {
+	c.t.Helper()
+	p, err := workload.DecodeProgress(c.rows[fleet.ProgressPrefix+c.job.ID()])
+	assert.NilError(c.t, err)
+	return p.VisibleState()
+}
+
+// Guards against a long-running task that isn't started again because its run ended as done.
+func TestLongRunningTaskIsRestartedHoweverItEnds(t *testing.T) {
+	for _, kind := range []workload.EndKind{
+		workload.EndDone, workload.EndFailed, workload.EndStopped, workload.EndExpired, workload.EndGangBroken,
+		workload.EndGangIncomplete,
+	} {
+		c, starts := newLongRunningRig(t, workload.StepOptions{Count: 1})
+		c.report("i-1", nil, backend.RunEnd{Number: 1, Run: starts[0].Request.Run, Kind: kind})
+		c.advance(500 * time.Millisecond)
+		assert.Equal(t, c.state(), workload.JobRunning, "after %v", kind)
+		restarts := c.starts()
+		assert.Equal(t, len(restarts), 1, "after %v", kind)
+		assert.Equal(t, restarts[0].Request.Run.Number, 2)
+	}
+}
+
+// Guards against a gang of long-running tasks that is completed with the end of one of them.
+func TestLongRunningGangIsRestartedAfterItIsDone(t *testing.T) {
+	c, starts := newLongRunningRig(t, workload.StepOptions{Count: 2, Gang: true})
+	c.report("i-1", nil,
+		backend.RunEnd{Number: 1, Run: starts[0].Request.Run, Kind: workload.EndDone},
+		backend.RunEnd{Number: 2, Run: starts[1].Request.Run, Kind: workload.EndDone})
+	c.advance(500 * time.Millisecond)
+	assert.Equal(t, c.state(), workload.JobRunning)
+	assert.Equal(t, len(c.starts()), 2)
+}
+
+// Guards against a long-running task that isn't started again because its run was considered lost when it ended as done.
+func TestLongRunningTaskIsRestartedAfterLateEnd(t *testing.T) {
+	c, starts := newLongRunningRig(t, workload.StepOptions{Count: 1})
+	c.partition()
+	c.advance(9 * time.Second)
+	c.report("i-1", nil, backend.RunEnd{Number: 1, Run: starts[0].Request.Run, Kind: workload.EndDone})
+	c.advance(500 * time.Millisecond)
+	assert.Equal(t, c.state(), workload.JobRunning)
+	assert.Equal(t, len(c.starts()), 1)
+}
+
+// Guards against a long-running task that isn't started again because an earlier release stored it as done.
+func TestLongRunningTaskStoredAsDoneIsRestarted(t *testing.T) {
+	c, _ := newLongRunningRig(t, workload.StepOptions{Count: 2})
+	for _, stored := range []string{
+		`{"state":"running","done-tasks":{"0.0":[0]},"tasks":{"0.0.1":{"last-run":1,"done":true}}}`,
+		`{"state":"running","done-steps":["0.0"]}`,
+	} {
+		c.rows[fleet.ProgressPrefix+c.job.ID()] = []byte(stored)
+		c.restart(c.job)
+		c.register("i-1", "press")
+		c.report("i-1", nil)
+		c.advance(500 * time.Millisecond)
+		assert.Equal(t, len(c.starts()), 2)
+	}
+}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -323,13 +323,26 @@
 	switch end.Kind {
 	case workload.EndDone:
 		v.consecutiveFailures = 0
-		s.finishTask(t)
+		s.runDone(t, now)
 	case workload.EndFailed:
 		s.runFailed(v, a, now)
 	case workload.EndStopped, workload.EndExpired, workload.EndGangBroken, workload.EndGangIncomplete:
 	}
 }
 
+// runDone handles a run that has done its task. A long-running task is started again however a run ends.
+func (s *State) runDone(t *task, now time.Time) {
+	if !t.step.spec.LongRunning() {
+		s.finishTask(t)
+		return
+	}
+	klog.InfoS("Run of a long-running task ended by itself", "task", t.id, "last-run", t.record.LastRun)
+	if len(t.attempts) == 0 {
+		t.retryAt = now.Add(startRetryDelay)
+	}
+	s.markChanged(t.job)
+}
+
 // unknownRunEnded handles the end of a run that was considered lost. If the run did its task, the task is done. If it failed,
 // that counts as an attempt.
 func (s *State) unknownRunEnded(v *server, end backend.RunEnd) {
@@ -344,7 +357,7 @@
 	switch end.Kind {
 	case workload.EndDone:
 		klog.InfoS("Run that was considered lost is done", "run", end.Run, "server", v.id)
-		s.finishTask(t)
+		s.runDone(t, s.now)
 	case workload.EndFailed:
 		klog.InfoS("Run that was considered lost has failed", "run", end.Run, "server", v.id)
 		s.failTask(t, v.id, end.Run.Number)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -358,9 +358,10 @@
 		t.record = record
 		j.begun = j.begun || record.HasBegun()
 		t.record.Assignments = nil
+		t.record.Done = t.record.Done && !t.step.spec.LongRunning()
 		t.step.mayNeedIsolation = t.step.mayNeedIsolation || record.Crashes > 0 || len(record.Losses) > 0
 		switch {
-		case record.Done:
+		case t.record.Done:
 			t.step.remaining--
 			t.step.unassigned--
 		case record.GivenUp:
@@ -410,6 +411,10 @@
 			klog.InfoS("Ignored stored step that isn't part of its job", "job", j.spec.ID(), "step", name)
 			continue
 		}
+		if st.spec.LongRunning() {
+			klog.InfoS("Restarting long-running tasks that an earlier release stored as done", "job", j.spec.ID(), "step", name)
+			continue
+		}
 		for _, t := range st.tasks {
 			if indexes == nil || slices.Contains(indexes, t.id.Index) {
 				t.record.Done = true
