Keep runs that a restarted server started before a hand-over

Cause: a server restarted under its id, and its new incarnation carried out a start request before it registered. The controller was replaced. The next one restored the run with the incarnation of its start, learned of the restart and stopped the run, as if it had been lost.

Change: the first report of the new incarnation decides on restored runs. A run that it lists goes on, the others are removed. No stop is needed: start requests of the previous controller are refused once the server has seen the token of the next one.

TestRunStartedBeforeRegistrationOutlastsHandover failed before.

--- a/fleet/longrunning_test.go
+++ b/fleet/longrunning_test.go
@@ -90,3 +90,24 @@
 		assert.Equal(t, len(c.starts()), 2)
 	}
 }
+
+// Guards against a long-running task at work that a new controller stops: its server had restarted under its id, and had started
+// the run before it registered again.
+func TestRunStartedBeforeRegistrationOutlastsHandover(t *testing.T) {
+	c, starts := newLongRunningRig(t, workload.StepOptions{Count: 2})
+	kept, gone := starts[0].Request.Run, starts[1].Request.Run
+	c.advance(time.Second)
+	c.restart(c.job)
+	c.restartServer()
+	c.report("i-1", []backend.Run{kept})
+	c.advance(time.Second)
+	for _, e := range c.effects {
+		if stop, ok := e.(fleet.Stop); ok {
+			assert.Assert(t, stop.Run != kept)
+		}
+	}
+	restarts := c.starts()
+	assert.Equal(t, len(restarts), 1)
+	assert.Equal(t, restarts[0].Request.Run.Task, gone.Task)
+}
+
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -53,7 +53,8 @@
 }
 
 // serverRestarted records that a server restarted and lost all of its runs. A start request to the earlier incarnation
-// that is still in flight could reach the new one, so the runs are first stopped there.
+// that is still in flight could reach the new one, so the runs are first stopped there. Those of an earlier controller
+// needn't be: its requests are refused once the new incarnation has reported.
 func (s *State) serverRestarted(v *server, incarnation int64, now time.Time) {
 	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation)
 	v.incarnation = incarnation
@@ -71,6 +72,9 @@
 		}
 		// Outcomes of requests to the earlier incarnation are ignored.
 		a.incarnation, a.inFlight, a.stopInFlight, a.stopAccepted = incarnation, false, false, false
+		if a.phase == restored {
+			continue // the first report decides: the new incarnation may have started the run before it registered
+		}
 		s.requestStop(a, "server-started-again")
 	}
 }
