Clear the crashes of a long-running task when a run ends by itself

Cause: only a run at work for 0.3 s cleared the record. A run that ended by itself on a server that goes on shows as well that the start crashes nothing.

TestRunThatEndsByItselfClearsCrashes failed before, with 1 crash in place of none.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -93,7 +93,8 @@
 // mayHaveCrashedAtStart reports whether the server accepted the run, and no report has listed it since.
 func (a *attempt) mayHaveCrashedAtStart() bool { return a.accepted && !a.reported }
 
-// runSurvivedStart records that a run is at work for startupTime. If it is long-running, the crashes before were not its doing.
+// runSurvivedStart records that a run is at work for startupTime, or has ended by itself. If it is long-running, the crashes
+// before were not its doing.
 func (s *State) runSurvivedStart(a *attempt) {
 	a.survived = true
 	r := &a.task.record
--- a/fleet/longrunning_test.go
+++ b/fleet/longrunning_test.go
@@ -111,3 +111,22 @@
 	assert.Equal(t, restarts[0].Request.Run.Task, gone.Task)
 }
 
+// Guards against a long-running task that is given up although its runs end without a crash: it fails soon after each start,
+// and now and then its server crashes first.
+func TestRunThatEndsByItselfClearsCrashes(t *testing.T) {
+	for _, kind := range []workload.EndKind{workload.EndDone, workload.EndFailed} {
+		c, _ := newLongRunningRig(t, workload.StepOptions{Count: 1})
+		c.partition()
+		c.handle(fleet.VMsListed{RequestedAt: c.now, VMs: []backend.VM{{Name: "m-1", Pool: "press", Server: "i-2", State: backend.VMUp}}})
+		assert.Equal(t, c.record().Crashes, 1)
+		c.register("i-2", "press")
+		c.report("i-2", nil)
+		starts := c.starts()
+		assert.Equal(t, len(starts), 1)
+		c.acceptStart(starts[0])
+		c.advance(100 * time.Millisecond)
+		c.report("i-2", nil, backend.RunEnd{Number: 1, Run: starts[0].Request.Run, Kind: kind})
+		assert.Equal(t, c.record().Crashes, 0, "after %v", kind)
+	}
+}
+
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -323,6 +323,9 @@
 		a.checkpoint = ""
 	}
 	t.record.EndedRun = max(t.record.EndedRun, a.runNumber)
+	if !a.survived && (end.Kind == workload.EndDone || end.Kind == workload.EndFailed) {
+		s.runSurvivedStart(a)
+	}
 	s.removeAttempt(a)
 	switch end.Kind {
 	case workload.EndDone:
