Keep a run that a server started late

Cause: a start request got no response, and the next report didn't list the run, so it was stopped: the request could still start it. The server carried out the start late, the stop got no response either, and was repeated when the run was at work.

Change: once a report lists the run, a stop without a response isn't repeated. The run is the only one of its task, so it may go on. The first stop may still be carried out; then the task is started again, as after each end. Runs of cancelled jobs are stopped as before.

TestRunThatStartedLateIsKept failed before.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -262,10 +262,12 @@
 	return r
 }
 
+// isWanted reports whether the task is to be done.
+func (t *task) isWanted() bool { return !t.record.Done && !t.record.GivenUp && !t.job.state.Final() }
+
 // needsRun reports whether the task can be assigned to a server now.
 func (t *task) needsRun(now time.Time) bool {
-	return !t.record.Done && !t.record.GivenUp && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.job.state.Final() &&
-		!t.awaitsCause(now)
+	return t.isWanted() && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
 }
 
 func (t *task) failedOnServer(server string) bool {
--- a/fleet/longrunning_test.go
+++ b/fleet/longrunning_test.go
@@ -130,3 +130,32 @@
 	}
 }
 
+// Guards against a run at work that is stopped because there was no response to its start: the server carried out the start
+// late, and the stop before it got no response either.
+func TestRunThatStartedLateIsKept(t *testing.T) {
+	c := &crashRig{rig: newRig(t)}
+	c.register("i-1", "press")
+	c.report("i-1", nil)
+	c.job = c.rig.job(1, workload.StepOptions{Count: 1, LongRunning: true, MilliCores: 1000, DeclaredDurationMS: 1000})
+	c.takeEffects()
+	c.handle(fleet.JobArrived{Job: c.job})
+	starts := c.starts()
+	assert.Equal(t, len(starts), 1)
+	target, run := starts[0].Target, starts[0].Request.Run
+	unknown := backend.OutcomeUnknown{Reason: "no response"}
+	c.handle(fleet.StartEnded{Server: target.ID, Incarnation: target.Incarnation, Run: run, Outcome: unknown})
+	c.advance(100 * time.Millisecond)
+	c.report("i-1", nil)
+	c.advance(100 * time.Millisecond)
+	c.report("i-1", nil)
+	assert.Equal(t, c.stops(), 1)
+	c.advance(900 * time.Millisecond)
+	c.handle(fleet.StopEnded{Server: target.ID, Incarnation: target.Incarnation, Run: run, Outcome: unknown})
+	for range 10 {
+		c.advance(100 * time.Millisecond)
+		c.report("i-1", []backend.Run{run})
+	}
+	assert.Equal(t, c.stops(), 0)
+	c.handle(fleet.CancelRequested{ID: c.job.ID()})
+	assert.Equal(t, c.stops(), 1)
+}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -280,6 +280,10 @@
 		a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		a.confirmedAt = now
 	}
+	if a.stopReason == stopUnanswered && a.stopRequested && !a.stopInFlight && !a.stopAccepted && a.task.isWanted() {
+		klog.InfoS("Run started late, its stop isn't repeated", "run", r.Run, "server", a.server.id)
+		a.stopRequested, a.awaitsReport = false, false
+	}
 	if r.Checkpoint != "" && r.Checkpoint != a.checkpoint {
 		a.checkpoint = r.Checkpoint
 	}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -8,6 +8,9 @@
 	"github.com/pistachiolead/pistachiolead/backend"
 )
 
+// stopUnanswered is the reason for the stop of a run whose start request had no response, and that its server doesn't report.
+const stopUnanswered = "no-answer-to-start"
+
 // sendStart requests the start of a run whose intent is stored.
 func (s *State) sendStart(a *attempt, now time.Time) {
 	v := a.server
@@ -88,7 +91,7 @@
 		s.startRefused(v, a, o.Reason, now)
 	case backend.OutcomeUnknown, backend.Reported:
 		klog.InfoS("No response to start request", "run", e.Run, "server", e.Server)
-		s.awaitReport(a, "no-answer-to-start", now)
+		s.awaitReport(a, stopUnanswered, now)
 	}
 }
 
