Model: a job of long-running tasks under faults

It has a job of three of them now, of which one may be away: runs end as done or failed, one task may crash each server that starts it, and the checks are on states, stops, restarts, starts after three crashes, and the end after a cancel.

Maintenance and late requests are marked, as late orders don't count.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -41,8 +41,11 @@
 	lostWith    map[workload.TaskID]int // servers that crashed with a run of a task or with an end that wasn't acknowledged
 	startsAfter map[workload.TaskID]int // starts of a task after three servers had crashed under it
 
+	longRunning *longRunningModel // of a job of long-running tasks, or nil
+
 	lateRequests, lostResponses, crashPercent int
 	mutation                                  mutation
+	late                                      bool // the current request is carried out late
 }
 
 // mutation breaks a rule that the control state relies on, to show that the model detects the violation.
@@ -148,6 +151,7 @@
 
 // expire ends the runs on servers whose lease has expired, and the runs that are done.
 func (m *model) expire() {
+	m.longRunning.observe(m)
 	for _, s := range m.servers {
 		expired := m.now.Sub(s.bootedAt) >= s.lease
 		if expired {
@@ -159,8 +163,9 @@
 				m.logf("%s: %v expires", s.id, run)
 				s.finish(run, workload.EndExpired)
 			case !m.now.Before(ends):
-				m.logf("%s: %v is done, end %d", s.id, run, s.lastEnd+1)
-				s.finish(run, workload.EndDone)
+				kind := m.longRunning.endOf(run)
+				m.logf("%s: %v is %s, end %d", s.id, run, kind, s.lastEnd+1)
+				s.finish(run, kind)
 			}
 		}
 	}
@@ -304,7 +309,9 @@
 		m.after(time.Duration(rapid.IntRange(1, 8).Draw(m.t, "late by"))*time.Second, func() {
 			// A delayed request is lost when the server restarts.
 			if !s.partitioned && !s.down && s.reachableBy == nil && s.bootedAt.Equal(bootedAt) {
+				m.late = true
 				run(s)
+				m.late = false
 			}
 		})
 		return
@@ -353,23 +360,28 @@
 			}
 		}
 	}
-	if m.done[o.Run.Task] {
+	if m.done[o.Run.Task] && !m.longRunning.has(o.Run) {
 		m.fail("%v starts after its end was acknowledged", o.Run)
 	}
 	if len(s.running) >= 3 {
 		m.fail("%v exceeds the capacity of %s", o.Run, s.id)
 	}
-	if m.crashes[o.Run.Task] >= 3 {
+	crashesServer := m.crashing[o.Run.Task.Job] && o.Run.Task.Step == 0 && o.Run.Task.Index == 0
+	if m.crashes[o.Run.Task] >= 3 && (crashesServer || !m.longRunning.has(o.Run)) {
 		m.startsAfter[o.Run.Task]++
 		if m.startsAfter[o.Run.Task] >= 3 {
 			m.fail("%v starts, the third time after three servers crashed under its task", o.Run)
 		}
 	}
-	if m.crashing[o.Run.Task.Job] && o.Run.Task.Step == 0 && o.Run.Task.Index == 0 {
+	if crashesServer {
 		s.running[o.Run] = m.now
 		m.crash(s)
 		return backend.Accepted{Clock: clock}
 	}
+	if m.longRunning.has(o.Run) {
+		s.running[o.Run] = m.longRunning.start(m, o.Run)
+		return backend.Accepted{Clock: clock}
+	}
 	longestMS, longPercent := 3000, 20
 	if m.mutation == ignoreLeases {
 		longPercent = 80 // only runs longer than a lease reveal the mutation
@@ -396,6 +408,7 @@
 		return backend.Refused{Reason: backend.RefusedStaleToken}
 	}
 	if !s.running[e.Run].IsZero() {
+		m.longRunning.interrupt(m, e.Run)
 		s.finish(e.Run, workload.EndStopped)
 	}
 	s.highestRuns[e.Run.Task] = max(s.highestRuns[e.Run.Task], e.Run.Number)
@@ -421,7 +434,11 @@
 	})
 	r := backend.Report{Incarnation: s.bootedAt.UnixMilli(), Clock: m.now.Sub(s.bootedAt), Ends: slices.Clone(s.ends)}
 	for run := range s.running {
-		r.Running = append(r.Running, backend.ActiveRun{Run: run, Percent: int(m.now.UnixMilli() % 100)})
+		percent := int(m.now.UnixMilli() % 100)
+		if m.longRunning.has(run) && m.longRunning.atWork(m, run) {
+			percent = 100
+		}
+		r.Running = append(r.Running, backend.ActiveRun{Run: run, Percent: percent})
 	}
 	return backend.Reported{Report: r}
 }
@@ -529,6 +546,9 @@
 	for _, j := range m.jobs {
 		p, err := workload.DecodeProgress(m.rows[fleet.ProgressPrefix+j.ID()])
 		ended := p.State == workload.JobCompleted || p.State == workload.JobFailed && m.mayFail(j)
+		if j.LongRunning() {
+			ended = p.VisibleState() == workload.JobRunning
+		}
 		if err != nil || !ended {
 			m.fail("job %s is %q, stored as %s; servers lost with tasks: %v", j.ID(), p.State,
 				m.rows[fleet.ProgressPrefix+j.ID()], m.lostWith)
--- a/fleet/modelvms_test.go
+++ b/fleet/modelvms_test.go
@@ -54,7 +54,11 @@
 	respond := func(o backend.Outcome) { m.handle(c, fleet.MaintenanceEnded{VM: e.VM, Outcome: o}) }
 	if m.chance(m.lateRequests, "late") {
 		m.after(2*time.Second, func() { respond(backend.OutcomeUnknown{Reason: "lost"}) })
-		m.after(time.Duration(rapid.IntRange(1, 4).Draw(m.t, "late by"))*time.Second, func() { m.maintain(e) })
+		m.after(time.Duration(rapid.IntRange(1, 4).Draw(m.t, "late by"))*time.Second, func() {
+			m.late = true
+			m.maintain(e)
+			m.late = false
+		})
 		return
 	}
 	lost := m.chance(m.lostResponses, "lost")
@@ -83,6 +87,9 @@
 	}
 	m.logf("maintenance of %s ends %s", e.VM, old.id)
 	vm.token, vm.maintained, vm.state, vm.server = e.Token, true, backend.VMMaintenance, ""
+	for run := range old.running {
+		m.longRunning.interrupt(m, run)
+	}
 	old.down, old.gone = true, true
 	clear(old.running)
 	m.after(500*time.Millisecond+m.delay(500), func() {
