Keep cancelled jobs from being stored by a late write

Cause: the write of the job had got no response. The request to cancel it found no row, was answered, and left nothing behind. The store carried out the write some seconds later, as its only condition, that there is no job with the id, still held.

Change: the request to cancel is stored for an unknown job too, and a job is stored only if there is none. A late write then fails; one that came between the look and the request is cancelled by the controller. A later call with the id is refused, which is true: it never runs. The other answers given while a write's outcome is unknown were read: a submission is refused only if no attempt of the call can have been applied, and a request to cancel without a response is answered as unknown.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -177,9 +177,11 @@
 	if err != nil {
 		return Invalid{Reason: err.Error()}
 	}
-	key := JobPrefix + o.ID
+	// The conditions are checked in this order: a conflict is with the request to cancel only if there is no job.
+	key, cancelKey := JobPrefix+o.ID, CancelPrefix+o.ID
 	tx := provider.NewTransaction(
-		[]provider.Condition{provider.NewCondition(key, 0)}, []provider.Write{provider.NewPut(key, job.Encode())})
+		[]provider.Condition{provider.NewCondition(key, 0), provider.NewCondition(cancelKey, 0)},
+		[]provider.Write{provider.NewPut(key, job.Encode())})
 	stored := h.commit(PartitionOf(o.ID), tx, c.Deadline)
 	h.Scope.Histogram("accept-latency", latencyBuckets).RecordDuration(h.Clock.Now().Sub(now))
 	switch out := stored.(type) {
@@ -188,6 +190,9 @@
 			"version", out.Version(), "took", h.Clock.Now().Sub(now))
 		return Accepted{}
 	case provider.Conflict:
+		if out.Row().Key() == cancelKey {
+			return h.refuse(c, "cancelled", 0) // it never runs
+		}
 		klog.InfoS("Job already accepted", "call", c.ID, "job", o.ID, "version", out.Row().Version())
 		return Accepted{}
 	case provider.Unavailable:
@@ -227,21 +232,22 @@
 	}
 }
 
-// Cancel stores a request to cancel a job. The controller stops the job's runs later. The outcome is Accepted, Refused,
-// OutcomeUnknown or UnknownJob.
+// Cancel stores a request to cancel a job. The controller stops the job's runs later. The request is stored for an unknown job
+// as well: the store may carry out an unanswered write of the job after this, and that write then fails. The outcome is
+// Accepted, Refused, OutcomeUnknown or UnknownJob.
 func (h *Handler) Cancel(c Call, id string) Outcome {
 	partition := PartitionOf(id)
 	_, found, reason := read(h.JobTables[partition], JobPrefix+id)
 	if reason != "" {
 		return h.refuse(c, "store-unreadable: "+reason, 0)
 	}
-	if !found {
-		return UnknownJob{}
-	}
 	tx := provider.NewTransaction(nil, []provider.Write{provider.NewPut(CancelPrefix+id, []byte("{}"))})
 	switch out := h.commit(partition, tx, c.Deadline).(type) {
 	case provider.Committed:
-		klog.InfoS("Cancellation stored", "call", c.ID, "job", id, "version", out.Version())
+		klog.InfoS("Cancellation stored", "call", c.ID, "job", id, "version", out.Version(), "known-job", found)
+		if !found {
+			return UnknownJob{}
+		}
 		return Accepted{}
 	case provider.Unavailable:
 		return h.refuse(c, "store-unavailable: "+out.Reason(), 0)
