Notice rows that were removed while the store dropped its history

Cause: a watcher whose history is gone lists the table again, and a list holds no row for what was removed in the gap. Only the watcher of registrations compared. A new leader was also wrong about rows that its load had read and that the watcher never saw.

Change: the watcher itself compares a list with the rows that its followers know and handles those that are missing as removed: evacuations and waves of operators, and registrations. What the load of a leader reads counts as known. Of the other tables, jobs and cancellations are only added, the configuration is one row that isn't removed, and members, claims and VMs are read whole each time.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -316,23 +316,9 @@
 			handleRow(row, func(row provider.Row) { c.postRegistration(row, registered) })
 		}
 	}
-	list := func() ([]provider.Row, uint64, error) {
-		rows, version, err := feed.Read()
-		if err != nil {
-			return nil, 0, err
-		}
-		// A list holds no row for a registration that was removed since the last read.
-		missing := registered
-		registered = make(map[string]bool)
-		for _, row := range rows {
-			delete(missing, platform.ServerID(row))
-		}
-		for id := range missing {
-			c.post(fleet.ServerUnregistered{ID: id})
-		}
-		return rows, version, nil
+	w := &tableWatcher{
+		clock: c.vm.Clock, feed: feed, batchDelay: registrationsBatchDelay, list: feed.Read, rows: &presentRows{}, handle: handle,
 	}
-	w := &tableWatcher{clock: c.vm.Clock, feed: feed, batchDelay: registrationsBatchDelay, list: list, handle: handle}
 	c.vm.goroutines.Go(func() error { return w.run(c.ctx) })
 }
 
--- a/deployment/stored.go
+++ b/deployment/stored.go
@@ -70,6 +70,7 @@
 	})
 	reads.Go(func() (err error) {
 		s.operations, _, err = c.vm.feed(platform.OperatorTable).Read()
+		c.vm.operatorRows.update(s.operations) // the watcher of the table may never have seen them
 		return err
 	})
 	if c.previousTerm.Holder != "" && c.previousTerm.Holder != c.vm.Settings.Name() {
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -30,6 +30,9 @@
 	Scope        tally.Scope
 	WriteMetrics func(io.Writer) error
 
+	// operatorRows holds the rows of operators that this entry VM has seen.
+	operatorRows presentRows
+
 	client     *platform.Client
 	directory  *directory.Cache
 	handler    *intake.Handler
--- a/deployment/watch.go
+++ b/deployment/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,7 @@
 	feed := v.feed(platform.OperatorTable)
 	w := tableWatcher{
 		clock: v.Clock, feed: feed, maxWait: feedMaxWait, batchDelay: 0,
-		list: feed.Read,
+		list: feed.Read, rows: &v.operatorRows,
 		handle: func(rows []provider.Row, requestedAt time.Time) {
 			v.applyOperations(rows)
 			v.directory.RecordRead(requestedAt, v.Clock.Now())
@@ -81,6 +82,9 @@
 	batchDelay time.Duration
 	// list reads all rows, and returns the version to read changes from.
 	list func() ([]provider.Row, uint64, error)
+	// rows holds the present rows, if list returns all of them. A row that a list lacks is then handled as a deleted one. nil
+	// stands for a table whose deletions don't matter.
+	rows *presentRows
 	// handle processes rows that were requested from the store at the given time.
 	handle func(rows []provider.Row, requestedAt time.Time)
 	// version is the version to read changes from, or 0 to list the table first.
@@ -121,10 +125,60 @@
 }
 
 func (w *tableWatcher) read() ([]provider.Row, uint64, error) {
-	if w.version == 0 {
-		return w.list()
+	if w.version > 0 {
+		rows, version, err := w.feed.Changes(w.version, w.maxWait)
+		if err == nil && w.rows != nil {
+			w.rows.update(rows)
+		}
+		return rows, version, err
+	}
+	rows, version, err := w.list()
+	if err == nil && w.rows != nil {
+		rows = append(w.rows.replace(rows, version), rows...)
+	}
+	return rows, version, err
+}
+
+// presentRows holds the rows of a table that its followers know. It is safe for concurrent use.
+type presentRows struct {
+	mu       sync.Mutex
+	versions map[string]uint64 // by key
+}
+
+// update applies changes, or rows that another reader has seen.
+func (p *presentRows) update(rows []provider.Row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.versions == nil {
+		p.versions = make(map[string]uint64)
+	}
+	for _, row := range rows {
+		if row.Deleted() {
+			delete(p.versions, row.Key())
+			continue
+		}
+		p.versions[row.Key()] = max(p.versions[row.Key()], row.Version())
+	}
+}
+
+// replace applies a list of all rows at a table version, and returns the known rows that it lacks as deleted ones. Rows that
+// another reader has seen at a later version stay.
+func (p *presentRows) replace(list []provider.Row, version uint64) []provider.Row {
+	listed := make(map[string]bool, len(list))
+	for _, row := range list {
+		listed[row.Key()] = true
+	}
+	var deleted []provider.Row
+	p.mu.Lock()
+	for key, known := range p.versions {
+		if !listed[key] && known <= version {
+			deleted = append(deleted, provider.NewDeletedRow(key, version))
+		}
 	}
-	return w.feed.Changes(w.version, w.maxWait)
+	p.mu.Unlock()
+	p.update(deleted)
+	p.update(list)
+	return deleted
 }
 
 // logFailure logs the first of several consecutive failures.
