Don't repeat the stop of a long-running task while others are away

Cause, found by reading and shown by a test: the stop for the maintenance of a VM is allowed when it is requested.

Change: before a stop without a response is repeated, the number of unavailable tasks is checked again. What the stop of a run that started late did is now decided at the same place.

--- a/fleet/longrunning_test.go
+++ b/fleet/longrunning_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
@@ -159,3 +160,49 @@
 	c.handle(fleet.CancelRequested{ID: c.job.ID()})
 	assert.Equal(t, c.stops(), 1)
 }
+
+// Guards against a long-running task that is stopped while another of its step is away: its stop was allowed, got no response,
+// and was repeated when the other one was gone.
+func TestUnansweredStopIsNotRepeatedWhileOthersAreAway(t *testing.T) {
+	c, starts := newLongRunningRig(t, workload.StepOptions{Count: 2, MaxUnavailable: 1})
+	runs := []backend.Run{starts[0].Request.Run, starts[1].Request.Run}
+	report := func(running []backend.Run, ends ...backend.RunEnd) {
+		if _, open := c.openPolls["i-1"]; open {
+			c.report("i-1", running, ends...)
+		}
+		c.advance(100 * time.Millisecond)
+	}
+	for range 20 {
+		report(runs)
+	}
+	c.register("i-2", "press")
+	c.report("i-2", nil)
+	c.takeEffects()
+	vm := func(name, server string) backend.VM {
+		return backend.VM{Name: name, Pool: "press", Server: server, State: backend.VMUp, Capacity: workload.NewResources(8000, 8000, 0)}
+	}
+	c.handle(fleet.VMsListed{RequestedAt: c.now, VMs: []backend.VM{vm("m-1", "i-1"), vm("m-2", "i-2")}})
+	c.handle(fleet.OperationArrived{Operation: directory.Wave{
+		Name: "1", Number: 1, VMs: []string{"m-1"}, TimeLimit: 30 * time.Second, MaxConcurrent: 1,
+	}})
+	c.advance(200 * time.Millisecond)
+	var stopped []fleet.Stop
+	for _, e := range c.takeEffects() {
+		if stop, ok := e.(fleet.Stop); ok {
+			stopped = append(stopped, stop)
+		}
+	}
+	assert.Equal(t, len(stopped), 1, "one task may be away")
+	kept, other := stopped[0], runs[0]
+	if kept.Run == other {
+		other = runs[1]
+	}
+	report([]backend.Run{kept.Run}, backend.RunEnd{Number: 1, Run: other, Kind: workload.EndFailed})
+	c.handle(fleet.StopEnded{
+		Server: "i-1", Incarnation: kept.Target.Incarnation, Run: kept.Run, Outcome: backend.OutcomeUnknown{Reason: "no response"},
+	})
+	for range 5 {
+		report([]backend.Run{kept.Run})
+	}
+	assert.Equal(t, c.stops(), 0)
+}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -280,10 +280,6 @@
 		a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		a.confirmedAt = now
 	}
-	if a.stopReason == stopUnanswered && a.stopRequested && !a.stopInFlight && !a.stopAccepted && a.task.isWanted() {
-		klog.InfoS("Run started late, its stop isn't repeated", "run", r.Run, "server", a.server.id)
-		a.stopRequested, a.awaitsReport = false, false
-	}
 	if r.Checkpoint != "" && r.Checkpoint != a.checkpoint {
 		a.checkpoint = r.Checkpoint
 	}
@@ -386,7 +382,7 @@
 		v.cooldownUntil = now.Add(failureCooldown)
 		v.consecutiveFailures = failuresBeforeCooldown - 1 // the next failed run starts another cooldown
 		klog.InfoS("Backend server in cooldown after failed runs", "server", v.id, "cooldown", failureCooldown)
-		s.stopLongRunning(v, "server-fails", false)
+		s.stopLongRunning(v, stopServerFails, false)
 	}
 	s.failTask(t, v.id, a.runNumber)
 }
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -8,8 +8,12 @@
 	"github.com/pistachiolead/pistachiolead/backend"
 )
 
-// stopUnanswered is the reason for the stop of a run whose start request had no response, and that its server doesn't report.
-const stopUnanswered = "no-answer-to-start"
+// Reasons for stops that may lapse.
+const (
+	stopUnanswered  = "no-answer-to-start" // the start request had no response, and the server doesn't report the run
+	stopMaintenance = "maintenance"        // of the server's VM
+	stopServerFails = "server-fails"       // most runs on the server fail
+)
 
 // sendStart requests the start of a run whose intent is stored.
 func (s *State) sendStart(a *attempt, now time.Time) {
@@ -178,7 +182,7 @@
 		switch {
 		case a.stopRequested && a.phase == storing:
 		case a.stopRequested && !a.stopAccepted && now.Sub(a.stopTriedAt) >= startRetryDelay && v.failedPolls == 0:
-			s.sendStop(a, now)
+			s.repeatStop(a, now)
 		case a.phase == requested && a.startSentAt.IsZero() && !a.stopRequested && v.failedPolls == 0:
 			s.sendStart(a, now)
 		case s.stalled(a):
@@ -189,6 +193,32 @@
 	}
 }
 
+// repeatStop sends a stop request again that had no response, unless the run may go on: the first request may have been sent
+// seconds ago.
+func (s *State) repeatStop(a *attempt, now time.Time) {
+	if a.stopInFlight || !s.mayGoOn(a) {
+		s.sendStop(a, now)
+		return
+	}
+	klog.InfoS("Stop without a response isn't repeated", "run", a.id(), "server", a.server.id, "reason", a.stopReason)
+	a.stopRequested, a.awaitsReport = false, false
+}
+
+// mayGoOn reports whether a run that was to be stopped may go on as well. The server has started a run late that it reports now.
+// A long-running task may not be interrupted any more if others of its step have become unavailable.
+func (s *State) mayGoOn(a *attempt) bool {
+	if a.phase != running || !a.reported || a.server.reg.Draining || !a.task.isWanted() {
+		return false
+	}
+	switch a.stopReason {
+	case stopUnanswered:
+		return true
+	case stopMaintenance, stopServerFails:
+		return !s.mayInterrupt(a)
+	}
+	return false
+}
+
 // stalled reports whether a run made no progress for stallTimeout, or for its declared duration if that is longer.
 // Time without reports of the server doesn't count, as nothing is known of its runs then.
 func (s *State) stalled(a *attempt) bool {
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -314,7 +314,7 @@
 			s.longRunningShortage[v.reg.Pool]++
 			continue
 		}
-		s.requestStop(a, "maintenance")
+		s.requestStop(a, stopMaintenance)
 	}
 }
 
@@ -365,14 +365,14 @@
 	v.cordoned = true
 	if v.hasLongRunning() && !drainingPools[v.reg.Pool] {
 		drainingPools[v.reg.Pool] = true
-		s.stopLongRunning(v, "maintenance", false)
+		s.stopLongRunning(v, stopMaintenance, false)
 	}
 	if now.Sub(since) < drainGracePeriod {
 		return
 	}
 	for _, a := range v.attempts {
 		if !a.task.step.spec.LongRunning() && a.task.step.spec.Checkpoints() {
-			s.requestStop(a, "maintenance")
+			s.requestStop(a, stopMaintenance)
 		}
 	}
 }
