Count the maintenance that a previous controller requested

More VMs of a wave were in maintenance at a time than it allows (LIMIT, review), when the leader was killed just after its request.

Cause: a new leader counted only the maintenance that its predecessor had stored as begun. A VM in maintenance by another request counted as blocked, and one whose request was just under way as free. The row with the recent requests, which is stored before they are sent, wasn't read at all if the same entry VM became the leader again.

Change: a VM of the wave that the list shows in maintenance counts as down, and so does one for which the predecessor sent a request shortly before, until a list that was requested after the hand-over pause. The row is always read; whether the predecessor may still send requests decides on the pause only.

--- a/deployment/stored.go
+++ b/deployment/stored.go
@@ -44,8 +44,9 @@
 	for id := range s.Progress {
 		c.seenJobs[id] = true
 	}
+	mayStillSend := c.previousTerm.Holder != "" && c.previousTerm.Holder != c.vm.Settings.Name()
 	for _, row := range s.vmRequests {
-		c.state.RestoreVMRequests(row)
+		c.state.RestoreVMRequests(row, mayStillSend)
 	}
 	s.Operations = decodeOperations(s.operations)
 	open := c.state.Restore(s.Stored, c.vm.Clock.Now())
@@ -73,12 +74,10 @@
 		c.vm.operatorRows.update(s.operations) // the watcher of the table may never have seen them
 		return err
 	})
-	if c.previousTerm.Holder != "" && c.previousTerm.Holder != c.vm.Settings.Name() {
-		reads.Go(func() (err error) {
-			s.vmRequests, _, err = c.scan(c.vm.control, fleet.VMRequestsKey)
-			return err
-		})
-	}
+	reads.Go(func() (err error) {
+		s.vmRequests, _, err = c.scan(c.vm.control, fleet.VMRequestsKey)
+		return err
+	})
 	if err := reads.Wait(); err != nil {
 		return nil, err
 	}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -72,8 +72,9 @@
 	recentVMRequests map[string]time.Time // last request for each VM
 	// vmRequestsAllowedAt is when requests may be sent for VMs for which the previous controller sent one recently.
 	vmRequestsAllowedAt   map[string]time.Time
-	longRunningShortage   map[string]int // additional servers that long-running tasks need, by pool
-	overLimit             map[string]int // steps held back by a customer's limit in the last pass, by pool
+	requestedBefore       map[string]bool // VMs for which the previous controller sent a request shortly before the term
+	longRunningShortage   map[string]int  // additional servers that long-running tasks need, by pool
+	overLimit             map[string]int  // steps held back by a customer's limit in the last pass, by pool
 	vms                   map[string]backend.VM
 	vmNames               []string             // the keys of vms in order
 	droppedAt             map[string]time.Time // when servers that the list of VMs may still show were dropped, by id
@@ -146,6 +147,7 @@
 	s.arrivals, s.departures = make(workRates), make(workRates)
 	s.recentVMRequests = make(map[string]time.Time)
 	s.vmRequestsAllowedAt = make(map[string]time.Time)
+	s.requestedBefore = make(map[string]bool)
 	s.pendingStored = make(map[string]int)
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
 	s.renewedAt = s.TermRequestedAt
--- a/fleet/vmrequests.go
+++ b/fleet/vmrequests.go
@@ -48,14 +48,20 @@
 	return []provider.Write{provider.NewPut(VMRequestsKey, data)}
 }
 
-// RestoreVMRequests loads the row with the VMs for which the previous controller recently sent requests. It isn't
-// needed if that controller resigned or its process has ended, as it then sends no more requests.
-func (s *State) RestoreVMRequests(row provider.Row) {
+// RestoreVMRequests loads the row with the VMs for which the previous controller recently sent requests. That controller may
+// still send requests unless it resigned or its process has ended.
+func (s *State) RestoreVMRequests(row provider.Row, mayStillSend bool) {
 	var stored map[string]int64
 	if err := json.Unmarshal(row.Value(), &stored); err != nil {
 		klog.ErrorS(err, "Failed to decode the stored VM requests")
 	}
 	for vm, at := range stored {
+		if time.UnixMilli(at).Add(s.HandoverPause + LongTerm + maxClockSkew).After(s.began) {
+			s.requestedBefore[vm] = true
+		}
+		if !mayStillSend {
+			continue
+		}
 		// The clocks may differ by more than maxClockSkew, but the VM is never blocked for longer than HandoverPause
 		// from the start of this term.
 		allowedAt := time.UnixMilli(at).Add(s.HandoverPause + maxClockSkew)
@@ -63,6 +69,12 @@
 	}
 }
 
+// mayBeRequestedBefore reports whether a request of the previous controller for a VM may have no effect yet that the list of
+// VMs shows.
+func (s *State) mayBeRequestedBefore(vm string) bool {
+	return s.requestedBefore[vm] && !s.vmsListedAt.After(s.began.Add(s.HandoverPause))
+}
+
 // vmRequestAllowed reports whether a request for a VM may be sent. It may not be sent shortly after a request of the
 // previous controller for the same VM.
 func (s *State) vmRequestAllowed(vm string, now time.Time) bool {
--- a/fleet/vmrequests_test.go
+++ b/fleet/vmrequests_test.go
@@ -34,7 +34,7 @@
 func TestRecentlyRequestedVMsAreBlockedAfterTakeover(t *testing.T) {
 	r := newRig(t)
 	r.begin(20)
-	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, []byte(`{"m-1": 1000000000, "m-3": 999990000}`), 1))
+	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, []byte(`{"m-1": 1000000000, "m-3": 999990000}`), 1), true)
 	r.configure(workload.Resources{})
 	r.listSpareVMs()
 	r.advance(time.Second)
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -237,6 +237,9 @@
 		case !exists || w.skipped[name]:
 		default:
 			_, draining := w.drainingSince[name]
+			if vm.State == backend.VMMaintenance || s.mayBeRequestedBefore(name) {
+				down++ // by a request of the previous controller whose outcome isn't stored
+			}
 			entry := schedule.MaintenanceVM{VM: name, Draining: draining, Blocked: moving || vm.State != backend.VMUp}
 			s.maintenanceDue[name] = true
 			if v, known := s.servers[vm.Server]; known {
