Match the outcome of a maintenance request with its wave

Cause: a VM may be part of two waves. The outcome of a request named the VM only, so the first outcome ended the requests of both waves: accepted for the one, it counted for the other, whose own request was refused as busy.

Change: an outcome names its wave, and while one wave's request for a VM has no outcome, other waves wait.

Measured: TestOutcomeOfOneWaveDoesNotCountForAnother failed before.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -404,7 +404,7 @@
 			Outcome: c.servers.Pace(e.Target, e.Run, e.Percent, e.Token),
 		}
 	case fleet.MaintainVM:
-		return fleet.MaintenanceEnded{VM: e.VM, Outcome: c.vms.Maintain(e.VM, e.Wave, e.Token)}
+		return fleet.MaintenanceEnded{VM: e.VM, Wave: e.Wave, Outcome: c.vms.Maintain(e.VM, e.Wave, e.Token)}
 	case fleet.MoveVM:
 		return fleet.VMMoveEnded{VM: e.VM, Outcome: c.vms.Move(e.VM, e.Pool, e.Token)}
 	case fleet.PublishWaveStatus:
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -69,6 +69,7 @@
 // MaintenanceEnded is the outcome of a request to start the maintenance of a VM.
 type MaintenanceEnded struct {
 	VM      string
+	Wave    int64 // the number of the wave
 	Outcome backend.Outcome
 }
 
--- a/fleet/modelvms_test.go
+++ b/fleet/modelvms_test.go
@@ -51,7 +51,7 @@
 
 // requestMaintenance carries out a request for a VM: at once or late, or its response is lost.
 func (m *model) requestMaintenance(c *modelController, e fleet.MaintainVM) {
-	respond := func(o backend.Outcome) { m.handle(c, fleet.MaintenanceEnded{VM: e.VM, Outcome: o}) }
+	respond := func(o backend.Outcome) { m.handle(c, fleet.MaintenanceEnded{VM: e.VM, Wave: e.Wave, Outcome: o}) }
 	if m.chance(m.lateRequests, "late") {
 		m.after(2*time.Second, func() { respond(backend.OutcomeUnknown{Reason: "lost"}) })
 		m.after(time.Duration(rapid.IntRange(1, 4).Draw(m.t, "late by"))*time.Second, func() {
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -243,7 +243,7 @@
 		sm.after(time.Millisecond, func() {
 			sm.maintainedAt[e.VM] = sm.now
 			sm.takeDown(e.VM, backend.VMMaintenance, 2*time.Second)
-			sm.state.Handle(fleet.MaintenanceEnded{VM: e.VM, Outcome: backend.Accepted{}}, sm.now)
+			sm.state.Handle(fleet.MaintenanceEnded{VM: e.VM, Wave: e.Wave, Outcome: backend.Accepted{}}, sm.now)
 		})
 	case fleet.MoveVM:
 		sm.after(time.Millisecond, func() {
--- a/fleet/stalelist_test.go
+++ b/fleet/stalelist_test.go
@@ -61,7 +61,7 @@
 	r.addWave("m-1")
 	r.advance(200 * time.Millisecond)
 	assert.Equal(t, r.maintenanceRequests(), 1)
-	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.OutcomeUnknown{Reason: "no response"}})
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.OutcomeUnknown{Reason: "no response"}})
 	r.handle(fleet.ServerUnregistered{ID: "i-1"})
 
 	r.register("i-2", "press")
@@ -76,7 +76,7 @@
 	r.acceptStart(starts[0])
 	r.advance(time.Second)
 	assert.Equal(t, r.maintenanceRequests(), 0, "repeated while the VM's new server has a run")
-	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.Accepted{}})
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Accepted{}})
 	r.report("i-2", []backend.Run{starts[0].Request.Run})
 	r.register("i-3", "press")
 	r.report("i-3", nil)
@@ -97,7 +97,7 @@
 	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 60_000})})
 	assert.Equal(t, len(r.starts()), 0, "a run was started while the maintenance may begin")
 
-	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.Accepted{}})
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Accepted{}})
 	r.advance(100 * time.Millisecond)
 	r.listVM("i-1", r.now)
 	r.advance(100 * time.Millisecond)
@@ -129,7 +129,7 @@
 	r.acceptStart(starts[0])
 	r.register("i-2", "press")
 	r.report("i-2", nil)
-	r.handle(fleet.MaintenanceEnded{VM: "m-1", Outcome: backend.Accepted{}})
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Accepted{}})
 	r.advance(time.Second)
 	assert.Equal(t, len(r.starts()), 0, "the run was started again although it goes on")
 }
--- a/fleet/takeover_test.go
+++ b/fleet/takeover_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,12 +26,13 @@
 	return vms
 }
 
-// listVMs lists the VMs of servers i-1 and i-2.
+// listVMs lists the VMs of the first servers of i-1 and i-2.
 func (r *rig) listVMs(states ...backend.VMState) {
 	list := make([]backend.VM, 0, len(states))
-	for i, id := range []string{"i-1", "i-2"} {
-		vm := backend.VM{Name: "m" + id[1:], Pool: "press", State: states[i], Capacity: workload.NewResources(8000, 8000, 0)}
-		if states[i] == backend.VMUp {
+	for i, state := range states {
+		id := []string{"i-1", "i-2"}[i]
+		vm := backend.VM{Name: "m" + id[1:], Pool: "press", State: state, Capacity: workload.NewResources(8000, 8000, 0)}
+		if state == backend.VMUp {
 			vm.Server = id
 		}
 		list = append(list, vm)
@@ -103,3 +106,33 @@
 		assert.Equal(t, len(r.maintained()), 0)
 	}
 }
+
+// Guards against a wave that is complete although a VM of it wasn't maintained: another wave has the VM as well, and its request
+// was accepted.
+func TestOutcomeOfOneWaveDoesNotCountForAnother(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	for number := range int64(2) {
+		r.handle(fleet.OperationArrived{Operation: directory.Wave{
+			Name: strconv.FormatInt(number+1, 10), Number: number + 1, VMs: []string{"m-1"}, TimeLimit: 30 * time.Second, MaxConcurrent: 1,
+		}})
+	}
+	r.takeEffects()
+	r.listVMs(backend.VMUp)
+	var requests []fleet.MaintainVM
+	for _, e := range r.takeEffects() {
+		if m, ok := e.(fleet.MaintainVM); ok {
+			requests = append(requests, m)
+		}
+	}
+	assert.Equal(t, len(requests), 1, "one wave waits for the other")
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: requests[0].Wave, Outcome: backend.Accepted{}})
+	r.listVMs(backend.VMMaintenance)
+	r.advance(3 * time.Second)
+	for number := range int64(2) {
+		name := strconv.FormatInt(number+1, 10)
+		complete := strings.Contains(string(r.rows[fleet.WavesPrefix+name]), `"complete":true`)
+		assert.Equal(t, complete, number+1 == requests[0].Wave, "wave %s", name)
+	}
+}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -240,7 +240,8 @@
 			if vm.State == backend.VMMaintenance || s.mayBeRequestedBefore(name) {
 				down++ // by a request of the previous controller whose outcome isn't stored
 			}
-			entry := schedule.MaintenanceVM{VM: name, Draining: draining, Blocked: moving || vm.State != backend.VMUp}
+			blocked := moving || vm.State != backend.VMUp || s.requestedForOther(w, name)
+			entry := schedule.MaintenanceVM{VM: name, Draining: draining, Blocked: blocked}
 			s.maintenanceDue[name] = true
 			if v, known := s.servers[vm.Server]; known {
 				v.maintenanceDue = true
@@ -275,6 +276,16 @@
 	}
 }
 
+// requestedForOther reports whether another wave's request for a VM has no outcome yet.
+func (s *State) requestedForOther(w *wave, vm string) bool {
+	for _, other := range s.waves {
+		if other != w && (other.inFlight[vm] || !other.requestedAt[vm].IsZero()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) retryMaintenance(w *wave, now time.Time) {
 	for name, sent := range w.requestedAt {
 		if w.inFlight[name] || now.Sub(sent) < maintenanceRetryDelay {
@@ -395,7 +406,7 @@
 
 func (s *State) maintenanceEnded(e MaintenanceEnded, now time.Time) {
 	for _, w := range s.waves {
-		if w.inFlight[e.VM] {
+		if w.spec.Number == e.Wave && w.inFlight[e.VM] {
 			delete(w.inFlight, e.VM)
 			s.waveRequestEnded(w, e, now)
 		}
