Keep the row of a job that repeats often within the store's limit

Cause: the row of a job named each done step of each occurrence for as long as the job lived, about 9 bytes an occurrence. Beyond 64 KB the store refuses the commit, which the controller repeats for ever, and its successors too.

Change: the row holds the number of the first occurrences that are done, and names only those behind it. Their tasks and steps leave the memory of the controller as well, and placement doesn't go through them.

Open: a commit that the store refuses for its content is still repeated.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -17,7 +17,9 @@
 	// steps holds the steps by occurrence and step number.
 	steps       map[[2]int]*step
 	occurrences int // number of occurrences whose tasks are created
-	changed     bool
+	// doneOccurrences is the number of the first occurrences that are done. Their tasks and steps are removed.
+	doneOccurrences int
+	changed         bool
 	// estimate caches the remaining work. It is reset when a task is done and when an occurrence is due.
 	estimate *estimate
 	// submitted is the start of the objective, by the clock of the entry VM that accepted the job.
@@ -129,7 +131,7 @@
 // createStoredOccurrences creates the tasks of all occurrences in the stored progress. These may not be due yet by this
 // entry VM's clock.
 func (j *job) createStoredOccurrences(p workload.Progress) {
-	last := -1
+	last := p.DoneOccurrences - 1
 	for local := range p.Tasks {
 		if id, err := workload.ParseTaskID(j.spec.ID() + "." + local); err == nil {
 			last = max(last, id.Occurrence)
@@ -145,6 +147,37 @@
 		j.createOccurrence(j.occurrences)
 		j.occurrences++
 	}
+	for j.doneOccurrences < min(p.DoneOccurrences, j.occurrences) {
+		j.removeFirstOccurrence()
+	}
+}
+
+// removeDoneOccurrences removes the first occurrences whose tasks are done, so that a job that repeats for long costs no more
+// than the occurrences that overlap. The last one stays.
+func (j *job) removeDoneOccurrences() {
+	for j.doneOccurrences < j.occurrences-1 && j.occurrenceDone(j.doneOccurrences) {
+		j.removeFirstOccurrence()
+	}
+}
+
+func (j *job) occurrenceDone(occurrence int) bool {
+	for number := range j.spec.Steps() {
+		if st := j.steps[[2]int{occurrence, number}]; st.remaining > 0 || st.activeRuns() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) removeFirstOccurrence() {
+	for number := range j.spec.Steps() {
+		key := [2]int{j.doneOccurrences, number}
+		for _, t := range j.steps[key].tasks {
+			delete(j.tasks, t.localName)
+		}
+		delete(j.steps, key)
+	}
+	j.doneOccurrences++
 }
 
 func (j *job) createOccurrence(occurrence int) {
@@ -184,9 +217,10 @@
 	return true
 }
 
-// progress returns the progress of the job as it is to be stored.
+// progress returns the progress of the job as it is to be stored, and removes what needn't be kept.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{State: j.state, Failed: j.failed}
+	j.removeDoneOccurrences()
+	p := workload.Progress{State: j.state, Failed: j.failed, DoneOccurrences: j.doneOccurrences}
 	for _, st := range j.steps {
 		st.store(&p)
 	}
--- a/fleet/progress_test.go
+++ b/fleet/progress_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -31,6 +32,64 @@
 	assert.Assert(t, longest <= maxRowBytes)
 }
 
+// Guards against a job that repeats so often that its progress row exceeds the store's limit, which would stop all jobs.
+func TestProgressOfRepeatingJobFitsRow(t *testing.T) {
+	sm := newSimulation(20, 1)
+	const repetitions = 9000
+	job, err := workload.NewJob(workload.JobOptions{
+		ID: fmt.Sprintf("%016x", 1), Queue: "pool-0", Pool: "pool-0", MaxAttempts: 3, Stretch: 1.6, SlackMS: 600,
+		Steps:      []workload.StepOptions{{Count: 1, MilliCores: 100, DeclaredDurationMS: 20}},
+		AcceptedMS: sm.now.UnixMilli(), FirstRunMS: sm.now.UnixMilli(), IntervalMS: 5, Repetitions: repetitions,
+	})
+	assert.NilError(t, err)
+	longest := 0
+	sm.onStore = func(_ string, value []byte) { longest = max(longest, len(value)) }
+	sm.state.Handle(fleet.JobArrived{Job: job}, sm.now)
+	sm.advance(50 * time.Second)
+	assert.Equal(t, sm.states[job.ID()], workload.JobCompleted)
+	assert.Equal(t, sm.tasksDone, repetitions)
+	t.Logf("the longest row has %d bytes", longest)
+	assert.Assert(t, longest <= maxRowBytes)
+}
+
+// Guards against occurrences that run again after a takeover, or are left out.
+func TestOccurrencesStayDoneAfterTakeover(t *testing.T) {
+	c := &crashRig{rig: newRig(t)}
+	c.register("i-1", "press")
+	c.report("i-1", nil)
+	job, err := workload.NewJob(workload.JobOptions{
+		ID: fmt.Sprintf("%016x", 1), Queue: "plates", Customer: "label", Pool: "press", MaxAttempts: 2, Stretch: 1.6,
+		Steps:      []workload.StepOptions{{Count: 1, MilliCores: 1000, DeclaredDurationMS: 100}},
+		AcceptedMS: c.now.UnixMilli(), FirstRunMS: c.now.UnixMilli(), IntervalMS: 500, Repetitions: 4,
+	})
+	assert.NilError(t, err)
+	c.job = job
+	c.handle(fleet.JobArrived{Job: job})
+	var started []int
+	var ends []backend.RunEnd
+	play := func(d time.Duration) {
+		for range d / (100 * time.Millisecond) {
+			for _, s := range c.starts() {
+				started = append(started, s.Request.Run.Task.Occurrence)
+				c.acceptStart(s)
+				ends = append(ends, backend.RunEnd{Number: int64(len(ends) + 1), Run: s.Request.Run, Kind: workload.EndDone})
+			}
+			c.advance(100 * time.Millisecond)
+			if _, open := c.openPolls["i-1"]; open {
+				c.report("i-1", nil, ends...)
+			}
+		}
+	}
+	play(1200 * time.Millisecond)
+	assert.DeepEqual(t, started, []int{0, 1, 2})
+	c.restart(job)
+	c.register("i-1", "press")
+	c.report("i-1", nil)
+	play(2 * time.Second)
+	assert.DeepEqual(t, started, []int{0, 1, 2, 3})
+	assert.Equal(t, c.state(), workload.JobCompleted)
+}
+
 // Guards against tasks that run again after a takeover because the new controller doesn't know that they are done.
 func TestDoneTasksStayDoneAfterTakeover(t *testing.T) {
 	r := newRig(t)
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -81,7 +81,10 @@
 	Failed bool `json:"failed,omitempty"`
 	// Tasks holds the records, by TaskID.LocalName, of started tasks that aren't done or have runs that may exist.
 	Tasks map[string]TaskRecord `json:"tasks,omitempty"`
-	// DoneSteps are the names of the steps whose tasks are all done. DoneTasks holds, by the name of another step, the
+	// DoneOccurrences is the number of the first occurrences of which all tasks are done. They have no entries in Tasks,
+	// DoneSteps and DoneTasks.
+	DoneOccurrences int `json:"done-occurrences,omitempty"`
+	// DoneSteps are the names of the other steps whose tasks are all done. DoneTasks holds, by the name of another step, the
 	// indexes of its done tasks. Both replace records of done tasks, because a job with many tasks and many occurrences
 	// would have more records than fit into a row of the store.
 	DoneSteps []string         `json:"done-steps,omitempty"`
