Refuse gangs whose progress doesn't fit into a row

Cause: the limit of 400 runs of a job at a time didn't hold for gangs.

Change: a job with a larger gang is refused when it is submitted, with an error that names step, found and allowed; a gang starts beside other runs of its job only within the limit. Jobs that were accepted before are kept.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -80,7 +80,10 @@
 	maxIntentsPerPass = 1200 // starts in one placement pass; a large fleet has ten passes a second
 	// maxActiveRuns bounds the runs of a job at a time, as its progress row must stay below the 64 KB that the store
 	// accepts: the record of a task with a run has some 110 bytes.
-	maxActiveRuns          = 400
+	maxActiveRuns = 400
+	// MaxGangTasks bounds the tasks of a gang, as they run at the same time.
+	MaxGangTasks = maxActiveRuns
+
 	statusInterval         = time.Second
 	failuresBeforeCooldown = 3               // consecutive failed runs that start a failureCooldown
 	failureCooldown        = 4 * time.Second // without new runs for the server
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -366,6 +366,9 @@
 		}
 		run = max(run, t.record.LastRun+1)
 	}
+	if active := st.tasks[0].job.activeRuns; active > 0 && active+len(st.tasks) > maxActiveRuns {
+		return 0
+	}
 	if !s.withinLimit(st.tasks[0], int64(len(st.tasks))) {
 		return 0
 	}
--- a/fleet/progress_test.go
+++ b/fleet/progress_test.go
@@ -32,6 +32,19 @@
 	assert.Assert(t, longest <= maxRowBytes)
 }
 
+// Guards against gangs of a job that together exceed the store's limit of a row.
+func TestProgressOfGangsFitsRow(t *testing.T) {
+	sm := newSimulation(60, 1)
+	gang := workload.StepOptions{Count: fleet.MaxGangTasks, MilliCores: 1000, DeclaredDurationMS: 1000, Gang: true}
+	longest := 0
+	sm.onStore = func(_ string, value []byte) { longest = max(longest, len(value)) }
+	sm.submitJob(1, 0, "", []workload.StepOptions{gang, gang, gang})
+	sm.advance(30 * time.Second)
+	assert.Equal(t, len(sm.endedAt), 1, "the job hasn't ended")
+	t.Logf("the longest row has %d bytes", longest)
+	assert.Assert(t, longest <= maxRowBytes)
+}
+
 // Guards against a job that repeats so often that its progress row exceeds the store's limit, which would stop all jobs.
 func TestProgressOfRepeatingJobFitsRow(t *testing.T) {
 	sm := newSimulation(20, 1)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"strconv"
 	"time"
@@ -177,6 +178,11 @@
 	if err != nil {
 		return Invalid{Reason: err.Error()}
 	}
+	for i, s := range job.Steps() {
+		if s.Gang() && s.Count() > fleet.MaxGangTasks {
+			return Invalid{Reason: fmt.Sprintf("step %d: found a gang of %d tasks, allowed: %d", i, s.Count(), fleet.MaxGangTasks)}
+		}
+	}
 	// The conditions are checked in this order: a conflict is with the request to cancel only if there is no job.
 	key, cancelKey := JobPrefix+o.ID, CancelPrefix+o.ID
 	tx := provider.NewTransaction(
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -146,3 +146,21 @@
 		assert.Equal(t, refused, c.refused, name)
 	}
 }
+
+// Guards against a gang whose progress doesn't fit into a row of the store, which would stop all jobs.
+func TestGangThatDoesNotFitRowIsInvalid(t *testing.T) {
+	for tasks, want := range map[int]string{400: "accepted", 401: "step 0: found a gang of 401 tasks, allowed: 400"} {
+		h, _ := newHandler(0, provider.NewCommitted(5))
+		call := intake.Call{Host: "h", Path: "/p/0123456789abcdef", Key: "key", Deadline: timer.System{}.Now().Add(time.Second)}
+		admission, refusal := h.Admit(call)
+		assert.Assert(t, refusal == nil)
+		outcome := h.Submit(call, admission, workload.JobOptions{
+			ID: "0123456789abcdef", Steps: []workload.StepOptions{{Count: tasks, Gang: true}},
+		})
+		got := outcomeName(outcome)
+		if invalid, ok := outcome.(intake.Invalid); ok {
+			got = invalid.Reason
+		}
+		assert.Equal(t, got, want)
+	}
+}
