Hand out ports of test processes below the ephemeral range

No line follows "Entry VM started", not even one on a failed read, and the only way to that is a VM that can't listen: Run returned the error, which cancelled the test's context, and the test waited on. The rig chose ephemeral ports and released them before the VM listened there, so any outgoing connection could take them.

emulator.Ports hands out ports below the ephemeral range, in blocks that one program claims at a time. The rig of deployment, the fleet of command and the soak use it in place of three functions of their own. The rig now also fails at once, with the error, when a part of the deployment has failed.

--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,7 +14,6 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -27,6 +25,7 @@
 	"github.com/pistachiolead/pistachiolead/api"
 	"github.com/pistachiolead/pistachiolead/command"
 	"github.com/pistachiolead/pistachiolead/group"
+	"github.com/pistachiolead/pistachiolead/platform/emulator"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -390,34 +389,13 @@
 	assert.Equal(f.t, resp.StatusCode, http.StatusOK, string(text))
 }
 
-// ports has the ports that freeAddress has returned.
-var ports = struct {
-	sync.Mutex
-	used map[int]struct{}
-}{used: make(map[int]struct{})}
+var ports emulator.Ports
 
-// freeAddress returns a loopback address whose port is free. The port is below the range of ephemeral ports, so that no
-// outgoing connection takes it before the process that listens there has started.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	for range 1000 {
-		port := 10_000 + rand.IntN(20_000)
-		if _, ok := ports.used[port]; ok {
-			continue
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		ports.used[port] = struct{}{}
-		assert.NilError(t, l.Close())
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
+	address, err := ports.Address()
+	assert.NilError(t, err)
+	return address
 }
 
 func since(start time.Time) time.Duration { return timer.System{}.Now().Sub(start) }
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -74,14 +73,14 @@
 	}
 	r.configure(1, "key-1")
 	r.goroutines.Go(func() error { return r.platform.Run(r.ctx, r.servers) })
-	for i := range vms {
-		r.startVM(fmt.Sprintf("entry-%d", i))
-	}
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, r.goroutines.Wait())
 		assert.DeepEqual(t, r.observer.Violations(), []string(nil))
 	})
+	for i := range vms {
+		r.startVM(fmt.Sprintf("entry-%d", i))
+	}
 	return r
 }
 
@@ -107,12 +106,14 @@
 	})
 }
 
+// ports are the ports of the entry VMs.
+var ports emulator.Ports
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := ports.Address()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func (r *rig) startVM(name string) *entryVM {
@@ -120,24 +121,6 @@
 	return r.startVMWithProcessors(name, 0.8)
 }
 
-// twoFreePorts returns the first of two consecutive ports that are free.
-func twoFreePorts(t *testing.T) int {
-	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
-		assert.NilError(t, err)
-		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
-		assert.NilError(t, first.Close())
-		if err == nil {
-			assert.NilError(t, second.Close())
-			return port
-		}
-	}
-	t.Fatal("no two consecutive ports are free")
-	return 0
-}
-
 // counter returns the value of a counter of the entry VM.
 func (v *entryVM) counter(name string) float64 {
 	for _, c := range v.scope.Snapshot().Counters() {
@@ -150,7 +133,8 @@
 
 func (r *rig) startVMWithProcessors(name string, processors float64) *entryVM {
 	r.t.Helper()
-	ports := twoFreePorts(r.t)
+	internalPort, err := ports.Consecutive(2)
+	assert.NilError(r.t, err)
 	address := freeAddress(r.t)
 	set, err := platform.ParseSettings([]byte(fmt.Sprintf(`
 NodeName: %q
@@ -162,7 +146,7 @@
 Bounds: {GraceS: 2, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3}
 platform: {Address: %q}
 CloudApi: {Address: %q}
-`, name, address, freeAddress(r.t), ports, ports+1, processors, r.platform.StoreAddress(), r.platform.VMsAddress())))
+`, name, address, freeAddress(r.t), internalPort, internalPort+1, processors, r.platform.StoreAddress(), r.platform.VMsAddress())))
 	assert.NilError(r.t, err)
 	ctx, cancel := context.WithCancel(r.ctx)
 	scope := tally.NewTestScope("", nil)
@@ -191,6 +175,7 @@
 	clock := timer.System{}
 	deadline := clock.Now().Add(eventuallyTimeout)
 	for !check() {
+		assert.NilError(r.t, r.ctx.Err(), "a goroutine of the deployment failed while waiting: %s", what)
 		if clock.Now().After(deadline) {
 			r.t.Fatalf("condition not met within %s: %s", eventuallyTimeout, what)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,14 +8,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -212,29 +210,14 @@
 	})
 }
 
-// The ports of entry VMs are below the range of ephemeral ports. A process that is killed keeps its port for its restart:
-// neither an outgoing connection nor another seed takes it meanwhile.
-const (
-	firstPort = 30_000
-	portCount = 2_700
-)
-
-var lastPort atomic.Uint32 // offset from firstPort, modulo portCount
+// ports are the ports of entry VMs. A process that is killed keeps its port for its restart.
+var ports emulator.Ports
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lastPort.CompareAndSwap(0, rand.Uint32N(portCount))
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
-		l, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue // of another process
-		}
-		assert.NilError(t, l.Close())
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
+	address, err := ports.Address()
+	assert.NilError(t, err)
+	return address
 }
 
 func (b *testbed) addEntryVM(name string) {
