Look for a cancelled job after its cancellation is stored

Cancel looked for the job first and stored the request afterwards, for seconds while the store is slow, and answered by what it had seen first: a job accepted in between was cancelled by a call that said there was none.

The request is stored first now. A job that isn't found after that can't be stored any more, so that both answers are true. Failed reads are retried until shortly before the deadline.

--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -20,9 +20,15 @@
 	rows    map[string]provider.Row
 	late    bool
 	delayed []provider.Transaction
+	// beforeCommit is called before the next commit, unless it is nil.
+	beforeCommit func()
 }
 
 func (l *lateTable) Commit(_ context.Context, tx provider.Transaction) provider.CommitOutcome {
+	if before := l.beforeCommit; before != nil {
+		l.beforeCommit = nil
+		before()
+	}
 	if l.late {
 		l.delayed = append(l.delayed, tx)
 		return provider.NewOutcomeUnknown("no response")
@@ -103,9 +109,27 @@
 	assert.Equal(t, outcomeName(h.Cancel(call, "00000000000000ff")), "unknown outcome")
 }
 
-// Guards against a job that was stored between the look for it and the request to cancel it.
 func TestCancelIsStoredForUnknownJob(t *testing.T) {
 	_, table, _ := submitAndCancel(t, func(l *lateTable) { l.late = false })
 	_, stored := table.rows[intake.CancelPrefix+cancelledJob]
 	assert.Assert(t, stored)
 }
+
+// Guards against a job that is cancelled although the caller was told that there is no such job: the job is accepted while the
+// request to cancel it is on its way to the store.
+func TestCancelOfJobThatIsAcceptedMeanwhile(t *testing.T) {
+	h, _ := newHandler(0, provider.NewUnavailable("not used"))
+	table := &lateTable{rows: make(map[string]provider.Row)}
+	for partition := range h.JobTables {
+		h.JobTables[partition] = table
+	}
+	table.beforeCommit = func() {
+		call := intake.Call{Host: "h", Path: "/p/" + cancelledJob, Key: "key", Deadline: timer.System{}.Now().Add(time.Second)}
+		admission, refusal := h.Admit(call)
+		assert.Assert(t, refusal == nil)
+		options := workload.JobOptions{ID: cancelledJob, Steps: []workload.StepOptions{{Count: 1}}}
+		assert.Equal(t, outcomeName(h.Submit(call, admission, options)), "accepted")
+	}
+	call := intake.Call{Deadline: timer.System{}.Now().Add(time.Second)}
+	assert.Equal(t, outcomeName(h.Cancel(call, cancelledJob)), "accepted")
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -238,23 +238,15 @@
 	}
 }
 
-// Cancel stores a request to cancel a job. The controller stops the job's runs later. The request is stored for an unknown job
-// as well: the store may carry out an unanswered write of the job after this, and that write then fails. The outcome is
-// Accepted, Refused, OutcomeUnknown or UnknownJob.
+// Cancel stores a request to cancel a job. The controller stops the job's runs later. The request is stored before the job is
+// looked for: a job that isn't stored by then never will be, even if the store has yet to carry out an unanswered write of it.
+// The outcome is Accepted, Refused, OutcomeUnknown or UnknownJob.
 func (h *Handler) Cancel(c Call, id string) Outcome {
 	partition := PartitionOf(id)
-	_, found, reason := read(h.JobTables[partition], JobPrefix+id)
-	if reason != "" {
-		return h.refuse(c, "store-unreadable: "+reason, 0)
-	}
 	tx := provider.NewTransaction(nil, []provider.Write{provider.NewPut(CancelPrefix+id, []byte("{}"))})
 	switch out := h.commit(partition, tx, c.Deadline).(type) {
 	case provider.Committed:
-		klog.InfoS("Cancellation stored", "call", c.ID, "job", id, "version", out.Version(), "known-job", found)
-		if !found {
-			return UnknownJob{}
-		}
-		return Accepted{}
+		return h.outcomeOfCancel(c, id, out.Version())
 	case provider.Unavailable:
 		return h.refuse(c, "store-unavailable: "+out.Reason(), 0)
 	case provider.OutcomeUnknown:
@@ -265,6 +257,25 @@
 	return OutcomeUnknown{Reason: "unexpected outcome"}
 }
 
+// outcomeOfCancel reads whether the job exists whose cancellation is stored, and retries failed reads until shortly before the
+// deadline.
+func (h *Handler) outcomeOfCancel(c Call, id string, version uint64) Outcome {
+	for backoff := initialBackoff; ; backoff *= 2 {
+		_, found, reason := read(h.JobTables[PartitionOf(id)], JobPrefix+id)
+		if reason == "" {
+			klog.InfoS("Cancellation stored", "call", c.ID, "job", id, "version", version, "known-job", found)
+			if !found {
+				return UnknownJob{}
+			}
+			return Accepted{}
+		}
+		if h.Clock.Now().Add(backoff + responseReserve).After(c.Deadline) {
+			return OutcomeUnknown{Reason: "store-unreadable: " + reason}
+		}
+		timer.Wait(context.Background(), h.Clock, backoff)
+	}
+}
+
 // JobState reads the state of a job. The outcome is JobStatus, Refused, OutcomeUnknown or UnknownJob.
 func (h *Handler) JobState(c Call, id string) Outcome {
 	row, found, reason := read(h.ControlTable, fleet.ProgressPrefix+id)
