Load live jobs only, and remove the rows of jobs that have ended

Change: a new leader reads the copies of unsettled jobs, the first pages of progress, and beyond these only the progress of the copied jobs. Which other jobs have ended it reads while it works, before it reads the jobs that wait. A leader removes the rows of a job 1.5 times status_s after its end: first jobs/ and cancels/, then progress/, each removal with the version of its row as a condition. A request to cancel an unknown job is removed after the same time, if no such job is stored. A row of a job that is later than the row of progress is a new job with the same id. A row that can't be decoded costs its job only.

Tests, each failed on the commit before: TestLeaderLoadsBesideEndedJobs (tasks don't run within 20 s), TestRowsOfEndedJobsAreRemoved (state still shown), TestLeaderLoadsBesideMalformedRow (no job completes).

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -18,6 +18,12 @@
 	// maxReadRetries bounds the retries of one read when the controller starts. Then the controller ends, so that
 	// another entry VM may become the leader.
 	maxReadRetries = 3
+	// minProgressPages is the number of pages of rows of progress that a new leader reads before it continues with the rows of
+	// the live jobs only. It reads more pages until it has two rows for each of these.
+	minProgressPages = 4
+	// retentionPercent is how long the rows of ended jobs are kept, in percent of the time for which their states must be
+	// readable.
+	retentionPercent = 150
 
 	// takeoverStep is the unit of the takeover delay. An entry VM with less CPU time than preferredCores waits for up to
 	// two steps, and every entry VM waits for a jitter of up to one step.
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -42,13 +42,18 @@
 	eventsSince time.Time // when the first of events was posted
 	eventsReady chan struct{}
 	requests    chan fleet.Effect // to senders that are idle
-	seenJobs    map[string]bool   // the ids of all jobs that were read, so that none is posted twice
+	// seenJobs holds the jobs that were read, so that none is posted twice: the versions of their rows by id, or 0 for a job
+	// whose row wasn't read.
+	seenJobs  map[string]uint64
+	ended     endedJobs
+	endedRead chan struct{} // closed once ended holds all jobs that ended before the term
 }
 
 // start starts the controller in goroutines of the entry VM.
 func (c *controller) start(ctx context.Context) {
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.eventsReady, c.seenJobs = make(chan struct{}, 1), make(map[string]bool)
+	c.eventsReady, c.seenJobs = make(chan struct{}, 1), make(map[string]uint64)
+	c.endedRead = make(chan struct{})
 	c.requests = make(chan fleet.Effect)
 	s := c.vm.Settings
 	c.servers = platform.NewBackendClient()
@@ -201,8 +206,7 @@
 func (c *controller) watchTables(version uint64) {
 	c.watchJobTable(intake.JobPrefix, version, func(row provider.Row) {
 		id := row.Key()[len(intake.JobPrefix):]
-		// A job that was posted before may have ended, and must not run again.
-		if row.Deleted() || !c.markSeen(id) {
+		if row.Deleted() || c.ended.contains(id, row.Version()) || !c.markSeen(id, row.Version()) {
 			return
 		}
 		if job := decodeJob(row); job != nil {
@@ -217,15 +221,47 @@
 	c.watchRegistrations()
 }
 
-// markSeen records the id of a job and reports whether it is new.
-func (c *controller) markSeen(id string) bool {
+// markSeen records the row of a job and reports whether it is new. A later row is of a new job with the same id: the row of the
+// earlier one was removed after its end.
+func (c *controller) markSeen(id string, version uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.seenJobs[id] {
-		return false
+	known, seen := c.seenJobs[id]
+	c.seenJobs[id] = max(known, version)
+	return !seen || (known > 0 && version > known)
+}
+
+func (c *controller) hasSeen(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, seen := c.seenJobs[id]
+	return seen
+}
+
+// forget forgets jobs whose rows were removed.
+func (c *controller) forget(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	c.mu.Lock()
+	for _, id := range ids {
+		delete(c.seenJobs, id)
 	}
-	c.seenJobs[id] = true
-	return true
+	c.mu.Unlock()
+	c.post(fleet.JobsRemoved{IDs: ids})
+}
+
+// removeEndedJobs removes the rows of jobs that ended a while ago.
+func (c *controller) removeEndedJobs() {
+	kept := c.vm.Settings.StatusTime() * retentionPercent / 100
+	r := &retention{
+		Duration: kept, Interval: kept, Clock: c.vm.Clock, ControlTable: c.vm.control, JobTable: c.vm.jobPartition,
+		Ended: &c.ended, Removed: c.forget, Scope: c.vm.Scope.SubScope("retention"),
+	}
+	c.vm.goroutines.Go(func() error {
+		defer c.endAfterPanic("retention")
+		return r.Run(c.ctx)
+	})
 }
 
 // watchJobTable calls handle for the rows of a table that is spread over the job partitions. It reads the present rows
@@ -250,6 +286,7 @@
 	c.readPartitions(prefix, handle, func() {
 		if prefix == intake.JobPrefix {
 			c.post(fleet.JobsRead{})
+			c.removeEndedJobs()
 		}
 	})
 	c.vm.goroutines.Go(func() error { return w.run(c.ctx) })
@@ -259,6 +296,13 @@
 // read after it has read the others, and calls done once it has read all of them.
 func (c *controller) readPartitions(prefix string, handle func(provider.Row), done func()) {
 	c.vm.goroutines.Go(func() error {
+		if prefix == intake.JobPrefix {
+			select {
+			case <-c.endedRead:
+			case <-c.ctx.Done():
+				return nil
+			}
+		}
 		unread, reason := make([]int, 0, intake.Partitions), ""
 		for partition := range intake.Partitions {
 			unread = append(unread, partition)
@@ -345,9 +389,16 @@
 
 // execute carries out an effect without blocking, and posts its outcome as an event.
 func (c *controller) execute(e fleet.Effect) {
-	if e, ok := e.(fleet.Commit); ok {
+	switch e := e.(type) {
+	case fleet.Commit:
 		c.vm.committer.Submit(e.Transaction, func(o provider.CommitOutcome) { c.post(fleet.CommitEnded{Outcome: o}) })
 		return
+	case fleet.JobsSettled:
+		now := c.vm.Clock.Now()
+		for _, id := range e.IDs {
+			c.ended.add(endedJob{id: id, version: e.Version, since: now})
+		}
+		return
 	}
 	if !c.relays.Send(e) {
 		c.sendDirectly(e)
@@ -414,7 +465,7 @@
 		return c.recommend(e, t.Now())
 	case fleet.ListVMs:
 		return c.listVMs(t.Now())
-	case fleet.Commit, fleet.Deposed:
+	case fleet.Commit, fleet.JobsSettled, fleet.Deposed:
 	}
 	panic("send: the effect has no request")
 }
--- /dev/null
+++ b/deployment/ended_test.go
@@ -0,0 +1,103 @@
+package deployment_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/intake"
+	"github.com/pistachiolead/pistachiolead/platform/emulator"
+	"github.com/pistachiolead/pistachiolead/timer"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// addEndedJobs stores the rows of n jobs that have ended. Their ids are above those of jobID.
+func (r *rig) addEndedJobs(n int) {
+	r.t.Helper()
+	options := workload.JobOptions{
+		ID: strings.Repeat("0", 16), Queue: "plates", Customer: "label", Pool: "press", MaxAttempts: 2, Specification: "s",
+		Steps: []workload.StepOptions{{Count: 2, MilliCores: 1000, MemoryMB: 500, DeclaredDurationMS: 100}}, AcceptedMS: 1,
+	}
+	template, err := workload.NewJob(options)
+	assert.NilError(r.t, err)
+	job, progress := string(template.Encode()), workload.Progress{State: workload.JobCompleted}.Encode()
+	ids, byPartition := make([]string, n), make(map[int][]string)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", 1<<32+i)
+		p := intake.PartitionOf(ids[i])
+		byPartition[p] = append(byPartition[p], ids[i])
+	}
+	for p, keys := range byPartition {
+		r.store.Load("jobs", intake.PartitionName(p), keys, func(key string) []byte {
+			return []byte(strings.Replace(job, options.ID, key, 1))
+		})
+	}
+	r.store.Load("progress", "control", ids, func(string) []byte { return progress })
+}
+
+// Guards against a store with so many ended jobs that no entry VM can load the control state.
+func TestLeaderLoadsBesideEndedJobs(t *testing.T) {
+	r := newRig(t, 0, 6*time.Second)
+	r.linkMbps = 2
+	r.startVM("entry-0")
+	r.startVM("entry-1")
+	r.addEndedJobs(24_000)
+	slowReads := func(path string) emulator.Fault {
+		if path == "/api/rows-get" {
+			timer.Wait(r.ctx, timer.System{}, 4*time.Millisecond)
+		}
+		return emulator.FaultNone
+	}
+	r.fault.Store(&slowReads)
+	vm := r.vms[1]
+	r.eventually("a job is accepted", func() bool {
+		return r.submit(vm, "plates", jobID(1), step(2, 1000)) == http.StatusOK
+	})
+	r.eventually("its tasks run", func() bool { return r.observer.Starts(jobID(1)+".0.0.1") == 1 })
+	r.vms[0].kill()
+	r.eventually("the job is complete", func() bool { return r.state(vm, "plates", jobID(1)) == "completed" })
+	assert.Equal(t, r.observer.Starts(jobID(1)+".0.0.0"), 1)
+	assert.Equal(t, r.observer.Starts(jobID(1)+".0.0.1"), 1)
+	assert.Equal(t, r.submit(vm, "plates", fmt.Sprintf("%016x", 1<<32), step(2, 1000)), http.StatusOK, "a repeated call")
+	r.eventually("a job is accepted", func() bool {
+		return r.submit(vm, "plates", jobID(2), step(2, 1000)) == http.StatusOK
+	})
+	r.eventually("the job is complete", func() bool { return r.state(vm, "plates", jobID(2)) == "completed" })
+	assert.Equal(t, r.observer.Starts(fmt.Sprintf("%016x.0.0.0", 1<<32)), 0, "an ended job runs again")
+}
+
+// Guards against rows of ended jobs and of requests to cancel jobs that stay in the store for ever, and against states that can't
+// be read for as long as the settings say.
+func TestRowsOfEndedJobsAreRemoved(t *testing.T) {
+	r := newRig(t, 0, 100*time.Millisecond)
+	r.statusTime = 2
+	r.startVM("entry-0")
+	vm := r.vms[0]
+	r.completes(1)
+	ended := timer.System{}.Now()
+	status, _ := r.call(vm, http.MethodDelete, "/plates/"+jobID(7), "key-1", nil)
+	assert.Equal(t, status, http.StatusGone, "a request to cancel an unknown job")
+	r.eventually("the job is unknown", func() bool {
+		status, _ := r.call(vm, http.MethodGet, "/plates/"+jobID(1), "key-1", nil)
+		return status == http.StatusGone
+	})
+	assert.Assert(t, timer.System{}.Now().Sub(ended) >= 1900*time.Millisecond)
+	r.eventually("no rows are left", func() bool {
+		return r.store.Count("jobs")+r.store.Count("cancels")+r.store.Count("progress")+r.store.Count("specs") == 0
+	})
+	r.observer.Forget(jobID(1))
+	r.completes(1) // a new job with the same id
+}
+
+// Guards against one row of progress that can't be read and stops all jobs.
+func TestLeaderLoadsBesideMalformedRow(t *testing.T) {
+	r := newRig(t, 2, 100*time.Millisecond)
+	r.completes(1)
+	r.store.Load("progress", "control", []string{jobID(5)}, func(string) []byte { return []byte("{") })
+	r.vms[0].kill()
+	r.completes(2)
+}
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -34,6 +34,8 @@
 	vms        []*entryVM
 	goroutines *group.Group
 	ctx        context.Context
+	linkMbps   float64                                          // of entry VMs that are started next, 0 if it isn't known
+	statusTime float64                                          // for which the states of ended jobs are kept, in seconds
 	fault      atomic.Pointer[func(path string) emulator.Fault] // of the store, by request
 	down       atomic.Pointer[func(partition string) bool]      // whether a store partition is down
 }
@@ -51,7 +53,7 @@
 func newRig(t *testing.T, vms int, duration time.Duration) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &rig{t: t, observer: &emulator.Observer{}}
+	r := &rig{t: t, observer: &emulator.Observer{}, statusTime: 120}
 	r.store = &emulator.Store{Clock: timer.System{}, Fault: func(path string) emulator.Fault {
 		if fault := r.fault.Load(); fault != nil {
 			return (*fault)(path)
@@ -142,11 +144,12 @@
 ListenAddresses: {Frontend: %q, Readiness: %q}
 IpAddress: 127.0.0.1
 InternalPortRange: [%d, %d]
-Limits: {CpuShare: %g, CpuCores: 1}
-Bounds: {GraceS: 2, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3}
+Limits: {CpuShare: %g, CpuCores: 1, LinkMbps: %g}
+Bounds: {GraceS: 2, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3, status_s: %g}
 platform: {Address: %q}
 CloudApi: {Address: %q}
-`, name, address, freeAddress(r.t), internalPort, internalPort+1, processors, r.platform.StoreAddress(), r.platform.VMsAddress())))
+`, name, address, freeAddress(r.t), internalPort, internalPort+1, processors, r.linkMbps, r.statusTime,
+		r.platform.StoreAddress(), r.platform.VMsAddress())))
 	assert.NilError(r.t, err)
 	ctx, cancel := context.WithCancel(r.ctx)
 	scope := tally.NewTestScope("", nil)
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -30,6 +30,10 @@
 	Scope        tally.Scope
 	WriteMetrics func(io.Writer) error
 
+	// loadsAll says that a new controller reads all rows of progress before it starts, as some were stored by an earlier release
+	// without copies of their jobs.
+	loadsAll atomic.Bool
+
 	// operatorRows holds the rows of operators that this entry VM has seen.
 	operatorRows presentRows
 
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -267,8 +267,14 @@
 		s.emit(r.effect)
 	}
 	s.acknowledgeEnds(c.ends, now)
+	var settled []string
 	for _, j := range c.jobs {
-		s.dropFinishedJob(j)
+		if s.dropFinishedJob(j) {
+			settled = append(settled, j.spec.ID())
+		}
+	}
+	if len(settled) > 0 {
+		s.emit(JobsSettled{IDs: settled, Version: version})
 	}
 }
 
--- a/fleet/effect.go
+++ b/fleet/effect.go
@@ -78,6 +78,13 @@
 	Complete bool
 }
 
+// JobsSettled says that jobs have ended, that none of their runs may exist, and that their rows of progress say so in the given
+// version. It has no outcome.
+type JobsSettled struct {
+	IDs     []string
+	Version uint64
+}
+
 // Deposed says that this entry VM is no longer the leader, and why. The state must not be used any more.
 type Deposed struct{ Reason string }
 
@@ -91,4 +98,5 @@
 func (MaintainVM) effect()            {}
 func (MoveVM) effect()                {}
 func (PublishWaveStatus) effect()     {}
+func (JobsSettled) effect()           {}
 func (Deposed) effect()               {}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -24,6 +24,10 @@
 // CancelRequested is a stored request to cancel a job, which may be read before the job itself.
 type CancelRequested struct{ ID string }
 
+// JobsRemoved says that the stored rows of jobs were removed: of jobs that ended a while ago, and of requests to cancel jobs
+// that were never stored.
+type JobsRemoved struct{ IDs []string }
+
 // OperationArrived is a change by an operator: a configuration, a zone evacuated or restored, or a wave.
 type OperationArrived struct{ Operation directory.Operation }
 
@@ -118,6 +122,7 @@
 func (JobArrived) event()          {}
 func (JobsRead) event()            {}
 func (CancelRequested) event()     {}
+func (JobsRemoved) event()         {}
 func (OperationArrived) event()    {}
 func (ServerRegistered) event()    {}
 func (ServerUnregistered) event()  {}
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -54,11 +54,13 @@
 	}
 }
 
-// dropFinishedJob removes a job if it has ended, has no runs, and all of that is stored.
-func (s *State) dropFinishedJob(j *job) {
-	if j.state.Final() && j.activeRuns == 0 && !j.changed {
-		delete(s.jobs, j.spec.ID())
+// dropFinishedJob removes a job if it has ended, has no runs, and all of that is stored. It reports whether it did.
+func (s *State) dropFinishedJob(j *job) bool {
+	if !j.state.Final() || j.activeRuns > 0 || j.changed {
+		return false
 	}
+	delete(s.jobs, j.spec.ID())
+	return true
 }
 
 // maxAttempts returns the number of failed runs of a task after which its job fails.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -175,6 +175,10 @@
 		s.jobsRead = true
 	case CancelRequested:
 		s.cancel(e.ID, now)
+	case JobsRemoved:
+		for _, id := range e.IDs {
+			delete(s.earlyCancels, id)
+		}
 	case OperationArrived:
 		s.applyOperation(e.Operation, now)
 	case ServerRegistered:
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -150,12 +150,13 @@
 		ids[i] = jobID(0x100, i)
 		byPart[partOf(ids[i])] = append(byPart[partOf(ids[i])], ids[i])
 	}
-	d.store.preload("progress", "control", ids, func(string) []byte { return progressRow })
 	for part, keys := range byPart {
 		d.store.preload("jobs", part, keys, func(key string) []byte {
 			return bytes.ReplaceAll(jobRow, []byte(template), []byte(key))
 		})
 	}
+	// The system writes it after the row of its job.
+	d.store.preload("progress", "control", ids, func(string) []byte { return progressRow })
 	d.log.printf("the store holds the rows of %d such jobs", n)
 }
 
