Measure takeovers beside ended and live jobs

A leader reads a page of progress for each 20 live jobs now, because 3,000 rows read one by one exceed the store's rate of reads.

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -19,8 +19,9 @@
 	// another entry VM may become the leader.
 	maxReadRetries = 3
 	// minProgressPages is the number of pages of rows of progress that a new leader reads before it continues with the rows of
-	// the live jobs only. It reads more pages until it has two rows for each of these.
+	// the live jobs only. It reads one more for each jobsPerPage of these.
 	minProgressPages = 4
+	jobsPerPage      = 20
 	// retentionPercent is how long the rows of ended jobs are kept, in percent of the time for which their states must be
 	// readable.
 	retentionPercent = 150
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -283,8 +283,10 @@
 		}
 		return nil, listVersion, err
 	}
+	began := c.vm.Clock.Now()
 	c.readPartitions(prefix, handle, func() {
 		if prefix == intake.JobPrefix {
+			c.vm.Scope.SubScope("control").Timer("read-waiting-jobs").Record(c.vm.Clock.Now().Sub(began))
 			c.post(fleet.JobsRead{})
 			c.removeEndedJobs()
 		}
--- a/deployment/ended_test.go
+++ b/deployment/ended_test.go
@@ -15,28 +15,41 @@
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
-// addEndedJobs stores the rows of n jobs that have ended. Their ids are above those of jobID.
+const firstEnded = 1 << 32
+
+// addEndedJobs stores the rows of n jobs that have ended. Their numbers count up from firstEnded.
 func (r *rig) addEndedJobs(n int) {
+	r.t.Helper()
+	r.addJobs(firstEnded, n, workload.Progress{State: workload.JobCompleted}, workload.StepOptions{Count: 2, MilliCores: 1000})
+}
+
+// spreadID returns the id of a job by its number. The ids of consecutive numbers are far apart, as those of customers are.
+func spreadID(n int) string { return fmt.Sprintf("%016x", uint64(n)*0x9e3779b97f4a7c15) }
+
+// addJobs stores the rows of n jobs whose numbers count up from first, with one step and the given progress. It returns their rows
+// by id.
+func (r *rig) addJobs(first, n int, p workload.Progress, step workload.StepOptions) (rows map[string][]byte) {
 	r.t.Helper()
 	options := workload.JobOptions{
-		ID: strings.Repeat("0", 16), Queue: "plates", Customer: "label", Pool: "press", MaxAttempts: 2, Specification: "s",
-		Steps: []workload.StepOptions{{Count: 2, MilliCores: 1000, MemoryMB: 500, DeclaredDurationMS: 100}}, AcceptedMS: 1,
+		ID: strings.Repeat("f", 16), Queue: "plates", Customer: "label", Pool: "press", MaxAttempts: 2, Specification: "s",
+		Steps: []workload.StepOptions{step}, AcceptedMS: 1,
 	}
 	template, err := workload.NewJob(options)
 	assert.NilError(r.t, err)
-	job, progress := string(template.Encode()), workload.Progress{State: workload.JobCompleted}.Encode()
+	job, progress := string(template.Encode()), p.Encode()
+	rows = make(map[string][]byte, n)
 	ids, byPartition := make([]string, n), make(map[int][]string)
 	for i := range ids {
-		ids[i] = fmt.Sprintf("%016x", 1<<32+i)
+		ids[i] = spreadID(first + i)
+		rows[ids[i]] = []byte(strings.Replace(job, options.ID, ids[i], 1))
 		p := intake.PartitionOf(ids[i])
 		byPartition[p] = append(byPartition[p], ids[i])
 	}
 	for p, keys := range byPartition {
-		r.store.Load("jobs", intake.PartitionName(p), keys, func(key string) []byte {
-			return []byte(strings.Replace(job, options.ID, key, 1))
-		})
+		r.store.Load("jobs", intake.PartitionName(p), keys, func(key string) []byte { return rows[key] })
 	}
 	r.store.Load("progress", "control", ids, func(string) []byte { return progress })
+	return rows
 }
 
 // Guards against a store with so many ended jobs that no entry VM can load the control state.
@@ -62,12 +75,12 @@
 	r.eventually("the job is complete", func() bool { return r.state(vm, "plates", jobID(1)) == "completed" })
 	assert.Equal(t, r.observer.Starts(jobID(1)+".0.0.0"), 1)
 	assert.Equal(t, r.observer.Starts(jobID(1)+".0.0.1"), 1)
-	assert.Equal(t, r.submit(vm, "plates", fmt.Sprintf("%016x", 1<<32), step(2, 1000)), http.StatusOK, "a repeated call")
+	assert.Equal(t, r.submit(vm, "plates", spreadID(firstEnded), step(2, 1000)), http.StatusOK, "a repeated call")
 	r.eventually("a job is accepted", func() bool {
 		return r.submit(vm, "plates", jobID(2), step(2, 1000)) == http.StatusOK
 	})
 	r.eventually("the job is complete", func() bool { return r.state(vm, "plates", jobID(2)) == "completed" })
-	assert.Equal(t, r.observer.Starts(fmt.Sprintf("%016x.0.0.0", 1<<32)), 0, "an ended job runs again")
+	assert.Equal(t, r.observer.Starts(spreadID(firstEnded)+".0.0.0"), 0, "an ended job runs again")
 }
 
 // Guards against rows of ended jobs and of requests to cancel jobs that stay in the store for ever, and against states that can't
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -26,7 +26,7 @@
 
 // rig is a whole deployment in one process: the emulated platform, its backend servers and entry VMs.
 type rig struct {
-	t          *testing.T
+	t          testing.TB
 	platform   *emulator.Platform
 	store      *emulator.Store
 	observer   *emulator.Observer
@@ -50,7 +50,7 @@
 
 // newRig starts a platform with 6 backend servers on which each task takes the given duration, and entry VMs. At the
 // end of the test it stops them and checks that the emulator observed no violation.
-func newRig(t *testing.T, vms int, duration time.Duration) *rig {
+func newRig(t testing.TB, vms int, duration time.Duration) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, observer: &emulator.Observer{}, statusTime: 120}
@@ -111,7 +111,7 @@
 // ports are the ports of the entry VMs.
 var ports emulator.Ports
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	address, err := ports.Address()
 	assert.NilError(t, err)
--- a/deployment/stored.go
+++ b/deployment/stored.go
@@ -64,6 +64,7 @@
 	open := c.state.Restore(s.Stored, c.vm.Clock.Now())
 	klog.InfoS("Controller started", "vm", c.vm.Settings.Name(), "token", c.token, "open-jobs", open,
 		"stored-jobs", len(s.Progress), "ended-jobs", len(s.ended), "all-read", s.lastRead == "", "took", s.took)
+	c.vm.Scope.SubScope("control").Timer("load").Record(s.took)
 	c.vm.goroutines.Go(func() error {
 		defer c.endAfterPanic("ended jobs")
 		c.readEndedJobs(s.lastRead)
@@ -113,20 +114,20 @@
 }
 
 // readProgress reads the rows of progress of the jobs that aren't settled. There may be many more rows of jobs that are, so it
-// reads all rows only up to a number that grows with the unsettled jobs, and then those of the other unsettled jobs one by one.
+// reads a number of pages that grows with the unsettled jobs, and then the rows of the other unsettled jobs one by one.
 func (c *controller) readProgress(s *storedState) error {
 	s.Progress = make(map[string]workload.Progress, len(s.copies))
 	var rows []provider.Row
 	more := false
-	limit, pages := 2*len(s.copies), 0
+	pages := minProgressPages + len(s.copies)/jobsPerPage
 	if c.vm.loadsAll.Load() {
-		limit = math.MaxInt
+		pages = math.MaxInt
 	}
 	var err error
 	s.version, err = c.readPages(c.vm.control, fleet.ProgressPrefix, "", maxReadRetries, func(page []provider.Row) bool {
 		rows = append(rows, page...)
-		pages++
-		more = pages >= minProgressPages && len(rows) >= limit
+		pages--
+		more = pages == 0
 		return !more
 	})
 	if err != nil {
