Isolate a commit that the store rejects for its content

Cause: a 400 counted as unavailable, so the committer and the control state sent the same transaction for ever, the term wasn't renewed, and the next leader did the same: one row too long, or changes of over 1 MB, held up all jobs.

Change: provider.Rejected is an outcome of its own. A job that the store rejects at its submission is answered as invalid instead of refused with a Retry-After.

--- a/commit/committer.go
+++ b/commit/committer.go
@@ -52,6 +52,7 @@
 // Submit queues a transaction. The callback is called exactly once:
 //   - with Committed after the transaction was applied;
 //   - with Conflict if a condition of this transaction isn't met;
+//   - with Rejected if the table rejects this transaction for its content;
 //   - with Unavailable if it wasn't applied and never will be: at once if the queue is full or the committer has
 //     stopped, else at the deadline or when the committer stops;
 //   - with OutcomeUnknown if the outcome of an attempt isn't known at the deadline or when the committer stops.
--- a/commit/metrics.go
+++ b/commit/metrics.go
@@ -10,6 +10,7 @@
 	attempts    tally.Counter
 	committed   tally.Counter
 	conflicts   tally.Counter
+	rejected    tally.Counter
 	unavailable tally.Counter
 	unknown     tally.Counter
 	refused     tally.Counter
@@ -22,6 +23,7 @@
 		attempts:    s.Counter("attempts"),
 		committed:   s.Counter("committed"),
 		conflicts:   s.Counter("conflicts"),
+		rejected:    s.Counter("rejected"),
 		unavailable: s.Counter("unavailable"),
 		unknown:     s.Counter("unknown"),
 		refused:     s.Counter("refused"),
@@ -35,6 +37,8 @@
 		m.committed.Inc(1)
 	case provider.Conflict:
 		m.conflicts.Inc(1)
+	case provider.Rejected:
+		m.rejected.Inc(1)
 	case provider.Unavailable:
 		m.unavailable.Inc(1)
 	case provider.OutcomeUnknown:
--- a/commit/state.go
+++ b/commit/state.go
@@ -115,6 +115,8 @@
 		return s.applied(o.Version())
 	case provider.Conflict:
 		return s.handleConflict(o, now)
+	case provider.Rejected:
+		return s.handleRejection(o, now)
 	case provider.Unavailable:
 		s.rowBucket.refund(float64(s.inFlight.rows))
 		s.backOff(now)
@@ -282,6 +284,29 @@
 	return done
 }
 
+// handleRejection ends a batch that the table rejects for its content. The items of a batch of several are sent one by one, to
+// find those that it rejects.
+func (s *State) handleRejection(o provider.Rejected, now time.Time) []Completion {
+	b := s.inFlight
+	s.rowBucket.refund(float64(b.rows))
+	if b.fenceToken != "" {
+		s.backOff(now)
+		return nil
+	}
+	s.consecutiveFailures = 0
+	if b.outcomeUnknown {
+		return s.completeBatch(provider.NewOutcomeUnknown("rejected after an attempt without a response: " + o.Reason()))
+	}
+	if len(b.items) == 1 {
+		return s.completeBatch(o)
+	}
+	for _, m := range b.items {
+		m.sendAlone = true
+	}
+	s.requeue()
+	return nil
+}
+
 // handleOwnRowConflict processes a conflict on the committer's own row. The token in the row shows who wrote it last.
 func (s *State) handleOwnRowConflict(row provider.Row) []Completion {
 	b := s.inFlight
--- a/commit/state_test.go
+++ b/commit/state_test.go
@@ -78,3 +78,34 @@
 		s.Handle(provider.NewCommitted(uint64(i+1)), now)
 	}
 }
+
+// Guards against a transaction that the table rejects for its content and that is sent for ever, and against others of its batch
+// that share its fate.
+func TestStateSeparatesRejectedTransaction(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := commit.NewState("vm", commit.NewLimits(20, 20, 300), rand.New(rand.NewPCG(1, 2)), now)
+	ids := make(map[uint64]int)
+	for n := 1; n <= 3; n++ {
+		ids[s.Add(markTransaction(n))] = n
+	}
+	outcomes := make(map[int]provider.CommitOutcome)
+	for version := uint64(1); s.Pending() > 0 && version < 20; version++ {
+		now = now.Add(time.Second)
+		send, ok := s.Next(now, "token").(commit.Send)
+		assert.Assert(t, ok)
+		var outcome provider.CommitOutcome = provider.NewCommitted(version)
+		for _, w := range send.Transaction().Writes() {
+			if w.Key() == "mark/2" {
+				outcome = provider.NewRejected("too long")
+			}
+		}
+		for _, c := range s.Handle(outcome, now) {
+			outcomes[ids[c.ID()]] = c.Outcome()
+		}
+	}
+	assert.Equal(t, len(outcomes), 3)
+	for n, o := range outcomes {
+		_, rejected := o.(provider.Rejected)
+		assert.Equal(t, rejected, n == 2, "transaction %d: %T", n, o)
+	}
+}
--- a/deployment/election.go
+++ b/deployment/election.go
@@ -135,6 +135,10 @@
 		klog.InfoS("Failed to acquire leadership", "vm", v.Settings.Name(), "term-version", previous.Version(),
 			"reason", "lost-race", "row-version", o.Row().Version())
 		return nil
+	case provider.Rejected:
+		klog.ErrorS(nil, "Failed to acquire leadership", "vm", v.Settings.Name(), "term-version", previous.Version(),
+			"reason", o.Reason())
+		return nil
 	case provider.Unavailable:
 		klog.InfoS("Failed to acquire leadership", "vm", v.Settings.Name(), "term-version", previous.Version(),
 			"reason", o.Reason())
--- a/deployment/ended_test.go
+++ b/deployment/ended_test.go
@@ -86,6 +86,7 @@
 // Guards against rows of ended jobs and of requests to cancel jobs that stay in the store for ever, and against states that can't
 // be read for as long as the settings say.
 func TestRowsOfEndedJobsAreRemoved(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, 0, 100*time.Millisecond)
 	r.statusTime = 2
 	r.startVM("entry-0")
@@ -108,6 +109,7 @@
 
 // Guards against one row of progress that can't be read and stops all jobs.
 func TestLeaderLoadsBesideMalformedRow(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, 2, 100*time.Millisecond)
 	r.completes(1)
 	r.store.Load("progress", "control", []string{jobID(5)}, func(string) []byte { return []byte("{") })
--- a/deployment/history_test.go
+++ b/deployment/history_test.go
@@ -25,6 +25,7 @@
 
 // Guards against zones that stay out of service because the store dropped the history that showed their return.
 func TestZonesReturnWhileHistoryIsDropped(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, 1, 100*time.Millisecond)
 	r.completes(1)
 	r.evacuateAll()
@@ -36,6 +37,7 @@
 // Guards against zones that stay out of service for a new leader: it read the rows of the operators before the zones returned,
 // and the feed has shown it neither these rows nor their removal.
 func TestZonesReturnAfterTakeoverWhileHistoryIsDropped(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, 2, 100*time.Millisecond)
 	r.completes(1)
 	noFeeds := func(path string) emulator.Fault {
--- a/deployment/retention.go
+++ b/deployment/retention.go
@@ -222,6 +222,8 @@
 					return err
 				}
 			}
+		case provider.Rejected:
+			return errors.Errorf("remove rows: %s", o.Reason())
 		case provider.Unavailable:
 			return errors.Errorf("remove rows: %s", o.Reason())
 		case provider.OutcomeUnknown:
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
 	"sort"
 	"time"
@@ -23,15 +24,18 @@
 
 // commit is a transaction in flight, with what to do once its outcome is known.
 type commit struct {
-	sentAt  time.Time
-	renews  bool
-	jobs    []*job
-	copied  []*job // jobs whose copy it stores
-	intents []*attempt
-	waves   []committedWave
-	ends    map[string]endNumber // the last end of a run that it stores, by server id
-	resigns bool
-	term    Term // the term row that it writes, if renews is set
+	sentAt time.Time
+	renews bool
+	jobs   []*job
+	// rows are the rows of progress of jobs. jobsOnly says that the transaction holds no other rows but the term.
+	rows     [][]byte
+	jobsOnly bool
+	copied   []*job // jobs whose copy it stores
+	intents  []*attempt
+	waves    []committedWave
+	ends     map[string]endNumber // the last end of a run that it stores, by server id
+	resigns  bool
+	term     Term // the term row that it writes, if renews is set
 
 	vmRequests []vmRequest
 }
@@ -50,9 +54,12 @@
 	}
 	c := &commit{sentAt: now, ends: make(map[string]endNumber)}
 	writes, all := s.jobWrites(c)
-	writes = append(writes, s.waveWrites(c)...)
-	writes = append(writes, s.statusWrites(now)...)
-	writes = append(writes, s.vmRequestsWrite(c, now)...)
+	c.jobsOnly = len(writes) > 0 && s.commitLimit > 0
+	if !c.jobsOnly {
+		writes = append(writes, s.waveWrites(c)...)
+		writes = append(writes, s.statusWrites(now)...)
+		writes = append(writes, s.vmRequestsWrite(c, now)...)
+	}
 	if all {
 		for v := range s.unstoredEnds {
 			if v.lastEndReceived > v.lastEndStored {
@@ -61,7 +68,7 @@
 		}
 		clear(s.unstoredEnds)
 	}
-	c.resigns = s.stopping && all && !s.startsInFlight() && len(s.vmRequests) == 0
+	c.resigns = s.stopping && all && !c.jobsOnly && !s.startsInFlight() && len(s.vmRequests) == 0
 	c.renews = c.resigns || now.Sub(s.renewedAt) >= renewInterval
 	if len(writes) == 0 && !c.renews {
 		s.acknowledgeEnds(c.ends, now)
@@ -133,19 +140,25 @@
 		}
 		return changed[a].spec.ID() < changed[b].spec.ID()
 	})
-	for n, j := range changed {
-		if len(writes) >= maxRowsPerCommit {
-			c.jobs = changed[:n]
+	for _, j := range changed {
+		if len(writes) >= maxRowsPerCommit || (s.commitLimit > 0 && len(c.jobs) >= s.commitLimit) {
 			return writes, false
 		}
 		if j.state == workload.JobQueued && j.started {
 			j.state = workload.JobRunning
 		}
+		p := j.progress()
+		row := p.Encode()
+		delete(s.changedJobs, j)
+		if bytes.Equal(row, j.rejectedRow) {
+			continue // it stays marked as changed
+		}
+		j.changed = false
 		if j.unstoredRuns > 0 {
 			c.intents = append(c.intents, j.intents()...)
 		}
-		p := j.progress()
-		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), p.Encode()))
+		c.jobs, c.rows = append(c.jobs, j), append(c.rows, row)
+		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), row))
 		switch {
 		case p.Settled() && j.copyStored:
 			writes = append(writes, provider.NewDelete(JobsPrefix+j.spec.ID()))
@@ -153,10 +166,7 @@
 			writes = append(writes, provider.NewPut(JobsPrefix+j.spec.ID(), j.spec.Encode()))
 			c.copied = append(c.copied, j)
 		}
-		j.changed = false
-		delete(s.changedJobs, j)
 	}
-	c.jobs = changed
 	return writes, true
 }
 
@@ -213,6 +223,8 @@
 		s.commitApplied(c, o.Version(), now)
 	case provider.Conflict:
 		s.depose("term-row-changed")
+	case provider.Rejected:
+		s.commitRejected(c, o.Reason(), now)
 	case provider.Unavailable:
 		s.commitNotApplied(c, o.Reason())
 	case provider.OutcomeUnknown:
@@ -237,7 +249,35 @@
 	s.pendingStored = make(map[string]int)
 }
 
+// commitRejected searches for the job whose row the store rejects: the next commits hold fewer jobs, until one is rejected that
+// holds a single job and nothing else. The runs of this job that aren't stored are given up, and it gets no others for a while.
+func (s *State) commitRejected(c *commit, reason string, now time.Time) {
+	s.commitNotApplied(c, reason)
+	if len(c.jobs) != 1 || !c.jobsOnly {
+		if len(c.jobs) == 0 {
+			klog.ErrorS(nil, "The store rejects a commit without jobs", "reason", reason, "waves", len(c.waves),
+				"vm-requests", len(c.vmRequests))
+		}
+		s.commitLimit = max(1, len(c.jobs)/2)
+		return
+	}
+	j := c.jobs[0]
+	klog.ErrorS(nil, "The store rejects the progress of a job", "job", j.spec.ID(), "bytes", len(c.rows[0]), "reason", reason,
+		"unstored-runs", j.unstoredRuns)
+	s.counters.rejected.Inc(1)
+	j.rejectedRow, j.heldUntil = c.rows[0], now.Add(rejectedJobPause)
+	for _, a := range j.intents() {
+		s.removeAttempt(a)
+	}
+}
+
 func (s *State) commitApplied(c *commit, version uint64, now time.Time) {
+	if s.commitLimit *= 2; s.commitLimit >= maxRowsPerCommit {
+		s.commitLimit = 0
+	}
+	if len(c.jobs) == 0 {
+		s.commitLimit = 0
+	}
 	if c.renews {
 		s.Term = c.term.WithVersion(version)
 		s.renewedAt = c.sentAt
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -23,10 +23,13 @@
 	// estimate caches the remaining work. It is reset when a task is done and when an occurrence is due.
 	estimate *estimate
 	// submitted is the start of the objective, by the clock of the entry VM that accepted the job.
-	submitted    time.Time
-	started      bool // a run was placed
-	begun        bool // a server has started a run
-	copyStored   bool // the row with the copy of the job exists
+	submitted  time.Time
+	started    bool // a run was placed
+	begun      bool // a server has started a run
+	copyStored bool // the row with the copy of the job exists
+	// rejectedRow is the row of progress that the store last rejected, or nil. No runs are placed before heldUntil.
+	rejectedRow  []byte
+	heldUntil    time.Time
 	longRunning  bool // it has a step whose tasks run until it is cancelled
 	failed       bool // a task was given up without which it is never completed
 	objective    time.Duration
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -16,11 +16,13 @@
 
 // rig drives a control state with fake time. Commits succeed at once unless holdCommits is set.
 type rig struct {
-	t            *testing.T
-	state        *fleet.State
-	now          time.Time
-	version      uint64
-	holdCommits  bool // commits get no outcome
+	t           *testing.T
+	state       *fleet.State
+	now         time.Time
+	version     uint64
+	holdCommits bool // commits get no outcome
+	// rejects reports whether the store rejects a transaction for its content. It may be nil.
+	rejects      func(provider.Transaction) bool
 	effects      []fleet.Effect
 	rows         map[string][]byte
 	bootTimes    map[string]time.Time  // start times of servers, by id
@@ -107,6 +109,10 @@
 }
 
 func (r *rig) commit(c fleet.Commit) {
+	if r.rejects != nil && r.rejects(c.Transaction) {
+		r.state.Handle(fleet.CommitEnded{Outcome: provider.NewRejected("a row is too long")}, r.now)
+		return
+	}
 	r.version++
 	for _, w := range c.Transaction.Writes() {
 		r.rows[w.Key()] = w.Value()
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -99,6 +99,7 @@
 	renewedAt             time.Time
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
+	commitLimit           int           // of the jobs in one commit after the store rejected one, or 0
 	lastCommitDuration    time.Duration // duration of the last commit
 	jobsRead              bool          // all jobs that were stored before the term are known
 	statusWrittenAt       time.Time
@@ -110,8 +111,8 @@
 }
 
 type counters struct {
-	starts, ends, failures, lost, crashes, cancels, commits tally.Counter
-	pending                                                 tally.Gauge
+	starts, ends, failures, lost, crashes, cancels, commits, rejected tally.Counter
+	pending                                                           tally.Gauge
 }
 
 // Begin initializes the state at the start of the term. It must be called before any other method.
@@ -122,7 +123,7 @@
 	s.counters = counters{
 		starts: s.Scope.Counter("starts"), ends: s.Scope.Counter("ends"), failures: s.Scope.Counter("failed-runs"),
 		lost: s.Scope.Counter("lost-runs"), crashes: s.Scope.Counter("crashes"), cancels: s.Scope.Counter("cancels"),
-		commits: s.Scope.Counter("commits"), pending: s.Scope.Gauge("waiting-jobs"),
+		commits: s.Scope.Counter("commits"), rejected: s.Scope.Counter("rejected-rows"), pending: s.Scope.Gauge("waiting-jobs"),
 	}
 	if s.PreviousLease == 0 {
 		s.PreviousLease = LongLease
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -201,6 +201,8 @@
 		}
 		klog.InfoS("Job already accepted", "call", c.ID, "job", o.ID, "version", out.Row().Version())
 		return Accepted{}
+	case provider.Rejected:
+		return Invalid{Reason: "the store rejects the job: " + out.Reason()}
 	case provider.Unavailable:
 		return h.refuse(c, "store-unavailable: "+out.Reason(), 0)
 	case provider.OutcomeUnknown:
@@ -220,7 +222,7 @@
 		outcome := h.JobTables[partition].Commit(context.Background(), tx)
 		var reason string
 		switch o := outcome.(type) {
-		case provider.Committed, provider.Conflict:
+		case provider.Committed, provider.Conflict, provider.Rejected:
 			return outcome
 		case provider.OutcomeUnknown:
 			unknownReason, reason = o.Reason(), o.Reason()
@@ -251,6 +253,8 @@
 		return h.refuse(c, "store-unavailable: "+out.Reason(), 0)
 	case provider.OutcomeUnknown:
 		return OutcomeUnknown{Reason: out.Reason()}
+	case provider.Rejected:
+		return Invalid{Reason: "the store rejects the request: " + out.Reason()}
 	case provider.Conflict:
 		return OutcomeUnknown{Reason: "conflict without a condition"}
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -154,6 +154,10 @@
 		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Conflict{
 			Conflict: &peerwire.Conflict{Row: rowToWire(o.Row())},
 		}}
+	case provider.Rejected: // has no message of its own; it wasn't applied either
+		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Unavailable{
+			Unavailable: &peerwire.Unavailable{Reason: o.Reason()},
+		}}
 	case provider.Unavailable:
 		return &peerwire.CommitReply{Outcome: &peerwire.CommitReply_Unavailable{
 			Unavailable: &peerwire.Unavailable{Reason: o.Reason()},
--- a/provider/table.go
+++ b/provider/table.go
@@ -97,7 +97,7 @@
 // Writes returns the writes in the order in which they apply.
 func (t Transaction) Writes() []Write { return t.writes }
 
-// CommitOutcome is the outcome of Table.Commit: Committed, Conflict, Unavailable or OutcomeUnknown.
+// CommitOutcome is the outcome of Table.Commit: Committed, Conflict, Rejected, Unavailable or OutcomeUnknown.
 type CommitOutcome interface{ commitOutcome() }
 
 // ScanOutcome is the outcome of Table.Scan: Rows or Unavailable.
@@ -121,6 +121,16 @@
 // Row returns the current state of the row that failed its condition, with version 0 if it doesn't exist.
 func (c Conflict) Row() Row { return c.row }
 
+// Rejected means that the table never applies the transaction because of its content, such as a row that is too long.
+// Nothing was applied. To commit it again unchanged is pointless.
+type Rejected struct{ reason string }
+
+// NewRejected returns a Rejected outcome.
+func NewRejected(reason string) Rejected { return Rejected{reason: reason} }
+
+// Reason returns a short text for logs.
+func (r Rejected) Reason() string { return r.reason }
+
 // Rows is the result of a scan.
 type Rows struct {
 	rows    []Row
@@ -157,6 +167,7 @@
 
 func (Committed) commitOutcome()      {}
 func (Conflict) commitOutcome()       {}
+func (Rejected) commitOutcome()       {}
 func (Unavailable) commitOutcome()    {}
 func (OutcomeUnknown) commitOutcome() {}
 func (Rows) scanOutcome()             {}
