Outlive used-up descriptors, and bound the connections of customers

Cause (review): a failed accept for want of a descriptor ended the HTTP server and with it the entry VM, and nothing bounded the idle connections that used the descriptors up.

Change: listeners wait and accept again after a shortage.

Tests: TestServerOutlivesExhaustedDescriptors (before: "accept tcp4: too many open files" ends the server), TestNewConnectionTakesThePlaceOfAnIdleOne (before: the 30th connection stayed beside 29 idle ones) and TestConnectionIsRefusedWhileAllAreInUse pass, also with the race detector.

--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -116,15 +115,18 @@
 
 // listen opens the addresses for customers, readiness probes and metrics, and serves them.
 func (v *VM) listen(ctx context.Context) error {
-	customers, err := net.Listen("tcp4", v.Settings.CustomerAddress())
+	customers, err := platform.Listen(v.Settings.CustomerAddress(), v.Clock)
 	if err != nil {
 		return errors.Wrap(err, "listen for customers")
 	}
-	probes, err := net.Listen("tcp4", v.Settings.ProbeAddress())
+	probes, err := platform.Listen(v.Settings.ProbeAddress(), v.Clock)
 	if err != nil {
 		return errors.Wrap(err, "listen for probes")
 	}
-	ingress := &platform.Ingress{Listener: customers, Handler: v.handler, Clock: v.Clock, Stopping: v.stopping.Load}
+	ingress := &platform.Ingress{
+		Listener: customers, Handler: v.handler, Clock: v.Clock, MaxConnections: v.Settings.MaxCustomerConnections(),
+		Stopping: v.stopping.Load,
+	}
 	v.goroutines.Go(func() error { return ingress.Run(ctx) })
 	v.goroutines.Go(func() error { return (&platform.ProbeServer{Listener: probes, Ready: v.Ready}).Run(ctx) })
 	if err := v.listenForLeaders(ctx); err != nil {
@@ -133,7 +135,7 @@
 	if v.Settings.MetricsAddress() == "" {
 		return nil
 	}
-	metrics, err := net.Listen("tcp4", v.Settings.MetricsAddress())
+	metrics, err := platform.Listen(v.Settings.MetricsAddress(), v.Clock)
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
@@ -148,7 +150,7 @@
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp4", address)
+	l, err := platform.Listen(address, v.Clock)
 	if err != nil {
 		return errors.Wrap(err, "listen for leaders")
 	}
