Use tickets that are valid for a second or less

Cause (review, by reading): a ticket wasn't used in its last second, so that one valid for a second never was, and no task of its queue started. The margin is at most half of the validity now.

TestShortTicketsAreUsed failed before (0 starts with 400 ms) and passes.

--- a/fleet/recommendation.go
+++ b/fleet/recommendation.go
@@ -13,7 +13,8 @@
 const (
 	// maxServersPerRequest bounds the servers in one call of the service, as its response time grows with each.
 	maxServersPerRequest = 30
-	// ticketMargin is the part of a ticket's validity that is kept for the delivery of a start request and its retries.
+	// ticketMargin is the part of a ticket's validity that is kept for the delivery of a start request and its retries. It is
+	// half of the validity at most.
 	ticketMargin             = time.Second
 	recommendationRetryDelay = 300 * time.Millisecond // after a failed call
 )
@@ -167,9 +168,10 @@
 	for id, v := range call.servers {
 		st.recommendations.requestedFor[v] = call.incarnations[id]
 		if text, recommended := e.Tickets[id]; recommended {
+			margin := min(ticketMargin, r.TicketValidity/2)
 			// The validity may count from when the call was sent.
 			st.recommendations.tickets[v] = ticket{
-				text: text, incarnation: call.incarnations[id], until: e.RequestedAt.Add(r.TicketValidity - ticketMargin),
+				text: text, incarnation: call.incarnations[id], until: e.RequestedAt.Add(r.TicketValidity - margin),
 			}
 		}
 	}
--- a/fleet/recommendation_test.go
+++ b/fleet/recommendation_test.go
@@ -65,3 +65,24 @@
 	r.advance(time.Second)
 	assert.Equal(t, len(r.recommendationRequests()), 1)
 }
+
+// Guards against tasks that never start because the tickets of their queue are valid for a second or less.
+func TestShortTicketsAreUsed(t *testing.T) {
+	for _, validity := range []time.Duration{400 * time.Millisecond, time.Second} {
+		r := newRig(t)
+		r.recommendation = &backend.Recommendation{BaseDuration: 50 * time.Millisecond, TicketValidity: validity}
+		r.configure(workload.Resources{})
+		r.register("i-1", "press")
+		r.report("i-1", nil)
+		r.takeEffects()
+		r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+		calls := r.recommendationRequests()
+		assert.Equal(t, len(calls), 1)
+		requestedAt := r.now
+		r.advance(100 * time.Millisecond)
+		r.handle(fleet.RecommendationEnded{
+			Step: calls[0].Step, Tickets: map[string]string{"i-1": "t-1"}, RequestedAt: requestedAt,
+		})
+		assert.Equal(t, len(r.starts()), 1, "validity %s", validity)
+	}
+}
