Give a task more time for progress with each stalled run

The progress of a task of 300 s without an estimate, a whole percent, rises each 3 s, so that each of its runs was stopped. The time doubles with each stalled run of a task now, up to two hours.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -92,5 +92,7 @@
 	// refusalCooldown is the time without new runs for a server that refused a start request because it is busy, full,
 	// unreachable or restarted.
 	refusalCooldown = time.Second
-	stallTimeout    = 1800 * time.Millisecond // without progress of a run, before it is stopped
+	stallTimeout    = 1800 * time.Millisecond // without progress of the first run of a task, before it is stopped
+	// maxStallDoublings bounds the doublings of stallTimeout: to two hours.
+	maxStallDoublings = 12
 )
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -66,6 +66,7 @@
 	record    workload.TaskRecord
 	attempts  []*attempt
 	failedOn  []string  // ids of servers on which it failed or stalled
+	stalls    int       // runs that were stopped because they made no progress
 	retryAt   time.Time // before that the task isn't placed
 	lostAt    time.Time // when a server was last lost under it
 }
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -171,6 +171,21 @@
 	r.handle(fleet.PollEnded{Server: id, Sequence: poll.Sequence, Outcome: backend.Reported{Report: report}})
 }
 
+// reportProgress handles a report of a server that runs at most one task, if it was polled.
+func (r *rig) reportProgress(id string, run *backend.Run, percent int, ends ...backend.RunEnd) {
+	r.t.Helper()
+	poll, open := r.openPolls[id]
+	if !open {
+		return
+	}
+	delete(r.openPolls, id)
+	report := backend.Report{Incarnation: poll.Target.Incarnation, Clock: r.now.Sub(r.bootTimes[id]), Ends: ends}
+	if run != nil {
+		report.Running = []backend.ActiveRun{{Run: *run, Percent: percent}}
+	}
+	r.handle(fleet.PollEnded{Server: id, Sequence: poll.Sequence, Outcome: backend.Reported{Report: report}})
+}
+
 // failPoll lets the current poll of a server fail.
 func (r *rig) failPoll(id string) {
 	r.t.Helper()
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -187,6 +187,7 @@
 			s.sendStart(a, now)
 		case s.stalled(a):
 			s.requestStop(a, "stalled")
+			a.task.stalls++
 			a.task.failedOn = append(a.task.failedOn, v.id)
 			v.consecutiveFailures++
 		}
@@ -219,8 +220,8 @@
 	return false
 }
 
-// stalled reports whether a run made no progress for stallTimeout, or for its declared duration if that is longer.
-// Time without reports of the server doesn't count, as nothing is known of its runs then.
+// stalled reports whether a run made no progress for stallTimeout, or for its declared duration if that is longer. stallTimeout
+// doubles with each stalled run of the task, because a percent of a long task may take longer than any fixed time. Time without reports of the server doesn't count, as nothing is known of its runs then.
 func (s *State) stalled(a *attempt) bool {
 	if a.phase != running || a.stopRequested || a.server.failedPolls > 0 || a.pace < fullPace {
 		return false
@@ -229,7 +230,8 @@
 	if spec.LongRunning() || spec.BestEffort() || spec.Gang() {
 		return false
 	}
-	return a.server.clockAt.Sub(a.percentChangedAt) >= max(stallTimeout, spec.DeclaredDuration())
+	timeout := stallTimeout << min(a.task.stalls, maxStallDoublings)
+	return a.server.clockAt.Sub(a.percentChangedAt) >= max(timeout, spec.DeclaredDuration())
 }
 
 // stopLongRunning stops the long-running tasks of a server, so that they start elsewhere. If the server
--- a/fleet/runs_test.go
+++ b/fleet/runs_test.go
@@ -56,3 +56,36 @@
 	}
 	assert.Equal(t, r.stops(), 1)
 }
+
+// Guards against a task without a declared duration that is stopped as stalled again and again, because a percent of its work
+// takes longer than any run is given.
+func TestSlowTaskWithoutDeclaredDurationEnds(t *testing.T) {
+	const percentTime = 3 * time.Second
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000})})
+	var run *backend.Run
+	var startedAt time.Time
+	stops := 0
+	for began := r.now; r.now.Sub(began) < 60*time.Second; {
+		for _, e := range r.takeEffects() {
+			switch e := e.(type) {
+			case fleet.Start:
+				r.acceptStart(e)
+				run, startedAt = &e.Request.Run, r.now
+			case fleet.Stop:
+				stops++
+				r.handle(fleet.StopEnded{
+					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
+				})
+				r.reportProgress("i-1", nil, 0, backend.RunEnd{Number: int64(stops), Run: e.Run, Kind: workload.EndStopped})
+				run = nil
+			}
+		}
+		r.advance(100 * time.Millisecond)
+		r.reportProgress("i-1", run, int(r.now.Sub(startedAt)/percentTime))
+	}
+	assert.Assert(t, run != nil)
+	assert.Assert(t, r.now.Sub(startedAt) > 30*time.Second, "stopped %d times", stops)
+}
