Start all tasks of a gang with the same checkpoint

Cause (review): each member of a gang started with what its own last run had saved, and one that had failed with nothing. The last value that a run of the step has saved goes to all members now, and is stored with each.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -54,6 +54,7 @@
 	givenUp          int // of those that aren't done, tasks that aren't started again
 	number           int
 	mayNeedIsolation bool                 // a server was lost under one of the tasks
+	checkpoint       string               // of a gang: the last that a run has saved in this term
 	recommendations  *stepRecommendations // nil if the queue needs no recommendation
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -376,6 +376,7 @@
 	s.applyRecommendation(st, p, now)
 	if s.gangNeedsIsolation(st, now) {
 		if chosen := p.selectForGang(st, true); chosen != nil {
+			st.shareCheckpoint()
 			for n, t := range st.tasks {
 				if p.servers[chosen[n]].isolatedRuns == 0 {
 					s.isolateServer(t.job, p, chosen[n])
@@ -390,12 +391,26 @@
 		}
 	}
 	chosen := p.selectForGang(st, false)
+	if len(chosen) > 0 {
+		st.shareCheckpoint()
+	}
 	for n, i := range chosen {
 		s.assign(st.tasks[n], p, i, run, now)
 	}
 	return len(chosen)
 }
 
+// shareCheckpoint gives all tasks of a gang the checkpoint that the latest run of one of them saved. That of any member is valid
+// for all of them, and all must start with the same one.
+func (st *step) shareCheckpoint() {
+	for n := 0; st.checkpoint == "" && n < len(st.tasks); n++ {
+		st.checkpoint = st.tasks[n].record.Checkpoint
+	}
+	for _, t := range st.tasks {
+		t.record.Checkpoint = st.checkpoint
+	}
+}
+
 // selectForGang returns the indexes of servers for all tasks of a gang, or nil if they don't fit. For an isolated gang
 // these are servers without runs.
 func (p *placementPool) selectForGang(st *step, isolated bool) []int {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -280,9 +280,7 @@
 		a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		a.confirmedAt = now
 	}
-	if r.Checkpoint != "" && r.Checkpoint != a.checkpoint {
-		a.checkpoint = r.Checkpoint
-	}
+	a.save(r.Checkpoint)
 	if r.Percent != a.percent {
 		a.percent, a.percentChangedAt = r.Percent, now
 	}
@@ -316,9 +314,7 @@
 	t := a.task
 	t.job.begun = true
 	klog.V(1).InfoS("Run ended", "run", end.Run, "server", v.id, "kind", end.Kind, "took", now.Sub(a.startedAt))
-	if end.Checkpoint != "" {
-		a.checkpoint = end.Checkpoint
-	}
+	a.save(end.Checkpoint)
 	if end.Kind == workload.EndFailed || end.Kind == workload.EndDone {
 		a.checkpoint = ""
 	}
@@ -337,6 +333,14 @@
 	}
 }
 
+// save records the checkpoint that a server reports for a run. "" stands for none.
+func (a *attempt) save(checkpoint string) {
+	if checkpoint == "" || checkpoint == a.checkpoint {
+		return
+	}
+	a.checkpoint, a.task.step.checkpoint = checkpoint, checkpoint
+}
+
 // runDone handles a run that has done its task. A long-running task is started again however a run ends.
 func (s *State) runDone(t *task, now time.Time) {
 	if !t.step.spec.LongRunning() {
--- a/fleet/runs_test.go
+++ b/fleet/runs_test.go
@@ -89,3 +89,54 @@
 	assert.Assert(t, run != nil)
 	assert.Assert(t, r.now.Sub(startedAt) > 30*time.Second, "stopped %d times", stops)
 }
+
+// Guards against members of a gang that start with different checkpoints, of which some have none.
+func TestMembersOfGangStartWithTheSameCheckpoint(t *testing.T) {
+	r := newRig(t)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	r.takeEffects()
+	job := r.job(1, workload.StepOptions{Count: 3, MilliCores: 7000, Gang: true, Checkpoints: true, DeclaredDurationMS: 1000})
+	r.handle(fleet.JobArrived{Job: job})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 3)
+	for _, s := range starts {
+		r.acceptStart(s)
+	}
+	r.advance(300 * time.Millisecond)
+	for n, s := range starts {
+		end := backend.RunEnd{Number: 1, Run: s.Request.Run, Kind: workload.EndGangBroken, Checkpoint: "saved"}
+		switch n {
+		case 0:
+			end.Kind, end.Checkpoint = workload.EndFailed, ""
+		case 1:
+			end.Checkpoint = ""
+		}
+		r.reportProgress(s.Target.ID, nil, 0, end)
+	}
+	checkpoints := func() map[string]int {
+		found := make(map[string]int)
+		for range 30 {
+			for _, s := range r.starts() {
+				found[s.Request.Checkpoint]++
+			}
+			if len(found) > 0 {
+				break
+			}
+			r.advance(100 * time.Millisecond)
+			for _, s := range starts {
+				r.reportProgress(s.Target.ID, nil, 0)
+			}
+		}
+		return found
+	}
+	assert.DeepEqual(t, checkpoints(), map[string]int{"saved": 3})
+	r.restart(job)
+	for _, s := range starts {
+		r.register(s.Target.ID, "press")
+		r.report(s.Target.ID, nil)
+	}
+	assert.DeepEqual(t, checkpoints(), map[string]int{"saved": 3})
+}
