Refuse new jobs while the leader has no room for their tasks

Cause (review): nothing bounded the tasks that wait; 600 jobs of 1,000 tasks took the leader to 276 of 284 MB, and every next leader takes them over.

Change: the leader counts the tasks of unfinished jobs. From a fifth of its memory on (432 bytes a task by BenchmarkWaitingTask, counted as 450) the term row says when there is room again, by the rate at which tasks are done.

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -14,7 +14,11 @@
 	// controllerGCPercent is the target percentage of the garbage collector (GOGC) while this entry VM is the leader. A
 	// collection scans the stack of a goroutine for each backend server, so the leader collects less often than others.
 	controllerGCPercent = 200
-	maxParallelReads    = 24 // when the controller starts; the client has 64 connections to the store
+	// bytesPerTask is the memory of a task that waits (BenchmarkWaitingTask), and taskMemoryPercent the share of the memory of the
+	// process that tasks of unfinished jobs may use.
+	bytesPerTask      = 450
+	taskMemoryPercent = 20
+	maxParallelReads  = 24 // when the controller starts; the client has 64 connections to the store
 	// maxReadRetries bounds the retries of one read when the controller starts. Then the controller ends, so that
 	// another entry VM may become the leader.
 	maxReadRetries = 3
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -66,7 +66,7 @@
 		PreviousLease:   c.previousTerm.Lease(),
 		HandoverPause:   s.HandoverPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(),
-		LinkMbps: s.LinkMbps(), AwaitRestore: true,
+		LinkMbps: s.LinkMbps(), AwaitRestore: true, MaxTasks: maxTasks(s.MemoryMB()),
 		Scope: c.vm.Scope.SubScope("control"),
 	}
 	c.previousGCPercent = debug.SetGCPercent(controllerGCPercent)
@@ -77,6 +77,11 @@
 	})
 }
 
+// maxTasks returns the number of tasks that the leader has room for, or 0 if its memory isn't known.
+func maxTasks(memoryMB int64) int {
+	return int(memoryMB * 1_000_000 * taskMemoryPercent / 100 / bytesPerTask)
+}
+
 // release ends the controller's goroutines and lets the entry VM take part in the next election.
 func (c *controller) release() {
 	c.cancel()
@@ -149,6 +154,7 @@
 		for _, e := range events {
 			c.state.Handle(e, now)
 			if _, tick := e.(fleet.Tick); tick {
+				c.vm.fullFor.Store(int64(c.state.FullFor()))
 				c.relays.Resize(c.ctx, c.vm.goroutines, c.state.ServerCount())
 			}
 		}
--- a/deployment/election.go
+++ b/deployment/election.go
@@ -37,6 +37,7 @@
 		}
 		now := v.Clock.Now()
 		watch.Observe(term, now)
+		v.fullFor.Store(int64(term.FullFor()))
 		if watch.ClaimDue(now) {
 			watch.RecordClaim(now)
 			v.claimTerm(ctx, term)
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -44,6 +44,7 @@
 	goroutines *group.Group
 	processID  int64 // start time of the process in Unix milliseconds
 	stopping   atomic.Bool
+	fullFor    atomic.Int64  // by the last known state of the leader: fleet.Term.FullFor
 	drained    chan struct{} // closed when the graceful shutdown is complete
 
 	// controller is nil while this entry VM isn't the leader.
@@ -99,6 +100,7 @@
 	}
 	v.handler = &intake.Handler{
 		Configuration: v.directory, ControlTable: v.control, Clock: v.Clock, Scope: v.Scope.SubScope("intake"),
+		FullFor:   func() time.Duration { return time.Duration(v.fullFor.Load()) },
 		MaxKeyAge: v.Settings.RevocationLimit() - keyAgeMargin, StoreContactTimeout: storeContactTimeout,
 	}
 	for partition := range v.handler.JobTables {
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -77,6 +77,8 @@
 	if c.renews {
 		term := s.Term
 		term.Renewals++
+		s.updateBacklog(now)
+		term.FullForMS = s.backlog.fullFor.Milliseconds()
 		term.DurationMS = s.termDuration().Milliseconds()
 		term.LeaseMS = s.leaseBound(now).Milliseconds()
 		if term.Duration() > ShortTerm {
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -86,6 +86,7 @@
 	}
 	s.forgetLosses(t)
 	s.recordDeparture(t)
+	s.backlog.done++
 	t.step.remaining--
 	if len(t.attempts) == 0 {
 		t.step.unassigned--
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -44,6 +44,8 @@
 	AwaitRestore bool
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is unknown.
 	LinkMbps float64
+	// MaxTasks is the number of tasks of unfinished jobs from which on new jobs are refused, or 0 if there is no such number.
+	MaxTasks int
 	// Scope receives metrics. It may be nil.
 	Scope tally.Scope
 
@@ -108,11 +110,12 @@
 	recommendationRetryAt time.Time           // when the service may be called again after a failure
 	effects               []Effect
 	counters              counters
+	backlog               backlog
 }
 
 type counters struct {
 	starts, ends, failures, lost, crashes, cancels, commits, rejected tally.Counter
-	pending                                                           tally.Gauge
+	pending, tasks                                                    tally.Gauge
 }
 
 // Begin initializes the state at the start of the term. It must be called before any other method.
@@ -124,6 +127,7 @@
 		starts: s.Scope.Counter("starts"), ends: s.Scope.Counter("ends"), failures: s.Scope.Counter("failed-runs"),
 		lost: s.Scope.Counter("lost-runs"), crashes: s.Scope.Counter("crashes"), cancels: s.Scope.Counter("cancels"),
 		commits: s.Scope.Counter("commits"), rejected: s.Scope.Counter("rejected-rows"), pending: s.Scope.Gauge("waiting-jobs"),
+		tasks: s.Scope.Gauge("tasks"),
 	}
 	if s.PreviousLease == 0 {
 		s.PreviousLease = LongLease
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -30,6 +30,8 @@
 	Processors float64 `json:"processors,omitempty"`
 	// Successor is the entry VM for which the leader resigned, or "" if there is none.
 	Successor string `json:"successor,omitempty"`
+	// FullForMS is after how many milliseconds new jobs are expected to be accepted again, or 0 if they are accepted.
+	FullForMS int64 `json:"full-for-ms,omitempty"`
 
 	version uint64
 }
@@ -64,6 +66,9 @@
 	return time.Duration(t.LeaseMS) * time.Millisecond
 }
 
+// FullFor returns after which time new jobs are expected to be accepted again, or 0 if they are accepted.
+func (t Term) FullFor() time.Duration { return time.Duration(t.FullForMS) * time.Millisecond }
+
 // Version returns the store version of the row, or 0 if there is no row.
 func (t Term) Version() uint64 { return t.version }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -58,8 +59,11 @@
 	MaxKeyAge time.Duration
 	// StoreContactTimeout is the time without a response of the store after which all calls are refused at once.
 	StoreContactTimeout time.Duration
-	Clock               timer.Clock
-	Scope               tally.Scope
+	// FullFor returns after which time the leader is expected to have room for new jobs again, or 0 if it has. nil stands for a
+	// function that returns 0.
+	FullFor func() time.Duration
+	Clock   timer.Clock
+	Scope   tally.Scope
 }
 
 // Call holds the fields that all calls have.
@@ -83,6 +87,10 @@
 	RetryAfter time.Duration
 }
 
+// Full means that the job isn't stored, because the leader has no room for its tasks. The caller may repeat the call after
+// RetryAfter.
+type Full struct{ RetryAfter time.Duration }
+
 // OutcomeUnknown means that the call may have taken effect, or may still do so.
 type OutcomeUnknown struct{ Reason string }
 
@@ -106,6 +114,7 @@
 
 func (Accepted) outcome()       {}
 func (Refused) outcome()        {}
+func (Full) outcome()           {}
 func (OutcomeUnknown) outcome() {}
 func (UnknownQueue) outcome()   {}
 func (UnknownKey) outcome()     {}
@@ -168,7 +177,7 @@
 }
 
 // Submit stores a job. It is idempotent: a job with an id that is already stored is accepted again, because the caller
-// may have missed the first response. The outcome is Accepted, Refused, OutcomeUnknown or Invalid.
+// may have missed the first response. The outcome is Accepted, Refused, Full, OutcomeUnknown or Invalid.
 func (h *Handler) Submit(c Call, a Admission, o workload.JobOptions) Outcome {
 	now := h.Clock.Now()
 	o.Queue, o.Customer, o.AcceptedMS = a.queue.Name, a.customer, now.UnixMilli()
@@ -183,6 +192,9 @@
 			return Invalid{Reason: fmt.Sprintf("step %d: found a gang of %d tasks, allowed: %d", i, s.Count(), fleet.MaxGangTasks)}
 		}
 	}
+	if outcome := h.refuseWhileFull(c, o.ID); outcome != nil {
+		return outcome
+	}
 	// The conditions are checked in this order: a conflict is with the request to cancel only if there is no job.
 	key, cancelKey := JobPrefix+o.ID, CancelPrefix+o.ID
 	tx := provider.NewTransaction(
@@ -212,6 +224,29 @@
 	return OutcomeUnknown{Reason: "unexpected outcome"}
 }
 
+// refuseWhileFull returns nil if the leader has room for new jobs. A job that is stored already stays accepted.
+func (h *Handler) refuseWhileFull(c Call, id string) Outcome {
+	if h.FullFor == nil {
+		return nil
+	}
+	fullFor := h.FullFor()
+	if fullFor == 0 {
+		return nil
+	}
+	_, found, reason := read(h.JobTables[PartitionOf(id)], JobPrefix+id)
+	switch {
+	case reason != "":
+		return h.refuse(c, "store-unreadable: "+reason, 0)
+	case found:
+		return Accepted{}
+	}
+	// Callers return one after another instead of all at once.
+	after := time.Duration((1 + rand.Float64()) * float64(fullFor))
+	h.Scope.Counter("refused-full").Inc(1)
+	klog.InfoS("Call refused", "call", c.ID, "reason", "no-room", "retry-after", after)
+	return Full{RetryAfter: after}
+}
+
 // commit commits an idempotent transaction, such as the first write of a row, and retries it with exponential backoff.
 // While no attempt can have been applied it stops after maxRefusalDelay. After an attempt with an unknown outcome it
 // retries until shortly before the deadline, because only a later attempt can show whether the transaction was applied.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -92,6 +92,8 @@
 		return "accepted"
 	case intake.Refused:
 		return "refused"
+	case intake.Full:
+		return "full"
 	case intake.OutcomeUnknown:
 		return "unknown outcome"
 	case intake.UnknownKey:
