Pause requests for VMs after a resignation too

Cause (review, by reading): a leader that resigns in favor of a faster entry VM stays in touch, and its successor sent requests for the same VMs at once, so that both took turns at a VM within LeaseMs (ONE). Only a predecessor that was lost delayed them. Now every predecessor but an earlier process of the same entry VM does, for the VMs with a recent request.

TestRecentlyRequestedVMsAreBlockedAfterTakeover failed before for the two cases of a resignation and passes.

--- a/deployment/stored.go
+++ b/deployment/stored.go
@@ -56,9 +56,8 @@
 		c.seenJobs[id] = 0
 	}
 	c.ended.addEarlier(s.ended, c.vm.Clock.Now())
-	mayStillSend := c.previousTerm.Holder != "" && c.previousTerm.Holder != c.vm.Settings.Name()
 	for _, row := range s.vmRequests {
-		c.state.RestoreVMRequests(row, mayStillSend)
+		c.state.RestoreVMRequests(row, c.previousTerm)
 	}
 	s.Operations = decodeOperations(s.operations)
 	open := c.state.Restore(s.Stored, c.vm.Clock.Now())
--- a/fleet/takeover_test.go
+++ b/fleet/takeover_test.go
@@ -43,7 +43,7 @@
 
 // takeOverWave requests maintenance of two VMs, one at a time. The first is busy, so that the second is requested. Then it starts
 // a new term in which both are idle. It returns the requested VM.
-func takeOverWave(t *testing.T, mayStillSend bool) (*rig, string) {
+func takeOverWave(t *testing.T, previous fleet.Term) (*rig, string) {
 	t.Helper()
 	r := newRig(t)
 	begin := func() {
@@ -67,7 +67,7 @@
 	assert.DeepEqual(t, requested, wave.VMs[1:])
 	r.now = r.now.Add(time.Second)
 	r.restart()
-	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, r.rows[fleet.VMRequestsKey], 1), mayStillSend)
+	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, r.rows[fleet.VMRequestsKey], 1), previous)
 	begin()
 	r.handle(fleet.OperationArrived{Operation: wave})
 	r.takeEffects()
@@ -77,8 +77,8 @@
 // Guards against more VMs in maintenance than a wave allows: the previous controller requested the maintenance of one just
 // before it was killed, and the list of VMs doesn't show it yet.
 func TestMaintenanceRequestedByPreviousControllerCounts(t *testing.T) {
-	for _, mayStillSend := range []bool{false, true} {
-		r, requested := takeOverWave(t, mayStillSend)
+	for _, previous := range []fleet.Term{{Holder: "entry"}, {Holder: "other"}, {Successor: "entry"}} {
+		r, requested := takeOverWave(t, previous)
 		for range 28 {
 			r.listVMs(backend.VMUp, backend.VMUp)
 			for _, vm := range r.maintained() {
@@ -96,7 +96,7 @@
 
 // Guards against more VMs in maintenance than a wave allows: one is in maintenance by a request that isn't stored.
 func TestVMInMaintenanceCounts(t *testing.T) {
-	r, requested := takeOverWave(t, false)
+	r, requested := takeOverWave(t, fleet.Term{Holder: "entry"})
 	states := []backend.VMState{backend.VMUp, backend.VMMaintenance}
 	if requested == "m-1" {
 		states = []backend.VMState{backend.VMMaintenance, backend.VMUp}
--- a/fleet/vmrequests.go
+++ b/fleet/vmrequests.go
@@ -48,9 +48,9 @@
 	return []provider.Write{provider.NewPut(VMRequestsKey, data)}
 }
 
-// RestoreVMRequests loads the row with the VMs for which the previous controller recently sent requests. That controller may
-// still send requests unless it resigned or its process has ended.
-func (s *State) RestoreVMRequests(row provider.Row, mayStillSend bool) {
+// RestoreVMRequests loads the row with the VMs for which the previous controller recently sent requests. Unless that was an earlier
+// process of this entry VM, both would take turns at a VM if this one sent requests for it at once.
+func (s *State) RestoreVMRequests(row provider.Row, previous Term) {
 	var stored map[string]int64
 	if err := json.Unmarshal(row.Value(), &stored); err != nil {
 		klog.ErrorS(err, "Failed to decode the stored VM requests")
@@ -59,7 +59,7 @@
 		if time.UnixMilli(at).Add(s.HandoverPause + LongTerm + maxClockSkew).After(s.began) {
 			s.requestedBefore[vm] = true
 		}
-		if !mayStillSend {
+		if previous.Holder == s.EntryVM {
 			continue
 		}
 		// The clocks may differ by more than maxClockSkew, but the VM is never blocked for longer than HandoverPause
--- a/fleet/vmrequests_test.go
+++ b/fleet/vmrequests_test.go
@@ -32,16 +32,24 @@
 // Guards against two entry VMs that send requests for the same VM shortly after each other, and against a pause for VMs
 // for which the previous controller sent no recent request.
 func TestRecentlyRequestedVMsAreBlockedAfterTakeover(t *testing.T) {
-	r := newRig(t)
-	r.begin(20)
-	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, []byte(`{"m-1": 1000000000, "m-3": 999990000}`), 1), true)
-	r.configure(workload.Resources{})
-	r.listSpareVMs()
-	r.advance(time.Second)
-	assert.DeepEqual(t, r.moves(), []string{"m-2"})
-	r.listSpareVMs()
-	r.advance(2500 * time.Millisecond)
-	assert.DeepEqual(t, r.moves(), []string{"m-1"})
+	row := provider.NewRow(fleet.VMRequestsKey, []byte(`{"m-1": 1000000000, "m-3": 999990000}`), 1)
+	for name, previous := range map[string]fleet.Term{
+		"lost":                 {Holder: "other"},
+		"resigned":             {},
+		"resigned for this VM": {Successor: "entry"},
+	} {
+		t.Log("previous controller:", name)
+		r := newRig(t)
+		r.begin(20)
+		r.state.RestoreVMRequests(row, previous)
+		r.configure(workload.Resources{})
+		r.listSpareVMs()
+		r.advance(time.Second)
+		assert.DeepEqual(t, r.moves(), []string{"m-2"})
+		r.listSpareVMs()
+		r.advance(2500 * time.Millisecond)
+		assert.DeepEqual(t, r.moves(), []string{"m-1"})
+	}
 }
 
 // Guards against requests for VMs that are sent before their intent is stored: the next controller wouldn't know of
