Play late writes and long-running jobs in the soak, and removals under faults

The soak injects both beside cancels, kills and lost history: long-running jobs must run again after the faults, are never completed, and stop once cancelled.

TestEndedJobsStayEndedWhileRowsAreRemoved loses leaders while they remove rows, beside lost responses and late transactions.

--- a/deployment/ended_test.go
+++ b/deployment/ended_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -116,3 +118,51 @@
 	r.vms[0].kill()
 	r.completes(2)
 }
+
+// Guards against an ended job that runs again because its rows were removed in part: leaders are lost while they remove rows, and
+// the store loses responses and carries out transactions late.
+func TestEndedJobsStayEndedWhileRowsAreRemoved(t *testing.T) {
+	const (
+		jobs   = 60
+		rounds = 6
+	)
+	r := newRig(t, 0, 50*time.Millisecond)
+	r.statusTime = 0.4
+	for n := range 3 {
+		r.startVM(fmt.Sprintf("entry-%d", n))
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	var mu sync.Mutex
+	faults := func(path string) emulator.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		switch n := random.IntN(20); {
+		case path != "/api/rows-tx" || n > 3:
+			return emulator.FaultNone
+		case n == 3:
+			return emulator.FaultLate
+		}
+		return emulator.FaultResponseLost
+	}
+	for round := range rounds {
+		for n := range jobs / rounds {
+			id := jobID(round*jobs/rounds + n)
+			r.eventually("a job is accepted", func() bool {
+				vm := r.vms[len(r.vms)-1-n%2]
+				return r.submit(vm, "plates", id, step(1, 500)) == http.StatusOK
+			})
+		}
+		r.fault.Store(&faults)
+		timer.Wait(r.ctx, timer.System{}, 1500*time.Millisecond)
+		r.vms[len(r.vms)-3].kill()
+		r.fault.Store(nil)
+		r.startVM(fmt.Sprintf("entry-%d", round+3))
+	}
+	r.eventually("no rows are left", func() bool {
+		return r.store.Count("jobs")+r.store.Count("cancels")+r.store.Count("progress")+r.store.Count("specs") == 0
+	})
+	for n := range jobs {
+		assert.Equal(t, r.observer.Running(jobID(n)), 0)
+		assert.Assert(t, r.observer.Starts(jobID(n)+".0.0.0") > 0)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,10 +45,12 @@
 }
 
 const (
-	entryVMCount     = 4
-	serverMilliCores = 8000
-	jobEndTimeout    = 40 * time.Second // from the end of fault injection until all accepted jobs have ended
-	revocationLimit  = 5 * time.Second  // from the write of the configuration until a revoked key is refused
+	entryVMCount          = 4
+	serverMilliCores      = 8000
+	longRunningTasks      = 2
+	longRunningMilliCores = 300
+	jobEndTimeout         = 40 * time.Second // from the end of fault injection until all accepted jobs have ended
+	revocationLimit       = 5 * time.Second  // from the write of the configuration until a revoked key is refused
 )
 
 // Guards against jobs that are lost, run twice or run after a refusal, and against revoked keys that are accepted,
@@ -298,8 +300,11 @@
 		id = fmt.Sprintf("%016x", 0xffff)
 	}
 	specification := "work of " + id
-	if crashesServers(id) {
+	switch {
+	case crashesServers(id):
 		specification = "crash by " + id
+	case isLongRunning(id):
+		specification = "last for " + id
 	}
 	b.observer.ExpectSpecification(specification)
 	b.observer.ExpectSteps(id, 1500, 1000)
@@ -311,10 +316,19 @@
 		map[string]any{"Count": 3, "Cpu": 1500, "MemMb": 100, "EstimatedMs": 250},
 		map[string]any{"Count": 2, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 250, "After": []int{0}},
 	}}
+	if isLongRunning(id) {
+		b.observer.ExpectSteps(id, longRunningMilliCores)
+		body["Steps"] = []any{map[string]any{
+			"Count": longRunningTasks, "Cpu": longRunningMilliCores, "MemMb": 100, "LongRunning": true, "MayMiss": 1,
+		}}
+	}
 	status, _ := b.call(vm, http.MethodPost, "/"+queue+"/"+id, "key-1", body)
 	return status
 }
 
+// isLongRunning reports whether the tasks of a job run until it is cancelled.
+func isLongRunning(id string) bool { return strings.HasSuffix(id, "2b") || strings.HasSuffix(id, "76") }
+
 // crashesServers reports whether the first task of a job crashes each server that starts it.
 func crashesServers(id string) bool {
 	return strings.HasSuffix(id, "0d") || strings.HasSuffix(id, "8d")
@@ -414,6 +428,9 @@
 	defer b.mu.Unlock()
 	faults := []emulator.Fault{emulator.FaultNone, emulator.FaultUnavailable, emulator.FaultRequestLost, emulator.FaultResponseLost}
 	b.storeFaultKind, b.faultProbability = faults[b.random.IntN(len(faults))], 0.5*b.random.Float64()
+	if b.storeFaultKind == emulator.FaultResponseLost && b.sizes.IntN(2) == 0 {
+		b.storeFaultKind = emulator.FaultLate
+	}
 }
 
 func (b *testbed) signal(v *entryVM, s syscall.Signal) {
@@ -469,7 +486,8 @@
 func (b *testbed) check() {
 	timer.Wait(b.ctx, clock, 4*time.Second) // requests time out, and processes that received SIGTERM end
 	b.resume()
-	b.eventually("all accepted jobs have ended", jobEndTimeout, func() bool { return len(b.unfinishedJobs()) == 0 })
+	b.eventually("all accepted jobs have ended, or run for long", jobEndTimeout, func() bool { return len(b.unfinishedJobs()) == 0 })
+	b.cancelLongRunningJobs()
 	b.mu.Lock()
 	for id, result := range b.jobs {
 		if result == refused && b.observer.Starts(id+".0.0.0") > 0 {
@@ -506,7 +524,8 @@
 	var unfinished []string
 	for id, requested := range cancelRequested {
 		status, state := b.call(b.randomEntryVM(), http.MethodGet, b.jobPath(id), "key-1", nil)
-		ended := state == "completed" || (state == "cancelled" && requested) || (state == "failed" && b.observer.MayFail(id))
+		lasts := isLongRunning(id) && state == "running" && b.observer.Running(id) == longRunningTasks
+		ended := lasts || (state == "completed" && !isLongRunning(id)) || (state == "cancelled" && requested) || (state == "failed" && b.observer.MayFail(id))
 		if status == http.StatusOK && ended {
 			b.finished[id] = true
 			continue
@@ -516,6 +535,27 @@
 	return unfinished
 }
 
+// cancelLongRunningJobs cancels the jobs that run for long, and waits until none of their tasks runs.
+func (b *testbed) cancelLongRunningJobs() {
+	b.mu.Lock()
+	var ids []string
+	for id := range b.jobs {
+		if isLongRunning(id) {
+			ids = append(ids, id)
+		}
+	}
+	b.mu.Unlock()
+	for _, id := range ids {
+		b.eventually("the call to cancel job "+id+" is answered", jobEndTimeout, func() bool {
+			status, _ := b.call(b.randomEntryVM(), http.MethodDelete, b.jobPath(id), "key-1", nil)
+			return status == http.StatusOK || status == http.StatusGone
+		})
+	}
+	for _, id := range ids {
+		b.eventually("no task of job "+id+" runs", jobEndTimeout, func() bool { return b.observer.Running(id) == 0 })
+	}
+}
+
 func (b *testbed) eventually(condition string, timeout time.Duration, check func() bool) {
 	b.t.Helper()
 	for until := clock.Now().Add(timeout); !check(); timer.Wait(b.ctx, clock, 100*time.Millisecond) {
