--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,10 +47,13 @@
 const (
 	entryVMCount          = 4
 	serverMilliCores      = 8000
+	tasksPerJob           = 5 // of a job that isn't long-running
 	longRunningTasks      = 2
 	longRunningMilliCores = 300
-	jobEndTimeout         = 40 * time.Second // from the end of fault injection until all accepted jobs have ended
-	revocationLimit       = 5 * time.Second  // from the write of the configuration until a revoked key is refused
+	// statusSeconds is how long the states of ended jobs are kept. It is longer than a call is repeated.
+	statusSeconds   = 12
+	jobEndTimeout   = 40 * time.Second // from the end of fault injection until all accepted jobs have ended
+	revocationLimit = 5 * time.Second  // from the write of the configuration until a revoked key is refused
 )
 
 // Guards against jobs that are lost, run twice or run after a refusal, and against revoked keys that are accepted,
@@ -232,10 +235,10 @@
 Zone: z0
 ListenAddresses: {Frontend: %q, Readiness: %q}
 Limits: {CpuShare: 0.8, CpuCores: 1, MemoryMb: 300}
-Bounds: {GraceS: 3, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3}
+Bounds: {GraceS: 3, LeaseMs: 500, MaintenanceS: 0.3, MigrationS: 0.3, status_s: %d}
 platform: {Address: %q}
 CloudApi: {Address: %q}
-`, name, v.address, freeAddress(b.t), v.storeProxy.Address(), b.platform.VMsAddress())
+`, name, v.address, freeAddress(b.t), statusSeconds, v.storeProxy.Address(), b.platform.VMsAddress())
 	assert.NilError(b.t, os.WriteFile(v.settingsPath, []byte(content), 0o600))
 	b.entryVMs = append(b.entryVMs, v)
 	b.start(v)
@@ -487,6 +490,7 @@
 	timer.Wait(b.ctx, clock, 4*time.Second) // requests time out, and processes that received SIGTERM end
 	b.resume()
 	b.eventually("all accepted jobs have ended, or run for long", jobEndTimeout, func() bool { return len(b.unfinishedJobs()) == 0 })
+	b.t.Logf("seed %d: %d jobs submitted, %d stored, %d with progress", b.seed, len(b.jobs), b.store.Count("jobs"), b.store.Count("progress"))
 	b.cancelLongRunningJobs()
 	b.mu.Lock()
 	for id, result := range b.jobs {
@@ -526,7 +530,9 @@
 		status, state := b.call(b.randomEntryVM(), http.MethodGet, b.jobPath(id), "key-1", nil)
 		lasts := isLongRunning(id) && state == "running" && b.observer.Running(id) == longRunningTasks
 		ended := lasts || (state == "completed" && !isLongRunning(id)) || (state == "cancelled" && requested) || (state == "failed" && b.observer.MayFail(id))
-		if status == http.StatusOK && ended {
+		// The rows of a job that ended a while ago are removed.
+		removed := requested || b.observer.MayFail(id) || b.observer.Completed(id) == tasksPerJob
+		if (status == http.StatusOK && ended) || (status == http.StatusGone && removed) {
 			b.finished[id] = true
 			continue
 		}
