Test a server that restarts smaller, and write up the faults beside the cases

The review hadn't tried a server that starts again under its id with a smaller capacity: TestServerThatRestartsSmallerGetsWhatFits passes on the code as it was.

--- a/fleet/capacity_test.go
+++ b/fleet/capacity_test.go
@@ -53,3 +53,29 @@
 	r.advance(200 * time.Millisecond)
 	assert.Equal(t, len(r.starts()), 1)
 }
+
+// Guards against runs beyond the capacity of a server that starts again under its id with a smaller one.
+func TestServerThatRestartsSmallerGetsWhatFits(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 5, MilliCores: 1500, DeclaredDurationMS: 1000})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 5)
+	for _, s := range starts {
+		r.acceptStart(s)
+	}
+	r.now = r.now.Add(time.Second)
+	r.bootTimes["i-1"] = r.now
+	r.resize("i-1", 2000)
+	again := 0
+	for range 60 {
+		r.advance(100 * time.Millisecond)
+		r.reportProgress("i-1", nil, 0)
+		again += len(r.starts())
+		if again > 0 {
+			break
+		}
+	}
+	assert.Equal(t, again, 1)
+}
