Hold back rows of other kinds that the store rejects

A rejected commit without jobs, such as a row of VM requests that is too long, was sent again at once without end, and one with jobs beside it was split in vain. After a rejection the next commits hold jobs and the term only; if a job is at fault it is found as before, else the other rows wait for 10 s.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -54,7 +54,7 @@
 	}
 	c := &commit{sentAt: now, ends: make(map[string]endNumber)}
 	writes, all := s.jobWrites(c)
-	c.jobsOnly = len(writes) > 0 && s.commitLimit > 0
+	c.jobsOnly = (len(writes) > 0 && s.commitLimit > 0) || now.Before(s.otherRowsHeldUntil)
 	if !c.jobsOnly {
 		writes = append(writes, s.waveWrites(c)...)
 		writes = append(writes, s.statusWrites(now)...)
@@ -251,23 +251,27 @@
 	s.pendingStored = make(map[string]int)
 }
 
-// commitRejected searches for the job whose row the store rejects: the next commits hold fewer jobs, until one is rejected that
-// holds a single job and nothing else. The runs of this job that aren't stored are given up, and it gets no others for a while.
+// commitRejected searches for the row that the store rejects: the next commits hold jobs only, and then fewer and fewer, until one
+// with a single job is rejected. The runs of this job that aren't stored are given up, and it gets no others for a while. If no
+// job is at fault, the rows of other kinds are held back for a while.
 func (s *State) commitRejected(c *commit, reason string, now time.Time) {
 	s.commitNotApplied(c, reason)
-	if len(c.jobs) != 1 || !c.jobsOnly {
-		if len(c.jobs) == 0 {
-			klog.ErrorS(nil, "The store rejects a commit without jobs", "reason", reason, "waves", len(c.waves),
-				"vm-requests", len(c.vmRequests))
-		}
+	switch {
+	case !c.jobsOnly:
+		klog.ErrorS(nil, "The store rejects a commit", "reason", reason, "jobs", len(c.jobs), "waves", len(c.waves),
+			"vm-requests", len(c.vmRequests))
+		s.otherRowsHeldUntil = now.Add(rejectedRowPause)
+		return
+	case len(c.jobs) != 1:
 		s.commitLimit = max(1, len(c.jobs)/2)
 		return
 	}
+	s.otherRowsHeldUntil = time.Time{}
 	j := c.jobs[0]
 	klog.ErrorS(nil, "The store rejects the progress of a job", "job", j.spec.ID(), "bytes", len(c.rows[0]), "reason", reason,
 		"unstored-runs", j.unstoredRuns)
 	s.counters.rejected.Inc(1)
-	j.rejectedRow, j.heldUntil = c.rows[0], now.Add(rejectedJobPause)
+	j.rejectedRow, j.heldUntil = c.rows[0], now.Add(rejectedRowPause)
 	for _, a := range j.intents() {
 		s.removeAttempt(a)
 	}
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -76,8 +76,9 @@
 
 	startRetryDelay = 150 * time.Millisecond // before a stop request without a response is sent again, or another run started
 
-	// rejectedJobPause is how long a job gets no runs after the store rejected its progress.
-	rejectedJobPause  = 10 * time.Second
+	// rejectedRowPause is how long a job gets no runs after the store rejected its progress, and how long rows of other kinds
+	// aren't sent again.
+	rejectedRowPause  = 10 * time.Second
 	maxRowsPerCommit  = 80   // the store accepts 100 entries, including conditions and the committer's own row
 	maxIntentsPerPass = 1200 // starts in one placement pass; a large fleet has ten passes a second
 	// maxActiveRuns bounds the runs of a job at a time, as its progress row must stay below the 64 KB that the store
--- a/fleet/rejected_test.go
+++ b/fleet/rejected_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/workload"
@@ -76,6 +77,38 @@
 	assert.Equal(t, len(r.starts()), 1)
 }
 
+// Guards against jobs that are held up by rows of another kind that the store rejects.
+func TestRejectedRowOfVMsHoldsUpNoJob(t *testing.T) {
+	r := newRig(t)
+	rejected := 0
+	r.rejects = func(tx provider.Transaction) bool {
+		for _, w := range tx.Writes() {
+			if w.Key() == fleet.VMRequestsKey {
+				rejected++
+				return true
+			}
+		}
+		return false
+	}
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	list := func() {
+		capacity := workload.NewResources(8000, 8000, 0)
+		r.handle(fleet.VMsListed{RequestedAt: r.now, VMs: []backend.VM{
+			{Name: "m-1", Pool: "press", State: backend.VMUp, Server: "i-1", Capacity: capacity},
+			{Name: "m-8", Pool: "spare", State: backend.VMUp, Capacity: capacity},
+		}})
+	}
+	for n := 1; n <= 3; n++ {
+		list()
+		r.handle(fleet.JobArrived{Job: r.job(n, workload.StepOptions{Count: 1, MilliCores: 500})})
+		r.advance(2 * time.Second)
+	}
+	assert.Equal(t, len(r.starts()), 3)
+	assert.Assert(t, rejected > 0 && rejected < 10, "rejected %d times", rejected)
+	assert.Assert(t, r.storedTerm().Renewals > 5, "the term isn't renewed")
+}
+
 // Guards against a call to the store that stays too large because all changes are sent at once.
 func TestRejectedCommitIsSplit(t *testing.T) {
 	r := newRig(t)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -102,6 +102,7 @@
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
 	commitLimit           int           // of the jobs in one commit after the store rejected one, or 0
+	otherRowsHeldUntil    time.Time     // until then commits hold jobs and the term only, as the store rejected others
 	lastCommitDuration    time.Duration // duration of the last commit
 	jobsRead              bool          // all jobs that were stored before the term are known
 	statusWrittenAt       time.Time
