Acknowledge no ends while a rejected row is skipped

A row that the store rejected isn't sent again unchanged, but the commit then counted as holding all changes, and servers were told to drop ends of runs that weren't stored: after a takeover such a task would have run again. Found by reading the change.

TestEndWhoseRowIsRejectedIsNotAcknowledged failed before (end 1 acknowledged) and passes. go test ./fleet: passed, 61 s.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -142,6 +142,7 @@
 		}
 		return changed[a].spec.ID() < changed[b].spec.ID()
 	})
+	all = true
 	for _, j := range changed {
 		if len(writes) >= maxRowsPerCommit || (s.commitLimit > 0 && len(c.jobs) >= s.commitLimit) {
 			return writes, false
@@ -151,11 +152,12 @@
 		}
 		p := j.progress()
 		row := p.Encode()
-		delete(s.changedJobs, j)
 		if bytes.Equal(row, j.rejectedRow) {
-			continue // it stays marked as changed
+			all = false
+			continue // its ends of runs stay unstored
 		}
 		j.changed = false
+		delete(s.changedJobs, j)
 		if j.unstoredRuns > 0 {
 			c.intents = append(c.intents, j.intents()...)
 		}
@@ -169,7 +171,7 @@
 			c.copied = append(c.copied, j)
 		}
 	}
-	return writes, true
+	return writes, all
 }
 
 // statusWrites returns the writes of the number of pending jobs for each queue in which it changed. Until a new controller
--- a/fleet/rejected_test.go
+++ b/fleet/rejected_test.go
@@ -126,3 +126,25 @@
 	assert.Assert(t, rows > 10, "the most rows in one transaction: %d", rows)
 	assert.Equal(t, len(r.starts()), 16)
 }
+
+// Guards against the end of a run that its server drops although the store has rejected the row that holds the end: after a
+// takeover the task would run again.
+func TestEndWhoseRowIsRejectedIsNotAcknowledged(t *testing.T) {
+	r := newRig(t)
+	start := r.startOne()
+	r.rejects = func(tx provider.Transaction) bool {
+		for _, w := range tx.Writes() {
+			if w.Key() == fleet.ProgressPrefix+start.Request.Run.Task.Job {
+				return true
+			}
+		}
+		return false
+	}
+	r.advance(100 * time.Millisecond)
+	r.reportProgress("i-1", nil, 0, backend.RunEnd{Number: 1, Run: start.Request.Run, Kind: workload.EndDone})
+	for range 50 {
+		r.advance(100 * time.Millisecond)
+		assert.Equal(t, r.openPolls["i-1"].Request.AcknowledgedEnd, int64(0))
+		r.reportProgress("i-1", nil, 0, backend.RunEnd{Number: 1, Run: start.Request.Run, Kind: workload.EndDone})
+	}
+}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -221,7 +221,8 @@
 }
 
 // stalled reports whether a run made no progress for stallTimeout, or for its declared duration if that is longer. stallTimeout
-// doubles with each stalled run of the task, because a percent of a long task may take longer than any fixed time. Time without reports of the server doesn't count, as nothing is known of its runs then.
+// doubles with each stalled run of the task, because a percent of a long task may take longer than any fixed time. Time without
+// reports of the server doesn't count, as nothing is known of its runs then.
 func (s *State) stalled(a *attempt) bool {
 	if a.phase != running || a.stopRequested || a.server.failedPolls > 0 || a.pace < fullPace {
 		return false
