--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -64,15 +64,22 @@
 	return provider.NewRows(rows, l.version)
 }
 
-const cancelledJob = "0123456789abcdef"
-
-func submitAndCancel(t *testing.T, duringWrite func(*lateTable)) (*intake.Handler, *lateTable, func() intake.Outcome) {
-	t.Helper()
+// newLateHandler returns a handler that stores jobs in the returned table.
+func newLateHandler() (*intake.Handler, *lateTable) {
 	h, _ := newHandler(0, provider.NewUnavailable("not used"))
-	table := &lateTable{rows: make(map[string]provider.Row), late: true}
+	table := &lateTable{rows: make(map[string]provider.Row)}
 	for partition := range h.JobTables {
 		h.JobTables[partition] = table
 	}
+	return h, table
+}
+
+const cancelledJob = "0123456789abcdef"
+
+func submitAndCancel(t *testing.T, duringWrite func(*lateTable)) (*intake.Handler, *lateTable, func() intake.Outcome) {
+	t.Helper()
+	h, table := newLateHandler()
+	table.late = true
 	submit := func() intake.Outcome {
 		call := intake.Call{
 			Host: "h", Path: "/p/" + cancelledJob, Key: "key", Deadline: timer.System{}.Now().Add(300 * time.Millisecond),
@@ -118,11 +125,7 @@
 // Guards against a job that is cancelled although the caller was told that there is no such job: the job is accepted while the
 // request to cancel it is on its way to the store.
 func TestCancelOfJobThatIsAcceptedMeanwhile(t *testing.T) {
-	h, _ := newHandler(0, provider.NewUnavailable("not used"))
-	table := &lateTable{rows: make(map[string]provider.Row)}
-	for partition := range h.JobTables {
-		h.JobTables[partition] = table
-	}
+	h, table := newLateHandler()
 	table.beforeCommit = func() {
 		call := intake.Call{Host: "h", Path: "/p/" + cancelledJob, Key: "key", Deadline: timer.System{}.Now().Add(time.Second)}
 		admission, refusal := h.Admit(call)
--- a/intake/full_test.go
+++ b/intake/full_test.go
@@ -7,7 +7,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/intake"
-	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/timer"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
@@ -15,11 +14,7 @@
 // Guards against jobs that are accepted while the leader has no room for them, and against an accepted job that is refused when
 // its call is repeated.
 func TestSubmitWhileTheLeaderIsFull(t *testing.T) {
-	h, _ := newHandler(0, provider.NewUnavailable("not used"))
-	table := &lateTable{rows: make(map[string]provider.Row)}
-	for partition := range h.JobTables {
-		h.JobTables[partition] = table
-	}
+	h, table := newLateHandler()
 	fullFor := time.Duration(0)
 	h.FullFor = func() time.Duration { return fullFor }
 	submit := func(id string) intake.Outcome {
