Pause before a table is listed again and again

While the store keeps no history, each list of a table is followed by a read of changes that gets status 410, and the watcher listed the table again at once. The leader's watchers of jobs and cancellations read all partitions each time, in goroutines that piled up beside those still at work.

Seen on the emulator, with one entry VM and status 410 for each read of changes: 12,086 reads a second. The stores of the users allow 2,000 to all entry VMs together, and refuse others beyond that, the leader's among them.

Change: the first list after changes is still made at once, so that a single loss of history costs no time.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -10,7 +10,6 @@
 
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
-	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/platform"
 	"github.com/pistachiolead/pistachiolead/provider"
@@ -282,83 +281,27 @@
 			handleRow(row, handle)
 		}
 	}
+	reader := &partitionReader{controller: c, prefix: prefix, handle: handle}
+	if prefix == intake.JobPrefix {
+		began := c.vm.Clock.Now()
+		reader.ready = c.endedRead
+		reader.done = func() {
+			c.vm.Scope.SubScope("control").Timer("read-waiting-jobs").Record(c.vm.Clock.Now().Sub(began))
+			c.post(fleet.JobsRead{})
+			c.removeEndedJobs()
+		}
+	}
 	w.list = func() ([]provider.Row, uint64, error) {
 		_, listVersion, err := c.scan(c.vm.control, fleet.TermKey)
 		if err == nil {
-			c.readPartitions(prefix, handle, func() {})
+			reader.start()
 		}
 		return nil, listVersion, err
 	}
-	began := c.vm.Clock.Now()
-	c.readPartitions(prefix, handle, func() {
-		if prefix == intake.JobPrefix {
-			c.vm.Scope.SubScope("control").Timer("read-waiting-jobs").Record(c.vm.Clock.Now().Sub(began))
-			c.post(fleet.JobsRead{})
-			c.removeEndedJobs()
-		}
-	})
+	reader.start()
 	c.vm.goroutines.Go(func() error { return w.run(c.ctx) })
 }
 
-// readPartitions reads a table from all job partitions in a goroutine of its own. It retries partitions that can't be
-// read after it has read the others, and calls done once it has read all of them.
-func (c *controller) readPartitions(prefix string, handle func(provider.Row), done func()) {
-	c.vm.goroutines.Go(func() error {
-		if prefix == intake.JobPrefix {
-			select {
-			case <-c.endedRead:
-			case <-c.ctx.Done():
-				return nil
-			}
-		}
-		unread, reason := make([]int, 0, intake.Partitions), ""
-		for partition := range intake.Partitions {
-			unread = append(unread, partition)
-		}
-		for round := 1; len(unread) > 0 && c.ctx.Err() == nil; round++ {
-			if round > 1 {
-				klog.InfoS("Failed to read store partitions", "table", prefix, "partitions", len(unread), "round", round,
-					"reason", reason)
-				timer.Wait(c.ctx, c.vm.Clock, readRetryDelay)
-			}
-			unread, reason = c.tryPartitions(unread, prefix, handle)
-		}
-		if len(unread) == 0 {
-			done()
-		}
-		return nil
-	})
-}
-
-// tryPartitions reads a table from partitions in parallel. It returns the partitions that can't be read, and why one of
-// them can't.
-func (c *controller) tryPartitions(
-	partitions []int, prefix string, handle func(provider.Row),
-) (failed []int, reason string) {
-	var mu sync.Mutex
-	reads, _ := group.New(c.ctx)
-	reads.SetLimit(maxParallelReads)
-	for _, partition := range partitions {
-		reads.Go(func() error {
-			switch o := c.vm.jobPartition(partition).Scan(c.ctx, prefix, 0).(type) {
-			case provider.Rows:
-				for _, row := range o.Rows() {
-					handleRow(row, handle)
-				}
-			case provider.Unavailable:
-				mu.Lock()
-				failed, reason = append(failed, partition), o.Reason()
-				mu.Unlock()
-			}
-			return nil
-		})
-	}
-	if err := reads.Wait(); err != nil {
-		klog.ErrorS(err, "Reading store partitions ended early", "table", prefix)
-	}
-	return failed, reason
-}
-
 // watchRegistrations posts the registrations of backend servers, their changes and their removals.
 func (c *controller) watchRegistrations() {
 	feed := c.vm.feed(platform.ServersTable)
--- a/deployment/history_test.go
+++ b/deployment/history_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/pistachiolead/pistachiolead/platform/emulator"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
@@ -55,3 +57,27 @@
 	r.fault.Store(nil)
 	r.completes(2)
 }
+
+// Guards against entry VMs that use up the reads of the store while it drops its history again and again: each list of a table
+// is followed by a read of changes that gets status 410.
+func TestReadsAreBoundedWhileHistoryIsGone(t *testing.T) {
+	const (
+		length = 3 * time.Second
+		// maxReadsPerSecond is a fifth of the reads that the smallest store of the users allows to all entry VMs together.
+		maxReadsPerSecond = 400
+	)
+	r := newRig(t, 1, 100*time.Millisecond)
+	r.completes(1)
+	gone := func(string) emulator.Fault { return emulator.FaultHistoryGone }
+	r.fault.Store(&gone)
+	reads := func() int {
+		counts := r.store.RequestCounts()
+		return counts["/api/rows-get"] + counts["/api/rows-feed"]
+	}
+	before := reads()
+	timer.Wait(r.ctx, timer.System{}, length)
+	perSecond := float64(reads()-before) / length.Seconds()
+	t.Logf("%.0f reads a second", perSecond)
+	assert.Assert(t, perSecond <= maxReadsPerSecond, "%.0f reads a second", perSecond)
+	r.completes(2) // what changes meanwhile is still noticed
+}
--- a/deployment/watch.go
+++ b/deployment/watch.go
@@ -91,6 +91,8 @@
 	version uint64
 
 	failing bool // whether the last read failed
+	// relists is the number of lists since changes were last read.
+	relists int
 }
 
 // run reads and handles rows until ctx ends. It logs failed reads and retries them.
@@ -102,6 +104,7 @@
 			w.logFailure(err)
 			if errors.Is(err, platform.ErrHistoryGone) {
 				w.version = 0
+				w.awaitRelist(ctx)
 				continue
 			}
 			timer.Wait(ctx, w.clock, readRetryDelay)
@@ -124,15 +127,29 @@
 	return nil
 }
 
+// awaitRelist waits before the table is listed again, unless changes were read since the last list. While the store keeps no
+// history, each list is followed by a read of changes that fails, and a list of jobs reads all partitions.
+func (w *tableWatcher) awaitRelist(ctx context.Context) {
+	if w.relists > 0 {
+		timer.Wait(ctx, w.clock, min(readRetryDelay<<(w.relists-1), maxRelistDelay))
+	}
+}
+
 func (w *tableWatcher) read() ([]provider.Row, uint64, error) {
 	if w.version > 0 {
 		rows, version, err := w.feed.Changes(w.version, w.maxWait)
+		if err == nil {
+			w.relists = 0
+		}
 		if err == nil && w.rows != nil {
 			w.rows.update(rows)
 		}
 		return rows, version, err
 	}
 	rows, version, err := w.list()
+	if err == nil {
+		w.relists++
+	}
 	if err == nil && w.rows != nil {
 		rows = append(w.rows.replace(rows, version), rows...)
 	}
