Maintain a wave again whose row was written with another content

A wave that was complete stayed complete when its row was written again with more VMs, be it after a removal that no feed showed. Operators saw "completed" while VMs of the wave had never been maintained (MIXED), and a new leader took the stored progress of a removed wave for that of a later one with the same name.

Change: the stored progress names the version of the row. Another version opens the wave again, with a time limit of its own; VMs whose maintenance has begun for the wave count, as the platform keeps them by its number. A commit or a publication of the earlier content doesn't count for the later one, and earlier content that is read late is ignored: the load of a leader and its feed overlap.

TestCompleteWaveStaysComplete- AfterTakeover guards what held before.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -411,7 +411,9 @@
 		return fleet.VMMoveEnded{VM: e.VM, Outcome: c.vms.Move(e.VM, e.Pool, e.Token)}
 	case fleet.PublishWaveStatus:
 		status := &platform.WaveStatusWriter{Client: c.vm.client, Address: c.vm.Settings.StoreAddress()}
-		return fleet.WaveStatusPublished{Wave: e.Wave, Complete: e.Complete, Outcome: status.Write(c.ctx, e.Wave, e.Complete)}
+		return fleet.WaveStatusPublished{
+			Wave: e.Wave, Version: e.Version, Complete: e.Complete, Outcome: status.Write(c.ctx, e.Wave, e.Complete),
+		}
 	case fleet.RequestRecommendation:
 		return c.recommend(e, t.Now())
 	case fleet.ListVMs:
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -309,7 +309,9 @@
 		j.copyStored = true
 	}
 	for _, w := range c.waves {
-		w.wave.storedComplete = w.complete
+		if w.version == w.wave.spec.Version {
+			w.wave.storedComplete = w.complete
+		}
 	}
 	for _, r := range c.vmRequests {
 		s.emit(r.effect)
--- a/fleet/effect.go
+++ b/fleet/effect.go
@@ -71,10 +71,11 @@
 	Token uint64
 }
 
-// PublishWaveStatus publishes the status of a wave for operators: in progress or complete. Its outcome is
-// WaveStatusPublished.
+// PublishWaveStatus publishes the status of a wave for operators: in progress or complete. Version is that of the wave's row.
+// Its outcome is WaveStatusPublished.
 type PublishWaveStatus struct {
 	Wave     string
+	Version  uint64
 	Complete bool
 }
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -100,9 +100,10 @@
 	Failure     string
 }
 
-// WaveStatusPublished is the outcome of publishing the status of a wave.
+// WaveStatusPublished is the outcome of publishing the status of a wave, whose row had the given version.
 type WaveStatusPublished struct {
 	Wave     string
+	Version  uint64
 	Complete bool
 	Outcome  provider.CommitOutcome
 }
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,7 +79,13 @@
 			progress[j.ID()] = p
 		}
 	}
-	r.state.Restore(fleet.Stored{Jobs: jobs, Progress: progress}, r.now)
+	var waves []provider.Row
+	for key, data := range r.rows {
+		if strings.HasPrefix(key, fleet.WavesPrefix) {
+			waves = append(waves, provider.NewRow(key, data, r.version))
+		}
+	}
+	r.state.Restore(fleet.Stored{Jobs: jobs, Progress: progress, Waves: waves}, r.now)
 	r.configure(workload.Resources{})
 }
 
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -58,11 +58,14 @@
 	Begun    []string `json:"begun,omitempty"`
 	SeenMS   int64    `json:"seen-ms"` // when the wave was first read, in Unix milliseconds
 	Complete bool     `json:"complete,omitempty"`
+	// Version is that of the operators' row with the wave, or 0 if an earlier release stored the progress.
+	Version uint64 `json:"version,omitempty"`
 }
 
-// committedWave is a wave in a commit, with its completion when the commit was sent.
+// committedWave is a wave in a commit, with the version of its row and its completion when the commit was sent.
 type committedWave struct {
 	wave     *wave
+	version  uint64
 	complete bool
 }
 
@@ -79,10 +82,28 @@
 		w = newWave(spec)
 		s.waves[spec.Name] = w
 		w.firstSeen, w.changed = now, true
+		w.spec = spec
+		return
+	}
+	if spec.Version < w.spec.Version {
+		return // the rows of the load and of the feed overlap
+	}
+	if spec.Version != w.spec.Version {
+		w.reopen(now)
 	}
 	w.spec = spec
 }
 
+// reopen prepares a wave for another content of its row. VMs whose maintenance has begun for the wave aren't maintained again.
+func (w *wave) reopen(now time.Time) {
+	if w.spec.Version != 0 {
+		w.firstSeen = now
+	}
+	w.complete, w.storedComplete, w.changed = false, false, true
+	w.publishedStatus, w.publishing = waveUnpublished, false
+	clear(w.skipped)
+}
+
 // restoreWaves loads the stored progress of waves. Their specifications come later, from the operators' table.
 func (s *State) restoreWaves(rows []provider.Row) {
 	for _, row := range rows {
@@ -92,7 +113,7 @@
 			klog.ErrorS(err, "Failed to decode stored wave", "wave", name)
 			continue
 		}
-		w := newWave(directory.Wave{Name: name})
+		w := newWave(directory.Wave{Name: name, Version: stored.Version})
 		w.storedComplete = stored.Complete
 		w.complete, w.firstSeen = stored.Complete, time.UnixMilli(stored.SeenMS)
 		for _, vm := range stored.Begun {
@@ -109,8 +130,8 @@
 			continue
 		}
 		w.changed = false
-		c.waves = append(c.waves, committedWave{wave: w, complete: w.complete})
-		stored := storedWave{Complete: w.complete, SeenMS: w.firstSeen.UnixMilli()}
+		c.waves = append(c.waves, committedWave{wave: w, version: w.spec.Version, complete: w.complete})
+		stored := storedWave{Complete: w.complete, SeenMS: w.firstSeen.UnixMilli(), Version: w.spec.Version}
 		for vm := range w.begunAt {
 			stored.Begun = append(stored.Begun, vm)
 		}
@@ -136,13 +157,13 @@
 			continue
 		}
 		w.publishing = true
-		s.emit(PublishWaveStatus{Wave: w.spec.Name, Complete: status == waveComplete})
+		s.emit(PublishWaveStatus{Wave: w.spec.Name, Version: w.spec.Version, Complete: status == waveComplete})
 	}
 }
 
 func (s *State) wavePublished(e WaveStatusPublished) {
 	w, known := s.waves[e.Wave]
-	if !known {
+	if !known || e.Version != w.spec.Version {
 		return
 	}
 	w.publishing = false
--- /dev/null
+++ b/fleet/waves_test.go
@@ -0,0 +1,137 @@
+package fleet_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
+)
+
+// newWaveRig returns a rig with the idle servers i-1 and i-2.
+func newWaveRig(t *testing.T) *rig {
+	t.Helper()
+	r := newRig(t)
+	r.registerTwo()
+	return r
+}
+
+func (r *rig) registerTwo() {
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+}
+
+func (r *rig) requestWave(version uint64, vms ...string) {
+	r.handle(fleet.OperationArrived{Operation: directory.Wave{
+		Name: "1", Number: 1, VMs: vms, TimeLimit: 30 * time.Second, MaxConcurrent: 1, Version: version,
+	}})
+}
+
+// waveEvents handles all requests of maintenance and of publications as successful. It returns the VMs for which maintenance was
+// requested and the published statuses, in order.
+func (r *rig) waveEvents() (vms, statuses []string) {
+	for _, e := range r.takeEffects() {
+		switch e := e.(type) {
+		case fleet.MaintainVM:
+			vms = append(vms, e.VM)
+			r.handle(fleet.MaintenanceEnded{VM: e.VM, Wave: e.Wave, Outcome: backend.Accepted{}})
+		case fleet.PublishWaveStatus:
+			status := "running"
+			if e.Complete {
+				status = "completed"
+			}
+			statuses = append(statuses, status)
+			r.handle(fleet.WaveStatusPublished{
+				Wave: e.Wave, Version: e.Version, Complete: e.Complete, Outcome: provider.NewCommitted(r.version),
+			})
+		}
+	}
+	return vms, statuses
+}
+
+// completeWave lists VMs that are up until the wave needs nothing more.
+func (r *rig) completeWave() (vms, statuses []string) {
+	for range 60 {
+		r.listVMs(backend.VMUp, backend.VMUp)
+		newVMs, newStatuses := r.waveEvents()
+		vms, statuses = append(vms, newVMs...), append(statuses, newStatuses...)
+	}
+	return vms, statuses
+}
+
+func (r *rig) waveIsStoredComplete() bool {
+	return strings.Contains(string(r.rows[fleet.WavesPrefix+"1"]), `"complete":true`)
+}
+
+// Guards against a wave that stays complete although its row was written again with other VMs, with or without a change of
+// leader in between.
+func TestReplacedWaveIsMaintained(t *testing.T) {
+	for name, takeover := range map[string]bool{"same leader": false, "new leader": true} {
+		r := newWaveRig(t)
+		r.requestWave(5, "m-1")
+		vms, statuses := r.completeWave()
+		assert.DeepEqual(t, vms, []string{"m-1"})
+		assert.DeepEqual(t, statuses, []string{"running", "completed"})
+		assert.Assert(t, r.waveIsStoredComplete(), name)
+		if takeover {
+			r.restart()
+			r.registerTwo()
+			r.takeEffects()
+		}
+		r.requestWave(9, "m-1", "m-2")
+		r.advance(100 * time.Millisecond)
+		assert.Assert(t, !r.waveIsStoredComplete(), name)
+		vms, statuses = r.completeWave()
+		assert.DeepEqual(t, vms, []string{"m-2"})
+		assert.DeepEqual(t, statuses, []string{"running", "completed"})
+		assert.Assert(t, r.waveIsStoredComplete(), name)
+	}
+}
+
+// Guards against a wave that is published as complete by the outcome of a publication, or a commit, of its earlier content.
+func TestOutcomesOfReplacedWaveDoNotCount(t *testing.T) {
+	r := newWaveRig(t)
+	r.requestWave(5, "m-1")
+	for !r.waveIsStoredComplete() {
+		r.listVMs(backend.VMUp, backend.VMUp)
+		for _, e := range r.takeEffects() {
+			if m, ok := e.(fleet.MaintainVM); ok {
+				r.handle(fleet.MaintenanceEnded{VM: m.VM, Wave: m.Wave, Outcome: backend.Accepted{}})
+			}
+		}
+	}
+	r.requestWave(9, "m-1", "m-2")
+	r.handle(fleet.WaveStatusPublished{Wave: "1", Version: 5, Complete: true, Outcome: provider.NewCommitted(r.version)})
+	_, statuses := r.completeWave()
+	assert.DeepEqual(t, statuses, []string{"running", "completed"})
+}
+
+// Guards against the earlier content of a wave that is read late, by another reader of the operators' rows.
+func TestEarlierContentDoesNotReplaceWave(t *testing.T) {
+	r := newWaveRig(t)
+	r.requestWave(9, "m-1", "m-2")
+	r.requestWave(5, "m-1")
+	vms, _ := r.completeWave()
+	assert.Equal(t, len(vms), 2, "%v", vms)
+}
+
+// Guards against a wave that is maintained and published again after a change of leader.
+func TestCompleteWaveStaysCompleteAfterTakeover(t *testing.T) {
+	r := newWaveRig(t)
+	r.requestWave(5, "m-1")
+	r.completeWave()
+	r.restart()
+	r.registerTwo()
+	r.takeEffects()
+	r.requestWave(5, "m-1")
+	vms, statuses := r.completeWave()
+	assert.Equal(t, len(vms), 0, "%v", vms)
+	assert.DeepEqual(t, statuses, []string{"completed"})
+}
