Return the servers of a removed wave to service

When a wave was removed, or written again without some of its VMs, the servers that were being drained for it stayed cordoned until the leader changed. They got no work, and with enough of them accepted work has nowhere to run (LOST).

Change: the leader uncordons the servers of the VMs that no longer belong to the wave. If the maintenance of a VM was requested and has no outcome yet, its server waits for the outcome, or until the platform can't carry the request out any more; the request isn't repeated, as nobody asks for it now.

Measured: TestServersOfRemovedWaveGetRuns and TestServerWithOpenRequestOfRemovedWaveGetsNoRuns failed before and pass.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -118,7 +118,8 @@
 			return true
 		}
 	}
-	return false
+	abandoned, known := s.abandoned[r.VM]
+	return known && abandoned.server == r.ID
 }
 
 // sendPolls polls the servers that are due, and extends their leases.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -63,8 +63,9 @@
 	crashAlertUntil  time.Time
 	isolatedServers  map[string]int // servers that isolated runs have or need, by pool
 	waves            map[string]*wave
-	maintenanceDue   map[string]bool  // VMs of a wave whose maintenance hasn't begun
-	moves            map[string]*move // by VM
+	abandoned        map[string]abandonedRequest // by VM
+	maintenanceDue   map[string]bool             // VMs of a wave whose maintenance hasn't begun
+	moves            map[string]*move            // by VM
 	poolsLoggedAt    time.Time
 	capacityShortage bool      // a pool has fewer servers than it needs
 	arrivals         workRates // rate of arriving work, by pool
@@ -144,7 +145,7 @@
 	s.customerUsage = make(map[string]workload.Resources)
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
-	s.waves = make(map[string]*wave)
+	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
 	s.overLimit = make(map[string]int)
@@ -293,7 +294,7 @@
 	case directory.Wave:
 		s.addWave(o, now)
 	case directory.WaveCancelled:
-		delete(s.waves, o.Name)
+		s.cancelWave(o.Name)
 	}
 	s.placeAll = true
 }
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -89,7 +89,8 @@
 		return // the rows of the load and of the feed overlap
 	}
 	if spec.Version != w.spec.Version {
-		w.reopen(now)
+		s.replaceWave(w, spec, now)
+		return
 	}
 	w.spec = spec
 }
@@ -193,6 +194,7 @@
 
 // advanceWaves publishes the status of waves and advances those that aren't complete.
 func (s *State) advanceWaves(now time.Time) {
+	s.releaseAbandoned(now)
 	s.publishWaves()
 	if len(s.vms) == 0 {
 		return
@@ -297,8 +299,12 @@
 	}
 }
 
-// requestedForOther reports whether another wave's request for a VM has no outcome yet.
+// requestedForOther reports whether a request for a VM by another wave, or by this one before it was replaced, may still be
+// carried out.
 func (s *State) requestedForOther(w *wave, vm string) bool {
+	if _, abandoned := s.abandoned[vm]; abandoned {
+		return true
+	}
 	for _, other := range s.waves {
 		if other != w && (other.inFlight[vm] || !other.requestedAt[vm].IsZero()) {
 			return true
@@ -426,6 +432,7 @@
 }
 
 func (s *State) maintenanceEnded(e MaintenanceEnded, now time.Time) {
+	s.abandonedRequestEnded(e, now)
 	for _, w := range s.waves {
 		if w.spec.Number == e.Wave && w.inFlight[e.VM] {
 			delete(w.inFlight, e.VM)
--- a/fleet/waves_test.go
+++ b/fleet/waves_test.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/workload"
 )
 
 // newWaveRig returns a rig with the idle servers i-1 and i-2.
@@ -135,3 +136,69 @@
 	assert.Equal(t, len(vms), 0, "%v", vms)
 	assert.DeepEqual(t, statuses, []string{"completed"})
 }
+
+// startsOn returns the servers on which two new tasks start that fill one server each.
+func (r *rig) startsOn(n int) map[string]bool {
+	r.takeEffects()
+	step := workload.StepOptions{Count: 2, MilliCores: 8000, MemoryMB: 100, DeclaredDurationMS: 1000}
+	r.handle(fleet.JobArrived{Job: r.job(n, step)})
+	r.advance(300 * time.Millisecond)
+	servers := make(map[string]bool)
+	for _, s := range r.starts() {
+		servers[s.Target.ID] = true
+	}
+	return servers
+}
+
+// Guards against servers that get no work any more: their VMs were being drained for a wave that operators removed, or wrote
+// again without these VMs.
+func TestServersOfRemovedWaveGetRuns(t *testing.T) {
+	for name, remove := range map[string]func(*rig){
+		"removed":  func(r *rig) { r.handle(fleet.OperationArrived{Operation: directory.WaveCancelled{Name: "1"}}) },
+		"replaced": func(r *rig) { r.requestWave(9, "m-3") },
+	} {
+		r := newWaveRig(t)
+		step := workload.StepOptions{Count: 2, MilliCores: 8000, MemoryMB: 100, DeclaredDurationMS: 60_000} // one for each server
+		r.handle(fleet.JobArrived{Job: r.job(1, step)})
+		runs := make(map[string][]backend.Run)
+		for _, s := range r.starts() {
+			r.acceptStart(s)
+			runs[s.Target.ID] = append(runs[s.Target.ID], s.Request.Run)
+		}
+		r.requestWave(5, "m-1", "m-2")
+		for range 5 {
+			r.listVMs(backend.VMUp, backend.VMUp)
+		}
+		remove(r)
+		for id, ran := range runs {
+			var ends []backend.RunEnd
+			for i, run := range ran {
+				ends = append(ends, backend.RunEnd{Number: int64(i + 1), Run: run, Kind: workload.EndDone})
+			}
+			r.report(id, nil, ends...)
+		}
+		for range 5 {
+			r.listVMs(backend.VMUp, backend.VMUp)
+		}
+		assert.Equal(t, len(r.startsOn(2)), 2, name)
+	}
+}
+
+// Guards against a server that gets work although the maintenance of its VM may still be carried out: operators removed the wave
+// while its request had no response.
+func TestServerWithOpenRequestOfRemovedWaveGetsNoRuns(t *testing.T) {
+	r := newWaveRig(t)
+	r.requestWave(5, "m-1")
+	r.listVMs(backend.VMUp, backend.VMUp)
+	assert.DeepEqual(t, r.maintained(), []string{"m-1"})
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.OutcomeUnknown{Reason: "no response"}})
+	r.handle(fleet.OperationArrived{Operation: directory.WaveCancelled{Name: "1"}})
+	r.listVMs(backend.VMUp, backend.VMUp)
+	assert.DeepEqual(t, r.startsOn(1), map[string]bool{"i-2": true})
+	r.advance(time.Second)
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Refused{Reason: backend.RefusedWave}})
+	r.listVMs(backend.VMUp, backend.VMUp)
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Target.ID, "i-1")
+}
