Return a server to service whose maintenance was refused

The server of a VM is cordoned when its maintenance is requested. If the platform refuses the request for good, as invalid or as not part of the wave, the VM was left out of the wave, but its server stayed cordoned until the leader changed.

Measured: TestServerGetsRunsAfterMaintenanceWasRefused failed before for both reasons and passes.

--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -457,7 +457,9 @@
 			s.depose("vm-knows-newer-token")
 		case backend.RefusedInvalid, backend.RefusedWave:
 			delete(w.requestedAt, e.VM)
+			delete(w.drainingSince, e.VM)
 			w.skipped[e.VM] = true
+			s.uncordon(e.VM)
 		default:
 			w.requestedAt[e.VM] = now
 		}
--- a/fleet/waves_test.go
+++ b/fleet/waves_test.go
@@ -184,6 +184,20 @@
 	}
 }
 
+// Guards against a server that gets no work any more because the maintenance of its VM was refused: as not part of the wave, or as
+// invalid.
+func TestServerGetsRunsAfterMaintenanceWasRefused(t *testing.T) {
+	for _, reason := range []backend.RefusalReason{backend.RefusedWave, backend.RefusedInvalid} {
+		r := newWaveRig(t)
+		r.requestWave(5, "m-1")
+		r.listVMs(backend.VMUp, backend.VMUp)
+		assert.DeepEqual(t, r.maintained(), []string{"m-1"})
+		r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Refused{Reason: reason}})
+		r.listVMs(backend.VMUp, backend.VMUp)
+		assert.Equal(t, len(r.startsOn(1)), 2, "%s", reason)
+	}
+}
+
 // Guards against a server that gets work although the maintenance of its VM may still be carried out: operators removed the wave
 // while its request had no response.
 func TestServerWithOpenRequestOfRemovedWaveGetsNoRuns(t *testing.T) {
