Keep the status of a wave from being replaced by a late write

The status of a wave was written without a condition. Once the write of "running" had got no response, it was repeated, "completed" followed, and the late write of "running" replaced it for good, as a published status isn't published again. The write of a former leader could do the same.

Change: the write has the versions of the status and of the wave's row as conditions. A leader reads the status first, and doesn't replace one of the same content by an earlier one. The emulator delays chosen transactions.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -410,9 +410,8 @@
 	case fleet.MoveVM:
 		return fleet.VMMoveEnded{VM: e.VM, Outcome: c.vms.Move(e.VM, e.Pool, e.Token)}
 	case fleet.PublishWaveStatus:
-		status := &platform.WaveStatusWriter{Client: c.vm.client, Address: c.vm.Settings.StoreAddress()}
 		return fleet.WaveStatusPublished{
-			Wave: e.Wave, Version: e.Version, Complete: e.Complete, Outcome: status.Write(c.ctx, e.Wave, e.Complete),
+			Wave: e.Wave, Version: e.Version, Complete: e.Complete, Outcome: c.publishWave(e),
 		}
 	case fleet.RequestRecommendation:
 		return c.recommend(e, t.Now())
@@ -423,6 +422,19 @@
 	panic("send: the effect has no request")
 }
 
+// publishWave publishes the status of a wave, unless the present one is of the same content of the wave and isn't behind.
+func (c *controller) publishWave(e fleet.PublishWaveStatus) provider.CommitOutcome {
+	statuses := &platform.WaveStatuses{Client: c.vm.client, Address: c.vm.Settings.StoreAddress()}
+	present, err := statuses.Read(c.ctx, e.Wave)
+	if err != nil {
+		return provider.NewUnavailable(err.Error())
+	}
+	if present.Version > e.Version && (present.Complete || present.Running && !e.Complete) {
+		return provider.NewCommitted(present.Version)
+	}
+	return statuses.Write(c.ctx, e.Wave, e.Version, present.Version, e.Complete)
+}
+
 // recommend asks the recommendation service on which servers a step may run.
 func (c *controller) recommend(e fleet.RequestRecommendation, requestedAt time.Time) fleet.Event {
 	client := &platform.RecommendationClient{Client: c.vm.client, Address: c.vm.Settings.RecommendationAddress()}
--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -38,6 +39,8 @@
 	statusTime float64                                          // for which the states of ended jobs are kept, in seconds
 	fault      atomic.Pointer[func(path string) emulator.Fault] // of the store, by request
 	down       atomic.Pointer[func(partition string) bool]      // whether a store partition is down
+	// transactionFault is the fault of a transaction, by the keys of the rows that it puts.
+	transactionFault atomic.Pointer[func(keys []string) emulator.Fault]
 }
 
 type entryVM struct {
@@ -59,6 +62,11 @@
 			return (*fault)(path)
 		}
 		return emulator.FaultNone
+	}, TransactionFault: func(keys []string) emulator.Fault {
+		if fault := r.transactionFault.Load(); fault != nil {
+			return (*fault)(keys)
+		}
+		return emulator.FaultNone
 	}, PartitionDown: func(partition string) bool {
 		down := r.down.Load()
 		return down != nil && (*down)(partition)
@@ -167,6 +175,21 @@
 	return v
 }
 
+// delayPuts lets the store carry out the first n transactions late and without a response that put a row with the key prefix.
+func (r *rig) delayPuts(prefix string, n int64) *atomic.Int64 {
+	var delayed atomic.Int64
+	late := func(keys []string) emulator.Fault {
+		for _, key := range keys {
+			if strings.HasPrefix(key, prefix) && delayed.Add(1) <= n {
+				return emulator.FaultLate
+			}
+		}
+		return emulator.FaultNone
+	}
+	r.transactionFault.Store(&late)
+	return &delayed
+}
+
 // kill ends an entry VM without a planned stop.
 func (v *entryVM) kill() {
 	v.cancel()
