--- a/deployment/rig_test.go
+++ b/deployment/rig_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -211,6 +212,14 @@
 
 // call sends a call to an entry VM. It returns the HTTP status and the decoded body, or 0 if there was no response.
 func (r *rig) call(v *entryVM, method, path, key string, body any) (int, map[string]any) {
+	r.t.Helper()
+	return r.callWithin(v, method, path, key, 3*time.Second, body)
+}
+
+// callWithin is like call, for a caller who waits for the response for a limited time.
+func (r *rig) callWithin(
+	v *entryVM, method, path, key string, limit time.Duration, body any,
+) (int, map[string]any) {
 	r.t.Helper()
 	var content io.Reader
 	if body != nil {
@@ -222,7 +231,7 @@
 	assert.NilError(r.t, err)
 	req.Host = "h.example"
 	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("X-Deadline-Ms", "3000")
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, nil
