Let no run start before the cancellations of its partition are read

A job whose cancellation had been answered with 200 was started again after a change of leader: the new leader restores jobs from one partition of the store and begins to place them, while it still reads the cancellations from 128 others. If one of them can't be read for a while, its jobs ran on for as long.

Change: jobs get no new runs before the cancellations of their partition, as they were at the takeover, have been handled. Partitions count one by one, so that one which is down holds up its own jobs only; what runs goes on.

Measured: TestCancelledJobStartsNothingAfterTakeover failed before (the second step of a cancelled job started) and passes.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -66,6 +66,7 @@
 		HandoverPause:   s.HandoverPause(),
 		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(),
 		LinkMbps: s.LinkMbps(), AwaitRestore: true, MaxTasks: maxTasks(s.MemoryMB()),
+		CancelPartitions: intake.Partitions, CancelPartition: intake.PartitionOf,
 		Scope: c.vm.Scope.SubScope("control"),
 	}
 	c.previousGCPercent = debug.SetGCPercent(controllerGCPercent)
@@ -282,6 +283,9 @@
 		}
 	}
 	reader := &partitionReader{controller: c, prefix: prefix, handle: handle}
+	if prefix == intake.CancelPrefix {
+		reader.partitionDone = func(partition int) { c.post(fleet.CancelsRead{Partition: partition}) }
+	}
 	if prefix == intake.JobPrefix {
 		began := c.vm.Clock.Now()
 		reader.ready = c.endedRead
--- a/deployment/latewrites_test.go
+++ b/deployment/latewrites_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -63,6 +64,27 @@
 	}
 }
 
+// Guards against a task that starts after its job was cancelled: the leader is lost before it learns of the cancellation, and the
+// next one can't read the partition that holds it.
+func TestCancelledJobStartsNothingAfterTakeover(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2, 500*time.Millisecond)
+	vm, id := r.vms[1], jobID(1)
+	assert.Equal(t, r.submit(vm, "plates", id, step(1, 1000), step(1, 1000, 0)), http.StatusOK)
+	r.eventually("the first step runs", func() bool { return r.observer.Running(id) == 1 })
+	r.vms[0].kill()
+	status, _ := r.call(vm, http.MethodDelete, "/plates/"+id, "key-1", nil)
+	assert.Equal(t, status, http.StatusOK)
+	down := func(partition string) bool { return partition == intake.PartitionName(intake.PartitionOf(id)) }
+	r.down.Store(&down)
+	r.completes(2)
+	timer.Wait(r.ctx, timer.System{}, time.Second)
+	assert.Equal(t, r.observer.Starts(id+".0.1.0"), 0, "the second step starts")
+	r.down.Store(nil)
+	r.eventually("the job is cancelled", func() bool { return r.state(vm, "plates", id) == "cancelled" })
+	assert.Equal(t, r.observer.Starts(id+".0.1.0"), 0, "the second step starts")
+}
+
 func longRunningStep(count int) map[string]any {
 	s := step(count, 1000)
 	s["LongRunning"] = true
--- a/deployment/partitions.go
+++ b/deployment/partitions.go
@@ -19,6 +19,8 @@
 	// ready is closed when the first read may begin. nil stands for a closed channel.
 	ready  <-chan struct{}
 	handle func(provider.Row)
+	// partitionDone is called for each partition, once its rows were handled. It may be nil.
+	partitionDone func(partition int)
 	// done is called after the first read that is complete. It may be nil.
 	done func()
 
@@ -82,6 +84,9 @@
 				for _, row := range o.Rows() {
 					handleRow(row, r.handle)
 				}
+				if r.partitionDone != nil {
+					r.partitionDone(partition)
+				}
 			case provider.Unavailable:
 				mu.Lock()
 				failed, reason = append(failed, partition), o.Reason()
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -24,6 +24,9 @@
 // CancelRequested is a stored request to cancel a job, which may be read before the job itself.
 type CancelRequested struct{ ID string }
 
+// CancelsRead says that all requests to cancel jobs that a partition held before the term have arrived.
+type CancelsRead struct{ Partition int }
+
 // JobsRemoved says that the stored rows of jobs were removed: of jobs that ended a while ago, and of requests to cancel jobs
 // that were never stored.
 type JobsRemoved struct{ IDs []string }
@@ -123,6 +126,7 @@
 func (JobArrived) event()          {}
 func (JobsRead) event()            {}
 func (CancelRequested) event()     {}
+func (CancelsRead) event()         {}
 func (JobsRemoved) event()         {}
 func (OperationArrived) event()    {}
 func (ServerRegistered) event()    {}
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -39,6 +39,11 @@
 	s.endJob(j, workload.JobCancelled, "cancelled")
 }
 
+// awaitsCancels reports whether it isn't known yet which jobs of the job's partition were cancelled before the term.
+func (s *State) awaitsCancels(j *job) bool {
+	return len(s.unreadCancels) > 0 && s.unreadCancels[s.CancelPartition(j.spec.ID())]
+}
+
 // endJob sets the final state of a job and stops its runs.
 func (s *State) endJob(j *job, state workload.JobState, reason string) {
 	j.state = state
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -48,7 +48,7 @@
 func (s *State) place(now time.Time) {
 	pools := s.poolsInService(now)
 	for _, j := range s.jobs {
-		if j.state.Final() || now.Before(j.heldUntil) {
+		if j.state.Final() || now.Before(j.heldUntil) || s.awaitsCancels(j) {
 			continue
 		}
 		if p, ok := pools[s.poolOf(j)]; ok {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -41,6 +41,11 @@
 	// AwaitRestore holds back all events until Restore is called, but for those that renew the term. Reading the stored
 	// state may take longer than a term.
 	AwaitRestore bool
+	// CancelPartitions is the number of store partitions that hold requests to cancel jobs, and CancelPartition returns that of a
+	// job. A job gets no runs before CancelsRead has come for its partition: the previous leader may have been lost before it
+	// learned that the job was cancelled. 0 means that nothing is awaited.
+	CancelPartitions int
+	CancelPartition  func(job string) int
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is unknown.
 	LinkMbps float64
 	// MaxTasks is the number of tasks of unfinished jobs from which on new jobs are refused, or 0 if there is no such number.
@@ -56,6 +61,7 @@
 	evacuatedZones   map[string]bool
 	jobs             map[string]*job
 	earlyCancels     map[string]bool // cancellations that were read before their jobs
+	unreadCancels    map[int]bool    // the partitions for which CancelsRead is awaited
 	servers          map[string]*server
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
@@ -137,6 +143,10 @@
 	s.evacuatedZones = make(map[string]bool)
 	s.jobs = make(map[string]*job)
 	s.earlyCancels = make(map[string]bool)
+	s.unreadCancels = make(map[int]bool)
+	for partition := range s.CancelPartitions {
+		s.unreadCancels[partition] = true
+	}
 	s.servers = make(map[string]*server)
 	s.dirtyPools = make(map[string]bool)
 	s.unstoredEnds = make(map[*server]bool)
@@ -181,6 +191,9 @@
 		s.jobsRead = true
 	case CancelRequested:
 		s.cancel(e.ID, now)
+	case CancelsRead:
+		delete(s.unreadCancels, e.Partition)
+		s.placeAll = true
 	case JobsRemoved:
 		for _, id := range e.IDs {
 			delete(s.earlyCancels, id)
