Count no attempt for a start request that is refused as invalid

A start request that a server answered with 400 counted as a failed run. A relay of another release, which refuses a kind of request that it doesn't know in the same way, could do that to every job that it relayed.

Change: the task is started again elsewhere, after a delay that doubles up to 10 s, and keeps its attempts.

Measured: TestInvalidStartRequestsDoNotFailJob failed before (the job had ended after two requests) and passes.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -76,6 +76,11 @@
 
 	startRetryDelay = 150 * time.Millisecond // before a stop request without a response is sent again, or another run started
 
+	// maxInvalidStartDelay bounds the time before a task is started again whose start requests are refused as invalid, and
+	// maxStartDoublings the doublings of startRetryDelay until then.
+	maxInvalidStartDelay = 10 * time.Second
+	maxStartDoublings    = 7
+
 	// rejectedRowPause is how long a job gets no runs after the store rejected its progress, and how long rows of other kinds
 	// aren't sent again.
 	rejectedRowPause  = 10 * time.Second
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -66,10 +66,12 @@
 	step      *step
 	record    workload.TaskRecord
 	attempts  []*attempt
-	failedOn  []string  // ids of servers on which it failed or stalled
-	stalls    int       // runs that were stopped because they made no progress
-	retryAt   time.Time // before that the task isn't placed
-	lostAt    time.Time // when a server was last lost under it
+	failedOn  []string // ids of servers on which it failed or stalled
+	stalls    int      // runs that were stopped because they made no progress
+	// invalidStarts is the number of start requests that servers refused as invalid.
+	invalidStarts int
+	retryAt       time.Time // before that the task isn't placed
+	lostAt        time.Time // when a server was last lost under it
 }
 
 // phase is the progress of an attempt.
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -115,7 +115,7 @@
 	case backend.RefusedBusy, backend.RefusedUnreachable, backend.RefusedCapacity, backend.RefusedIncarnation:
 		v.cooldownUntil = now.Add(refusalCooldown)
 	case backend.RefusedInvalid:
-		s.failTask(a.task, v.id, a.runNumber)
+		a.task.startWasInvalid(v, now)
 	case backend.RefusedTicket:
 		s.discardTicket(a.task, v)
 	case backend.RefusedOldRun, backend.RefusedStaleToken, backend.RefusedOther:
@@ -123,6 +123,14 @@
 	s.removeAttempt(a)
 }
 
+// startWasInvalid delays the next run of a task whose start request a server refused as invalid, and prefers other servers. That
+// counts as no attempt, as the server has run nothing: it may be another release that refuses, or something else at its address.
+func (t *task) startWasInvalid(v *server, now time.Time) {
+	t.failedOn = append(t.failedOn, v.id)
+	t.retryAt = now.Add(min(startRetryDelay<<min(t.invalidStarts, maxStartDoublings), maxInvalidStartDelay))
+	t.invalidStarts++
+}
+
 // awaitReport waits for a report after a start request without a response. If the request was carried out, the server's next
 // report lists the run. Otherwise the run is stopped for the given reason, because a delayed request may still start it. The
 // request isn't repeated: the server may have crashed and started again meanwhile, and would crash once more.
--- a/fleet/starts_test.go
+++ b/fleet/starts_test.go
@@ -60,3 +60,39 @@
 	assert.Equal(t, r.stops(), 1)
 	assert.Equal(t, len(r.starts()), 0)
 }
+
+// Guards against a job that ends as failed although no run of it has failed: servers refuse its start requests as invalid. Only
+// runs that end as failed count as attempts.
+func TestInvalidStartRequestsDoNotFailJob(t *testing.T) {
+	r := newRig(t)
+	servers := []string{"i-1", "i-2"}
+	for _, id := range servers {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	job := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	r.handle(fleet.JobArrived{Job: job})
+	refused := make(map[string]bool)
+	requests := 0
+	for range 100 {
+		for _, s := range r.starts() {
+			requests++
+			refused[s.Target.ID] = true
+			r.handle(fleet.StartEnded{
+				Server: s.Target.ID, Incarnation: s.Target.Incarnation, Run: s.Request.Run,
+				Outcome: backend.Refused{Reason: backend.RefusedInvalid},
+			})
+		}
+		r.advance(100 * time.Millisecond)
+		for _, id := range servers {
+			if _, open := r.openPolls[id]; open {
+				r.report(id, nil)
+			}
+		}
+	}
+	assert.Assert(t, requests > 2 && requests <= 10, "%d requests within 10 s", requests)
+	assert.Equal(t, len(refused), len(servers), "servers that were tried")
+	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+job.ID()])
+	assert.NilError(t, err)
+	assert.Assert(t, !p.State.Final(), "%s", p.State)
+}
