Keep each server once among those that a task avoids

A long-running task fails for as long as its customer wants, and each failure added its server to the list again. Read, not measured; the tests of package fleet on failures pass.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -311,6 +311,13 @@
 	return t.isWanted() && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
 }
 
+// avoid makes the task prefer other servers than one on which it failed.
+func (t *task) avoid(server string) {
+	if !t.failedOnServer(server) {
+		t.failedOn = append(t.failedOn, server)
+	}
+}
+
 func (t *task) failedOnServer(server string) bool {
 	for _, s := range t.failedOn {
 		if s == server {
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -124,7 +124,7 @@
 	}
 	t.record.Failures++
 	t.record.Checkpoint = ""
-	t.failedOn = append(t.failedOn, server)
+	t.avoid(server)
 	s.markChanged(t.job)
 	if t.step.spec.LongRunning() || t.job.state.Final() {
 		return
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -126,7 +126,7 @@
 // startWasInvalid delays the next run of a task whose start request a server refused as invalid, and prefers other servers. That
 // counts as no attempt, as the server has run nothing: it may be another release that refuses, or something else at its address.
 func (t *task) startWasInvalid(v *server, now time.Time) {
-	t.failedOn = append(t.failedOn, v.id)
+	t.avoid(v.id)
 	t.retryAt = now.Add(min(startRetryDelay<<min(t.invalidStarts, maxStartDoublings), maxInvalidStartDelay))
 	t.invalidStarts++
 }
@@ -196,7 +196,7 @@
 		case s.stalled(a):
 			s.requestStop(a, "stalled")
 			a.task.stalls++
-			a.task.failedOn = append(a.task.failedOn, v.id)
+			a.task.avoid(v.id)
 			v.consecutiveFailures++
 		}
 	}
