Play ends of long-running runs and unseen returns of zones in the soak

Change: the emulator ends runs of some long-running tasks as done and failed in turn. The soak has a job of them, and operators that evacuate zones and return them, half of the time without a feed that shows it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,7 +74,7 @@
 			if len(all) > 1 {
 				t.Parallel()
 			}
-			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2))}).run()
+			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3))}).run()
 		})
 	}
 }
@@ -86,6 +86,7 @@
 	seed          uint64
 	random        *rand.Rand // of the faults
 	sizes         *rand.Rand // of the capacities of servers
+	operations    *rand.Rand // of the requests of operators
 	store         *emulator.Store
 	platform      *emulator.Platform
 	observer      *emulator.Observer
@@ -306,6 +307,8 @@
 	switch {
 	case crashesServers(id):
 		specification = "crash by " + id
+	case strings.HasSuffix(id, "2b"):
+		specification = "relapse of " + id
 	case isLongRunning(id):
 		specification = "last for " + id
 	}
@@ -386,6 +389,7 @@
 	mode := modes[b.random.IntN(len(modes))]
 	server := b.servers[b.random.IntN(len(b.servers))]
 	b.resizeServer()
+	b.changeEvacuations()
 	switch b.random.IntN(11) {
 	case 0:
 		b.kill(v)
@@ -483,4 +487,5 @@
 	for _, s := range b.servers {
 		s.SetCapacity(serverMilliCores)
 	}
+	b.endEvacuations()
 }
