Bound the occurrences of a job that wait behind an early one

The progress of a job counts the occurrences that are done from the first one on, and names the done steps of all others. While the first occurrence still ran and 8,999 others were done, the row had 82,139 bytes of the 65,536 that the store takes: it would have been rejected, and the job could never have started a run again.

An occurrence whose predecessors are done is as early as before. Rows keep their form.

Measured: TestProgressFitsRowWhileFirstOccurrenceRuns failed before (82,139 bytes) and passes (14,666). TestRepeatingWideJobCompletes guards the bound against jobs with wide occurrences. Open: a job with many wide steps, each with one task that doesn't end, may still outgrow its row.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -127,9 +127,11 @@
 	}
 }
 
-// createDueOccurrences creates the tasks of the occurrences that are due.
+// createDueOccurrences creates the tasks of the occurrences that are due. While an early one isn't done, the steps of the later
+// ones are stored by their names, so that their number is limited.
 func (j *job) createDueOccurrences(now time.Time) {
-	for j.occurrences < j.spec.Occurrences() && !j.spec.DueTime(j.occurrences).After(now) {
+	open := max(2, maxOpenTasks/j.spec.TaskCount()) // the last one isn't removed before there is another
+	for j.occurrences < min(j.spec.Occurrences(), j.doneOccurrences+open) && !j.spec.DueTime(j.occurrences).After(now) {
 		j.createOccurrence(j.occurrences)
 		j.occurrences++
 	}
--- a/fleet/progress_test.go
+++ b/fleet/progress_test.go
@@ -168,3 +168,80 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Request.Run.Task.Index, 1)
 }
+
+// repeatingJob returns a job whose occurrences have one short task each.
+func (r *rig) repeatingJob(repetitions int, interval time.Duration, steps ...workload.StepOptions) *workload.Job {
+	r.t.Helper()
+	job, err := workload.NewJob(workload.JobOptions{
+		ID: fmt.Sprintf("%016x", 1), Queue: "plates", Customer: "label", Pool: "press", MaxAttempts: 2, Stretch: 1.6, Steps: steps,
+		AcceptedMS: r.now.UnixMilli(), FirstRunMS: r.now.UnixMilli(), IntervalMS: interval.Milliseconds(), Repetitions: repetitions,
+	})
+	assert.NilError(r.t, err)
+	return job
+}
+
+// Guards against a repeating job that is stopped for good, because its progress exceeds the store's limit of a row while the first
+// occurrence still runs and thousands of others are done.
+func TestProgressFitsRowWhileFirstOccurrenceRuns(t *testing.T) {
+	const repetitions = 9000
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	job := r.repeatingJob(repetitions, 5*time.Millisecond, workload.StepOptions{Count: 1, MilliCores: 10, DeclaredDurationMS: 20})
+	r.handle(fleet.JobArrived{Job: job})
+	var first *backend.Run
+	var ends []backend.RunEnd
+	longest, done := 0, 0
+	play := func(finishFirst bool) {
+		for _, s := range r.starts() {
+			r.acceptStart(s)
+			run := s.Request.Run
+			if run.Task.Occurrence == 0 && !finishFirst {
+				first = &run
+				continue
+			}
+			done++
+			ends = append(ends, backend.RunEnd{Number: int64(len(ends) + 1), Run: run, Kind: workload.EndDone})
+		}
+		r.advance(100 * time.Millisecond)
+		if _, open := r.openPolls["i-1"]; open {
+			var running []backend.Run
+			if !finishFirst {
+				running = []backend.Run{*first}
+			}
+			r.report("i-1", running, ends...)
+		}
+		longest = max(longest, len(r.rows[fleet.ProgressPrefix+job.ID()]))
+	}
+	for range 600 {
+		play(false)
+	}
+	t.Logf("%d of the other occurrences done, the longest row has %d bytes", done, longest)
+	ends = append(ends, backend.RunEnd{Number: int64(len(ends) + 1), Run: *first, Kind: workload.EndDone})
+	for range 600 {
+		play(true)
+	}
+	assert.Equal(t, done, repetitions-1)
+	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+job.ID()])
+	assert.NilError(t, err)
+	assert.Equal(t, p.State, workload.JobCompleted)
+	assert.Assert(t, longest <= maxRowBytes, "the longest row has %d bytes", longest)
+}
+
+// Guards against a repeating job that is stopped because a single occurrence has as many tasks as are kept at a time.
+func TestRepeatingWideJobCompletes(t *testing.T) {
+	sm := newSimulation(60, 1)
+	step := workload.StepOptions{Count: 1000, MilliCores: 1000, DeclaredDurationMS: 100}
+	job, err := workload.NewJob(workload.JobOptions{
+		ID: fmt.Sprintf("%016x", 1), Queue: "pool-0", Pool: "pool-0", MaxAttempts: 3, Stretch: 1.6, SlackMS: 600,
+		Steps: []workload.StepOptions{step, step}, AcceptedMS: sm.now.UnixMilli(), FirstRunMS: sm.now.UnixMilli(), IntervalMS: 5,
+		Repetitions: 4,
+	})
+	assert.NilError(t, err)
+	longest := 0
+	sm.onStore = func(_ string, value []byte) { longest = max(longest, len(value)) }
+	sm.state.Handle(fleet.JobArrived{Job: job}, sm.now)
+	sm.advance(60 * time.Second)
+	assert.Equal(t, sm.states[job.ID()], workload.JobCompleted)
+	assert.Assert(t, longest <= maxRowBytes, "the longest row has %d bytes", longest)
+}
--- a/workload/job.go
+++ b/workload/job.go
@@ -127,6 +127,15 @@
 // Scheduled reports whether the job runs at fixed times.
 func (j *Job) Scheduled() bool { return j.options.Repetitions > 0 }
 
+// TaskCount returns the number of tasks of one occurrence.
+func (j *Job) TaskCount() int {
+	n := 0
+	for _, s := range j.steps {
+		n += s.Count()
+	}
+	return n
+}
+
 // Occurrences returns how many times the job runs: the number of repetitions of a scheduled job, else 1.
 func (j *Job) Occurrences() int { return max(j.options.Repetitions, 1) }
 
