Play long-running steps of repeated jobs

The tasks of each occurrence stay at work, are started again when they end as done, and outlast a change of leader. TestLongRunningStepOfRepeatingJobStaysAtWork passes on the code as it was; no fault found.

--- a/fleet/longrunning_test.go
+++ b/fleet/longrunning_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -206,3 +208,53 @@
 	}
 	assert.Equal(t, c.stops(), 0)
 }
+
+// Guards against long-running tasks of a repeating job that aren't started, or are started once only, and against such a job that
+// is completed.
+func TestLongRunningStepOfRepeatingJobStaysAtWork(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	const repetitions = 3
+	job := r.repeatingJob(repetitions, time.Second, workload.StepOptions{Count: 1, MilliCores: 100, DeclaredDurationMS: 20},
+		workload.StepOptions{Count: 1, MilliCores: 100, LongRunning: true, After: []int{0}})
+	r.handle(fleet.JobArrived{Job: job})
+	atWork := make(map[backend.Run]bool)
+	var ends []backend.RunEnd
+	starts := make(map[int]int) // of long-running tasks, by occurrence
+	play := func(d time.Duration) {
+		for range d / (100 * time.Millisecond) {
+			for _, s := range r.starts() {
+				r.acceptStart(s)
+				run := s.Request.Run
+				if run.Task.Step == 1 {
+					starts[run.Task.Occurrence]++
+					atWork[run] = true
+					continue
+				}
+				ends = append(ends, backend.RunEnd{Number: int64(len(ends) + 1), Run: run, Kind: workload.EndDone})
+			}
+			r.advance(100 * time.Millisecond)
+			if _, open := r.openPolls["i-1"]; open {
+				r.report("i-1", slices.Collect(maps.Keys(atWork)), ends...)
+			}
+		}
+	}
+	play(5 * time.Second)
+	assert.DeepEqual(t, starts, map[int]int{0: 1, 1: 1, 2: 1})
+	for run := range atWork {
+		ends = append(ends, backend.RunEnd{Number: int64(len(ends) + 1), Run: run, Kind: workload.EndDone})
+		delete(atWork, run)
+	}
+	play(2 * time.Second)
+	assert.DeepEqual(t, starts, map[int]int{0: 2, 1: 2, 2: 2})
+	r.restart(job)
+	r.register("i-1", "press")
+	r.report("i-1", slices.Collect(maps.Keys(atWork)), ends...)
+	play(2 * time.Second)
+	assert.DeepEqual(t, starts, map[int]int{0: 2, 1: 2, 2: 2})
+	assert.Equal(t, len(atWork), repetitions)
+	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+job.ID()])
+	assert.NilError(t, err)
+	assert.Equal(t, p.State, workload.JobRunning)
+}
