Refuse jobs whose long-running tasks can never all be at work

A job has at most 400 runs at a time, by the size of its row. A job with more long-running tasks, in one step or over its repetitions, was accepted, and those beyond 400 waited for ever; with just 400 its other steps did.

Change: such a job is refused as invalid, with the number found and the one allowed, as gangs of more than 400 tasks are.

Measured: TestJobWithTooManyLongRunningTasksIsInvalid failed before (all accepted) and passes; the test of gangs passes unchanged.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"strconv"
@@ -187,10 +186,8 @@
 	if err != nil {
 		return Invalid{Reason: err.Error()}
 	}
-	for i, s := range job.Steps() {
-		if s.Gang() && s.Count() > fleet.MaxGangTasks {
-			return Invalid{Reason: fmt.Sprintf("step %d: found a gang of %d tasks, allowed: %d", i, s.Count(), fleet.MaxGangTasks)}
-		}
+	if err := fleet.CheckLimits(job); err != nil {
+		return Invalid{Reason: err.Error()}
 	}
 	if outcome := h.refuseWhileFull(c, o.ID); outcome != nil {
 		return outcome
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -166,3 +166,36 @@
 		assert.Equal(t, got, want)
 	}
 }
+
+// Guards against a job that is accepted although its long-running tasks can never all be at work: the others would wait for ever.
+func TestJobWithTooManyLongRunningTasksIsInvalid(t *testing.T) {
+	lasting := func(count int) workload.StepOptions { return workload.StepOptions{Count: count, LongRunning: true} }
+	for _, c := range []struct {
+		steps       []workload.StepOptions
+		repetitions int
+		want        string
+	}{
+		{[]workload.StepOptions{lasting(400)}, 0, "accepted"},
+		{[]workload.StepOptions{lasting(401)}, 0, "steps: found 401 long-running tasks in all repetitions, allowed: 400"},
+		{[]workload.StepOptions{lasting(4)}, 100, "accepted"},
+		{[]workload.StepOptions{lasting(4)}, 101, "steps: found 404 long-running tasks in all repetitions, allowed: 400"},
+		{[]workload.StepOptions{lasting(400), {Count: 2}}, 0, "steps: found 400 long-running tasks in all repetitions, allowed: 399"},
+		{
+			[]workload.StepOptions{lasting(350), {Count: 100, Gang: true}}, 0,
+			"steps: found 350 long-running tasks in all repetitions, allowed: 300",
+		},
+	} {
+		h, _ := newHandler(0, provider.NewCommitted(5))
+		call := intake.Call{Host: "h", Path: "/p/0123456789abcdef", Key: "key", Deadline: timer.System{}.Now().Add(time.Second)}
+		admission, refusal := h.Admit(call)
+		assert.Assert(t, refusal == nil)
+		outcome := h.Submit(call, admission, workload.JobOptions{
+			ID: "0123456789abcdef", Steps: c.steps, Repetitions: c.repetitions, FirstRunMS: 1,
+		})
+		got := outcomeName(outcome)
+		if invalid, ok := outcome.(intake.Invalid); ok {
+			got = invalid.Reason
+		}
+		assert.Equal(t, got, c.want)
+	}
+}
