List operators' rows at least four times a second while history is gone

The pause between two lists grew to 1 s for all tables. An entry VM that hears nothing from the store for 1.3 s refuses calls, so a slow store in that state could have made it do so. Only jobs and cancellations, whose lists read all partitions, wait for up to 1 s now; found while reading the change.

--- a/deployment/constants.go
+++ b/deployment/constants.go
@@ -8,9 +8,9 @@
 	feedMaxWait    = 500 * time.Millisecond
 	jobsBatchDelay = 30 * time.Millisecond  // between two reads, so that jobs are read in batches
 	readRetryDelay = 250 * time.Millisecond // after a failed read
-	// maxRelistDelay bounds the pause between two lists of a table while the store keeps no history. A configuration has to be
-	// applied within 2 s.
-	maxRelistDelay = time.Second
+	// maxJobsRelistDelay bounds the pause between two lists of jobs, or of cancellations, while the store keeps no history: each
+	// reads all partitions. A cancellation has to be noticed within 3 s.
+	maxJobsRelistDelay = time.Second
 	// registrationsBatchDelay is longer than jobsBatchDelay because registrations change with each heartbeat.
 	registrationsBatchDelay = 300 * time.Millisecond
 	tickInterval            = 100 * time.Millisecond
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -275,7 +275,7 @@
 func (c *controller) watchJobTable(prefix string, version uint64, handle func(provider.Row)) {
 	w := &tableWatcher{
 		clock: c.vm.Clock, feed: c.vm.feed(prefix[:len(prefix)-1]), maxWait: feedMaxWait, batchDelay: jobsBatchDelay,
-		version: version,
+		maxRelistDelay: maxJobsRelistDelay, version: version,
 	}
 	w.handle = func(rows []provider.Row, _ time.Time) {
 		for _, row := range rows {
--- a/deployment/watch.go
+++ b/deployment/watch.go
@@ -80,6 +80,8 @@
 	maxWait time.Duration
 	// batchDelay is the pause between two reads, in which changes accumulate. 0 means no pause.
 	batchDelay time.Duration
+	// maxRelistDelay bounds the pause between two lists while the store keeps no history. The pause grows from readRetryDelay.
+	maxRelistDelay time.Duration
 	// list reads all rows, and returns the version to read changes from.
 	list func() ([]provider.Row, uint64, error)
 	// rows holds the present rows, if list returns all of them. A row that a list lacks is then handled as a deleted one. nil
@@ -131,7 +133,7 @@
 // history, each list is followed by a read of changes that fails, and a list of jobs reads all partitions.
 func (w *tableWatcher) awaitRelist(ctx context.Context) {
 	if w.relists > 0 {
-		timer.Wait(ctx, w.clock, min(readRetryDelay<<(w.relists-1), maxRelistDelay))
+		timer.Wait(ctx, w.clock, min(readRetryDelay<<(w.relists-1), max(w.maxRelistDelay, readRetryDelay)))
 	}
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -181,7 +181,8 @@
 		{[]workload.StepOptions{lasting(4)}, 101, "steps: found 404 long-running tasks in all repetitions, allowed: 400"},
 		{[]workload.StepOptions{lasting(400), {Count: 2}}, 0, "steps: found 400 long-running tasks in all repetitions, allowed: 399"},
 		{
-			[]workload.StepOptions{lasting(350), {Count: 100, Gang: true}}, 0,
+			[]workload.StepOptions{lasting(350), {Count: 100, Gang: true}},
+			0,
 			"steps: found 350 long-running tasks in all repetitions, allowed: 300",
 		},
 	} {
