Run a call elsewhere that was lost before it started

Cause: an entry VM forwards a call that isn't idempotent and gets no reply. It closes the call's claim, so that the other one can't start it any more, and then refused the call, although there was time left and nothing kept it from running elsewhere. The refusal was true but needless.

A claim that was closed before gets a new version, so that what the lost entry VM may still claim conflicts; it needn't end as unknown any more.

--- a/dispatch/effects_test.go
+++ b/dispatch/effects_test.go
@@ -422,6 +422,11 @@
 	q := f.Request()
 	remaining := max(0, q.Deadline().Sub(sm.now()))
 	ended := func(o peer.ForwardOutcome) { sm.handle(vm, dispatch.NewForwardEnded(f.Peer(), q.ID(), o)) }
+	if sm.lostForwards[q.ID()] > 0 {
+		sm.lostForwards[q.ID()]--
+		sm.after(maxDelay, func() { ended(peer.NewOutcomeUnknown("no reply arrived")) })
+		return
+	}
 	sm.send(vm, f.Peer(), remaining, false, func(reply func(func())) {
 		to, ok := sm.entryVMs[f.Peer()]
 		if !ok {
--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -148,3 +148,25 @@
 	}
 	sm.assertNoViolations(t)
 }
+
+// Guards against a call that is refused while it could still run: the entry VM to which it was forwarded gave no reply, and never
+// started it.
+func TestCallThatWasLostBeforeItStartedRunsElsewhere(t *testing.T) {
+	for lost, want := range map[int]string{1: "answered", 9: "not run"} {
+		sm := newQuietSimulation()
+		sm.requestChange(sm.entryVMs["entry-b-1"], dispatch.NewZoneChange("a", true, true), forcedAuthor)
+		sm.runUntil(sm.now().Add(5 * time.Second))
+		sm.lostForwards = map[string]int{"lost": lost}
+		s := sm.submitAsRed("entry-a-1", "lost", dispatch.KindCall, "seats", `{"run-ms": 20}`, 20*time.Second)
+		sm.runUntil(sm.now().Add(10 * time.Second))
+		got := fmt.Sprintf("%#v", s.outcome)
+		switch s.outcome.(type) {
+		case dispatch.Answered:
+			got = "answered"
+		case dispatch.NotRun:
+			got = "not run"
+		}
+		assert.Equal(t, got, want, "%d forwarded calls lost, %d left", lost, sm.lostForwards["lost"])
+		sm.assertNoViolations(t)
+	}
+}
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiolead/pistachiolead/claim"
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/peer"
@@ -361,7 +362,8 @@
 }
 
 // forwardLost handles a forwarded call with an unknown outcome, which may be running at another entry VM. An idempotent
-// call is retried. The claim of any other call is closed, which succeeds only if the call was never started.
+// call is retried. The claim of any other call is closed, which succeeds only if the call was never started; then the call can
+// run elsewhere.
 func (s *State) forwardLost(w *workItem) {
 	if w.idempotent {
 		if !s.mayRetry(w) {
@@ -373,12 +375,21 @@
 		s.retry(w)
 		return
 	}
-	if w.claimVersion != 0 {
-		// The peer may have started the next attempt under the claim.
+	if w.claimVersion != 0 && w.claim.State() != claim.NotRun {
 		s.finishOutcomeUnknown(w, CodeLostContact, "contact with the entry VM that has the request was lost")
 		return
 	}
-	s.closeClaim(w, NewNotRun(CodeLostContact, "contact was lost before the request started", retryAfterBusy))
+	s.closeClaimThen(w, true, func() {
+		refusal := NewNotRun(CodeLostContact, "contact was lost before the request started", retryAfterBusy)
+		if w.cancelled || w.expired(s.now) || w.reroutes >= maxReroutes {
+			s.finishRefused(w, refusal)
+			return
+		}
+		s.updateFromEntry(w)
+		w.reroutes++
+		w.attempt = w.claim.Attempt() + 1
+		s.enqueue(w)
+	})
 }
 
 // peerServingPool returns the live peer with the most free slots, of any pool, in the availability zones that have
--- a/dispatch/simulation_test.go
+++ b/dispatch/simulation_test.go
@@ -50,6 +50,8 @@
 	cutUntil       map[string]time.Time // end of a network cut, by linkKey of the two endpoints
 	slowTableUntil time.Time            // end of the time in which the table replies late
 	faultsStopped  bool                 // no faults are injected any more
+	// lostForwards holds how many forwarded calls get no reply and never arrive, by request id.
+	lostForwards map[string]int
 
 	pendingRuns       []*pendingRun
 	restarts          map[string]int // by backend server
