Play repeated jobs in the soak

What a job of the soak consists of moves to a file of its own.

A kill just after an order, servers that share an address and heartbeats out of order still aren't played by the soak.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -58,7 +58,7 @@
 		lasts := isLongRunning(id) && state == "running" && b.observer.Running(id) == longRunningTasks
 		ended := lasts || (state == "completed" && !isLongRunning(id)) || (state == "cancelled" && requested) || (state == "failed" && b.observer.MayFail(id))
 		// The rows of a job that ended a while ago are removed.
-		removed := requested || b.observer.MayFail(id) || b.observer.Completed(id) == tasksPerJob
+		removed := requested || b.observer.MayFail(id) || b.observer.Completed(id) == taskCount(id)
 		if (status == http.StatusOK && ended) || (status == http.StatusGone && removed) {
 			b.finished[id] = true
 			continue
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -47,7 +46,9 @@
 const (
 	entryVMCount          = 4
 	serverMilliCores      = 8000
-	tasksPerJob           = 5 // of a job that isn't long-running
+	tasksPerJob           = 5 // of a job that is neither long-running nor repeating
+	repetitions           = 40
+	repetitionIntervalMS  = 50
 	longRunningTasks      = 2
 	longRunningMilliCores = 300
 	// statusSeconds is how long the states of ended jobs are kept. It is longer than a call is repeated.
@@ -299,54 +300,6 @@
 	b.mu.Unlock()
 }
 
-func (b *testbed) submit(vm int, id string) int {
-	if id == "warm-up" {
-		id = fmt.Sprintf("%016x", 0xffff)
-	}
-	specification := "work of " + id
-	switch {
-	case crashesServers(id):
-		specification = "crash by " + id
-	case strings.HasSuffix(id, "2b"):
-		specification = "relapse of " + id
-	case isLongRunning(id):
-		specification = "last for " + id
-	}
-	b.observer.ExpectSpecification(specification)
-	b.observer.ExpectSteps(id, 1500, 1000)
-	queue := "press"
-	if id[15]%2 == 0 {
-		queue = "proofs"
-	}
-	body := map[string]any{"Specification": specification, "Steps": []any{
-		map[string]any{"Count": 3, "Cpu": 1500, "MemMb": 100, "EstimatedMs": 250},
-		map[string]any{"Count": 2, "Cpu": 1000, "MemMb": 100, "EstimatedMs": 250, "After": []int{0}},
-	}}
-	if isLongRunning(id) {
-		b.observer.ExpectSteps(id, longRunningMilliCores)
-		body["Steps"] = []any{map[string]any{
-			"Count": longRunningTasks, "Cpu": longRunningMilliCores, "MemMb": 100, "LongRunning": true, "MayMiss": 1,
-		}}
-	}
-	status, _ := b.call(vm, http.MethodPost, "/"+queue+"/"+id, "key-1", body)
-	return status
-}
-
-// isLongRunning reports whether the tasks of a job run until it is cancelled.
-func isLongRunning(id string) bool { return strings.HasSuffix(id, "2b") || strings.HasSuffix(id, "76") }
-
-// crashesServers reports whether the first task of a job crashes each server that starts it.
-func crashesServers(id string) bool {
-	return strings.HasSuffix(id, "0d") || strings.HasSuffix(id, "8d")
-}
-
-func (b *testbed) jobPath(id string) string {
-	if id[15]%2 == 0 {
-		return "/proofs/" + id
-	}
-	return "/press/" + id
-}
-
 func (b *testbed) cancel(id string) {
 	status, _ := b.call(b.randomEntryVM(), http.MethodDelete, b.jobPath(id), "key-1", nil)
 	if status != http.StatusGone {
