Begin a new read of the partitions where the last one stopped

While the store kept no history and took 0.4 s for a read, no read came to the last partitions, and their jobs were never noticed.

Measured: TestAllPartitionsAreReadWhileHistoryIsGone failed before (the job of partition 127 was still queued after 20 s) and passes.

--- a/deployment/history_test.go
+++ b/deployment/history_test.go
@@ -1,12 +1,14 @@
 package deployment_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/platform/emulator"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
@@ -81,3 +83,29 @@
 	assert.Assert(t, perSecond <= maxReadsPerSecond, "%.0f reads a second", perSecond)
 	r.completes(2) // what changes meanwhile is still noticed
 }
+
+// Guards against jobs that are never noticed because each list of the partitions is given up for the next one, before it comes to
+// theirs: the store keeps no history and is slow.
+func TestAllPartitionsAreReadWhileHistoryIsGone(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, 100*time.Millisecond)
+	r.completes(1)
+	slowAndGone := func(path string) emulator.Fault {
+		if path == "/api/rows-get" {
+			timer.Wait(r.ctx, timer.System{}, 400*time.Millisecond)
+		}
+		return emulator.FaultHistoryGone
+	}
+	r.fault.Store(&slowAndGone)
+	timer.Wait(r.ctx, timer.System{}, 2*time.Second)
+	for _, partition := range []int{0, intake.Partitions / 2, intake.Partitions - 1} {
+		n := 2
+		for intake.PartitionOf(jobID(n)) != partition {
+			n++
+		}
+		assert.Equal(t, r.submit(r.vms[0], "plates", jobID(n), step(2, 1000)), http.StatusOK)
+		r.eventually(fmt.Sprintf("the job of partition %d is complete", partition), func() bool {
+			return r.state(r.vms[0], "plates", jobID(n)) == "completed"
+		})
+	}
+}
--- a/deployment/partitions.go
+++ b/deployment/partitions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
@@ -26,24 +27,30 @@
 
 	once   sync.Once
 	cancel context.CancelFunc // of the read in progress
+	// first is the partition with which the read in progress began, and tried the number of those that it has tried to read.
+	first int
+	tried atomic.Int64
 }
 
-// start reads the table in a goroutine of its own. It takes the place of a read in progress. Partitions that can't be read are
-// tried again after the others. Calls of start must not overlap.
+// start reads the table in a goroutine of its own. It takes the place of a read in progress, and begins with the partition to
+// which that has come, so that each is read in the end. Partitions that can't be read are tried again after the others. Calls of
+// start must not overlap.
 func (r *partitionReader) start() {
 	if r.cancel != nil {
 		r.cancel()
 	}
 	ctx, cancel := context.WithCancel(r.controller.ctx)
 	r.cancel = cancel
+	r.first = (r.first + int(r.tried.Swap(0))) % intake.Partitions
+	first := r.first
 	r.controller.vm.goroutines.Go(func() error {
 		defer cancel()
-		r.read(ctx)
+		r.read(ctx, first)
 		return nil
 	})
 }
 
-func (r *partitionReader) read(ctx context.Context) {
+func (r *partitionReader) read(ctx context.Context, first int) {
 	if r.ready != nil {
 		select {
 		case <-r.ready:
@@ -52,8 +59,8 @@
 		}
 	}
 	unread, reason := make([]int, 0, intake.Partitions), ""
-	for partition := range intake.Partitions {
-		unread = append(unread, partition)
+	for i := range intake.Partitions {
+		unread = append(unread, (first+i)%intake.Partitions)
 	}
 	for round := 1; len(unread) > 0 && ctx.Err() == nil; round++ {
 		if round > 1 {
@@ -79,6 +86,7 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			defer r.tried.Add(1)
 			switch o := r.controller.vm.jobPartition(partition).Scan(ctx, r.prefix, 0).(type) {
 			case provider.Rows:
 				for _, row := range o.Rows() {
