--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -150,7 +150,7 @@
 }
 
 // Guards against a call that is refused while it could still run: the entry VM to which it was forwarded gave no reply, and never
-// started it.
+// started it. If no other replies either, the call is refused before its deadline.
 func TestCallThatWasLostBeforeItStartedRunsElsewhere(t *testing.T) {
 	for lost, want := range map[int]string{1: "answered", 9: "not run"} {
 		sm := newQuietSimulation()
@@ -158,7 +158,7 @@
 		sm.runUntil(sm.now().Add(5 * time.Second))
 		sm.lostForwards = map[string]int{"lost": lost}
 		s := sm.submitAsRed("entry-a-1", "lost", dispatch.KindCall, "seats", `{"run-ms": 20}`, 20*time.Second)
-		sm.runUntil(sm.now().Add(10 * time.Second))
+		sm.runUntil(sm.now().Add(8 * time.Second))
 		got := fmt.Sprintf("%#v", s.outcome)
 		switch s.outcome.(type) {
 		case dispatch.Answered:
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -145,11 +145,12 @@
 func (s *State) enqueueLocally(w *workItem) {
 	q := s.queueRequest(w)
 	w.phase = phaseQueued
-	if !w.isCall() || w.attempt > 1 {
+	hasCapacity := s.Placer.Capacity(w.pool).Slots() > 0
+	if !w.isCall() || w.attempt > 1 && (w.started || hasCapacity) {
 		s.Queue.Requeue(q, s.now)
 		return
 	}
-	if w.isCall() && s.Placer.Capacity(w.pool).Slots() == 0 {
+	if !hasCapacity {
 		if to := s.ownerOfPool(w.pool, w.id()); to != "" && w.request.hops == 0 {
 			s.forward(w, to)
 			return
