Don't lose a stop signal among reloads

An entry VM took SIGTERM, SIGINT and SIGHUP from one channel with room for one signal. Found by reading how signals that come in series are handled.

Change: stops and reloads have a channel each.

--- a/command/entry.go
+++ b/command/entry.go
@@ -100,19 +100,30 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p.VM.Init()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	// Each signal has a channel of its own: one that arrives while another waits in the channel would be lost.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(stops)
+	defer signal.Stop(reloads)
 	tasks, ctx := group.New(ctx)
 	tasks.Go(func() error {
 		defer cancel()
 		return p.VM.Run(ctx)
 	})
+	tasks.Go(func() error {
+		select {
+		case <-stops:
+			p.VM.Drain()
+		case <-ctx.Done():
+		}
+		return nil
+	})
 	tasks.Go(func() error {
 		for {
 			select {
-			case s := <-signals:
-				p.handle(s)
+			case <-reloads:
+				p.reload()
 			case <-ctx.Done():
 				return nil
 			}
@@ -125,12 +136,8 @@
 	return err
 }
 
-// handle reloads the settings on SIGHUP and starts a planned stop on any other signal.
-func (p entryProcess) handle(s os.Signal) {
-	if s != syscall.SIGHUP {
-		p.VM.Drain()
-		return
-	}
+// reload reads the settings again.
+func (p entryProcess) reload() {
 	cfg, err := platform.LoadSettings(p.Path)
 	if err != nil {
 		klog.ErrorS(err, "Failed to reload settings", "path", p.Path)
