Give no Retry-After for a job that was cancelled

A job that is submitted again after its cancel was answered is refused with 503, which is true: it never runs under that id while the request to cancel is kept. The answer asked the caller to come back after a second, though nothing would have changed for 180 s, and closed the connection for another entry VM to try.

Change: such a refusal has no Retry-After and keeps the connection.

--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -103,7 +103,9 @@
 	table.carryOutDelayed()
 	_, stored := table.rows[intake.JobPrefix+cancelledJob]
 	assert.Assert(t, !stored, "the job is stored after it was cancelled")
-	assert.Equal(t, outcomeName(submit()), "refused")
+	refused, ok := submit().(intake.Refused)
+	assert.Assert(t, ok)
+	assert.Equal(t, refused.RetryAfter, time.Duration(0), "the job never runs")
 	_, stored = table.rows[intake.JobPrefix+cancelledJob]
 	assert.Assert(t, !stored, "the job is stored by a repeated call")
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -80,7 +80,7 @@
 // Accepted means that the job or its cancellation is stored.
 type Accepted struct{}
 
-// Refused means that the call had no effect and won't have any. The caller may repeat it after RetryAfter.
+// Refused means that the call had no effect and won't have any. The caller may repeat it after RetryAfter, unless that is 0.
 type Refused struct {
 	Reason     string
 	RetryAfter time.Duration
@@ -206,7 +206,9 @@
 		return Accepted{}
 	case provider.Conflict:
 		if out.Row().Key() == cancelKey {
-			return h.refuse(c, "cancelled", 0) // it never runs
+			h.Scope.Counter("refused").Inc(1)
+			klog.InfoS("Call refused", "call", c.ID, "reason", "cancelled", "job", o.ID)
+			return Refused{Reason: "cancelled"} // a later call gets the same answer
 		}
 		klog.InfoS("Job already accepted", "call", c.ID, "job", o.ID, "version", out.Row().Version())
 		return Accepted{}
