--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -39,6 +39,17 @@
 	s.endJob(j, workload.JobCancelled, "cancelled")
 }
 
+func (s *State) cancelsRead(partition int) {
+	if !s.unreadCancels[partition] {
+		return
+	}
+	delete(s.unreadCancels, partition)
+	s.placeAll = true
+	if len(s.unreadCancels) == 0 {
+		klog.InfoS("Read the requests to cancel", "vm", s.EntryVM, "since-begin", s.now.Sub(s.began))
+	}
+}
+
 // awaitsCancels reports whether it isn't known yet which jobs of the job's partition were cancelled before the term.
 func (s *State) awaitsCancels(j *job) bool {
 	return len(s.unreadCancels) > 0 && s.unreadCancels[s.CancelPartition(j.spec.ID())]
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -192,8 +192,7 @@
 	case CancelRequested:
 		s.cancel(e.ID, now)
 	case CancelsRead:
-		delete(s.unreadCancels, e.Partition)
-		s.placeAll = true
+		s.cancelsRead(e.Partition)
 	case JobsRemoved:
 		for _, id := range e.IDs {
 			delete(s.earlyCancels, id)
