Run a call that was lost before it started here instead of elsewhere

Change: once the claim is closed, the call is queued here if this entry VM may start work of its pool, and refused as before if not. A call whose claim has a version ends as unknown again. A late copy finds the claim of the attempt that was made here.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -219,28 +219,23 @@
 // closeClaim records in the claim row that the request didn't start and can't start any more, then replies with the
 // refusal.
 func (s *State) closeClaim(w *workItem, n NotRun) {
-	s.closeClaimThen(w, false, func() { s.finishRefused(w, n) })
+	s.closeClaimThen(w, func() { s.finishRefused(w, n) })
 }
 
-// closeClaimThen records in the claim row that the request didn't start, and calls then. An entry VM to which the request was
-// forwarded, and that has read the row before, can't start it any more.
-func (s *State) closeClaimThen(w *workItem, forwarded bool, then func()) {
+// closeClaimThen records in the claim row that the request didn't start, and calls then. An entry VM that has read the row before
+// can't start the request any more.
+func (s *State) closeClaimThen(w *workItem, then func()) {
 	w.phase = phaseFinishing
 	c := w.claim
 	if w.claimVersion == 0 {
 		c = claim.New(w.id(), w.request.team, w.request.entry, s.EntryVM, "", claim.Hash(w.request.payload), s.now)
 	}
-	next, t := c, provider.Transaction{}
-	switch {
-	case c.State() == claim.Claimed:
-		next, t = claim.Abandon(c, w.claimVersion, s.now)
-	case forwarded:
-		t = claim.Update(c, w.claimVersion) // a claim of the next attempt conflicts with the new version
-	default:
+	if c.State() != claim.Claimed {
 		// The row records already that the request didn't run. Only a new submission can change it.
 		then()
 		return
 	}
+	next, t := claim.Abandon(c, w.claimVersion, s.now)
 	s.commit(t, UrgencyLow, w.request.deadline.Add(closeClaimGrace), func(o provider.CommitOutcome) {
 		if s.workItems[w.id()] != w {
 			return
--- a/dispatch/members.go
+++ b/dispatch/members.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiolead/pistachiolead/claim"
 	"github.com/pistachiolead/pistachiolead/membership"
 	"github.com/pistachiolead/pistachiolead/ownership"
 	"github.com/pistachiolead/pistachiolead/peer"
@@ -362,8 +361,9 @@
 }
 
 // forwardLost handles a forwarded call with an unknown outcome, which may be running at another entry VM. An idempotent
-// call is retried. The claim of any other call is closed, which succeeds only if the call was never started; then the call can
-// run elsewhere.
+// call is retried. The claim of any other call is closed, which succeeds only if the call was never started; then the call
+// runs here if it can. It isn't forwarded again: a copy that arrives late finds the claim of the next attempt only if that was
+// made here.
 func (s *State) forwardLost(w *workItem) {
 	if w.idempotent {
 		if !s.mayRetry(w) {
@@ -375,20 +375,20 @@
 		s.retry(w)
 		return
 	}
-	if w.claimVersion != 0 && w.claim.State() != claim.NotRun {
+	if w.claimVersion != 0 {
+		// The peer may have started the next attempt under the claim.
 		s.finishOutcomeUnknown(w, CodeLostContact, "contact with the entry VM that has the request was lost")
 		return
 	}
-	s.closeClaimThen(w, true, func() {
+	s.closeClaimThen(w, func() {
 		refusal := NewNotRun(CodeLostContact, "contact was lost before the request started", retryAfterBusy)
-		if w.cancelled || w.expired(s.now) || w.reroutes >= maxReroutes {
+		if w.cancelled || w.expired(s.now) {
 			s.finishRefused(w, refusal)
 			return
 		}
 		s.updateFromEntry(w)
-		w.reroutes++
 		w.attempt = w.claim.Attempt() + 1
-		s.enqueue(w)
+		s.enqueueOrRefuse(w, refusal)
 	})
 }
 
