Count an open request of a removed wave once the wave is written again

One VM more than allowed could be maintained (LIMIT).

Measured: TestOpenRequestOfRemovedWaveCountsOnceItIsWrittenAgain failed before and passes.

--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -260,8 +260,9 @@
 		case !exists || w.skipped[name]:
 		default:
 			_, draining := w.drainingSince[name]
-			if vm.State == backend.VMMaintenance || s.mayBeRequestedBefore(name) {
-				down++ // by a request of the previous controller whose outcome isn't stored
+			_, abandoned := s.abandoned[name]
+			if vm.State == backend.VMMaintenance || s.mayBeRequestedBefore(name) || abandoned {
+				down++ // by a request of the previous controller whose outcome isn't stored, or one that was abandoned
 			}
 			blocked := moving || vm.State != backend.VMUp || s.requestedForOther(w, name)
 			entry := schedule.MaintenanceVM{VM: name, Draining: draining, Blocked: blocked}
--- a/fleet/waves_test.go
+++ b/fleet/waves_test.go
@@ -216,3 +216,21 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Target.ID, "i-1")
 }
+
+// Guards against more VMs in maintenance than a wave allows: it was removed while a request had no response, and written again.
+func TestOpenRequestOfRemovedWaveCountsOnceItIsWrittenAgain(t *testing.T) {
+	r := newWaveRig(t)
+	r.requestWave(5, "m-1")
+	r.listVMs(backend.VMUp, backend.VMUp)
+	assert.DeepEqual(t, r.maintained(), []string{"m-1"})
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.OutcomeUnknown{Reason: "no response"}})
+	r.handle(fleet.OperationArrived{Operation: directory.WaveCancelled{Name: "1"}})
+	r.requestWave(9, "m-1", "m-2")
+	for range 10 {
+		r.listVMs(backend.VMUp, backend.VMUp)
+		assert.Equal(t, len(r.maintained()), 0)
+	}
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Refused{Reason: backend.RefusedWave}})
+	vms, _ := r.completeWave()
+	assert.Equal(t, len(vms), 2, "%v", vms)
+}
