Ignore an earlier heartbeat that would end a drain

A server says that it drains, and the store carries out an earlier heartbeat of it late, or another reader shows it late: the row then says that it takes work, and the leader started runs on a server that shuts down.

Change: while a server drains, a heartbeat of the same incarnation with a lower number is ignored. Heartbeats without a number, and those of the next incarnation, count as before.

Measured: TestLateHeartbeatDoesNotEndDrain failed before (one start) and passes.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -28,6 +28,8 @@
 	// Kind and Rack are the labels of the server, which steps may require.
 	Kind string
 	Rack string
+	// Sequence numbers the heartbeats of an incarnation. 0 stands for a registration without a number.
+	Sequence int64
 	// Version is the table version of the registration. A registration with a lower version is older.
 	Version uint64
 }
@@ -35,6 +37,11 @@
 // HasLabel reports whether the server has a label.
 func (r Registration) HasLabel(label string) bool { return label == r.Kind || label == r.Rack }
 
+// Precedes reports whether the heartbeat was certainly sent before another one of the same incarnation.
+func (r Registration) Precedes(other Registration) bool {
+	return r.Incarnation == other.Incarnation && r.Sequence > 0 && r.Sequence < other.Sequence
+}
+
 // Target identifies the incarnation of a backend server that a request is sent to.
 type Target struct {
 	ID          string
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -14,6 +14,11 @@
 	if v.registered && r.Version != 0 && r.Version < v.reg.Version {
 		return
 	}
+	if v.registered && v.reg.Draining && r.Precedes(v.reg) {
+		klog.InfoS("Ignored an earlier heartbeat of a draining server", "server", r.ID, "sequence", r.Sequence,
+			"known-sequence", v.reg.Sequence)
+		return
+	}
 	changed := !v.registered || v.reg.Draining != r.Draining || v.incarnation != r.Incarnation
 	s.serverCrashed(r.ID, r.Incarnation, "restarted")
 	if v.incarnation != 0 && r.Incarnation > v.incarnation {
