--- a/fleet/removedwaves.go
+++ b/fleet/removedwaves.go
@@ -10,7 +10,8 @@
 	"github.com/pistachiolead/pistachiolead/directory"
 )
 
-// lateRequestTime is how long after a request for a VM that had no response the platform may still carry it out.
+// lateRequestTime is how long after a request for a VM that had no response the platform may still carry it out: up to 12 s, and the
+// time of the request.
 const lateRequestTime = 15 * time.Second
 
 // abandonedRequest is a request for the maintenance of a VM that is no longer part of its wave. It isn't repeated, but may still
