Start a run elsewhere after its server crashed under it

Cause: only failed, stalled and refused runs made a task prefer other servers, not crashes; and a server for an isolated run was chosen by its number of runs alone, so the server that had just crashed, and was idle, was chosen again. A fault of a server was counted as one of the task.

A task prefers other servers than those that crashed under it, also for isolated runs; it returns to such a server if no other is free 1.5 s after the loss. A task remembers 8 servers at most.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -126,6 +126,7 @@
 			t.record.IsolatedCrashes++
 		}
 		t.record.CrashedAtStart = t.record.CrashedAtStart || l.AtStart
+		t.avoid(id)
 		s.counters.crashes.Inc(1)
 		klog.InfoS("Backend server crashed under a task", "task", t.id, "run", l.Run, "server", id, "evidence", evidence,
 			"crashes", t.record.Crashes, "started", l.Started, "at-start", l.AtStart, "isolated", l.Isolated)
--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -187,6 +187,53 @@
 	return p.Tasks["0.0.0"]
 }
 
+// startAndCrash returns the servers on which a task was started if each one restarts under it.
+func startAndCrash(t *testing.T, servers, starts int, longRunning bool) []string {
+	t.Helper()
+	r := newRig(t)
+	for n := range servers {
+		id := fmt.Sprintf("i-%d", n)
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	job := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000, LongRunning: longRunning})
+	r.takeEffects()
+	r.handle(fleet.JobArrived{Job: job})
+	var crashed []string
+	for range starts {
+		started := r.starts()
+		assert.Equal(t, len(started), 1, "crashed: %v", crashed)
+		r.acceptStart(started[0])
+		server := started[0].Target.ID
+		crashed = append(crashed, server)
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.bootTimes[server] = r.now
+		r.takeEffects()
+		r.register(server, "press")
+		for range 20 {
+			r.reportProgress(server, nil, 0)
+			r.advance(100 * time.Millisecond)
+		}
+	}
+	return crashed
+}
+
+// Guards against jobs that are given up because one faulty server crashed under all their runs.
+func TestRunAfterCrashStartsOnAnotherServer(t *testing.T) {
+	for name, longRunning := range map[string]bool{"job that ends": false, "long-running job": true} {
+		t.Run(name, func(t *testing.T) {
+			crashed := startAndCrash(t, 3, 3, longRunning)
+			slices.Sort(crashed)
+			assert.DeepEqual(t, crashed, []string{"i-0", "i-1", "i-2"})
+		})
+	}
+}
+
+// Guards against jobs that wait for ever because the only server of their pool crashed under them.
+func TestRunReturnsToServerThatCrashedIfThereIsNoOther(t *testing.T) {
+	assert.DeepEqual(t, startAndCrash(t, 1, 3, false), []string{"i-0", "i-0", "i-0"})
+}
+
 // Guards against crashes that a new controller doesn't count: the server restarted while no controller was there.
 func TestCrashDuringHandoverCounts(t *testing.T) {
 	c := newCrashRig(t)
--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -14,7 +14,7 @@
 	// isolationShare bounds the servers of a pool that isolated runs have to themselves. Each pool may use one at least.
 	isolationShare = 0.5
 	// isolationWait is the time after a loss from which on a task may share its server with runs that have survived their
-	// start, if there is no server without runs.
+	// start, or return to a server that crashed under it, if there is no other server without runs.
 	isolationWait = 1500 * time.Millisecond
 )
 
@@ -115,17 +115,18 @@
 	return placed
 }
 
-// selectForIsolation returns the index of the server with the fewest runs on which a task can be isolated, or -1.
+// selectForIsolation returns the index of the server on which a task is isolated, or -1. It prefers servers that didn't crash
+// under the task, as a fault of a single server would be taken for one of the task, and then those with the fewest runs.
 func (p *placementPool) selectForIsolation(t *task, now time.Time) int {
 	if !p.isolation.unlimited && p.isolation.count >= p.maxIsolated() {
 		return -1
 	}
 	best := -1
 	for i, v := range p.servers {
-		if len(v.attempts) > 0 && (now.Sub(t.lostAt) < isolationWait || !v.runsSurvivedStart()) {
+		if (len(v.attempts) > 0 || t.failedOnServer(v.id)) && now.Sub(t.lostAt) < isolationWait || !v.runsSurvivedStart() {
 			continue
 		}
-		if best >= 0 && len(p.servers[best].attempts) <= len(v.attempts) {
+		if best >= 0 && !t.prefersForIsolation(v, p.servers[best]) {
 			continue
 		}
 		if schedule.SelectServer(t.step.spec, []schedule.Server{p.isolationView(i)}) == 0 {
@@ -135,6 +136,14 @@
 	return best
 }
 
+// prefersForIsolation reports whether the task is rather isolated on server v than on the other one.
+func (t *task) prefersForIsolation(v, other *server) bool {
+	if failed := t.failedOnServer(v.id); failed != t.failedOnServer(other.id) {
+		return !failed
+	}
+	return len(v.attempts) < len(other.attempts)
+}
+
 // isolateServer keeps the runs of other jobs from a server for the rest of the pass.
 func (s *State) isolateServer(j *job, p *placementPool, i int) {
 	p.views[i].Free = workload.Resources{}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -66,7 +66,7 @@
 	step      *step
 	record    workload.TaskRecord
 	attempts  []*attempt
-	failedOn  []string // ids of servers on which it failed or stalled
+	failedOn  []string // ids of the last servers on which it failed or stalled, or that crashed under it
 	stalls    int      // runs that were stopped because they made no progress
 	// invalidStarts is the number of start requests that servers refused as invalid.
 	invalidStarts int
@@ -313,10 +313,17 @@
 	return t.isWanted() && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
 }
 
-// avoid makes the task prefer other servers than one on which it failed.
+// maxAvoidedServers bounds the servers that a task remembers, as it may be restarted for months.
+const maxAvoidedServers = 8
+
+// avoid makes the task prefer other servers than one on which it failed, or that crashed under it.
 func (t *task) avoid(server string) {
-	if !t.failedOnServer(server) {
-		t.failedOn = append(t.failedOn, server)
+	if t.failedOnServer(server) {
+		return
+	}
+	t.failedOn = append(t.failedOn, server)
+	if len(t.failedOn) > maxAvoidedServers {
+		t.failedOn = t.failedOn[1:]
 	}
 }
 
