--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -343,6 +343,7 @@
 	server := b.servers[b.random.IntN(len(b.servers))]
 	b.resizeServer()
 	b.changeEvacuations()
+	b.restartFaultyServer()
 	switch b.random.IntN(11) {
 	case 0:
 		b.kill(v)
@@ -372,6 +373,13 @@
 	}
 }
 
+// restartFaultyServer restarts the same server at each fault, if the seed is even.
+func (b *testbed) restartFaultyServer() {
+	if b.seed%2 == 0 {
+		b.servers[b.seed/2%uint64(len(b.servers))].Restart()
+	}
+}
+
 // resizeServer shrinks or restores the capacity of a server now and then.
 func (b *testbed) resizeServer() {
 	server := b.servers[b.sizes.IntN(len(b.servers))]
