Keep a run whose start reached a restarted server

Trace: a server restarts after a run was placed on it and before the start request is sent, as the commit between takes 250 to 450 ms. The new incarnation starts the run. Its registration arrives before the response to the start request, which is lost: the controller stops the run with the reason server-started-again, as a request to the earlier incarnation could still start it.

If the outcome of a start request isn't known when a server turns out to have restarted, the next report decides, as after a lost response: a run that it lists goes on, any other is stopped. A late request is still fenced by that stop.

TestRunWhoseStartReachedRestartedServerIsKept fails without the change (one stop of a run that the server reports).

--- a/fleet/crashes_test.go
+++ b/fleet/crashes_test.go
@@ -333,6 +333,29 @@
 	assert.Equal(t, c.record().Crashes, 0)
 }
 
+// Guards against a run at work that is stopped because its server restarted between its placement and its start, as on a slow
+// store: the request reached the new incarnation, and the response is lost or not there yet.
+func TestRunWhoseStartReachedRestartedServerIsKept(t *testing.T) {
+	for name, listed := range map[string]bool{"started": true, "not started": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashRig(t)
+			starts := c.starts()
+			assert.Equal(t, len(starts), 1)
+			c.now = c.now.Add(100 * time.Millisecond)
+			c.restartServer()
+			var running *backend.Run
+			if listed {
+				running = &starts[0].Request.Run
+			}
+			for range 2 {
+				c.reportProgress("i-1", running, 1)
+				c.advance(100 * time.Millisecond)
+			}
+			assert.Equal(t, c.stops() == 0, listed)
+		})
+	}
+}
+
 // Guards against a run that counts as lost in a crash before its start: the server had restarted under its id, and hadn't
 // registered yet.
 func TestRunStartedAfterRestartIsKept(t *testing.T) {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -77,8 +77,12 @@
 		}
 		// Outcomes of requests to the earlier incarnation are ignored.
 		a.incarnation, a.inFlight, a.stopInFlight, a.stopAccepted = incarnation, false, false, false
-		if a.phase == restored {
+		switch {
+		case a.phase == restored:
 			continue // the first report decides: the new incarnation may have started the run before it registered
+		case a.phase == requested && !a.stopRequested && !a.startSentAt.IsZero():
+			s.awaitReport(a, "server-started-again", now) // the request may have reached the new incarnation already
+			continue
 		}
 		s.requestStop(a, "server-started-again")
 	}
