Say how a process ended that a test waited for in vain

Whether the process had died by the signal of the test or by the SIGQUIT after it tells if the process or its observer was late.

--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -221,7 +221,7 @@
 		// SIGQUIT makes the process write the stacks of its goroutines to its output.
 		p.signal(t, syscall.SIGQUIT)
 		<-p.done
-		t.Fatalf("%v hasn't ended within %s", p.cmd.Args, limit)
+		t.Fatalf("%v hasn't ended within %s; then it ended: %v", p.cmd.Args, limit, p.cmd.ProcessState)
 	}
 	return p.cmd.ProcessState
 }
