Let the store be slow in the model of the controller

The model had commits of 1 to 15 ms only, so terms and leases were always short but for the first 0.25 s. In a fifth of the plays commits now take 250 to 450 ms until the faults end, and a controller takes over once the stored term is over.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -43,6 +43,8 @@
 
 	longRunning *longRunningModel // of a job of long-running tasks, or nil
 
+	slowStore bool
+
 	lateRequests, lostResponses, crashPercent int
 	mutation                                  mutation
 	late                                      bool // the current request is carried out late
@@ -59,6 +61,9 @@
 	listPartitionedAsDown // VMs of partitioned servers are listed as down
 )
 
+// slowStorePercent is the share of plays in which the store is slow until the faults end.
+const slowStorePercent = 20
+
 type modelController struct {
 	state  *fleet.State
 	name   string
@@ -178,16 +183,29 @@
 	s.ends = append(s.ends, backend.RunEnd{Number: s.lastEnd, Run: run, Kind: kind})
 }
 
+func (m *model) storedTerm() fleet.Term {
+	if m.rows[fleet.TermKey] == nil {
+		return fleet.Term{}
+	}
+	term, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, m.rows[fleet.TermKey], 1))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return term
+}
+
+// outlastTerm advances the time until another controller may take over.
+func (m *model) outlastTerm() {
+	m.advance(max(m.storedTerm().Duration(), fleet.ShortTerm) + 700*time.Millisecond)
+}
+
 // takeOver starts a new controller, which restores the stored state.
 func (m *model) takeOver(name string) {
 	m.version++
 	m.term = m.version
 	m.logf("%s becomes leader with token %d", name, m.version)
 	c := &modelController{name: name}
-	previousTerm, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, m.rows[fleet.TermKey], 1))
-	if m.rows[fleet.TermKey] != nil && err != nil {
-		m.t.Fatal(err)
-	}
+	previousTerm := m.storedTerm()
 	if m.mutation == ignoreLeases {
 		previousTerm.LeaseMS = 1
 	}
@@ -460,7 +478,15 @@
 		m.rows[w.Key()] = w.Value()
 	}
 	version := m.version
-	m.after(m.delay(15), func() { m.handle(c, fleet.CommitEnded{Outcome: provider.NewCommitted(version)}) })
+	m.after(m.commitTime(), func() { m.handle(c, fleet.CommitEnded{Outcome: provider.NewCommitted(version)}) })
+}
+
+// commitTime draws the duration of a commit. Terms and leases are long while the store is slow.
+func (m *model) commitTime() time.Duration {
+	if m.slowStore {
+		return 250*time.Millisecond + m.delay(200)
+	}
+	return m.delay(15)
 }
 
 func (m *model) submit() {
@@ -496,12 +522,12 @@
 	case 0: // the controller pauses, another takes over after the term, and the first resumes later
 		previous := m.current
 		previous.paused = true
-		m.advance(1700 * time.Millisecond)
+		m.outlastTerm()
 		m.takeOver(fmt.Sprint("entry-", step))
 		m.after(m.delay(3000), func() { previous.paused = false })
 	case 1: // the controller is killed
 		m.current.dead = true
-		m.advance(1700 * time.Millisecond)
+		m.outlastTerm()
 		m.takeOver(fmt.Sprint("entry-", step))
 	case 2:
 		s.partitioned = true
@@ -513,7 +539,7 @@
 	case 6: // the controller loses the store, another takes over, and each reaches servers that the other can't
 		previous := m.current
 		previous.storeUnreachable, s.reachableBy = true, previous
-		m.advance(1700 * time.Millisecond)
+		m.outlastTerm()
 		m.takeOver(fmt.Sprint("entry-", step))
 		m.after(m.delay(9000), func() { s.reachableBy = nil })
 	case 5:
@@ -538,7 +564,7 @@
 
 // recoverAndCheck ends all faults, advances the time and checks that all jobs have completed, or failed if they may.
 func (m *model) recoverAndCheck(after time.Duration) {
-	m.lateRequests, m.lostResponses = 0, 0
+	m.lateRequests, m.lostResponses, m.slowStore = 0, 0, false
 	for _, s := range m.servers {
 		s.partitioned, s.reachableBy = false, nil
 	}
@@ -571,7 +597,7 @@
 func TestCrashingTasksAreGivenUpUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		m.crashPercent = 10
+		m.crashPercent, m.slowStore = 10, m.chance(slowStorePercent, "slow store")
 		m.playFaults()
 		m.recoverAndCheck(2 * time.Minute)
 		if m.violation != "" {
@@ -586,6 +612,7 @@
 func TestRunsAreSafeAndJobsEndUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
+		m.slowStore = m.chance(slowStorePercent, "slow store")
 		m.playFaults()
 		m.recoverAndCheck(40 * time.Second)
 		if m.violation != "" {
--- a/fleet/modellongrunning_test.go
+++ b/fleet/modellongrunning_test.go
@@ -146,30 +146,39 @@
 // however they end, and against stops beyond the number of tasks that may be unavailable, while servers crash under them,
 // VMs are maintained, controllers are killed or paused, and requests are late or get no response.
 func TestLongRunningJobsOutlastFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
-		m.crashPercent = rapid.IntRange(0, 30).Draw(t, "crashing jobs")
-		m.waveStep = rapid.IntRange(0, 5).Draw(t, "wave")
-		m.takeOver("entry")
-		m.submitLongRunning()
-		m.playFaults()
-		m.recoverAndCheck(2 * time.Minute)
-		m.longRunning.checkRestarts(m)
-		m.longRunning.cancelled = true
-		m.handle(m.current, fleet.CancelRequested{ID: m.longRunning.job})
-		m.advance(3 * time.Second)
-		for _, s := range m.servers {
-			for run := range s.running {
-				if m.longRunning.has(run) {
-					m.fail("%v runs on after its job was cancelled", run)
-				}
+	rapid.Check(t, func(t *rapid.T) { playLongRunningJob(t, false) })
+}
+
+// Guards against the same while the store is slow: leaders change less often, and more time passes between a decision and the
+// requests that carry it out.
+func TestLongRunningJobsOutlastFaultsWhileStoreIsSlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playLongRunningJob(t, true) })
+}
+
+func playLongRunningJob(t *rapid.T, slowStore bool) {
+	m := newModel(t)
+	m.slowStore = slowStore
+	m.crashPercent = rapid.IntRange(0, 30).Draw(t, "crashing jobs")
+	m.waveStep = rapid.IntRange(0, 5).Draw(t, "wave")
+	m.takeOver("entry")
+	m.submitLongRunning()
+	m.playFaults()
+	m.recoverAndCheck(2 * time.Minute)
+	m.longRunning.checkRestarts(m)
+	m.longRunning.cancelled = true
+	m.handle(m.current, fleet.CancelRequested{ID: m.longRunning.job})
+	m.advance(3 * time.Second)
+	for _, s := range m.servers {
+		for run := range s.running {
+			if m.longRunning.has(run) {
+				m.fail("%v runs on after its job was cancelled", run)
 			}
 		}
-		p, err := workload.DecodeProgress(m.rows[fleet.ProgressPrefix+m.longRunning.job])
-		assert.NilError(t, err)
-		assert.Equal(t, p.VisibleState(), workload.JobCancelled)
-		if m.violation != "" {
-			t.Fatal(m.violation)
-		}
-	})
+	}
+	p, err := workload.DecodeProgress(m.rows[fleet.ProgressPrefix+m.longRunning.job])
+	assert.NilError(t, err)
+	assert.Equal(t, p.VisibleState(), workload.JobCancelled)
+	if m.violation != "" {
+		t.Fatal(m.violation)
+	}
 }
--- a/fleet/modelvms_test.go
+++ b/fleet/modelvms_test.go
@@ -126,6 +126,7 @@
 func TestRunsAreSafeDuringMaintenanceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
+		m.slowStore = m.chance(slowStorePercent, "slow store")
 		m.waveStep = rapid.IntRange(0, 5).Draw(t, "wave")
 		m.playFaults()
 		m.recoverAndCheck(40 * time.Second)
