--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -81,6 +81,9 @@
 	maxInvalidStartDelay = 10 * time.Second
 	maxStartDoublings    = 7
 
+	// maxAvoidedServers bounds the servers that a task remembers because it failed there, as it may be restarted for months.
+	maxAvoidedServers = 8
+
 	// rejectedRowPause is how long a job gets no runs after the store rejected its progress, and how long rows of other kinds
 	// aren't sent again.
 	rejectedRowPause  = 10 * time.Second
--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -123,7 +123,8 @@
 	}
 	best := -1
 	for i, v := range p.servers {
-		if (len(v.attempts) > 0 || t.failedOnServer(v.id)) && now.Sub(t.lostAt) < isolationWait || !v.runsSurvivedStart() {
+		waits := (len(v.attempts) > 0 || t.failedOnServer(v.id)) && now.Sub(t.lostAt) < isolationWait
+		if waits || !v.runsSurvivedStart() {
 			continue
 		}
 		if best >= 0 && !t.prefersForIsolation(v, p.servers[best]) {
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -313,9 +313,6 @@
 	return t.isWanted() && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
 }
 
-// maxAvoidedServers bounds the servers that a task remembers, as it may be restarted for months.
-const maxAvoidedServers = 8
-
 // avoid makes the task prefer other servers than one on which it failed, or that crashed under it.
 func (t *task) avoid(server string) {
 	if t.failedOnServer(server) {
