Show that a silent relay takes all starts with it (review, case 9)

A frame that doesn't fit into the buffers of the connection blocks the only goroutine that would notice the silence.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -135,10 +135,10 @@
 			return false, err
 		}
 	}
-	if err := d.begin(3, 1, "presses"); err != nil {
+	if err := d.begin(2, 1, "presses"); err != nil {
 		return false, err
 	}
-	time.Sleep(5 * time.Second) // the leader connects to its relays
+	time.Sleep(5 * time.Second) // the leader connects to its relay
 	leader := d.leader()
 	var relay *entry
 	for _, e := range d.entries {
@@ -147,7 +147,7 @@
 		}
 	}
 	if d.trouble {
-		d.record.say("entry process %s, a relay of the leader %s, falls silent for good", relay.name, leader.name)
+		d.record.say("entry process %s, the relay of the leader %s, falls silent for good", relay.name, leader.name)
 		if err := relay.process.Process.Signal(syscall.SIGSTOP); err != nil {
 			return false, err
 		}
