Check case 9 from finish_s on, kill the leader in case 10, and keep case 7 inside the site's share (review)

Case 10 needs no burst within a second any more. Case 7 has eight workers, so that the one that crashes is within the share of 0.14.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -17,6 +17,8 @@
 	fastEntry   = "frontend-zg-c-1"
 )
 
+const finishTime = 14 * time.Second // finish_s
+
 var large = resources{CPU: 64_000, MemMB: 256_000}
 
 // watch follows a job: when something of it ran last, and the longest time without.
@@ -80,7 +82,7 @@
 func listLag(d *deployment) (bool, error) {
 	d.fleet.listLag = 800 * time.Millisecond
 	var first *worker
-	for i := range 6 {
+	for i := range 8 {
 		w, err := d.fleet.addMachine("presses", "zg-a", fmt.Sprintf("r1-%d", 1+i/4), resources{CPU: 8000, MemMB: 16000})
 		if err != nil {
 			return false, err
@@ -179,27 +181,32 @@
 	if err := d.startEntry(); err != nil {
 		return false, err
 	}
-	time.Sleep(38 * time.Second)
-	open := make(map[string]bool)
+	// From finish_s after the end of the traffic on, each job that has a task left has something running at least each 3 s.
+	time.Sleep(finishTime)
+	lastRun, lost := make(map[string]time.Time), make(map[string]bool)
+	for began := time.Now(); time.Since(began) < 25*time.Second; time.Sleep(50 * time.Millisecond) {
+		for _, id := range accepted {
+			if lastRun[id].IsZero() || d.fleet.running(id) > 0 || d.fleet.done(id) == tasks {
+				lastRun[id] = time.Now()
+			}
+			lost[id] = lost[id] || time.Since(lastRun[id]) > 3*time.Second
+		}
+	}
+	open, idle := 0, 0
 	for _, id := range accepted {
 		if _, answer := d.call(leader, http.MethodGet, "/puxa0/"+id, nil); answer["State"] != "completed" {
-			open[id] = true
+			open++
 		}
-	}
-	d.record.say("%d accepted jobs aren't completed 40 s later", len(open))
-	// What runs at any time of the next 5 s isn't lost.
-	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		for id := range open {
-			if d.fleet.running(id) > 0 {
-				delete(open, id)
-			}
+		if lost[id] {
+			idle++
 		}
 	}
-	d.record.say("of these, %d have had nothing running for 5 s", len(open))
-	return len(open) > 0, nil
+	d.record.say("%d jobs had nothing running for 3 s; %d jobs aren't completed in the end", idle, open)
+	return idle > 0, nil
 }
 
-// manyQueues hands in one job at each of many queues, more than the pool can run at a time.
+// manyQueues kills the leader while a job waits in each of many queues, and hands in two more jobs at each. The pool can run few of
+// them at a time.
 func manyQueues(d *deployment) (bool, error) {
 	for i := range 8 {
 		if _, err := d.fleet.addMachine("presses", "zg-a", fmt.Sprintf("r1-%d", 1+i/4), large); err != nil {
@@ -207,35 +214,53 @@
 		}
 	}
 	const queues = 118
-	if err := d.begin(2, queues, "presses"); err != nil {
+	if err := d.begin(3, queues, "presses"); err != nil {
+		return false, err
+	}
+	submit := func(round int) error {
+		for n := range queues {
+			path := fmt.Sprintf("/puxa%d/5c0e7a21d9%02x%04x", n, round, n)
+			if err := d.submit(path, job(1, large.CPU, 60*time.Second, 0, nil)); err != nil {
+				return err
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		return nil
+	}
+	if err := submit(0); err != nil {
 		return false, err
 	}
-	jobs := queues
-	if !d.trouble {
-		jobs = 60
+	time.Sleep(2 * time.Second)
+	if d.trouble {
+		killed := d.leader()
+		d.record.say("SIGKILL to the leader %s", killed.name)
+		if err := d.kill(killed); err != nil {
+			return false, err
+		}
 	}
-	for n := range jobs {
-		path := fmt.Sprintf("/puxa%d/5c0e7a21d94b%04x", n, n)
-		if err := d.submit(path, job(1, large.CPU, 30*time.Second, 0, nil)); err != nil {
+	time.Sleep(4 * time.Second)
+	for round := range 2 {
+		if err := submit(round + 1); err != nil {
 			return false, err
 		}
 	}
 	broken := false
 	for range 3 {
 		time.Sleep(6 * time.Second)
-		waits, wrong := 0, 0
-		for n := range jobs {
-			id := fmt.Sprintf("5c0e7a21d94b%04x", n)
-			_, answer := d.call(d.entries[n%2], http.MethodGet, fmt.Sprintf("/puxa%d/", n), nil)
-			if d.fleet.running(id)+d.fleet.done(id) > 0 {
-				continue
+		wrong := 0
+		for n := range queues {
+			_, answer := d.call(d.entries[n%len(d.entries)], http.MethodGet, fmt.Sprintf("/puxa%d/", n), nil)
+			waits := 0
+			for round := range 3 {
+				if id := fmt.Sprintf("5c0e7a21d9%02x%04x", round, n); d.fleet.running(id)+d.fleet.done(id) == 0 {
+					waits++
+				}
 			}
-			waits++
-			if waiting, _ := answer["Waiting"].(float64); waiting < 0.5 {
+			if waiting, given := answer["Waiting"].(float64); given && 2*waiting < float64(waits) {
 				wrong++
 			}
 		}
-		d.record.say("a job waits in %d queues; %d of these give 0 as Waiting", waits, wrong)
+		d.record.say("%d of %d queues give under half of the jobs that wait", wrong, queues)
 		broken = broken || wrong > 0
 	}
 	return broken, nil
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -63,6 +64,7 @@
 
 	storeAddress, cloudAddress string
 	entries                    []*entry
+	starts                     int // of entry processes
 	client                     *http.Client
 }
 
@@ -144,7 +146,8 @@
 
 // startNamed starts an entry process with the command of the deploy file.
 func (d *deployment) startNamed(name string, cpu float64) error {
-	n := len(d.entries) + 1
+	d.starts++
+	n := d.starts
 	e := &entry{name: name, ended: make(chan struct{})}
 	ip := fmt.Sprintf("127.0.0.%d", 10+n)
 	frontend, readiness, base, err := freePorts(ip)
@@ -176,6 +179,17 @@
 	return nil
 }
 
+// kill kills an entry process, and starts it again after 0.5 s.
+func (d *deployment) kill(e *entry) error {
+	if err := e.process.Process.Kill(); err != nil {
+		return err
+	}
+	<-e.ended
+	d.entries = slices.DeleteFunc(d.entries, func(other *entry) bool { return other == e })
+	time.Sleep(500 * time.Millisecond)
+	return d.startNamed(e.name, d.cpu)
+}
+
 // leader returns the entry that the term row names, or nil.
 func (d *deployment) leader() *entry {
 	data, known := d.store.Get("control", "control", "term")
