Don't take a list of VMs for current that couldn't be read

A list that couldn't be read set the time of the last list, so that the list before it counted as current: a VM whose listed server has ended was maintained or moved, although its next server may have runs.

Cause: State.vmsListed set vmsListedAt before it looked whether there is a list, as listVMs paced its requests by it.

Change: the time of the request paces the requests, and vmsListedAt is that of a list that was read.

TestListThatCannotBeReadIsNotCurrent fails without the change (maintenance requested), and passes with it.

--- a/fleet/stalelist_test.go
+++ b/fleet/stalelist_test.go
@@ -51,6 +51,32 @@
 	assert.Equal(t, r.maintenanceRequests(), 0)
 }
 
+// Guards against a list that can't be read and makes the one before it count as current: the maintenance of a VM is requested by
+// the earlier list, which shows a server that has ended, while the VM's new server runs tasks.
+func TestListThatCannotBeReadIsNotCurrent(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.listVM("i-1", r.now)
+	r.handle(fleet.ServerUnregistered{ID: "i-1"})
+	r.takeEffects()
+	r.addWave("m-1")
+	for range 5 {
+		r.advance(500 * time.Millisecond)
+		r.handle(fleet.VMsListed{RequestedAt: r.now.Add(-time.Millisecond)})
+	}
+	lists := 0
+	for _, e := range r.effects {
+		switch e.(type) {
+		case fleet.ListVMs:
+			lists++
+		case fleet.MaintainVM:
+			t.Error("requested the maintenance of a VM that no list has shown since its server ended")
+		}
+	}
+	assert.Equal(t, lists, 5, "lists of VMs that were requested within 2.5 s")
+}
+
 // Guards against runs of a new server that are taken for ended: the first request for the maintenance of its VM was carried
 // out without a response, and the second one is accepted because the maintenance is over.
 func TestRepeatedMaintenanceRequestKeepsRunsOfNewServer(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -88,7 +88,8 @@
 	droppedAt             map[string]time.Time // when servers that the list of VMs may still show were dropped, by id
 	moveGivenUpAt         map[string]time.Time // when moves whose end the list of VMs didn't show were given up, by VM
 	releasing             []*server            // servers whose VMs other pools need
-	vmsListedAt           time.Time
+	vmsListedAt           time.Time            // when vms was requested
+	vmsRequestedAt        time.Time            // when a list of VMs was last requested, whether or not it could be read
 	listingVMs            bool
 	pollSequence          uint64
 	polls                 pollQueue
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -186,8 +186,8 @@
 		bits := float64(8 * bytesPerListedVM * len(s.vms))
 		interval = max(interval, time.Duration(bits/(vmListLinkShare*s.LinkMbps*1e6)*float64(time.Second)))
 	}
-	if !s.listingVMs && now.Sub(s.vmsListedAt) >= interval {
-		s.listingVMs = true
+	if !s.listingVMs && now.Sub(s.vmsRequestedAt) >= interval {
+		s.listingVMs, s.vmsRequestedAt = true, now
 		s.emit(ListVMs{})
 	}
 }
@@ -212,10 +212,10 @@
 
 func (s *State) vmsListed(e VMsListed) {
 	s.listingVMs = false
-	s.vmsListedAt = e.RequestedAt
 	if e.VMs == nil {
 		return
 	}
+	s.vmsListedAt = e.RequestedAt
 	s.vms = make(map[string]backend.VM, len(e.VMs))
 	s.vmNames = s.vmNames[:0]
 	listedServers := make(map[string]bool, len(e.VMs))
