--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -55,6 +55,9 @@
 	// leaseMargin covers the rounding of times to milliseconds.
 	leaseMargin = 100 * time.Millisecond
 
+	// maxListLag is the longest time by which the platform's list of VMs may be older than the request for it.
+	maxListLag = 10 * time.Second
+
 	pollWait = 1200 * time.Millisecond // how long a server may wait for the end of a run before it responds to a poll
 	// startupPollWait replaces pollWait while a long-running task starts up: the next task of its step can migrate only
 	// once this one works at full speed.
--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -11,10 +11,13 @@
 // detectDownServers finds the servers that their VMs don't run any more, by a list of VMs that was requested at the given
 // time. Their runs have ended, so their tasks needn't wait for the lease to expire. A server that is only partitioned is listed
 // as before, and keeps its runs.
+//
+// A list shows the VMs as they were up to maxListLag before the request. That the VM was down then says nothing about a
+// server that has started since.
 func (s *State) detectDownServers(requestedAt time.Time) {
 	for _, v := range s.allServers() {
-		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) {
-			continue // the list may be older than the server's incarnation
+		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) || !v.ranAt(requestedAt.Add(-maxListLag)) {
+			continue
 		}
 		state, down := s.hostState(v)
 		switch {
@@ -49,7 +52,7 @@
 }
 
 // serverDown gives up the runs that a server had when it ended. A run that isn't known to have started is kept until the lease
-// expires: its start request may still arrive at the next incarnation.
+// expires: its start request may still arrive at the next incarnation. One that has started there goes on.
 func (s *State) serverDown(v *server, state backend.VMState) {
 	if !v.retired {
 		klog.InfoS("Backend server is down", "server", v.id, "vm", v.reg.VM, "vm-state", state, "running", len(v.attempts),
@@ -57,7 +60,7 @@
 	}
 	crashed := state != backend.VMMoving && state != backend.VMMaintenance
 	for _, a := range v.attempts {
-		if a.phase != running {
+		if a.phase != running || a.onNextIncarnation {
 			continue
 		}
 		if crashed {
--- a/fleet/downservers_test.go
+++ b/fleet/downservers_test.go
@@ -17,24 +17,44 @@
 	start  fleet.Start
 	server string // runs the task
 	other  string
+	jobs   int
 }
 
 func newDownRig(t *testing.T) *downRig {
 	d := &downRig{rig: newRig(t)}
 	for _, id := range []string{"i-1", "i-2"} {
+		d.bootTimes[id] = d.now.Add(-time.Minute)
 		d.register(id, "press")
 		d.report(id, nil)
 	}
 	d.list(d.now, backend.VMUp)
+	d.placeTask()
+	return d
+}
+
+// placeTask submits a job of one task.
+func (d *downRig) placeTask() {
+	d.t.Helper()
+	d.jobs++
 	d.takeEffects()
-	d.handle(fleet.JobArrived{Job: d.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	d.handle(fleet.JobArrived{Job: d.job(d.jobs, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
 	starts := d.starts()
-	assert.Equal(t, len(starts), 1)
+	assert.Equal(d.t, len(starts), 1)
 	d.start, d.server, d.other = starts[0], starts[0].Target.ID, "i-1"
 	if d.server == "i-1" {
 		d.other = "i-2"
 	}
-	return d
+}
+
+// restart starts a new incarnation of a server, which registers and reports.
+func (d *downRig) restart(id string) {
+	d.bootTimes[id] = d.now
+	d.register(id, "press")
+	d.handle(fleet.PollEnded{
+		Server: id, Sequence: d.openPolls[id].Sequence, Outcome: backend.OutcomeUnknown{Reason: "connection closed"},
+	})
+	d.advance(time.Second)
+	d.report(id, nil)
 }
 
 // list delivers a list of VMs in which the VM of the task's server has the given state.
@@ -75,6 +95,38 @@
 	assert.Equal(t, len(d.starts()), 0)
 }
 
+// Guards against a list that is older than its request: it shows the VM of a server that has started again as down or as on its
+// way to another pool, and the runs of the new incarnation are given up and started elsewhere while they go on.
+func TestListOlderThanIncarnationEndsNoRuns(t *testing.T) {
+	for _, state := range []backend.VMState{backend.VMDown, backend.VMMoving, backend.VMMaintenance} {
+		for age := time.Duration(0); age < 9*time.Second; age += 3 * time.Second {
+			d := newDownRig(t)
+			d.acceptStart(d.start)
+			d.reportProgress(d.server, nil, 0, backend.RunEnd{Number: 1, Run: d.start.Request.Run, Kind: workload.EndDone})
+			d.restart("i-1")
+			d.restart("i-2")
+			d.now = d.now.Add(age)
+			d.placeTask()
+			d.acceptStart(d.start)
+			d.advance(300 * time.Millisecond)
+			d.list(d.now, state)
+			assert.Equal(t, len(d.starts()), 0, "%s, %s after the restart", state, age)
+		}
+	}
+}
+
+// Guards against a run that is given up because a list shows the end of the incarnation before the one that started it.
+func TestListEndsNoRunsOfNextIncarnation(t *testing.T) {
+	d := newDownRig(t)
+	d.handle(fleet.StartEnded{
+		Server: d.server, Incarnation: d.start.Target.Incarnation, Run: d.start.Request.Run,
+		Outcome: backend.Accepted{Clock: 100 * time.Millisecond},
+	})
+	d.advance(200 * time.Millisecond)
+	d.list(d.now, backend.VMDown)
+	assert.Equal(t, len(d.starts()), 0)
+}
+
 // Guards against runs of a partitioned server that are given up before its lease expires.
 func TestRunsOfPartitionedServerOnListedVMGoOn(t *testing.T) {
 	d := newDownRig(t)
@@ -101,7 +153,7 @@
 	d.advance(200 * time.Millisecond)
 	d.list(d.now, backend.VMDown)
 	for n := range 4 {
-		d.handle(fleet.JobArrived{Job: d.job(n+2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+		d.handle(fleet.JobArrived{Job: d.job(n+d.jobs+1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
 	}
 	starts := d.starts()
 	assert.Equal(t, len(starts), 4)
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -29,6 +29,7 @@
 	jobs      []*workload.Job
 	servers   map[string]*modelServer
 	vms       map[string]*modelVM
+	vmHistory []vmSnapshot
 	wave      *directory.Wave // requested by operators, or nil
 	waveStep  int             // of the faults, before which the wave is requested, or -1
 	current   *modelController
@@ -46,6 +47,7 @@
 	slowStore bool
 
 	lateRequests, lostResponses, crashPercent int
+	lateLists                                 int // percent of the lists of VMs that are old
 	mutation                                  mutation
 	late                                      bool // the current request is carried out late
 }
@@ -59,6 +61,7 @@
 	ignoreLeases // leases of the previous controller
 	storeIgnoresTerms
 	listPartitionedAsDown // VMs of partitioned servers are listed as down
+	listsCountAsNewer     // lists of VMs seem to have been requested later than they were
 )
 
 // slowStorePercent is the share of plays in which the store is slow until the faults end.
@@ -253,6 +256,7 @@
 	if c.dead {
 		return
 	}
+	m.recordVMs()
 	m.handle(c, fleet.Tick{})
 	m.after(100*time.Millisecond, func() { m.tick(c) })
 }
@@ -299,6 +303,9 @@
 		m.requestMaintenance(c, e)
 	case fleet.ListVMs:
 		requestedAt := m.now
+		if m.mutation == listsCountAsNewer {
+			requestedAt = requestedAt.Add(12 * time.Second)
+		}
 		m.after(m.delay(4), func() {
 			list := m.listVMs()
 			m.after(m.delay(400), func() { m.handle(c, fleet.VMsListed{RequestedAt: requestedAt, VMs: list}) })
@@ -515,8 +522,12 @@
 		s = m.servers[fmt.Sprintf("i-%d", n)] // its VM is being maintained
 	}
 	fault := rapid.IntRange(0, 6).Draw(m.t, "fault")
-	if m.mutation == ignoreLeases {
+	switch m.mutation {
+	case ignoreLeases:
 		fault = 6 // the fault in which a lease outlasts the term
+	case listsCountAsNewer:
+		fault = 3
+	case noMutation, serversIgnoreTokens, storeIgnoresTerms, listPartitionedAsDown:
 	}
 	switch fault {
 	case 0: // the controller pauses, another takes over after the term, and the first resumes later
@@ -598,6 +609,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		m.crashPercent, m.slowStore = 10, m.chance(slowStorePercent, "slow store")
+		m.lateLists = rapid.SampledFrom([]int{0, 50}).Draw(t, "old lists")
 		m.playFaults()
 		m.recoverAndCheck(2 * time.Minute)
 		if m.violation != "" {
@@ -613,6 +625,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		m.slowStore = m.chance(slowStorePercent, "slow store")
+		m.lateLists = rapid.SampledFrom([]int{0, 50}).Draw(t, "old lists")
 		m.playFaults()
 		m.recoverAndCheck(40 * time.Second)
 		if m.violation != "" {
--- a/fleet/modelvms_test.go
+++ b/fleet/modelvms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,9 @@
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
+// maxListLag is the longest time by which a list of VMs is older than its request.
+const maxListLag = 3 * time.Second
+
 // modelVM is a VM. Its server gets a new id with the maintenance, of which there is one.
 type modelVM struct {
 	server     string
@@ -22,6 +26,34 @@
 	maintained bool
 }
 
+// vmSnapshot is the platform's list of VMs as it was at some time.
+type vmSnapshot struct {
+	at  time.Time
+	vms []backend.VM
+}
+
+// recordVMs keeps the list of VMs for requests that get an old one.
+func (m *model) recordVMs() {
+	m.vmHistory = append(m.vmHistory, vmSnapshot{at: m.now, vms: m.currentVMs()})
+	for len(m.vmHistory) > 1 && m.now.Sub(m.vmHistory[1].at) > maxListLag {
+		m.vmHistory = m.vmHistory[1:]
+	}
+}
+
+// listVMs returns the list of VMs as it was up to maxListLag ago.
+func (m *model) listVMs() []backend.VM {
+	if !m.chance(m.lateLists, "old list") {
+		return m.currentVMs()
+	}
+	taken := m.now.Add(-m.delay(int(maxListLag / time.Millisecond)))
+	for _, s := range slices.Backward(m.vmHistory) {
+		if !s.at.After(taken) {
+			return s.vms
+		}
+	}
+	return m.currentVMs()
+}
+
 // startWave lets operators request the maintenance of all VMs.
 func (m *model) startWave() {
 	w := directory.Wave{Name: "1", Number: 1, TimeLimit: 10 * time.Second, MaxConcurrent: 2}
@@ -106,7 +138,7 @@
 	return backend.Accepted{}
 }
 
-func (m *model) listVMs() []backend.VM {
+func (m *model) currentVMs() []backend.VM {
 	list := make([]backend.VM, 0, len(m.vms))
 	for name, v := range m.vms {
 		vm := backend.VM{
@@ -127,6 +159,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		m.slowStore = m.chance(slowStorePercent, "slow store")
+		m.lateLists = rapid.SampledFrom([]int{0, 50}).Draw(t, "old lists")
 		m.waveStep = rapid.IntRange(0, 5).Draw(t, "wave")
 		m.playFaults()
 		m.recoverAndCheck(40 * time.Second)
--- a/fleet/mutations_test.go
+++ b/fleet/mutations_test.go
@@ -15,6 +15,7 @@
 	for name, mutated := range map[string]mutation{
 		"servers ignore tokens": serversIgnoreTokens, "the store ignores terms": storeIgnoresTerms,
 		"earlier leases are ignored": ignoreLeases, "partitioned servers are listed as down": listPartitionedAsDown,
+		"lists of VMs seem newer than they are": listsCountAsNewer,
 	} {
 		detected := false
 		for range mutationRounds {
@@ -24,6 +25,9 @@
 				}
 				m := newModel(t)
 				m.mutation = mutated
+				if mutated == listsCountAsNewer {
+					m.lateLists = 50
+				}
 				m.playFaults()
 				m.recoverAndCheck(40 * time.Second)
 				detected = m.violation != ""
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -72,6 +72,10 @@
 	}
 }
 
+// ranAt reports whether the server's incarnation had certainly started at the given time. Its clock shows at most the time
+// since its start, as the clocks of servers may be slow but not fast.
+func (v *server) ranAt(t time.Time) bool { return v.hasClock && v.clockAt.Add(-v.clock).Before(t) }
+
 // onSlowestClock converts a duration by a server's clock to the longest time that it can take by an exact clock.
 func onSlowestClock(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
