Return a server of a maintained or moved VM to service by its report, not by a list

What callers saw: tasks that started seconds late. A list of VMs from before an accepted move or maintenance still shows the server that it ended, which got tasks again; they waited until their lease had expired.

A list that was requested after the acceptance counted as younger than it.

Change: such a list only makes the controller poll the server once. The server returns to service when it reports to a poll that was sent after the acceptance.

TestListOlderThanMaintenanceReturnsNoServer fails without the change: the task starts on the ended server.

--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"container/heap"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,26 +17,34 @@
 // server that has started since.
 func (s *State) detectDownServers(requestedAt time.Time) {
 	for _, v := range s.allServers() {
-		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) || !v.ranAt(requestedAt.Add(-maxListLag)) {
+		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) {
 			continue
 		}
 		state, down := s.hostState(v)
 		switch {
-		case down && !v.down:
+		case down && !v.down && v.ranAt(requestedAt.Add(-maxListLag)):
 			v.down = true
 			s.serverDown(v, state)
 		case !down && v.retired && requestedAt.After(v.retiredAt):
-			s.serverWasNotEnded(v)
+			s.pollRetired(v)
 		}
 	}
 }
 
-// serverWasNotEnded returns a server to service whose VM had been moved or maintained before, so that the accepted request for it
-// changed nothing.
+// pollRetired polls a server that is listed although a request for the move or maintenance of its VM was accepted: the list may be
+// older than that, or the request had been done before and the server goes on.
+func (s *State) pollRetired(v *server) {
+	if v.pollIndex == notQueued && !v.pollInFlight && v.reg.Address != "" {
+		v.nextPollAt = s.now
+		heap.Push(&s.polls, v)
+	}
+}
+
+// serverWasNotEnded returns a server to service that has reported since a request for its VM was accepted: the VM had been moved or
+// maintained before, so that the request changed nothing.
 func (s *State) serverWasNotEnded(v *server) {
 	klog.InfoS("Backend server goes on after an accepted request for its VM", "server", v.id, "vm", v.reg.VM)
 	v.retired, v.cordoned = false, false
-	s.pollAt(v, s.now)
 	s.placeAll = true
 }
 
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -226,6 +226,9 @@
 	if !v.confirmed || v.failedPolls > 0 {
 		s.placeAll = true
 	}
+	if v.retired && v.pollSentAt.After(v.retiredAt) {
+		s.serverWasNotEnded(v)
+	}
 	if !v.confirmed {
 		v.confirmedAt = now
 		if v.registered {
--- a/fleet/stalelist_test.go
+++ b/fleet/stalelist_test.go
@@ -51,6 +51,28 @@
 	assert.Equal(t, r.maintenanceRequests(), 0)
 }
 
+// Guards against tasks that are placed on a server whose VM has been moved or maintained: the list is older than that, and still
+// shows the server.
+func TestListOlderThanMaintenanceReturnsNoServer(t *testing.T) {
+	r := newRig(t)
+	r.bootTimes["i-1"] = r.now.Add(-time.Minute)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.listVM("i-1", r.now)
+	r.addWave("m-1")
+	r.advance(200 * time.Millisecond)
+	assert.Equal(t, r.maintenanceRequests(), 1)
+	r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Accepted{}})
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	r.failPoll("i-1")
+	for range 4 {
+		r.advance(400 * time.Millisecond)
+		r.listVM("i-1", r.now)
+		assert.Equal(t, len(r.starts()), 0)
+		r.failPoll("i-1")
+	}
+}
+
 // Guards against a list that can't be read and makes the one before it count as current: the maintenance of a VM is requested by
 // the earlier list, which shows a server that has ended, while the VM's new server runs tasks.
 func TestListThatCannotBeReadIsNotCurrent(t *testing.T) {
