Count the runs of all servers that have registered on a VM before it is maintained or moved

A list of VMs that is older than a VM's server shows the one before it. While that one was still registered, the VM was taken for idle, and its maintenance or move ended the runs of the new server.

Change: State.runsOn adds the runs of the servers whose registrations name the VM, and State.listIsCurrent is false if a server has registered there after the listed one. A VM is moved only if its list entry is current.

TestVMWithNewerServerThanListedIsNotTakenForIdle fails without the change: the maintenance is requested.

--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -192,7 +192,7 @@
 		return
 	}
 	v, known := s.servers[vm.Server]
-	if !known || !v.usable(now) || s.evacuatedZones[vm.Zone] || s.inMaintenance(vm.Name) {
+	if !known || !v.usable(now) || s.evacuatedZones[vm.Zone] || s.inMaintenance(vm.Name) || !s.listIsCurrent(vm.Name) {
 		return
 	}
 	ps := schedule.PoolServer{
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -27,6 +27,7 @@
 	if v.incarnation == 0 {
 		v.incarnation = r.Incarnation
 	}
+	s.setRegisteredVM(v, r.VM)
 	v.reg, v.registered = r, true
 	if _, known := s.poolCapacity[r.Pool]; !known || v.confirmed {
 		s.poolCapacity[r.Pool] = r.Capacity
--- a/fleet/stalelist_test.go
+++ b/fleet/stalelist_test.go
@@ -19,6 +19,15 @@
 	}}})
 }
 
+// registerOn registers a server on a VM.
+func (r *rig) registerOn(vm, id, pool string) {
+	r.bootTimes[id] = r.now
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: id, VM: vm, Pool: pool, Address: "10.0.0.1:1", Zone: "z", Rack: "r-" + id,
+		Incarnation: r.now.UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+}
+
 func (r *rig) maintenanceRequests() int {
 	n := 0
 	for _, e := range r.takeEffects() {
@@ -51,6 +60,35 @@
 	assert.Equal(t, r.maintenanceRequests(), 0)
 }
 
+// Guards against runs that the maintenance or move of their VM ends: the list is older than the VM's server, and shows the idle one
+// before it, which is still registered.
+func TestVMWithNewerServerThanListedIsNotTakenForIdle(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(time.Second)
+	r.registerOn("m-1", "i-2", "press")
+	r.report("i-2", nil)
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{ // the first one gets no tasks
+		ID: "i-1", VM: "m-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Rack: "r-i-1", Draining: true,
+		Incarnation: r.bootTimes["i-1"].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, LongRunning: true})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Target.ID, "i-2")
+	r.acceptStart(starts[0])
+	r.listVM("i-1", r.now)
+	r.addWave("m-1")
+	r.advance(time.Second)
+	for _, e := range r.takeEffects() {
+		switch e.(type) {
+		case fleet.MaintainVM, fleet.MoveVM:
+			t.Errorf("requested %#v", e)
+		}
+	}
+}
+
 // Guards against tasks that are placed on a server whose VM has been moved or maintained: the list is older than that, and still
 // shows the server.
 func TestListOlderThanMaintenanceReturnsNoServer(t *testing.T) {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -63,6 +63,7 @@
 	earlyCancels     map[string]bool // cancellations that were read before their jobs
 	unreadCancels    map[int]bool    // the partitions for which CancelsRead is awaited
 	servers          map[string]*server
+	serversByVM      map[string][]*server          // servers that have registered on a VM and aren't dropped
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
 	losses           losses
@@ -148,7 +149,7 @@
 	for partition := range s.CancelPartitions {
 		s.unreadCancels[partition] = true
 	}
-	s.servers = make(map[string]*server)
+	s.servers, s.serversByVM = make(map[string]*server), make(map[string][]*server)
 	s.dirtyPools = make(map[string]bool)
 	s.unstoredEnds = make(map[*server]bool)
 	s.droppedAt, s.moveGivenUpAt = make(map[string]time.Time), make(map[string]time.Time)
@@ -347,6 +348,7 @@
 func (s *State) dropServer(v *server) {
 	s.cancelPolls(v)
 	delete(s.unstoredEnds, v)
+	s.setRegisteredVM(v, "")
 	delete(s.servers, v.id)
 	if len(s.vms) > 0 {
 		s.droppedAt[v.id] = s.now
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -326,22 +326,6 @@
 	}
 }
 
-// listIsCurrent reports whether the list of VMs shows the VM's present server. The list may be older than a move or a
-// restart, and the new server may already have runs.
-func (s *State) listIsCurrent(vm string) bool {
-	if v, known := s.servers[s.vms[vm].Server]; known {
-		return v.registered && !v.retired
-	}
-	return s.vmsListedAt.After(s.droppedAt[s.vms[vm].Server]) && s.vmsListedAt.After(s.moveGivenUpAt[vm])
-}
-
-func (s *State) runsOn(vm string) int {
-	if v, known := s.servers[s.vms[vm].Server]; known {
-		return len(v.attempts)
-	}
-	return 0
-}
-
 // migrateLongRunning stops the long-running tasks of a server that fit on another one. The server's other work
 // continues.
 func (s *State) migrateLongRunning(v *server, now time.Time) {
