Let a VM's next server get tasks after its maintenance was requested again

What callers saw: a server that gets no tasks for the rest of the term. In the model two of four servers stood idle for 100 s while a task of a long-running job waited.

Cause: the first request for a maintenance had no response but was carried out. The list then showed the VM's next server, which the repeated request cordoned. It was accepted, as the maintenance was over, which retired the server before and left the next one cordoned for good. The same for a server that had runs when the request for its VM was accepted.

Change: an accepted request ends the cordon of the VM's other servers, and that of its own server once it has reported since.

TestServerGetsTasksAfterRepeatedMaintenanceRequest fails without the change, with and without an earlier job: the task isn't started.

--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -44,8 +44,8 @@
 // maintained before, so that the request changed nothing.
 func (s *State) serverWasNotEnded(v *server) {
 	klog.InfoS("Backend server goes on after an accepted request for its VM", "server", v.id, "vm", v.reg.VM)
-	v.retired, v.cordoned = false, false
-	s.placeAll = true
+	v.retired, v.retiredAt = false, time.Time{}
+	s.uncordon(v)
 }
 
 // hostState returns the state of the VM that ran a server, and whether it has certainly ended the server.
--- a/fleet/removedwaves.go
+++ b/fleet/removedwaves.go
@@ -46,20 +46,30 @@
 		delete(w.requestedAt, vm)
 		delete(w.inFlight, vm)
 		delete(w.drainingSince, vm)
-		s.uncordon(vm)
+		s.uncordonVM(vm)
 	}
 }
 
-// uncordon lets the server of a VM get runs again, unless the VM is still being drained, maintained or moved.
-func (s *State) uncordon(vm string) {
-	v, known := s.servers[s.vms[vm].Server]
-	if !known || !v.cordoned || v.retired || s.hasOpenRequest(v.reg) {
+// uncordonVM lets the servers of a VM get runs again, unless the VM is still being drained, maintained or moved.
+func (s *State) uncordonVM(vm string) {
+	if s.inMaintenance(vm) {
 		return
 	}
-	for _, w := range s.waves {
-		if w.inProgress(vm) {
-			return
-		}
+	if v, known := s.servers[s.vms[vm].Server]; known {
+		s.uncordon(v)
+	}
+	for _, v := range s.serversByVM[vm] {
+		s.uncordon(v)
+	}
+}
+
+// uncordon lets a server get runs again, unless its VM is still being drained, maintained or moved.
+func (s *State) uncordon(v *server) {
+	if !v.cordoned || !v.retiredAt.IsZero() || s.hasOpenRequest(v.reg) || s.inMaintenance(v.reg.VM) {
+		return
+	}
+	if m, moving := s.moves[v.reg.VM]; moving && m.server == v.id {
+		return
 	}
 	v.cordoned, s.placeAll = false, true
 }
@@ -82,7 +92,7 @@
 			return
 		}
 		delete(s.abandoned, e.VM)
-		s.uncordon(e.VM)
+		s.uncordonVM(e.VM)
 	case backend.OutcomeUnknown, backend.Reported:
 		r.inFlight, r.sentAt = false, now
 		s.abandoned[e.VM] = r
@@ -94,7 +104,7 @@
 	for vm, r := range s.abandoned {
 		if !r.inFlight && now.Sub(r.sentAt) >= lateRequestTime {
 			delete(s.abandoned, vm)
-			s.uncordon(vm)
+			s.uncordonVM(vm)
 		}
 	}
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -65,7 +65,7 @@
 	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation)
 	v.incarnation = incarnation
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
-	v.leaseUntil, v.consecutiveFailures, v.retired = 0, 0, false
+	v.leaseUntil, v.consecutiveFailures, v.retired, v.retiredAt = 0, 0, false, time.Time{}
 	s.pollAt(v, now)
 	s.recordLosses(v, incarnation, now)
 	s.serverCrashed(v.id, incarnation, "restarted")
@@ -109,13 +109,14 @@
 // Its registration remains for some seconds. If the request was done before, on behalf of an earlier controller, the server goes
 // on: a later list of VMs shows it, and runs that it has are given up only if a list shows that it is gone, or their lease expires.
 func (s *State) retire(v *server, reason string, now time.Time) {
+	v.retiredAt = now
 	if len(v.attempts) > 0 {
 		klog.InfoS("Request for a VM was accepted while its server has runs", "server", v.id, "vm", v.reg.VM, "reason", reason,
 			"running", len(v.attempts))
 		return
 	}
 	s.cancelPolls(v)
-	v.retired, v.retiredAt = true, now
+	v.retired = true
 }
 
 // hasOpenRequest reports whether a request for the move or maintenance of a server's VM has no outcome yet.
@@ -227,7 +228,7 @@
 	if !v.confirmed || v.failedPolls > 0 {
 		s.placeAll = true
 	}
-	if v.retired && v.pollSentAt.After(v.retiredAt) {
+	if !v.retiredAt.IsZero() && v.pollSentAt.After(v.retiredAt) {
 		s.serverWasNotEnded(v)
 	}
 	if !v.confirmed {
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -42,7 +42,7 @@
 	cooldownUntil       time.Time // gets no new runs before that (failureCooldown, refusalCooldown)
 	cordoned            bool      // gets no new runs, as it is about to be maintained or moved
 	retired             bool      // the platform ends this incarnation, or has ended it
-	retiredAt           time.Time // when retired was set
+	retiredAt           time.Time // when the platform accepted a request for its VM, until it reports again
 	down                bool      // its VM doesn't run it any more; until it registers with a new incarnation or reports
 	aliveAt             time.Time // last sign that the server was running: a report, a response or a new registration
 	releasing           bool      // gets no new runs, as another pool needs its VM
--- a/fleet/stalelist_test.go
+++ b/fleet/stalelist_test.go
@@ -219,3 +219,38 @@
 	r.advance(time.Second)
 	assert.Equal(t, len(r.starts()), 0, "the run was started again although it goes on")
 }
+
+// Guards against a server that gets no tasks any more: the request for the maintenance that its VM had before was repeated, as the
+// first one had no response, and was accepted because the maintenance was over.
+func TestServerGetsTasksAfterRepeatedMaintenanceRequest(t *testing.T) {
+	for _, hasRun := range []bool{false, true} {
+		r := newRig(t)
+		r.register("i-1", "press")
+		r.report("i-1", nil)
+		r.listVM("i-1", r.now)
+		r.addWave("m-1")
+		r.advance(200 * time.Millisecond)
+		assert.Equal(t, r.maintenanceRequests(), 1)
+		r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.OutcomeUnknown{Reason: "no response"}})
+		r.handle(fleet.ServerUnregistered{ID: "i-1"})
+		r.registerOn("m-1", "i-2", "press")
+		r.report("i-2", nil)
+		r.listVM("i-2", r.now)
+		r.advance(time.Second)
+		assert.Equal(t, r.maintenanceRequests(), 1, "repeated")
+		if hasRun {
+			r.report("i-2", []backend.Run{})
+			r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, LongRunning: true})})
+		}
+		r.handle(fleet.MaintenanceEnded{VM: "m-1", Wave: 1, Outcome: backend.Accepted{}})
+		r.advance(200 * time.Millisecond)
+		r.listVM("i-2", r.now)
+		r.reportProgress("i-2", nil, 0)
+		r.advance(200 * time.Millisecond)
+		r.reportProgress("i-2", nil, 0)
+		r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, LongRunning: true})})
+		starts := r.starts()
+		assert.Assert(t, len(starts) > 0)
+		assert.Equal(t, starts[0].Target.ID, "i-2")
+	}
+}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -435,6 +435,7 @@
 		if v, known := s.servers[w.server[e.VM]]; known {
 			s.retire(v, "maintenance", now)
 		}
+		s.uncordonVM(e.VM) // a repeated request has cordoned the VM's next server
 	case backend.Refused:
 		klog.InfoS("Maintenance refused", "vm", e.VM, "wave", w.spec.Name, "reason", o.Reason)
 		switch o.Reason {
@@ -444,7 +445,7 @@
 			delete(w.requestedAt, e.VM)
 			delete(w.drainingSince, e.VM)
 			w.skipped[e.VM] = true
-			s.uncordon(e.VM)
+			s.uncordonVM(e.VM)
 		default:
 			w.requestedAt[e.VM] = now
 		}
