Count the longest lease for a server that has returned under its id

A server crashed, came back under its id, got tasks and was cut off; they were started elsewhere 3.6 s after the last lease that was granted, and ran on until 10 s after its return.

Cause: polls and starts for the earlier incarnation reach the next one, which can't tell them from its own. Their lease expiries are by another clock, so the server may take its longest lease, HoldMaxMs. State.serverRestarted counted only what it granted since.

Change: the first report of such an incarnation counts as the grant of the longest lease. A run that was requested of the earlier incarnation without a response is given up unreported only after 15 s and the longest lease. In the first 15 s of a term the same holds for servers that have started shortly before it.

On the way it showed that a server's clock starts at any value, so that it doesn't tell the time since the start, as assumed: a list of VMs now ends runs if the incarnation has been known for 10 s, or the server has a new id and an earlier list has shown it.

--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -64,7 +64,7 @@
 		EntryVM: s.Name(), Term: c.term, Token: c.token, TermRequestedAt: c.termRequestedAt,
 		PreviousLease:   c.previousTerm.Lease(),
 		HandoverPause:   s.HandoverPause(),
-		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(),
+		MaintenanceTime: s.MaintenanceTime(), MoveTime: s.MoveTime(), StopTime: s.StopTime(), MaxLease: s.MaxLease(),
 		LinkMbps: s.LinkMbps(), AwaitRestore: true, MaxTasks: maxTasks(s.MemoryMB()),
 		CancelPartitions: intake.Partitions, CancelPartition: intake.PartitionOf,
 		Scope: c.vm.Scope.SubScope("control"),
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -48,6 +48,12 @@
 	// of the store. It starts no runs in that time. A new controller also waits for that time before it restarts the
 	// runs of a server that it can't reach.
 	leaseExtensionGrace = 2 * time.Second
+	// defaultMaxLease is the longest lease that a backend server accepts, unless the platform gives another.
+	defaultMaxLease = 10 * time.Second
+	// maxCallDelay is the longest time from when a request without a response was sent until the server carries it out.
+	maxCallDelay = 15 * time.Second
+	// maxServerClockSkew is the largest difference between the time of day of a server and that of an entry VM.
+	maxServerClockSkew = 5 * time.Second
 	// minClockRate is the rate of the slowest clock of a backend server that the platform allows.
 	minClockRate = 0.98
 	// clockRounding covers the rounding of a server's clock to milliseconds, in two responses.
@@ -55,6 +61,8 @@
 	// leaseMargin covers the rounding of times to milliseconds.
 	leaseMargin = 100 * time.Millisecond
 
+	// registrationLoadTime is the time from the start of a term in which the controller learns of the registered servers.
+	registrationLoadTime = 5 * time.Second
 	// maxListLag is the longest time by which the platform's list of VMs may be older than the request for it.
 	maxListLag = 10 * time.Second
 
--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -64,14 +64,19 @@
 // recordLosses records that a server was lost with the runs of its incarnations before the given one.
 func (s *State) recordLosses(v *server, before int64, now time.Time) {
 	for _, a := range v.attempts {
-		sent := a.phase != storing && (a.phase != requested || !a.startSentAt.IsZero())
-		survived := a.onNextIncarnation && before < maxIncarnation
-		if sent && a.incarnation < before && !survived {
+		if a.countsAsLost(before) {
 			s.recordLoss(a, now)
 		}
 	}
 }
 
+// countsAsLost reports whether a run may have been lost with the incarnations of its server before the given one.
+func (a *attempt) countsAsLost(before int64) bool {
+	sent := a.phase != storing && (a.phase != requested || !a.startSentAt.IsZero())
+	survived := a.onNextIncarnation && before < maxIncarnation
+	return sent && a.incarnation < before && !survived
+}
+
 // recordLoss records that a server was lost with a run. Whether the server crashed is known later: from the list of VMs, a
 // restart, or a report that it goes on. A draining server ends as announced, unless it doesn't report a run that it has started.
 func (s *State) recordLoss(a *attempt, now time.Time) {
--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -14,15 +14,16 @@
 // as before, and keeps its runs.
 //
 // A list shows the VMs as they were up to maxListLag before the request. That the VM was down then says nothing about a
-// server that has started since.
+// server that has started since, unless the server has a new id and an earlier list has shown it.
 func (s *State) detectDownServers(requestedAt time.Time) {
 	for _, v := range s.allServers() {
 		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) {
 			continue
 		}
 		state, down := s.hostState(v)
+		v.listed = v.listed || s.vms[v.reg.VM].Server == v.id
 		switch {
-		case down && !v.down && v.ranAt(requestedAt.Add(-maxListLag)):
+		case down && !v.down && (v.ranAt(requestedAt.Add(-maxListLag)) || v.newID && v.listed):
 			v.down = true
 			s.serverDown(v, state)
 		case !down && v.retired && requestedAt.After(v.retiredAt):
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -99,6 +99,7 @@
 	inFlight          bool          // a start request has no outcome yet
 	awaitsReport      bool          // a report decides whether the run was started
 	awaitsSince       time.Time     // when awaitsReport was set
+	endsBy            time.Time     // when it has ended even if it was started late, or zero if the lease of its server covers that
 	confirmedAt       time.Time     // when the server last accepted or reported the run
 	startedAt         time.Time     // when the run was assigned, or confirmed by its server
 	percent           int           // progress of the run, or for a long-running task its speed
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -25,7 +25,8 @@
 		s.serverRestarted(v, r.Incarnation, now)
 	}
 	if v.incarnation == 0 {
-		v.incarnation = r.Incarnation
+		v.setIncarnation(r.Incarnation, now)
+		v.newID = !v.returned && now.Sub(s.began) > registrationLoadTime
 	}
 	s.setRegisteredVM(v, r.VM)
 	v.reg, v.registered = r, true
@@ -63,15 +64,17 @@
 // needn't be: its requests are refused once the new incarnation has reported.
 func (s *State) serverRestarted(v *server, incarnation int64, now time.Time) {
 	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation)
-	v.incarnation = incarnation
+	v.setIncarnation(incarnation, now)
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
-	v.leaseUntil, v.consecutiveFailures, v.retired, v.retiredAt = 0, 0, false, time.Time{}
+	v.leaseUntil, v.consecutiveFailures, v.returned, v.newID = 0, 0, true, false
+	v.retired, v.retiredAt = false, time.Time{}
 	s.pollAt(v, now)
 	s.recordLosses(v, incarnation, now)
 	s.serverCrashed(v.id, incarnation, "restarted")
 	for _, a := range v.attempts {
 		if a.onNextIncarnation {
 			a.incarnation, a.onNextIncarnation = incarnation, false
+			a.endsBy = s.lateStartExpiry(now)
 		}
 		if a.incarnation >= incarnation {
 			continue // started there, or restored with an earlier incarnation of other runs
@@ -80,8 +83,10 @@
 		a.incarnation, a.inFlight, a.stopInFlight, a.stopAccepted = incarnation, false, false, false
 		switch {
 		case a.phase == restored:
+			a.endsBy = s.lateStartExpiry(now)
 			continue // the first report decides: the new incarnation may have started the run before it registered
 		case a.phase == requested && !a.stopRequested && !a.startSentAt.IsZero():
+			a.endsBy = s.lateStartExpiry(now)
 			s.awaitReport(a, "server-started-again", now) // the request may have reached the new incarnation already
 			continue
 		}
@@ -89,13 +94,22 @@
 	}
 }
 
-// markRunsLost removes the runs of a server whose lease has certainly expired, or whose VM was taken down.
-func (s *State) markRunsLost(v *server, now time.Time, reason string) {
+// lateStartExpiry returns when a run has ended that a server starts late, on a request that was sent before the given time: after the
+// longest lease of an incarnation that can't tell the request from one to itself.
+func (s *State) lateStartExpiry(sentBefore time.Time) time.Time {
+	return sentBefore.Add(maxCallDelay + onSlowestClock(s.MaxLease) + leaseMargin)
+}
+
+// expireRuns gives up the runs of an unresponsive server that have certainly ended, as its lease has expired.
+func (s *State) expireRuns(v *server, now time.Time) {
 	for _, a := range v.attempts {
-		if a.phase == storing {
+		if a.phase == storing || !now.After(a.endsBy) {
 			continue
 		}
-		s.loseRun(a, reason, now)
+		if a.countsAsLost(maxIncarnation) {
+			s.recordLoss(a, now)
+		}
+		s.loseRun(a, "lease-expired", now)
 	}
 }
 
@@ -231,7 +245,8 @@
 	if !v.retiredAt.IsZero() && v.pollSentAt.After(v.retiredAt) {
 		s.serverWasNotEnded(v)
 	}
-	if !v.confirmed {
+	first := !v.confirmed
+	if first {
 		v.confirmedAt = now
 		if v.registered {
 			s.poolCapacity[v.reg.Pool] = v.reg.Capacity
@@ -241,7 +256,10 @@
 		s.serverSurvived(v.id, v.incarnation, "report")
 	}
 	v.failedPolls, v.confirmed, v.down, v.aliveAt = 0, true, false, now
-	v.clock, v.clockAt, v.hasClock = r.Clock, now, true
+	v.clock, v.clockAt, v.clockAfter, v.hasClock = r.Clock, now, v.pollSentAt, true
+	if first && (v.returned || now.Before(s.began.Add(maxCallDelay)) && v.mayBeYoungerThan(s.began.Add(-maxCallDelay))) {
+		v.expectRequestsToEarlierIncarnation(s.MaxLease)
+	}
 	s.pollAt(v, now.Add(s.pollInterval()))
 
 	lastEnd := v.lastEndReceived
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -81,7 +81,7 @@
 		for _, stored := range record.Assignments {
 			v := s.ensureServer(stored.Server)
 			if v.incarnation == 0 || stored.Incarnation < v.incarnation {
-				v.incarnation = stored.Incarnation // runs of a later incarnation survive the restart that is then noticed
+				v.setIncarnation(stored.Incarnation, now) // runs of a later incarnation survive the restart that is then noticed
 			}
 			a := &attempt{
 				runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now,
--- /dev/null
+++ b/fleet/returned_test.go
@@ -0,0 +1,141 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// maxLeaseOnSlowestClock is the longest lease of a server by an exact clock.
+const maxLeaseOnSlowestClock = 10_204 * time.Millisecond
+
+// returnedRig runs a task on a server that has started again under its id. Another server of the pool is free.
+type returnedRig struct {
+	*rig
+	start       fleet.Start
+	confirmedAt map[string]time.Time // when the new incarnations first reported, by server id
+}
+
+// newReturnedRig lets both servers crash and return. Their clocks start at any value.
+func newReturnedRig(t *testing.T) *returnedRig {
+	r := &returnedRig{rig: newRig(t), confirmedAt: make(map[string]time.Time)}
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	r.advance(20 * time.Second)
+	for _, id := range []string{"i-1", "i-2"} {
+		r.comeBack(id)
+		r.report(id, nil)
+		r.confirmedAt[id] = r.now
+	}
+	r.takeEffects()
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 30_000})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	r.start = starts[0]
+	return r
+}
+
+// comeBack starts a new incarnation of a server, which registers. The poll of the earlier one fails.
+func (r *rig) comeBack(id string) {
+	r.t.Helper()
+	r.bootTimes[id] = r.now
+	r.register(id, "press")
+	if poll, open := r.openPolls[id]; open {
+		delete(r.openPolls, id)
+		r.handle(fleet.PollEnded{Server: id, Sequence: poll.Sequence, Outcome: backend.OutcomeUnknown{Reason: "connection closed"}})
+	}
+	r.advance(500 * time.Millisecond)
+}
+
+// cutOff lets the polls of a server fail for some time, and returns when a task was started on another server, or a zero time.
+func (r *rig) cutOff(server string, d time.Duration) time.Time {
+	r.t.Helper()
+	for until := r.now.Add(d); r.now.Before(until); {
+		r.advance(100 * time.Millisecond)
+		for _, s := range r.starts() {
+			if s.Target.ID != server {
+				return r.now
+			}
+		}
+		for id, poll := range r.openPolls {
+			delete(r.openPolls, id)
+			if id == server {
+				r.handle(fleet.PollEnded{Server: id, Sequence: poll.Sequence, Outcome: backend.OutcomeUnknown{Reason: "timeout"}})
+				continue
+			}
+			report := backend.Report{Incarnation: poll.Target.Incarnation, Clock: r.now.Sub(r.bootTimes[id])}
+			r.handle(fleet.PollEnded{Server: id, Sequence: poll.Sequence, Outcome: backend.Reported{Report: report}})
+		}
+	}
+	return time.Time{}
+}
+
+// Guards against a task that runs twice: a poll of the earlier incarnation of its server reached the next one, which holds its
+// longest lease by it, and is cut off then.
+func TestRunOfReturnedServerOutlastsLongestLease(t *testing.T) {
+	r := newReturnedRig(t)
+	r.acceptStart(r.start)
+	startedAt := r.cutOff(r.start.Target.ID, 20*time.Second)
+	assert.Assert(t, !startedAt.IsZero(), "the task wasn't started again")
+	waited := startedAt.Sub(r.confirmedAt[r.start.Target.ID])
+	assert.Assert(t, waited >= maxLeaseOnSlowestClock, "started again %s after the first report", waited)
+	assert.Assert(t, waited < maxLeaseOnSlowestClock+time.Second, "started again %s after the first report", waited)
+}
+
+// Guards against a task that runs twice: its start request had no response and reached the next incarnation of its server, which
+// is cut off before its first report.
+func TestRunStartedLateOnReturnedServerOutlastsLongestLease(t *testing.T) {
+	r := newReturnedRig(t)
+	server := r.start.Target.ID
+	r.handle(fleet.StartEnded{
+		Server: server, Incarnation: r.start.Target.Incarnation, Run: r.start.Request.Run, Outcome: backend.OutcomeUnknown{Reason: "timeout"},
+	})
+	returnedAt := r.now
+	r.bootTimes[server] = r.now
+	r.register(server, "press")
+	startedAt := r.cutOff(server, 40*time.Second)
+	assert.Assert(t, !startedAt.IsZero(), "the task wasn't started again")
+	assert.Assert(t, startedAt.Sub(returnedAt) >= 15*time.Second+maxLeaseOnSlowestClock, "started again %s after the return", startedAt.Sub(returnedAt))
+}
+
+// Guards against a task that runs twice: its start request reached the next incarnation of its server, as the clock in the response
+// shows, and the server is cut off before the controller learns more of it. Clocks start at any value.
+func TestRunAcceptedByNextIncarnationOutlastsLongestLease(t *testing.T) {
+	for _, clock := range []time.Duration{10 * time.Millisecond, time.Hour} {
+		r := newReturnedRig(t)
+		r.handle(fleet.StartEnded{
+			Server: r.start.Target.ID, Incarnation: r.start.Target.Incarnation, Run: r.start.Request.Run,
+			Outcome: backend.Accepted{Clock: clock},
+		})
+		acceptedAt := r.now
+		startedAt := r.cutOff(r.start.Target.ID, 40*time.Second)
+		assert.Assert(t, startedAt.Sub(acceptedAt) >= 15*time.Second+maxLeaseOnSlowestClock, "started again %s after the start", startedAt.Sub(acceptedAt))
+	}
+}
+
+// Guards against a task that runs twice after a change of controllers: its server has started again shortly before, and holds its longest
+// lease by a request of the earlier controller to its earlier incarnation.
+func TestRunOfServerThatReturnedBeforeTermOutlastsLongestLease(t *testing.T) {
+	r := newReturnedRig(t)
+	r.begin(100)
+	r.configure(workload.Resources{})
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	reportedAt := r.now
+	r.takeEffects()
+	r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 30_000})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	r.acceptStart(starts[0])
+	startedAt := r.cutOff(starts[0].Target.ID, 20*time.Second)
+	assert.Assert(t, startedAt.Sub(reportedAt) >= maxLeaseOnSlowestClock, "started again %s after the first report", startedAt.Sub(reportedAt))
+}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -86,7 +86,9 @@
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
 		a.accepted, a.task.job.begun = true, true
-		a.onNextIncarnation = o.Clock > 0 && o.Clock < a.earliestClock
+		if o.Clock > 0 && (o.Clock < a.earliestClock || o.Clock > v.latestClock(now)) {
+			a.onNextIncarnation, a.endsBy = true, s.lateStartExpiry(now)
+		}
 		if a.phase == requested {
 			a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -14,11 +14,16 @@
 	reg         backend.Registration
 	registered  bool
 	incarnation int64
+	knownSince  time.Time // when the controller learned of the incarnation
+	newID       bool      // it has registered for the first time in this term, and not at its beginning
+	listed      bool      // a list of VMs has shown it
+	returned    bool      // requests to an earlier incarnation may reach this one, until it is confirmed
 
 	confirmed   bool          // it has responded to a poll with this term's token since it last restarted
 	confirmedAt time.Time     // when confirmed was set
 	clock       time.Duration // the server's clock in its latest report
 	clockAt     time.Time     // when the report with clock was received
+	clockAfter  time.Time     // when the poll for that report was sent
 	hasClock    bool
 	leaseUntil  time.Duration // the latest lease expiry that was sent to it, by its clock
 	expiresAt   time.Time     // when all runs started so far have certainly ended, by this entry VM's clock
@@ -62,6 +67,11 @@
 // clockNow estimates the current time of the server's clock.
 func (v *server) clockNow(now time.Time) time.Duration { return v.clock + now.Sub(v.clockAt) }
 
+// latestClock returns the highest time that the clock of the server's incarnation can show at the given time.
+func (v *server) latestClock(now time.Time) time.Duration {
+	return v.clock + now.Sub(v.clockAfter) + clockRounding
+}
+
 // extendExpiry sets expiresAt to when the granted lease has expired even on the slowest clock. It doesn't move
 // expiresAt back, as a lease that an earlier controller granted may expire later.
 func (v *server) extendExpiry() {
@@ -72,9 +82,26 @@
 	}
 }
 
-// ranAt reports whether the server's incarnation had certainly started at the given time. Its clock shows at most the time
-// since its start, as the clocks of servers may be slow but not fast.
-func (v *server) ranAt(t time.Time) bool { return v.hasClock && v.clockAt.Add(-v.clock).Before(t) }
+// expectRequestsToEarlierIncarnation takes into account that requests to an earlier incarnation may have reached this one until
+// now. Their lease expiries are by the clock of the earlier one, and so the server may hold its longest lease.
+func (v *server) expectRequestsToEarlierIncarnation(maxLease time.Duration) {
+	v.leaseUntil = max(v.leaseUntil, v.clock+maxLease)
+	v.extendExpiry()
+}
+
+// ranAt reports whether the server's incarnation had certainly started at the given time. The server's own clock doesn't tell, as it
+// starts at any value.
+func (v *server) ranAt(t time.Time) bool { return v.incarnation != 0 && v.knownSince.Before(t) }
+
+// mayBeYoungerThan reports whether the server's incarnation may have started after the given time, by the time of day of the server.
+func (v *server) mayBeYoungerThan(t time.Time) bool {
+	return v.incarnation > t.Add(-maxServerClockSkew).UnixMilli()
+}
+
+// setIncarnation records the server's present incarnation.
+func (v *server) setIncarnation(incarnation int64, now time.Time) {
+	v.incarnation, v.knownSince = incarnation, now
+}
 
 // onSlowestClock converts a duration by a server's clock to the longest time that it can take by an exact clock.
 func onSlowestClock(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -38,6 +38,8 @@
 	MaintenanceTime, MoveTime time.Duration
 	// StopTime is the longest time that a server takes to stop a run.
 	StopTime time.Duration
+	// MaxLease is the longest lease that a server accepts, by its own clock. 0 stands for 10 s. A server shortens longer ones.
+	MaxLease time.Duration
 	// AwaitRestore holds back all events until Restore is called, but for those that renew the term. Reading the stored
 	// state may take longer than a term.
 	AwaitRestore bool
@@ -64,6 +66,7 @@
 	unreadCancels    map[int]bool    // the partitions for which CancelsRead is awaited
 	servers          map[string]*server
 	serversByVM      map[string][]*server          // servers that have registered on a VM and aren't dropped
+	formerServers    map[string]time.Time          // when servers were dropped to which requests may be on the way, by id
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
 	losses           losses
@@ -141,6 +144,9 @@
 	if s.PreviousLease == 0 {
 		s.PreviousLease = LongLease
 	}
+	if s.MaxLease == 0 {
+		s.MaxLease = defaultMaxLease
+	}
 	s.began, s.restored = now, !s.AwaitRestore
 	s.evacuatedZones = make(map[string]bool)
 	s.jobs = make(map[string]*job)
@@ -157,6 +163,7 @@
 	s.customerUsage = make(map[string]workload.Resources)
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
+	s.formerServers = make(map[string]time.Time)
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
@@ -265,12 +272,16 @@
 	}
 	for _, v := range s.allServers() {
 		if len(v.attempts) > 0 && v.unresponsive() && now.After(v.expiresAt) {
-			s.recordLosses(v, maxIncarnation, now)
-			s.markRunsLost(v, now, "lease-expired")
+			s.expireRuns(v, now)
 		}
 		s.superviseRuns(v, now)
 		s.adjustPace(v, now)
 	}
+	for id, droppedAt := range s.formerServers {
+		if now.Sub(droppedAt) >= maxCallDelay {
+			delete(s.formerServers, id)
+		}
+	}
 	s.listVMs(now)
 	s.advanceWaves(now)
 	s.rebalance(now)
@@ -350,6 +361,9 @@
 	delete(s.unstoredEnds, v)
 	s.setRegisteredVM(v, "")
 	delete(s.servers, v.id)
+	if v.pollSequence > 0 {
+		s.formerServers[v.id] = s.now
+	}
 	if len(s.vms) > 0 {
 		s.droppedAt[v.id] = s.now
 	}
@@ -367,6 +381,7 @@
 	if !ok {
 		v = newServer(id)
 		v.expiresAt = s.restoredExpiry()
+		v.returned = s.now.Sub(s.formerServers[id]) < maxCallDelay
 		s.servers[id] = v
 		s.sortedServers = nil
 	}
