Let the next controller wait for the longest lease of returned servers

What callers saw: tasks ran twice after a change of controllers. A server had returned under its id and held its longest lease; the leader was killed 0.3 s after the return, and the server was cut off. The next leader waited for the lease that the term row names.

Cause: the row of a job names the server and incarnation of a run, but not that it may go on for longer than leases usually do.

Change: with such a run its row holds for how long it may go on (lease-ms), from when the row was written. The next controller gives the run up unreported only after that, counted from the start of its term. The row is stored before the start, and again when a run gets such a lease later.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -53,7 +53,7 @@
 		return
 	}
 	c := &commit{sentAt: now, ends: make(map[string]endNumber)}
-	writes, all := s.jobWrites(c)
+	writes, all := s.jobWrites(c, now)
 	c.jobsOnly = (len(writes) > 0 && s.commitLimit > 0) || now.Before(s.otherRowsHeldUntil)
 	if !c.jobsOnly {
 		writes = append(writes, s.waveWrites(c)...)
@@ -128,7 +128,7 @@
 	return 2
 }
 
-func (s *State) jobWrites(c *commit) (writes []provider.Write, all bool) {
+func (s *State) jobWrites(c *commit, now time.Time) (writes []provider.Write, all bool) {
 	if len(s.changedJobs) == 0 {
 		return nil, true
 	}
@@ -150,7 +150,7 @@
 		if j.state == workload.JobQueued && j.started {
 			j.state = workload.JobRunning
 		}
-		p := j.progress()
+		p := j.progress(now)
 		row := p.Encode()
 		if bytes.Equal(row, j.rejectedRow) {
 			all = false
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -228,11 +228,11 @@
 }
 
 // progress returns the progress of the job as it is to be stored, and removes what needn't be kept.
-func (j *job) progress() workload.Progress {
+func (j *job) progress(now time.Time) workload.Progress {
 	j.removeDoneOccurrences()
 	p := workload.Progress{State: j.state, Failed: j.failed, DoneOccurrences: j.doneOccurrences}
 	for _, st := range j.steps {
-		st.store(&p)
+		st.store(&p, now)
 	}
 	slices.Sort(p.DoneSteps)
 	return p
@@ -240,7 +240,7 @@
 
 // store adds the tasks of a step to the progress to be stored. For a job that has ended only runs that may exist are
 // stored.
-func (st *step) store(p *workload.Progress) {
+func (st *step) store(p *workload.Progress, now time.Time) {
 	name := st.id().String()
 	if st.remaining == 0 && st.activeRuns() == 0 {
 		if !p.State.Final() {
@@ -262,7 +262,7 @@
 		if p.Tasks == nil {
 			p.Tasks = make(map[string]workload.TaskRecord, len(st.tasks))
 		}
-		p.Tasks[t.localName] = t.stored()
+		p.Tasks[t.localName] = t.stored(now)
 	}
 }
 
@@ -294,18 +294,28 @@
 	return intents
 }
 
-func (t *task) stored() workload.TaskRecord {
+func (t *task) stored(now time.Time) workload.TaskRecord {
 	r := t.record
 	r.Assignments = nil
 	for _, a := range t.attempts {
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber,
-			Isolated: a.isolated, LossRecorded: a.lossRecorded,
+			Isolated: a.isolated, LossRecorded: a.lossRecorded, LeaseMS: a.unusualLease(now).Milliseconds(),
 		})
 	}
 	return r
 }
 
+// unusualLease returns for how long a run may go on without a request, if the next controller doesn't wait for as long in any case,
+// else 0.
+func (a *attempt) unusualLease(now time.Time) time.Duration {
+	left := max(a.endsBy.Sub(now), a.server.expiresAt.Sub(now))
+	if left <= leaseExtensionGrace+onSlowestClock(ShortLease)+leaseMargin {
+		return 0
+	}
+	return left
+}
+
 // isWanted reports whether the task is to be done.
 func (t *task) isWanted() bool { return !t.record.Done && !t.record.GivenUp && !t.job.state.Final() }
 
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -75,6 +75,7 @@
 		if a.onNextIncarnation {
 			a.incarnation, a.onNextIncarnation = incarnation, false
 			a.endsBy = s.lateStartExpiry(now)
+			s.markChanged(a.task.job)
 		}
 		if a.incarnation >= incarnation {
 			continue // started there, or restored with an earlier incarnation of other runs
@@ -84,9 +85,11 @@
 		switch {
 		case a.phase == restored:
 			a.endsBy = s.lateStartExpiry(now)
+			s.markChanged(a.task.job)
 			continue // the first report decides: the new incarnation may have started the run before it registered
 		case a.phase == requested && !a.stopRequested && !a.startSentAt.IsZero():
 			a.endsBy = s.lateStartExpiry(now)
+			s.markChanged(a.task.job)
 			s.awaitReport(a, "server-started-again", now) // the request may have reached the new incarnation already
 			continue
 		}
--- a/fleet/returned_test.go
+++ b/fleet/returned_test.go
@@ -139,3 +139,22 @@
 	startedAt := r.cutOff(starts[0].Target.ID, 20*time.Second)
 	assert.Assert(t, startedAt.Sub(reportedAt) >= maxLeaseOnSlowestClock, "started again %s after the first report", startedAt.Sub(reportedAt))
 }
+
+// Guards against a task that runs twice after a change of controllers: its server holds the longest lease, and is cut off
+// when the next controller takes over.
+func TestRunOfReturnedServerOutlastsLongestLeaseAfterTakeover(t *testing.T) {
+	r := newReturnedRig(t)
+	r.acceptStart(r.start)
+	server := r.start.Target.ID
+	job := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 30_000})
+	r.restart(job)
+	began := r.now
+	r.state.PreviousLease = fleet.ShortLease
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+	}
+	startedAt := r.cutOff(server, 20*time.Second)
+	assert.Assert(t, !startedAt.IsZero(), "the task wasn't started again")
+	waited := startedAt.Sub(r.confirmedAt[server])
+	assert.Assert(t, waited >= maxLeaseOnSlowestClock, "started again %s after the first report, %s after the takeover", waited, startedAt.Sub(began))
+}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -88,6 +88,7 @@
 		a.accepted, a.task.job.begun = true, true
 		if o.Clock > 0 && (o.Clock < a.earliestClock || o.Clock > v.latestClock(now)) {
 			a.onNextIncarnation, a.endsBy = true, s.lateStartExpiry(now)
+			s.markChanged(a.task.job)
 		}
 		if a.phase == requested {
 			a.phase, a.startedAt, a.percentChangedAt = running, now, now
