Use a higher fencing token for a server that has started again

A poll, start or acknowledgement for the earlier incarnation that is carried out late reaches the next one after its first report. It may extend the lease beyond the one that the controller counts, or make the server forget ends that it never reported, so that tasks that are done run again.

Cause: the expected id is that of both incarnations, and the requests of one term had one token. An acknowledgement was kept from the next incarnation only by its connection.

Change: after a restart the requests to a server carry the version of a later renewal of the term row, which no other controller has. A report to a poll with an earlier token doesn't bring the server into service. A refusal of one's own earlier token isn't that of a deposed controller.

Tests: the mutation of ignored leases drops the leases of jobs' rows as well, as they hide it otherwise.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -69,12 +69,13 @@
 		clear(s.unstoredEnds)
 	}
 	c.resigns = s.stopping && all && !c.jobsOnly && !s.startsInFlight() && len(s.vmRequests) == 0
-	c.renews = c.resigns || now.Sub(s.renewedAt) >= renewInterval
+	c.renews = c.resigns || s.renewalNeeded || now.Sub(s.renewedAt) >= renewInterval
 	if len(writes) == 0 && !c.renews {
 		s.acknowledgeEnds(c.ends, now)
 		return
 	}
 	if c.renews {
+		s.renewalNeeded = false
 		term := s.Term
 		term.Renewals++
 		s.updateBacklog(now)
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -107,6 +107,7 @@
 	measurement       int64 // last reported, in milliseconds of tail latency for a latency-sensitive task
 	pace              int   // percent of full speed, or unknownPace
 	paceInFlight      bool
+	paceToken         uint64 // of the last request for its pace
 
 	accepted     bool // the server accepted a start request
 	reported     bool // a report of the server listed the run
@@ -119,6 +120,7 @@
 	stopAccepted  bool      // the server accepted the stop request
 	stopTriedAt   time.Time // when a stop request was last sent or answered
 	stopReason    string
+	stopToken     uint64 // of the last stop request
 }
 
 func newJob(spec *workload.Job) *job {
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -228,6 +228,9 @@
 			if err != nil {
 				m.t.Fatal(err)
 			}
+			if m.mutation == ignoreLeases {
+				dropLeases(p)
+			}
 			progress[j.ID()] = p
 		}
 	}
@@ -244,6 +247,15 @@
 	m.tick(c)
 }
 
+// dropLeases removes from the stored progress of a job for how long its runs may go on.
+func dropLeases(p workload.Progress) {
+	for _, record := range p.Tasks {
+		for i := range record.Assignments {
+			record.Assignments[i].LeaseMS = 0
+		}
+	}
+}
+
 func (m *model) register(c *modelController, id string, s *modelServer) {
 	s.registered = true
 	c.state.Handle(fleet.ServerRegistered{Registration: backend.Registration{
--- a/fleet/pacing.go
+++ b/fleet/pacing.go
@@ -34,10 +34,10 @@
 		if percent == a.pace {
 			continue
 		}
-		a.paceInFlight, v.paceSetAt = true, now
+		a.paceInFlight, a.paceToken, v.paceSetAt = true, s.tokenFor(v), now
 		klog.InfoS("Setting pace of best-effort task", "run", a.id(), "server", v.id, "percent", percent,
 			"previous", a.pace, "latency-sensitive", len(latencies), "report-age", now.Sub(v.clockAt))
-		s.emit(Pace{Target: v.target(), Run: a.id(), Percent: percent, Token: s.Token})
+		s.emit(Pace{Target: v.target(), Run: a.id(), Percent: percent, Token: a.paceToken})
 	}
 }
 
@@ -71,7 +71,7 @@
 	case backend.Accepted:
 		a.pace = e.Percent
 	case backend.Refused:
-		if o.Reason == backend.RefusedStaleToken {
+		if o.Reason == backend.RefusedStaleToken && a.paceToken == a.server.token {
 			s.depose("server-knows-newer-token")
 		}
 	case backend.OutcomeUnknown, backend.Reported:
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -68,6 +68,7 @@
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
 	v.leaseUntil, v.consecutiveFailures, v.returned, v.newID = 0, 0, true, false
 	v.retired, v.retiredAt = false, time.Time{}
+	v.needsToken = v.token != 0
 	s.pollAt(v, now)
 	s.recordLosses(v, incarnation, now)
 	s.serverCrashed(v.id, incarnation, "restarted")
@@ -153,9 +154,13 @@
 // sendPolls polls the servers that are due, and extends their leases.
 func (s *State) sendPolls(now time.Time) {
 	for v := s.nextDuePoll(now); v != nil; v = s.nextDuePoll(now) {
+		if v.needsToken && !s.raiseToken(v) {
+			s.pollAt(v, now.Add(minPollInterval))
+			continue
+		}
 		s.pollSequence++
 		v.pollInFlight, v.pollSequence, v.pollSentAt = true, s.pollSequence, now
-		request := backend.PollRequest{Token: s.Token, AcknowledgedEnd: v.lastEndStored, MaxWait: pollWait}
+		request := backend.PollRequest{Token: s.tokenFor(v), AcknowledgedEnd: v.lastEndStored, MaxWait: pollWait}
 		if latencies, _ := v.colocated(); len(latencies) > 0 && v.bestEffort > 0 {
 			request.MaxWait = colocatedPollWait
 		}
@@ -178,6 +183,23 @@
 	}
 }
 
+// tokenFor returns the fencing token for a request to a server.
+func (s *State) tokenFor(v *server) uint64 {
+	v.token = max(v.token, s.Token)
+	return v.token
+}
+
+// raiseToken raises the fencing token for a server that has started again, so that it refuses the requests to its earlier incarnation.
+// Each renewal of the term row gives a higher token that no other controller has. It returns false if one has to be waited for.
+func (s *State) raiseToken(v *server) bool {
+	if s.Term.Version() <= v.token {
+		s.renewalNeeded = true
+		return false
+	}
+	v.token, v.needsToken = s.Term.Version(), false
+	return true
+}
+
 // lease returns the duration of a lease that is granted now. Leases are long while terms are long, because a new
 // controller then needs more time to take over.
 func (s *State) lease(now time.Time) time.Duration {
@@ -239,6 +261,11 @@
 		}
 		s.serverRestarted(v, r.Incarnation, now)
 	}
+	if v.needsToken {
+		v.aliveAt = now
+		s.pollAt(v, now)
+		return // requests to an earlier incarnation may still change what it reports
+	}
 	if v.failedPolls > 0 {
 		klog.InfoS("Backend server responds again", "server", v.id, "failed-polls", v.failedPolls)
 	}
@@ -335,7 +362,7 @@
 	}
 	v.orphans[run] = now
 	klog.InfoS("Stopping orphan run", "run", run, "server", v.id)
-	s.emit(Stop{Target: v.target(), Run: run, Token: s.Token})
+	s.emit(Stop{Target: v.target(), Run: run, Token: s.tokenFor(v)})
 }
 
 // runEnded handles the end of a run that a server reports.
--- a/fleet/returned_test.go
+++ b/fleet/returned_test.go
@@ -158,3 +158,92 @@
 	waited := startedAt.Sub(r.confirmedAt[server])
 	assert.Assert(t, waited >= maxLeaseOnSlowestClock, "started again %s after the first report, %s after the takeover", waited, startedAt.Sub(began))
 }
+
+// highestToken returns the highest fencing token of the requests to a server since the last call, and of its polls.
+func (r *rig) highestToken(server string) (highest, polls uint64) {
+	for _, e := range r.takeEffects() {
+		switch e := e.(type) {
+		case fleet.Start:
+			if e.Target.ID == server {
+				highest = max(highest, e.Request.Token)
+			}
+		case fleet.Stop:
+			if e.Target.ID == server {
+				highest = max(highest, e.Token)
+			}
+		case fleet.Poll:
+			if e.Target.ID == server {
+				polls = max(polls, e.Request.Token)
+			}
+		}
+	}
+	return max(highest, polls), polls
+}
+
+// Guards against requests to an earlier incarnation of a server that the next one carries out late: a lease beyond the known one, the
+// acknowledgement of ends that were never reported.
+func TestReturnedServerRefusesRequestsToEarlierIncarnation(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(time.Second)
+	for range 3 {
+		used, _ := r.highestToken("i-1")
+		r.comeBack("i-1")
+		_, polls := r.highestToken("i-1")
+		assert.Assert(t, polls > used, "polled with token %d after requests with %d", polls, used)
+		r.report("i-1", nil)
+		r.advance(100 * time.Millisecond)
+	}
+	used, _ := r.highestToken("i-1")
+	r.handle(fleet.ServerUnregistered{ID: "i-1"})
+	r.advance(time.Second)
+	delete(r.openPolls, "i-1")
+	r.comeBack("i-1")
+	_, polls := r.highestToken("i-1")
+	assert.Assert(t, polls > used, "polled with token %d after requests with %d to a server that was unregistered", polls, used)
+}
+
+// Guards against tasks that are placed on a server before it refuses the requests to its earlier incarnation: its report answers a
+// poll of that one.
+func TestReportToPollOfEarlierIncarnationIsNotEnough(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(time.Second)
+	r.bootTimes["i-1"] = r.now
+	poll := r.openPolls["i-1"]
+	delete(r.openPolls, "i-1")
+	r.handle(fleet.PollEnded{Server: "i-1", Sequence: poll.Sequence, Outcome: backend.Reported{
+		Report: backend.Report{Incarnation: r.now.UnixMilli(), Clock: time.Hour},
+	}})
+	r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	r.advance(100 * time.Millisecond)
+	assert.Equal(t, len(r.starts()), 0)
+	assert.Assert(t, r.openPolls["i-1"].Request.Token > poll.Request.Token)
+	r.report("i-1", nil)
+	r.advance(100 * time.Millisecond)
+	assert.Equal(t, len(r.starts()), 1)
+}
+
+// Guards against a controller that takes the refusal of its own earlier stop request for that of a deposed controller: the server has
+// started again, and has got a higher token meanwhile.
+func TestRefusalOfOwnEarlierTokenKeepsTerm(t *testing.T) {
+	r := newReturnedRig(t)
+	server := r.start.Target.ID
+	r.handle(fleet.StartEnded{
+		Server: server, Incarnation: r.start.Target.Incarnation, Run: r.start.Request.Run, Outcome: backend.OutcomeUnknown{Reason: "timeout"},
+	})
+	r.handle(fleet.CancelRequested{ID: r.start.Request.Run.Task.Job})
+	r.comeBack(server)
+	r.report(server, nil)
+	r.handle(fleet.StopEnded{
+		Server: server, Incarnation: r.bootTimes[server].UnixMilli(), Run: r.start.Request.Run,
+		Outcome: backend.Refused{Reason: backend.RefusedStaleToken},
+	})
+	for _, e := range r.takeEffects() {
+		if d, ok := e.(fleet.Deposed); ok {
+			t.Errorf("deposed: %s", d.Reason)
+		}
+	}
+}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -41,7 +41,7 @@
 	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id,
 		"term-left", s.termEndsAt.Sub(now))
 	s.emit(Start{Target: v.target(), Request: backend.StartRequest{
-		Run: a.id(), Specification: a.task.job.spec.Specification(), LeaseExpiry: deadline, Token: s.Token,
+		Run: a.id(), Specification: a.task.job.spec.Specification(), LeaseExpiry: deadline, Token: s.tokenFor(v),
 		Checkpoint: a.checkpoint, Ticket: a.ticketFor(),
 	}, ValidUntil: s.termEndsAt})
 }
@@ -158,9 +158,9 @@
 	if a.stopInFlight || a.stopAccepted || a.server.reg.Address == "" {
 		return
 	}
-	a.stopInFlight, a.stopTriedAt = true, now
+	a.stopInFlight, a.stopTriedAt, a.stopToken = true, now, s.tokenFor(a.server)
 	klog.InfoS("Stopping run", "run", a.id(), "server", a.server.id, "reason", a.stopReason)
-	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: s.Token})
+	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: a.stopToken})
 }
 
 func (s *State) stopEnded(e StopEnded, now time.Time) {
@@ -180,7 +180,7 @@
 		}
 		s.pollAt(a.server, now)
 	case backend.Refused:
-		if o.Reason == backend.RefusedStaleToken {
+		if o.Reason == backend.RefusedStaleToken && a.stopToken == a.server.token {
 			s.depose("server-knows-newer-token")
 		}
 	case backend.OutcomeUnknown, backend.Reported:
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -17,6 +17,8 @@
 	knownSince  time.Time // when the controller learned of the incarnation
 	newID       bool      // it has registered for the first time in this term, and not at its beginning
 	listed      bool      // a list of VMs has shown it
+	token       uint64    // fencing token of the latest requests, or 0 if none was sent in this term
+	needsToken  bool      // requests need a higher token, as those to an earlier incarnation may still be carried out
 	returned    bool      // requests to an earlier incarnation may reach this one, until it is confirmed
 
 	confirmed   bool          // it has responded to a poll with this term's token since it last restarted
@@ -56,6 +58,12 @@
 	paceSetAt           time.Time // when the pace of a best-effort task was last set
 }
 
+// formerServer is a server that was dropped, and the token of the last requests to it.
+type formerServer struct {
+	droppedAt time.Time
+	token     uint64
+}
+
 func newServer(id string) *server {
 	return &server{id: id, pollIndex: notQueued, attempts: make(map[backend.Run]*attempt), orphans: make(map[backend.Run]time.Time)}
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -66,7 +66,7 @@
 	unreadCancels    map[int]bool    // the partitions for which CancelsRead is awaited
 	servers          map[string]*server
 	serversByVM      map[string][]*server          // servers that have registered on a VM and aren't dropped
-	formerServers    map[string]time.Time          // when servers were dropped to which requests may be on the way, by id
+	formerServers    map[string]formerServer       // dropped servers to which requests may be on the way, by id
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
 	losses           losses
@@ -109,6 +109,7 @@
 	resigned              bool
 	deposed               bool
 	termEndsAt            time.Time
+	renewalNeeded         bool // a server needs a higher fencing token
 	renewedAt             time.Time
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
@@ -163,7 +164,7 @@
 	s.customerUsage = make(map[string]workload.Resources)
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
-	s.formerServers = make(map[string]time.Time)
+	s.formerServers = make(map[string]formerServer)
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
@@ -277,8 +278,8 @@
 		s.superviseRuns(v, now)
 		s.adjustPace(v, now)
 	}
-	for id, droppedAt := range s.formerServers {
-		if now.Sub(droppedAt) >= maxCallDelay {
+	for id, former := range s.formerServers {
+		if now.Sub(former.droppedAt) >= maxCallDelay {
 			delete(s.formerServers, id)
 		}
 	}
@@ -361,8 +362,8 @@
 	delete(s.unstoredEnds, v)
 	s.setRegisteredVM(v, "")
 	delete(s.servers, v.id)
-	if v.pollSequence > 0 {
-		s.formerServers[v.id] = s.now
+	if v.token != 0 {
+		s.formerServers[v.id] = formerServer{droppedAt: s.now, token: v.token}
 	}
 	if len(s.vms) > 0 {
 		s.droppedAt[v.id] = s.now
@@ -381,7 +382,9 @@
 	if !ok {
 		v = newServer(id)
 		v.expiresAt = s.restoredExpiry()
-		v.returned = s.now.Sub(s.formerServers[id]) < maxCallDelay
+		if former, known := s.formerServers[id]; known {
+			v.token, v.needsToken, v.returned = former.token, true, true
+		}
 		s.servers[id] = v
 		s.sortedServers = nil
 	}
