Start no runs on a server beside one that isn't recorded

What callers saw: starts brought servers over their capacity (LIMIT). Runs that the controller had given up still ran on a server that was reachable again; they were stopped, but the server got others meanwhile.

Cause: orphans are stopped, and nothing counted what they take until they have ended.

Change: a server whose last report lists a run that isn't recorded gets no others, and a run that was placed there before isn't started.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -304,18 +304,23 @@
 }
 
 // matchRunning reconciles the runs that a server reports with the recorded runs: unknown runs are stopped, and runs
-// that the server doesn't have are removed.
+// that the server doesn't have are removed. Until a report lists no unknown run, the server gets no others: what is being stopped
+// still takes its resources.
 func (s *State) matchRunning(v *server, r backend.Report, now time.Time) {
 	listed := make(map[backend.Run]bool, len(r.Running))
+	hadOrphans := v.hasOrphans
+	v.hasOrphans = false
 	for _, running := range r.Running {
 		listed[running.Run] = true
 		a, known := v.attempts[running.Run]
 		if !known {
+			v.hasOrphans = true
 			s.stopOrphan(v, running.Run, now)
 			continue
 		}
 		s.updateAttempt(a, running, now)
 	}
+	s.placeAll = s.placeAll || hadOrphans && !v.hasOrphans
 	if len(r.Ends) >= backend.MaxReportedEnds {
 		s.pollAt(v, now)
 		return
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -44,6 +44,7 @@
 	bestEffort          int // number of attempts of best-effort tasks
 	isolatedRuns        int // number of isolated attempts
 	reserved            workload.Resources
+	hasOrphans          bool                      // the last report listed runs that aren't recorded, whose resources are in use
 	orphans             map[backend.Run]time.Time // runs that aren't recorded, with the time of the last stop request
 	consecutiveFailures int
 	cooldownUntil       time.Time // gets no new runs before that (failureCooldown, refusalCooldown)
@@ -120,6 +121,6 @@
 
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
-	return v.registered && v.confirmed && !v.retired && !v.down && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
+	return v.registered && v.confirmed && !v.retired && !v.down && !v.hasOrphans && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
 		!now.Before(v.cooldownUntil)
 }
