--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,7 +75,7 @@
 			if len(all) > 1 {
 				t.Parallel()
 			}
-			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3))}).run()
+			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3)), returns: rand.New(rand.NewPCG(s, 4))}).run()
 		})
 	}
 }
@@ -87,6 +87,7 @@
 	seed          uint64
 	random        *rand.Rand // of the faults
 	sizes         *rand.Rand // of the capacities of servers
+	returns       *rand.Rand // of the servers that return under their ids
 	operations    *rand.Rand // of the requests of operators
 	store         *emulator.Store
 	platform      *emulator.Platform
@@ -344,6 +345,7 @@
 	b.resizeServer()
 	b.changeEvacuations()
 	b.restartFaultyServer()
+	b.returnAndCutOff()
 	switch b.random.IntN(11) {
 	case 0:
 		b.kill(v)
@@ -380,6 +382,19 @@
 	}
 }
 
+// returnAndCutOff now and then lets a server leave requests without a response, start again, carry them out, and be cut off soon
+// after.
+func (b *testbed) returnAndCutOff() {
+	server := b.servers[b.returns.IntN(len(b.servers))]
+	if b.returns.IntN(4) != 0 {
+		return
+	}
+	server.HoldRequests(1 + b.returns.IntN(4))
+	clock.After(time.Duration(100+b.returns.IntN(400))*time.Millisecond, func(time.Time) { server.Restart() })
+	clock.After(time.Duration(700+b.returns.IntN(2000))*time.Millisecond, func(time.Time) { server.SetUnreachable(true) })
+	clock.After(time.Duration(3000+b.returns.IntN(6000))*time.Millisecond, func(time.Time) { server.SetUnreachable(false) })
+}
+
 // resizeServer shrinks or restores the capacity of a server now and then.
 func (b *testbed) resizeServer() {
 	server := b.servers[b.sizes.IntN(len(b.servers))]
