Let lists of VMs end runs of old servers soon after a change of controllers too

After a change of controllers no incarnation had been known for 10 s, so that for 10 s the tasks of crashed servers waited for their lease. A server that is 15 s old by its time of day (10 s of the list's lag, 5 s between two machines) is older than the list as well.

The servers of the tests on ended runs, which are a minute old, need no wait any more: three of these tests fail if the time of day isn't looked at, and two tests of young servers fail if all servers count as old.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -98,9 +98,11 @@
 	v.extendExpiry()
 }
 
-// ranAt reports whether the server's incarnation had certainly started at the given time. The server's own clock doesn't tell, as it
-// starts at any value.
-func (v *server) ranAt(t time.Time) bool { return v.incarnation != 0 && v.knownSince.Before(t) }
+// ranAt reports whether the server's incarnation had certainly started at the given time: the controller knew of it, or it is old
+// enough by the time of day of the server. The server's clock doesn't tell, as it starts at any value.
+func (v *server) ranAt(t time.Time) bool {
+	return v.incarnation != 0 && (v.knownSince.Before(t) || !v.mayBeYoungerThan(t))
+}
 
 // mayBeYoungerThan reports whether the server's incarnation may have started after the given time, by the time of day of the server.
 func (v *server) mayBeYoungerThan(t time.Time) bool {
