Send nothing to a server that needs a higher fencing token

What callers saw: a change of controllers without need.

Cause: after a restart a stop was sent with the earlier token before the higher one was there, and once more with that. The server refused the first, and the controller took that for the refusal of a deposed one, as only the token of the last stop was remembered.

Change: there is one token for each incarnation of a server. Stops and paces wait for it like polls and starts.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -120,7 +120,6 @@
 	stopAccepted  bool      // the server accepted the stop request
 	stopTriedAt   time.Time // when a stop request was last sent or answered
 	stopReason    string
-	stopToken     uint64 // of the last stop request
 }
 
 func newJob(spec *workload.Job) *job {
--- a/fleet/pacing.go
+++ b/fleet/pacing.go
@@ -22,7 +22,7 @@
 
 // adjustPace sets the pace of the best-effort tasks of a server by the latency of its latency-sensitive tasks.
 func (s *State) adjustPace(v *server, now time.Time) {
-	if v.failedPolls > 0 || !now.Before(s.termEndsAt) || now.Sub(v.paceSetAt) < paceInterval {
+	if v.failedPolls > 0 || v.needsToken || !now.Before(s.termEndsAt) || now.Sub(v.paceSetAt) < paceInterval {
 		return
 	}
 	latencies, bestEffort := v.colocated()
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -183,7 +183,8 @@
 	}
 }
 
-// tokenFor returns the fencing token for a request to a server.
+// tokenFor returns the fencing token for a request to a server. There is one for each of its incarnations: nothing is sent to one that
+// needs a higher token.
 func (s *State) tokenFor(v *server) uint64 {
 	v.token = max(v.token, s.Token)
 	return v.token
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -155,12 +155,12 @@
 }
 
 func (s *State) sendStop(a *attempt, now time.Time) {
-	if a.stopInFlight || a.stopAccepted || a.server.reg.Address == "" {
+	if a.stopInFlight || a.stopAccepted || a.server.reg.Address == "" || a.server.needsToken {
 		return
 	}
-	a.stopInFlight, a.stopTriedAt, a.stopToken = true, now, s.tokenFor(a.server)
+	a.stopInFlight, a.stopTriedAt = true, now
 	klog.InfoS("Stopping run", "run", a.id(), "server", a.server.id, "reason", a.stopReason)
-	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: a.stopToken})
+	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: s.tokenFor(a.server)})
 }
 
 func (s *State) stopEnded(e StopEnded, now time.Time) {
@@ -180,7 +180,7 @@
 		}
 		s.pollAt(a.server, now)
 	case backend.Refused:
-		if o.Reason == backend.RefusedStaleToken && a.stopToken == a.server.token {
+		if o.Reason == backend.RefusedStaleToken {
 			s.depose("server-knows-newer-token")
 		}
 	case backend.OutcomeUnknown, backend.Reported:
