Store when a run has ended for certain, not for how long it may go on

Cause: a run's stored lease counted anew from the start of each term, whenever it had been written.

Change: the row holds the time by which the run has ended (ends-by-ms), by the clock of the entry VM. The next controller waits until 3 s after it at most, which covers clocks that jump by 2 s. Servers are 13 s old by their time of day, instead of 15 s, before an old list can't concern them.

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -52,8 +52,8 @@
 	defaultMaxLease = 10 * time.Second
 	// maxCallDelay is the longest time from when a request without a response was sent until the server carries it out.
 	maxCallDelay = 15 * time.Second
-	// maxServerClockSkew is the largest difference between the time of day of a server and that of an entry VM.
-	maxServerClockSkew = 5 * time.Second
+	// maxTimeOfDaySkew is the largest difference between the time of day on two machines, also if one jumps.
+	maxTimeOfDaySkew = 3 * time.Second
 	// minClockRate is the rate of the slowest clock of a backend server that the platform allows.
 	minClockRate = 0.98
 	// clockRounding covers the rounding of a server's clock to milliseconds, in two responses.
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -301,20 +301,23 @@
 	for _, a := range t.attempts {
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber,
-			Isolated: a.isolated, LossRecorded: a.lossRecorded, LeaseMS: a.unusualLease(now).Milliseconds(),
+			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now),
 		})
 	}
 	return r
 }
 
-// unusualLease returns for how long a run may go on without a request, if the next controller doesn't wait for as long in any case,
-// else 0.
-func (a *attempt) unusualLease(now time.Time) time.Duration {
-	left := max(a.endsBy.Sub(now), a.server.expiresAt.Sub(now))
-	if left <= leaseExtensionGrace+onSlowestClock(ShortLease)+leaseMargin {
+// unusualEnd returns when a run has ended without further requests, in Unix milliseconds, if the next controller doesn't wait for as
+// long in any case, else 0.
+func (a *attempt) unusualEnd(now time.Time) int64 {
+	end := a.server.expiresAt
+	if a.endsBy.After(end) {
+		end = a.endsBy
+	}
+	if end.Sub(now) <= leaseExtensionGrace+onSlowestClock(ShortLease)+leaseMargin {
 		return 0
 	}
-	return left
+	return end.UnixMilli()
 }
 
 // isWanted reports whether the task is to be done.
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -262,7 +262,7 @@
 func dropLeases(p workload.Progress) {
 	for _, record := range p.Tasks {
 		for i := range record.Assignments {
-			record.Assignments[i].LeaseMS = 0
+			record.Assignments[i].EndsByMS = 0
 		}
 	}
 }
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -86,7 +86,7 @@
 			a := &attempt{
 				runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now,
 				isolated: stored.Isolated, lossRecorded: stored.LossRecorded,
-				endsBy: s.began.Add(time.Duration(stored.LeaseMS) * time.Millisecond),
+				endsBy: earlier(time.UnixMilli(stored.EndsByMS).Add(maxTimeOfDaySkew), s.lateStartExpiry(s.began)),
 			}
 			s.addAttempt(t, v, a)
 			if t.step.spec.BestEffort() {
--- a/fleet/returned_test.go
+++ b/fleet/returned_test.go
@@ -250,3 +250,20 @@
 		}
 	}
 }
+
+// Guards against a task that waits for the longest lease once more after each change of controllers.
+func TestLongestLeaseIsNotCountedAnewAfterTakeover(t *testing.T) {
+	r := newReturnedRig(t)
+	r.acceptStart(r.start)
+	server := r.start.Target.ID
+	job := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 30_000})
+	assert.Assert(t, r.cutOff(server, 8*time.Second).IsZero())
+	r.restart(job)
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+	}
+	startedAt := r.cutOff(server, 20*time.Second)
+	assert.Assert(t, !startedAt.IsZero(), "the task wasn't started again")
+	waited := startedAt.Sub(r.confirmedAt[server])
+	assert.Assert(t, waited < 17*time.Second, "started again %s after the first report", waited)
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -106,7 +106,7 @@
 
 // mayBeYoungerThan reports whether the server's incarnation may have started after the given time, by the time of day of the server.
 func (v *server) mayBeYoungerThan(t time.Time) bool {
-	return v.incarnation > t.Add(-maxServerClockSkew).UnixMilli()
+	return v.incarnation > t.Add(-maxTimeOfDaySkew).UnixMilli()
 }
 
 // setIncarnation records the server's present incarnation.
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -31,9 +31,9 @@
 	// in the task's record.
 	Isolated     bool `json:"isolated,omitempty"`
 	LossRecorded bool `json:"loss-recorded,omitempty"`
-	// LeaseMS is for how many milliseconds the run may go on without a request, from when this was stored, if that is longer
-	// than the leases that the term row tells of. Else it is 0.
-	LeaseMS int64 `json:"lease-ms,omitempty"`
+	// EndsByMS is when the run has ended without further requests, in Unix milliseconds by the clock of the entry VM that stored
+	// this, if that is later than the leases that the term row tells of. Else it is 0.
+	EndsByMS int64 `json:"ends-by-ms,omitempty"`
 }
 
 // Loss is a run that was lost with its backend server.
