Log the incarnation, the token and the proof by which a run is given up

A reader of the users' record couldn't tell a lease that outlasts what the controller counts from a start request that the next incarnation of a server carries out: no line named the incarnation, whether the start had a response, or why the first run was given up.

The lines of start requests, stops, orphans and restarts name the incarnation, and starts without a response their token and age. One line, Run lost, tells of each run that is given up: its incarnation and that of its server, whether its start was answered, and how much of the lease was left. A counter of start requests without a response is added. No decision changes.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -63,7 +63,8 @@
 // that is still in flight could reach the new one, so the runs are first stopped there. Those of an earlier controller
 // needn't be: its requests are refused once the new incarnation has reported.
 func (s *State) serverRestarted(v *server, incarnation int64, now time.Time) {
-	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation)
+	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation,
+		"token", v.token, "running", len(v.attempts), "unanswered-starts", v.unansweredStarts())
 	v.setIncarnation(incarnation, now)
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
 	v.leaseUntil, v.consecutiveFailures, v.returned, v.newID = 0, 0, true, false
@@ -118,11 +119,36 @@
 }
 
 func (s *State) loseRun(a *attempt, reason string, now time.Time) {
-	klog.InfoS("Run lost", "run", a.id(), "server", a.server.id, "reason", reason, "report-age", now.Sub(a.server.clockAt))
+	s.logLostRun(a, reason, now)
 	s.counters.lost.Inc(1)
 	s.removeAttempt(a)
 }
 
+// logLostRun logs why a run is given up, and whether its server is known to have started it.
+func (s *State) logLostRun(a *attempt, reason string, now time.Time) {
+	v := a.server
+	klog.InfoS("Run lost", "run", a.id(), "server", v.id, "reason", reason, "incarnation", a.incarnation,
+		"server-incarnation", v.incarnation, "token", v.token, "start-answered", !a.startUnanswered(),
+		"stop-reason", a.stopReason, "stop-accepted", a.stopAccepted, "restored", a.phase == restored,
+		"report-age", now.Sub(v.clockAt), "lease-left", v.expiresAt.Sub(now))
+}
+
+// startUnanswered reports whether a start request was sent, and neither a response nor a report tells what became of it.
+func (a *attempt) startUnanswered() bool {
+	return !a.startSentAt.IsZero() && !a.accepted && !a.reported
+}
+
+// unansweredStarts returns the number of runs whose start request may still be carried out.
+func (v *server) unansweredStarts() int {
+	n := 0
+	for _, a := range v.attempts {
+		if a.startUnanswered() {
+			n++
+		}
+	}
+	return n
+}
+
 // retire records that the platform has accepted the request for the move or maintenance of a server's VM, which ends the server.
 // Its registration remains for some seconds. If the request was done before, on behalf of an earlier controller, the server goes
 // on: a later list of VMs shows it, and runs that it has are given up only if a list shows that it is gone, or their lease expires.
@@ -338,7 +364,7 @@
 		if a.phase == running && a.confirmedAt.After(v.pollSentAt) {
 			continue
 		}
-		klog.InfoS("Run missing on its server", "run", a.id(), "server", v.id, "restored", a.phase == restored)
+		s.logLostRun(a, "not-reported", now)
 		s.counters.lost.Inc(1)
 		s.removeAttempt(a)
 	}
@@ -367,7 +393,7 @@
 		return
 	}
 	v.orphans[run] = now
-	klog.InfoS("Stopping orphan run", "run", run, "server", v.id)
+	klog.InfoS("Stopping orphan run", "run", run, "server", v.id, "incarnation", v.incarnation)
 	s.emit(Stop{Target: v.target(), Run: run, Token: s.tokenFor(v)})
 }
 
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -38,7 +38,7 @@
 	a.inFlight, a.startSentAt = true, now
 	a.earliestClock = v.clock + time.Duration(minClockRate*float64(now.Sub(v.clockAt))) - clockRounding
 	s.counters.starts.Inc(1)
-	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id,
+	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id, "incarnation", v.incarnation, "token", s.tokenFor(v),
 		"term-left", s.termEndsAt.Sub(now))
 	s.emit(Start{Target: v.target(), Request: backend.StartRequest{
 		Run: a.id(), Specification: a.task.job.spec.Specification(), LeaseExpiry: deadline, Token: s.tokenFor(v),
@@ -97,7 +97,9 @@
 	case backend.Refused:
 		s.startRefused(v, a, o.Reason, now)
 	case backend.OutcomeUnknown, backend.Reported:
-		klog.InfoS("No response to start request", "run", e.Run, "server", e.Server)
+		s.counters.unansweredStarts.Inc(1)
+		klog.InfoS("No response to start request", "run", e.Run, "server", e.Server, "incarnation", e.Incarnation, "token", v.token,
+			"sent-ago", now.Sub(a.startSentAt))
 		s.awaitReport(a, stopUnanswered, now)
 	}
 }
@@ -110,7 +112,7 @@
 	if a.phase == running {
 		return // an earlier request started the run
 	}
-	klog.InfoS("Start request refused", "run", a.id(), "server", v.id, "reason", reason)
+	klog.InfoS("Start request refused", "run", a.id(), "server", v.id, "incarnation", a.incarnation, "reason", reason)
 	switch reason {
 	case backend.RefusedExpired:
 		s.pollAt(v, now)
@@ -159,7 +161,7 @@
 		return
 	}
 	a.stopInFlight, a.stopTriedAt = true, now
-	klog.InfoS("Stopping run", "run", a.id(), "server", a.server.id, "reason", a.stopReason)
+	klog.InfoS("Stopping run", "run", a.id(), "server", a.server.id, "incarnation", a.server.incarnation, "reason", a.stopReason)
 	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: s.tokenFor(a.server)})
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -127,8 +127,8 @@
 }
 
 type counters struct {
-	starts, ends, failures, lost, crashes, cancels, commits, rejected tally.Counter
-	pending, tasks                                                    tally.Gauge
+	starts, unansweredStarts, ends, failures, lost, crashes, cancels, commits, rejected tally.Counter
+	pending, tasks                                                                      tally.Gauge
 }
 
 // Begin initializes the state at the start of the term. It must be called before any other method.
@@ -137,7 +137,7 @@
 		s.Scope = tally.NoopScope
 	}
 	s.counters = counters{
-		starts: s.Scope.Counter("starts"), ends: s.Scope.Counter("ends"), failures: s.Scope.Counter("failed-runs"),
+		starts: s.Scope.Counter("starts"), unansweredStarts: s.Scope.Counter("unanswered-starts"), ends: s.Scope.Counter("ends"), failures: s.Scope.Counter("failed-runs"),
 		lost: s.Scope.Counter("lost-runs"), crashes: s.Scope.Counter("crashes"), cancels: s.Scope.Counter("cancels"),
 		commits: s.Scope.Counter("commits"), rejected: s.Scope.Counter("rejected-rows"), pending: s.Scope.Gauge("waiting-jobs"),
 		tasks: s.Scope.Gauge("tasks"),
