Repeat a start request without a response on its server only

The server started again, with neither fencing token nor stop, and carried the request out before the first poll of the new incarnation. The proof held for one incarnation only.

The request is now repeated to the same server with the same run number, which an incarnation starts once at most, after the row of the job says so. The task runs on no other server until none of the requests can be carried out any more (late starts): by a report after 15 s, the longest lease later without one, or once the VM was moved or runs another server. The row names the starts that were answered and holds the late starts, so the next controller waits for the rest as well. Late starts count in the customer's limit and, together, in the capacity of their server.

Tests changed: TestRunWithLostStartResponseIsStoppedIfNotReported demanded a stop and now demands that the request is repeated there and nothing is started elsewhere.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -32,6 +32,7 @@
 	jobsOnly bool
 	copied   []*job // jobs whose copy it stores
 	intents  []*attempt
+	repeats  []*attempt // runs whose start request is repeated after the commit
 	waves    []committedWave
 	ends     map[string]endNumber // the last end of a run that it stores, by server id
 	resigns  bool
@@ -162,6 +163,9 @@
 		if j.unstoredRuns > 0 {
 			c.intents = append(c.intents, j.intents()...)
 		}
+		if j.repeats > 0 {
+			c.repeats = append(c.repeats, j.unstoredRepeats()...)
+		}
 		c.jobs, c.rows = append(c.jobs, j), append(c.rows, row)
 		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), row))
 		switch {
@@ -306,6 +310,9 @@
 		}
 		s.sendStart(a, now)
 	}
+	for _, a := range c.repeats {
+		s.repeatStored(a, now)
+	}
 	for _, j := range c.copied {
 		j.copyStored = true
 	}
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -52,6 +52,11 @@
 	defaultMaxLease = 10 * time.Second
 	// maxCallDelay is the longest time from when a request without a response was sent until the server carries it out.
 	maxCallDelay = 15 * time.Second
+	// maxStartRequests bounds the requests to start a run on one server. If none of them has a response, the task waits until none can be
+	// carried out any more, and starts on another server.
+	maxStartRequests = 6
+	// lastingRunTime is how long a run has to last for its start to be worth a write of its own.
+	lastingRunTime = 2 * time.Second
 	// maxTimeOfDaySkew is the largest difference between the time of day on two machines, also if one jumps.
 	maxTimeOfDaySkew = 3 * time.Second
 	// minClockRate is the rate of the slowest clock of a backend server that the platform allows.
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -35,6 +35,8 @@
 	objective    time.Duration
 	activeRuns   int // runs that may exist
 	unstoredRuns int // of these, runs whose intent isn't stored yet
+	repeats      int // runs whose start request is repeated once that is stored
+	lateStarts   int // runs that don't exist, but may still be started
 }
 
 // estimate is the estimated remaining work of a job.
@@ -60,14 +62,15 @@
 
 // task is one task of a step.
 type task struct {
-	id        workload.TaskID
-	localName string
-	job       *job
-	step      *step
-	record    workload.TaskRecord
-	attempts  []*attempt
-	failedOn  []string // ids of the last servers on which it failed or stalled, or that crashed under it
-	stalls    int      // runs that were stopped because they made no progress
+	id         workload.TaskID
+	localName  string
+	job        *job
+	step       *step
+	record     workload.TaskRecord
+	attempts   []*attempt
+	lateStarts []*lateStart
+	failedOn   []string // ids of the last servers on which it failed or stalled, or that crashed under it
+	stalls     int      // runs that were stopped because they made no progress
 	// invalidStarts is the number of start requests that servers refused as invalid.
 	invalidStarts int
 	retryAt       time.Time // before that the task isn't placed
@@ -93,7 +96,13 @@
 	phase             phase
 	reserves          workload.Resources
 	checkpoint        string
-	startSentAt       time.Time     // time of the start request, of which there is one at most
+	startSentAt       time.Time     // when the start request was last sent
+	startRequests     int           // number of start requests that were sent
+	repeated          bool          // the start request may have been sent more than once
+	refusedAsOld      bool          // the server has ended or stopped the run
+	repeatUnstored    bool          // the start request is repeated once the record says so
+	answerStored      bool          // the stored record says that the server has started the run
+	startableUntil    time.Time     // when no start request can be carried out any more, or zero if none is outstanding
 	earliestClock     time.Duration // the least that the server's clock shows at the start, unless the server has restarted
 	onNextIncarnation bool          // the server had restarted before the start, and its new incarnation isn't known yet
 	inFlight          bool          // a start request has no outcome yet
@@ -295,15 +304,31 @@
 	return intents
 }
 
+// unstoredRepeats returns the runs whose start request is repeated once that is stored.
+func (j *job) unstoredRepeats() []*attempt {
+	var repeats []*attempt
+	for _, t := range j.tasks {
+		for _, a := range t.attempts {
+			if a.repeatUnstored {
+				repeats = append(repeats, a)
+			}
+		}
+	}
+	return repeats
+}
+
 func (t *task) stored(now time.Time) workload.TaskRecord {
 	r := t.record
 	r.Assignments = nil
 	for _, a := range t.attempts {
+		a.answerStored = a.startAnswered(now)
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber,
-			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now),
+			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: a.answerStored,
+			Repeated: a.repeated && !a.answerStored,
 		})
 	}
+	r.LateStarts = t.storedLateStarts()
 	return r
 }
 
@@ -325,7 +350,7 @@
 
 // needsRun reports whether the task can be assigned to a server now.
 func (t *task) needsRun(now time.Time) bool {
-	return t.isWanted() && len(t.attempts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
+	return t.isWanted() && len(t.attempts) == 0 && len(t.lateStarts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
 }
 
 // avoid makes the task prefer other servers than one on which it failed, or that crashed under it.
--- /dev/null
+++ b/fleet/latestarts.go
@@ -0,0 +1,308 @@
+package fleet
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// lateStart is a start request with an unknown outcome, of a run that its server doesn't have. The next incarnation of the server
+// knows neither fencing token nor stop requests, and may carry it out before its first poll. Until then its task runs nowhere.
+type lateStart struct {
+	task     *task
+	run      backend.Run
+	server   string
+	vm       string    // that ran the server, or "" if it is unknown
+	born     int64     // the incarnation of the server that the request was last sent to
+	repeated bool      // it may be one of several
+	requests int       // number of requests that were sent in this term
+	final    bool      // the run isn't started on the server again: it was stopped there, or the server crashed under it
+	until    time.Time // when it can't be carried out any more
+	endsBy   time.Time // when a run that it started has ended
+}
+
+// lateStarts holds the late starts of a server.
+type lateStarts map[backend.Run]*lateStart
+
+// startMayBeCarriedOut reports whether a server that starts again may carry out a request to start the run.
+func (a *attempt) startMayBeCarriedOut(now time.Time) bool { return a.startableUntil.After(now) }
+
+// startAccountedFor records that a start request was carried out or refused. If the request was repeated, another one may still be
+// on the way.
+func (a *attempt) startAccountedFor() {
+	if !a.repeated {
+		a.startableUntil = time.Time{}
+	}
+}
+
+// startAnswered reports whether the server has started the run, and no request to start it can be carried out any more.
+func (a *attempt) startAnswered(now time.Time) bool {
+	return (a.accepted || a.reported || a.answerStored) && !a.startMayBeCarriedOut(now)
+}
+
+// storeAnswer stores that the server has started a run that lasts. The next controller waits for other runs if their server is gone,
+// but those that end soon have their row written anyway.
+func (s *State) storeAnswer(a *attempt, now time.Time) {
+	lasts := a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
+		now.Sub(a.startedAt) >= lastingRunTime
+	if lasts && !a.answerStored && a.startAnswered(now) {
+		s.markChanged(a.task.job)
+	}
+}
+
+// keepLateStart holds the task of a run that was given up until the request to start it can't be carried out any more.
+func (s *State) keepLateStart(a *attempt) {
+	v := a.server
+	l := &lateStart{
+		task: a.task, run: a.id(), server: v.id, vm: v.reg.VM, born: a.incarnation, repeated: a.repeated,
+		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.refusedAsOld,
+		until: a.startableUntil, endsBy: a.startableUntil.Add(onSlowestClock(s.MaxLease) + leaseMargin),
+	}
+	for _, other := range s.serversByVM[v.reg.VM] {
+		if l.isReplacedBy(other.reg) {
+			return
+		}
+	}
+	s.addLateStart(l)
+	klog.InfoS("Start request may still be carried out", "run", l.run, "server", l.server, "incarnation", a.incarnation,
+		"requests", a.startRequests, "left", l.until.Sub(s.now))
+}
+
+func (s *State) addLateStart(l *lateStart) {
+	t := l.task
+	s.lateStartsOf(l.server)[l.run] = l
+	t.lateStarts = append(t.lateStarts, l)
+	t.job.lateStarts++
+	customer := t.job.spec.Customer()
+	s.customerUsage[customer] = s.customerUsage[customer].Plus(t.step.spec.Requests())
+}
+
+func (s *State) lateStartsOf(server string) lateStarts {
+	if s.lateStarts[server] == nil {
+		s.lateStarts[server] = make(lateStarts)
+	}
+	return s.lateStarts[server]
+}
+
+// endLateStart releases the task of a late start, as the given evidence shows that it can't be carried out any more.
+func (s *State) endLateStart(l *lateStart, evidence string) {
+	klog.InfoS("Start request can't be carried out any more", "run", l.run, "server", l.server, "evidence", evidence)
+	t := l.task
+	delete(s.lateStarts[l.server], l.run)
+	for i, other := range t.lateStarts {
+		if other == l {
+			t.lateStarts = append(t.lateStarts[:i], t.lateStarts[i+1:]...)
+			break
+		}
+	}
+	t.job.lateStarts--
+	customer := t.job.spec.Customer()
+	s.customerUsage[customer] = s.customerUsage[customer].Minus(t.step.spec.Requests())
+	if !t.job.state.Final() {
+		s.markChanged(t.job)
+		s.dirtyPools[s.poolOf(t.job)] = true
+	}
+}
+
+// isReplacedBy reports whether a registered server runs on the VM of a late start's server, which won't return under its id then.
+func (l *lateStart) isReplacedBy(r backend.Registration) bool {
+	return l.vm != "" && r.VM == l.vm && r.ID != l.server && r.Incarnation > l.born
+}
+
+// endReplacedLateStarts releases the tasks whose late starts were sent to earlier servers of the VM of a registered server.
+func (s *State) endReplacedLateStarts(r backend.Registration) {
+	for _, starts := range s.lateStarts {
+		for _, l := range starts {
+			if l.isReplacedBy(r) {
+				s.endLateStart(l, "vm-runs-another-server")
+			}
+		}
+	}
+}
+
+// endLateStartsOf releases the tasks whose late starts were sent to a server that has ended for good.
+func (s *State) endLateStartsOf(server, evidence string) {
+	for _, l := range s.lateStarts[server] {
+		s.endLateStart(l, evidence)
+	}
+}
+
+// resumeLateStarts places tasks on the server of their late starts again, if it hasn't started again since.
+func (s *State) resumeLateStarts(v *server, now time.Time) {
+	if len(v.lateStarts) == 0 || !s.acceptsPlacement(v, now) || !s.maySendRequests(now) {
+		return
+	}
+	for _, l := range v.lateStarts {
+		t := l.task
+		if l.final || l.born != v.incarnation || l.requests >= maxStartRequests || now.After(l.until) || !t.isWanted() ||
+			len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !t.step.spec.Reserves().FitsIn(v.reg.Capacity.Minus(v.reserved)) {
+			continue
+		}
+		s.endLateStart(l, "resumed")
+		a := s.adopt(l, v, now)
+		a.phase, a.startRequests = requested, l.requests
+		if !s.repeatStart(a, now) {
+			s.removeAttempt(a)
+		}
+	}
+}
+
+// endLateStarts releases the tasks whose late starts can't be carried out any more, and whose server doesn't run them.
+func (s *State) endLateStarts(now time.Time) {
+	for id, starts := range s.lateStarts {
+		v, known := s.servers[id]
+		for _, l := range starts {
+			switch {
+			case now.Before(l.until):
+			case now.After(l.endsBy):
+				s.endLateStart(l, "lease-expired")
+			case known && v.confirmed && v.failedPolls == 0 && !v.clockAfter.Before(l.until):
+				s.endLateStart(l, "not-reported")
+			}
+		}
+		if len(starts) == 0 && !known {
+			delete(s.lateStarts, id)
+		}
+	}
+}
+
+// lateStartOutcome handles the outcome of a start request of a run that was given up meanwhile.
+func (s *State) lateStartOutcome(e StartEnded) {
+	l, known := s.lateStarts[e.Server][e.Run]
+	if !known || l.repeated {
+		return
+	}
+	switch o := e.Outcome.(type) {
+	case backend.Refused:
+		s.endLateStart(l, string(o.Reason))
+	case backend.Accepted, backend.OutcomeUnknown, backend.Reported:
+		// a run that was accepted is reported or has ended with its server
+	}
+}
+
+// adoptLateStart returns the record of a run that a server has started late, or nil if the run isn't a late start or not wanted.
+func (s *State) adoptLateStart(v *server, run backend.Run, now time.Time) *attempt {
+	l, known := v.lateStarts[run]
+	if !known {
+		return nil
+	}
+	s.endLateStart(l, "started")
+	t := l.task
+	if !t.isWanted() || len(t.attempts) > 0 {
+		return nil
+	}
+	a := s.adopt(l, v, now)
+	a.startAccountedFor()
+	return a
+}
+
+// adopt records the run of a late start as one that may exist.
+func (s *State) adopt(l *lateStart, v *server, now time.Time) *attempt {
+	a := &attempt{
+		runNumber: l.run.Number, phase: restored, incarnation: v.incarnation, checkpoint: l.task.record.Checkpoint, startedAt: now,
+		startRequests: 1, repeated: l.repeated, startableUntil: l.until,
+	}
+	s.addAttempt(l.task, v, a)
+	s.markChanged(l.task.job)
+	return a
+}
+
+// repeatStart has the start request of a run sent once more to a server that doesn't report the run, and reports whether it did. The
+// number of the run stays, so that an incarnation of the server starts it once at most, whichever request comes first. On another
+// server the task could run a second time: the next incarnation of this one may carry out the earlier request.
+func (s *State) repeatStart(a *attempt, now time.Time) bool {
+	t, v := a.task, a.server
+	if a.startRequests >= maxStartRequests || !a.startMayBeCarriedOut(now) || !t.isWanted() || a.stopRequested || a.lossRecorded ||
+		!s.acceptsStarts(v) || !v.hasCapacityFor(a) {
+		return false
+	}
+	if a.repeatUnstored || !s.maySendRequests(now) {
+		return true // later
+	}
+	klog.InfoS("Repeating start request", "run", a.id(), "server", v.id, "incarnation", v.incarnation, "requests", a.startRequests)
+	if a.checkpoint == "" {
+		a.checkpoint = t.record.Checkpoint
+	}
+	a.phase, a.incarnation = requested, v.incarnation
+	a.awaitsReport, a.stopReason, a.awaitsSince = true, stopUnanswered, now
+	if a.repeated {
+		s.sendRepeat(a, now)
+		return true
+	}
+	a.repeated, a.repeatUnstored = true, true
+	t.job.repeats++
+	s.markChanged(t.job)
+	return true
+}
+
+// repeatStored repeats the start request of a run after its record says so.
+func (s *State) repeatStored(a *attempt, now time.Time) {
+	if !a.repeatUnstored {
+		return
+	}
+	a.repeatUnstored = false
+	a.task.job.repeats--
+	if a.phase == requested && a.awaitsReport && !a.lossRecorded {
+		s.sendRepeat(a, now)
+	}
+}
+
+func (s *State) sendRepeat(a *attempt, now time.Time) {
+	s.sendStart(a, now)
+	a.awaitsReport = !a.inFlight
+}
+
+// leavesStartsUnanswered reports whether the server has left a repeated start request without a response.
+func (v *server) leavesStartsUnanswered() bool {
+	for _, a := range v.attempts {
+		if a.phase == requested && a.awaitsReport && a.startRequests > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// free returns the resources for further runs on the server. The runs whose start requests may be carried out by its next incarnation
+// have to fit as well, but not beside those that end with this one.
+func (v *server) free() workload.Resources {
+	free := v.reg.Capacity.Minus(v.reserved)
+	if len(v.lateStarts) == 0 {
+		return free
+	}
+	var startable workload.Resources
+	for _, l := range v.lateStarts {
+		startable = startable.Plus(l.task.step.spec.Reserves())
+	}
+	for _, a := range v.attempts {
+		if a.phase == storing || a.phase == requested || !a.startableUntil.IsZero() {
+			startable = startable.Plus(a.reserves)
+		}
+	}
+	return free.Min(v.reg.Capacity.Minus(startable))
+}
+
+// storedLateStarts returns the late starts of the task as they are stored.
+func (t *task) storedLateStarts() []workload.LateStart {
+	var stored []workload.LateStart
+	for _, l := range t.lateStarts {
+		stored = append(stored, workload.LateStart{
+			VM: l.vm, Server: l.server, Incarnation: l.born, Run: l.run.Number, UntilMS: l.until.UnixMilli(),
+		})
+	}
+	return stored
+}
+
+// restoreLateStarts restores the late starts that an earlier controller stored. It has sent no request since the present term began.
+func (s *State) restoreLateStarts(t *task, stored []workload.LateStart) {
+	for _, l := range stored {
+		until := earlier(time.UnixMilli(l.UntilMS).Add(maxTimeOfDaySkew), s.began.Add(maxCallDelay))
+		s.addLateStart(&lateStart{
+			task: t, run: backend.Run{Task: t.id, Number: l.Run}, server: l.Server, vm: l.VM, born: l.Incarnation,
+			repeated: true, final: true, // as far as is known
+			until: until, endsBy: until.Add(onSlowestClock(s.MaxLease) + leaseMargin),
+		})
+	}
+}
--- a/fleet/longrunning_test.go
+++ b/fleet/longrunning_test.go
@@ -151,6 +151,16 @@
 	c.report("i-1", nil)
 	c.advance(100 * time.Millisecond)
 	c.report("i-1", nil)
+	for range 5 { // the server leaves the repeated requests without a response as well
+		starts = c.starts()
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Request.Run, run)
+		c.advance(900 * time.Millisecond)
+		c.handle(fleet.StartEnded{Server: target.ID, Incarnation: target.Incarnation, Run: run, Outcome: unknown})
+		c.reportProgress("i-1", nil, 0)
+		c.advance(100 * time.Millisecond)
+		c.report("i-1", nil)
+	}
 	assert.Equal(t, c.stops(), 1)
 	c.advance(900 * time.Millisecond)
 	c.handle(fleet.StopEnded{Server: target.ID, Incarnation: target.Incarnation, Run: run, Outcome: unknown})
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -269,6 +269,7 @@
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
 		m.accepted = true
+		s.endLateStartsOf(m.server, "vm-moved")
 		if v, known := s.servers[m.server]; known {
 			s.retire(v, "moved", now)
 		}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -125,7 +125,7 @@
 
 // acceptsPlacement reports whether new runs may be placed on a server.
 func (s *State) acceptsPlacement(v *server, now time.Time) bool {
-	return v.usable(now) && !v.cordoned && !v.releasing && !s.evacuatedZones[v.reg.Zone]
+	return v.usable(now) && !v.leavesStartsUnanswered() && !v.cordoned && !v.releasing && !s.evacuatedZones[v.reg.Zone]
 }
 
 func (p *placementPool) add(v *server) {
@@ -136,7 +136,7 @@
 func placementView(v *server) schedule.Server {
 	return schedule.Server{
 		ID: v.id, Zone: v.reg.Zone, Rack: v.reg.Rack, Kind: v.reg.Kind, Capacity: v.reg.Capacity,
-		Free: v.reg.Capacity.Minus(v.reserved), ConsecutiveFailures: v.consecutiveFailures,
+		Free: v.free(), ConsecutiveFailures: v.consecutiveFailures,
 		MaintenanceDue: v.maintenanceDue, HasLongRunning: v.hasLongRunning(),
 	}
 }
@@ -177,7 +177,7 @@
 		if !t.needsRun(now) {
 			continue
 		}
-		if t.job.activeRuns >= maxActiveRuns {
+		if t.job.activeRuns+t.job.lateStarts >= maxActiveRuns {
 			break
 		}
 		if !s.withinLimit(t, 1) {
@@ -366,7 +366,7 @@
 		}
 		run = max(run, t.record.LastRun+1)
 	}
-	if active := st.tasks[0].job.activeRuns; active > 0 && active+len(st.tasks) > maxActiveRuns {
+	if active := st.tasks[0].job.activeRuns + st.tasks[0].job.lateStarts; active > 0 && active+len(st.tasks) > maxActiveRuns {
 		return 0
 	}
 	if !s.withinLimit(st.tasks[0], int64(len(st.tasks))) {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -29,6 +29,7 @@
 		v.newID = !v.returned && now.Sub(s.began) > registrationLoadTime
 	}
 	s.setRegisteredVM(v, r.VM)
+	s.endReplacedLateStarts(r)
 	v.reg, v.registered = r, true
 	if _, known := s.poolCapacity[r.Pool]; !known || v.confirmed {
 		s.poolCapacity[r.Pool] = r.Capacity
@@ -124,31 +125,6 @@
 	s.removeAttempt(a)
 }
 
-// logLostRun logs why a run is given up, and whether its server is known to have started it.
-func (s *State) logLostRun(a *attempt, reason string, now time.Time) {
-	v := a.server
-	klog.InfoS("Run lost", "run", a.id(), "server", v.id, "reason", reason, "incarnation", a.incarnation,
-		"server-incarnation", v.incarnation, "token", v.token, "start-answered", !a.startUnanswered(),
-		"stop-reason", a.stopReason, "stop-accepted", a.stopAccepted, "restored", a.phase == restored,
-		"report-age", now.Sub(v.clockAt), "lease-left", v.expiresAt.Sub(now))
-}
-
-// startUnanswered reports whether a start request was sent, and neither a response nor a report tells what became of it.
-func (a *attempt) startUnanswered() bool {
-	return !a.startSentAt.IsZero() && !a.accepted && !a.reported
-}
-
-// unansweredStarts returns the number of runs whose start request may still be carried out.
-func (v *server) unansweredStarts() int {
-	n := 0
-	for _, a := range v.attempts {
-		if a.startUnanswered() {
-			n++
-		}
-	}
-	return n
-}
-
 // retire records that the platform has accepted the request for the move or maintenance of a server's VM, which ends the server.
 // Its registration remains for some seconds. If the request was done before, on behalf of an earlier controller, the server goes
 // on: a later list of VMs shows it, and runs that it has are given up only if a list shows that it is gone, or their lease expires.
@@ -328,6 +304,7 @@
 		}
 	}
 	s.matchRunning(v, r, now)
+	s.resumeLateStarts(v, now)
 }
 
 // matchRunning reconciles the runs that a server reports with the recorded runs: unknown runs are stopped, and runs
@@ -341,6 +318,9 @@
 		listed[running.Run] = true
 		a, known := v.attempts[running.Run]
 		if !known {
+			a = s.adoptLateStart(v, running.Run, now)
+		}
+		if a == nil {
 			v.hasOrphans = true
 			s.stopOrphan(v, running.Run, now)
 			continue
@@ -354,7 +334,10 @@
 	}
 	for _, a := range v.attempts {
 		if a.phase == requested && a.awaitsReport && !listed[a.id()] && v.pollSentAt.After(a.awaitsSince) {
-			s.requestStop(a, a.stopReason)
+			if !s.repeatStart(a, now) {
+				a.task.avoid(v.id)
+				s.requestStop(a, a.stopReason)
+			}
 			continue
 		}
 		if listed[a.id()] || a.inFlight || a.phase == storing || a.phase == requested {
@@ -364,6 +347,9 @@
 		if a.phase == running && a.confirmedAt.After(v.pollSentAt) {
 			continue
 		}
+		if a.phase == restored && s.repeatStart(a, now) {
+			continue
+		}
 		s.logLostRun(a, "not-reported", now)
 		s.counters.lost.Inc(1)
 		s.removeAttempt(a)
@@ -381,6 +367,7 @@
 	}
 	a.measurement = r.Measurement
 	a.reported, a.task.job.begun = true, true
+	a.startAccountedFor()
 	if !a.survived && now.Sub(a.startedAt) >= startupTime {
 		s.runSurvivedStart(a)
 	}
@@ -409,6 +396,7 @@
 	t := a.task
 	t.job.begun = true
 	klog.V(1).InfoS("Run ended", "run", end.Run, "server", v.id, "kind", end.Kind, "took", now.Sub(a.startedAt))
+	a.startAccountedFor()
 	a.save(end.Checkpoint)
 	if end.Kind == workload.EndFailed || end.Kind == workload.EndDone {
 		a.checkpoint = ""
@@ -417,6 +405,9 @@
 	if !a.survived && (end.Kind == workload.EndDone || end.Kind == workload.EndFailed) {
 		s.runSurvivedStart(a)
 	}
+	if end.Kind == workload.EndDone && !t.step.spec.LongRunning() {
+		a.startableUntil = time.Time{} // the task doesn't run again
+	}
 	s.removeAttempt(a)
 	switch end.Kind {
 	case workload.EndDone:
@@ -452,6 +443,9 @@
 // unknownRunEnded handles the end of a run that was considered lost. If the run did its task, the task is done. If it failed,
 // that counts as an attempt.
 func (s *State) unknownRunEnded(v *server, end backend.RunEnd) {
+	if l, late := v.lateStarts[end.Run]; late && !l.repeated {
+		s.endLateStart(l, "ended")
+	}
 	j, known := s.jobs[end.Run.Task.Job]
 	if !known {
 		return
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -68,7 +68,7 @@
 		}
 		t.record = record
 		j.begun = j.begun || record.HasBegun()
-		t.record.Assignments = nil
+		t.record.Assignments, t.record.LateStarts = nil, nil
 		t.record.Done = t.record.Done && !t.step.spec.LongRunning()
 		t.step.mayNeedIsolation = t.step.mayNeedIsolation || record.Crashes > 0 || len(record.Losses) > 0
 		switch {
@@ -86,13 +86,17 @@
 			a := &attempt{
 				runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now,
 				isolated: stored.Isolated, lossRecorded: stored.LossRecorded,
-				endsBy: earlier(time.UnixMilli(stored.EndsByMS).Add(maxTimeOfDaySkew), s.lateStartExpiry(s.began)),
+				answerStored: stored.Answered, endsBy: earlier(time.UnixMilli(stored.EndsByMS).Add(maxTimeOfDaySkew), s.lateStartExpiry(s.began)),
+			}
+			if !stored.Answered {
+				a.startRequests, a.repeated, a.startableUntil = 1, stored.Repeated, s.began.Add(maxCallDelay)
 			}
 			s.addAttempt(t, v, a)
 			if t.step.spec.BestEffort() {
 				a.pace = unknownPace
 			}
 		}
+		s.restoreLateStarts(t, record.LateStarts)
 		for _, l := range record.Losses {
 			t.lostAt = now
 			s.losses.add(l.Server, lossKey{task: t, run: l.Run})
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -36,6 +36,10 @@
 	v.leaseUntil = max(v.leaseUntil, deadline)
 	v.extendExpiry()
 	a.inFlight, a.startSentAt = true, now
+	a.startRequests++
+	if a.ticketFor() == "" { // the next incarnation refuses the ticket
+		a.startableUntil = now.Add(maxCallDelay)
+	}
 	a.earliestClock = v.clock + time.Duration(minClockRate*float64(now.Sub(v.clockAt))) - clockRounding
 	s.counters.starts.Inc(1)
 	klog.V(1).InfoS("Sending start request", "run", a.id(), "server", v.id, "incarnation", v.incarnation, "token", s.tokenFor(v),
@@ -78,7 +82,11 @@
 
 func (s *State) startEnded(e StartEnded, now time.Time) {
 	a, known := s.findAttempt(e.Server, e.Run)
-	if !known || a.incarnation != e.Incarnation {
+	if !known {
+		s.lateStartOutcome(e)
+		return
+	}
+	if a.incarnation != e.Incarnation {
 		return
 	}
 	a.inFlight = false
@@ -86,6 +94,7 @@
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
 		a.accepted, a.task.job.begun = true, true
+		a.startAccountedFor()
 		if o.Clock > 0 && (o.Clock < a.earliestClock || o.Clock > v.latestClock(now)) {
 			a.onNextIncarnation, a.endsBy = true, s.lateStartExpiry(now)
 			s.markChanged(a.task.job)
@@ -94,6 +103,7 @@
 			a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		}
 		a.confirmedAt, v.aliveAt = now, now
+		s.storeAnswer(a, now)
 	case backend.Refused:
 		s.startRefused(v, a, o.Reason, now)
 	case backend.OutcomeUnknown, backend.Reported:
@@ -123,8 +133,11 @@
 		a.task.startWasInvalid(v, now)
 	case backend.RefusedTicket:
 		s.discardTicket(a.task, v)
-	case backend.RefusedOldRun, backend.RefusedStaleToken, backend.RefusedOther:
+	case backend.RefusedOldRun:
+		a.refusedAsOld = true
+	case backend.RefusedStaleToken, backend.RefusedOther:
 	}
+	a.startAccountedFor()
 	s.removeAttempt(a)
 }
 
@@ -136,9 +149,34 @@
 	t.invalidStarts++
 }
 
+// logLostRun logs why a run is given up, and whether its server is known to have started it.
+func (s *State) logLostRun(a *attempt, reason string, now time.Time) {
+	v := a.server
+	klog.InfoS("Run lost", "run", a.id(), "server", v.id, "reason", reason, "incarnation", a.incarnation,
+		"server-incarnation", v.incarnation, "token", v.token, "start-answered", !a.startUnanswered(),
+		"stop-reason", a.stopReason, "stop-accepted", a.stopAccepted, "restored", a.phase == restored,
+		"report-age", now.Sub(v.clockAt), "lease-left", v.expiresAt.Sub(now))
+}
+
+// startUnanswered reports whether a start request was sent, and neither a response nor a report tells what became of it.
+func (a *attempt) startUnanswered() bool {
+	return !a.startSentAt.IsZero() && !a.accepted && !a.reported
+}
+
+// unansweredStarts returns the number of runs whose start request may still be carried out.
+func (v *server) unansweredStarts() int {
+	n := 0
+	for _, a := range v.attempts {
+		if a.startUnanswered() {
+			n++
+		}
+	}
+	return n
+}
+
 // awaitReport waits for a report after a start request without a response. If the request was carried out, the server's next
-// report lists the run. Otherwise the run is stopped for the given reason, because a delayed request may still start it. The
-// request isn't repeated: the server may have crashed and started again meanwhile, and would crash once more.
+// report lists the run. Otherwise a delayed request may still start it: the request is repeated, or the run is stopped for the given
+// reason.
 func (s *State) awaitReport(a *attempt, reason string, now time.Time) {
 	a.awaitsReport, a.stopReason, a.awaitsSince = true, reason, now
 	s.pollAt(a.server, now)
@@ -192,6 +230,7 @@
 // superviseRuns repeats requests without a response and stops stalled runs.
 func (s *State) superviseRuns(v *server, now time.Time) {
 	for _, a := range v.attempts {
+		s.storeAnswer(a, now)
 		switch {
 		case a.stopRequested && a.phase == storing:
 		case a.stopRequested && !a.stopAccepted && now.Sub(a.stopTriedAt) >= startRetryDelay && v.failedPolls == 0:
--- a/fleet/runs_test.go
+++ b/fleet/runs_test.go
@@ -21,6 +21,19 @@
 	return n
 }
 
+// requests returns the start requests and the number of the stop requests since the last call.
+func (r *rig) requests() (starts []fleet.Start, stops int) {
+	for _, e := range r.takeEffects() {
+		switch e := e.(type) {
+		case fleet.Start:
+			starts = append(starts, e)
+		case fleet.Stop:
+			stops++
+		}
+	}
+	return starts, stops
+}
+
 func (r *rig) startOne() fleet.Start {
 	r.t.Helper()
 	r.register("i-1", "press")
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -46,6 +46,7 @@
 	reserved            workload.Resources
 	hasOrphans          bool                      // the last report listed runs that aren't recorded, whose resources are in use
 	orphans             map[backend.Run]time.Time // runs that aren't recorded, with the time of the last stop request
+	lateStarts          lateStarts
 	consecutiveFailures int
 	cooldownUntil       time.Time // gets no new runs before that (failureCooldown, refusalCooldown)
 	cordoned            bool      // gets no new runs, as it is about to be maintained or moved
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -69,6 +69,7 @@
 	formerServers    map[string]formerServer       // dropped servers to which requests may be on the way, by id
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
+	lateStarts       map[string]lateStarts         // by server id
 	losses           losses
 	crashAlertUntil  time.Time
 	isolatedServers  map[string]int // servers that isolated runs have or need, by pool
@@ -164,7 +165,7 @@
 	s.customerUsage = make(map[string]workload.Resources)
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
-	s.formerServers = make(map[string]formerServer)
+	s.formerServers, s.lateStarts = make(map[string]formerServer), make(map[string]lateStarts)
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
@@ -278,6 +279,7 @@
 		s.superviseRuns(v, now)
 		s.adjustPace(v, now)
 	}
+	s.endLateStarts(now)
 	for id, former := range s.formerServers {
 		if now.Sub(former.droppedAt) >= maxCallDelay {
 			delete(s.formerServers, id)
@@ -381,6 +383,7 @@
 	v, ok := s.servers[id]
 	if !ok {
 		v = newServer(id)
+		v.lateStarts = s.lateStartsOf(id)
 		v.expiresAt = s.restoredExpiry()
 		if former, known := s.formerServers[id]; known {
 			v.token, v.needsToken, v.returned = former.token, true, true
@@ -428,6 +431,10 @@
 		t.step.unassigned++
 	}
 	delete(v.attempts, a.id())
+	if a.repeatUnstored {
+		a.repeatUnstored = false
+		t.job.repeats--
+	}
 	if a.isolated {
 		v.isolatedRuns--
 	}
@@ -450,6 +457,9 @@
 	if a.checkpoint != "" {
 		t.record.Checkpoint = a.checkpoint
 	}
+	if a.startMayBeCarriedOut(s.now) {
+		s.keepLateStart(a)
+	}
 	if !v.registered && len(v.attempts) == 0 {
 		s.dropServer(v)
 	}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -34,6 +34,21 @@
 	// EndsByMS is when the run has ended without further requests, in Unix milliseconds by the clock of the entry VM that stored
 	// this, if that is later than the leases that the term row tells of. Else it is 0.
 	EndsByMS int64 `json:"ends-by-ms,omitempty"`
+	// Answered says that the server has started the run, and that no request to start it is on the way any more.
+	Answered bool `json:"answered,omitempty"`
+	// Repeated says that the request to start the run may have been sent more than once.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// LateStart is a request to start a run that its backend server doesn't have, but may still start after a restart.
+type LateStart struct {
+	// VM is the name of the VM that ran the server, or "" if it is unknown.
+	VM          string `json:"vm,omitempty"`
+	Server      string `json:"server"`
+	Incarnation int64  `json:"incarnation"`
+	Run         int    `json:"run"`
+	// UntilMS is when the request can't be carried out any more, in Unix milliseconds by the clock of the entry VM that stored it.
+	UntilMS int64 `json:"until-ms"`
 }
 
 // Loss is a run that was lost with its backend server.
@@ -70,6 +85,8 @@
 	GivenUp bool `json:"given-up,omitempty"`
 	// Assignments are the runs that may exist. There is more than one only for a duplicable step.
 	Assignments []Assignment `json:"assignments,omitempty"`
+	// LateStarts are runs that don't exist, but may still be started.
+	LateStarts []LateStart `json:"late-starts,omitempty"`
 }
 
 // HasBegun reports whether a server has certainly started a run of the task.
--- a/workload/resources.go
+++ b/workload/resources.go
@@ -31,6 +31,11 @@
 	return Resources{r.milliCores - o.milliCores, r.memoryMB - o.memoryMB, r.accelerators - o.accelerators}
 }
 
+// Min returns the lesser amount of each resource of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.milliCores, o.milliCores), min(r.memoryMB, o.memoryMB), min(r.accelerators, o.accelerators)}
+}
+
 // Times returns the product n * r.
 func (r Resources) Times(n int64) Resources {
 	return Resources{r.milliCores * n, r.memoryMB * n, r.accelerators * n}
