Keep the requests for VMs of all earlier leaders until their pause is over

Cause: the row control/vm-orders held the requests of one term. A leader that sent a request of its own removed those of the leader before, and restored none if the process before it was of the same entry VM, although the row might hold requests of others.

Now a leader takes over the stored requests of all entry VMs, with their senders, and writes them again with its own until 6.5 s have passed. Each VM is paused by the sender of its own request, whatever term that was and whoever led in between. The row is written again each second, with a renewal of the term, until it is empty. Rows of earlier releases are read as before; an earlier release that reads a new row finds no pause in it.

Tests: TestVMPauseOutlastsSeveralHandovers failed before ("three entry VMs ... after 610ms"). TestStoredVMRequestsVanish and TestVMRequestInFlightIsStoredAsNew guard the new row and fail with the refresh and the flag taken out. The three cases by the previous term in TestRecentlyRequestedVMsAreBlockedAfterTakeover and two of three in TestMaintenanceRequestedByPreviousControllerCounts are now cases by sender and by entry VM, as the previous term isn't asked for any more; the checks are the same, with one VM more.

The rows of waves and jobs aren't touched.

--- a/deployment/stored.go
+++ b/deployment/stored.go
@@ -57,7 +57,7 @@
 	}
 	c.ended.addEarlier(s.ended, c.vm.Clock.Now())
 	for _, row := range s.vmRequests {
-		c.state.RestoreVMRequests(row, c.previousTerm)
+		c.state.RestoreVMRequests(row)
 	}
 	s.Operations = decodeOperations(s.operations)
 	open := c.state.Restore(s.Stored, c.vm.Clock.Now())
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -37,7 +37,8 @@
 	resigns  bool
 	term     Term // the term row that it writes, if renews is set
 
-	vmRequests []vmRequest
+	vmRequests       []vmRequest
+	clearsVMRequests bool // it stores that there are no recent requests for VMs
 }
 
 // endNumber is the number of the end of a run. Numbers restart with each incarnation of a server.
@@ -314,9 +315,7 @@
 			w.wave.storedComplete = w.complete
 		}
 	}
-	for _, r := range c.vmRequests {
-		s.emit(r.effect)
-	}
+	s.sendVMRequests(c, now)
 	s.acknowledgeEnds(c.ends, now)
 	var settled []string
 	for _, j := range c.jobs {
--- a/fleet/fuzz_test.go
+++ b/fleet/fuzz_test.go
@@ -24,6 +24,7 @@
 		`{"state":"running","tasks":{"0.0.0":{"given-up":true,"assignments":[{"run":-1},{"run":-1}]}},"failed":true}`,
 	} {
 		f.Add([]byte(row), []byte(`{"begun":["m-1"],"seen-ms":1}`), []byte(`{"m-1":1}`))
+		f.Add([]byte(row), []byte(`{}`), []byte(`{"senders":[{"entry-vm":"other","ages-ms":{"m-1":-1,"m-2":9e18}}]}`))
 	}
 	steps := [][]workload.StepOptions{
 		{{Count: 2, MilliCores: 100, DeclaredDurationMS: 100}, {Count: 1, MilliCores: 100, After: []int{0}}},
@@ -56,7 +57,7 @@
 	}
 	r.version++
 	r.begin(r.version)
-	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, requests, 1), fleet.Term{Holder: "other"})
+	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, requests, 1))
 	r.state.Restore(fleet.Stored{
 		Jobs: []*workload.Job{job}, Progress: map[string]workload.Progress{job.ID(): p},
 		Waves: []provider.Row{provider.NewRow(fleet.WavesPrefix+"1", wave, 1)},
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -20,6 +20,7 @@
 	t           *testing.T
 	state       *fleet.State
 	now         time.Time
+	entryVM     string // the leader
 	version     uint64
 	holdCommits bool // commits get no outcome
 	// rejects reports whether the store rejects a transaction for its content. It may be nil.
@@ -36,7 +37,7 @@
 func newRig(t *testing.T) *rig {
 	t.Helper()
 	r := &rig{
-		t: t, now: time.Unix(1_000_000, 0), version: 10,
+		t: t, now: time.Unix(1_000_000, 0), entryVM: "entry", version: 10,
 		rows: make(map[string][]byte), bootTimes: make(map[string]time.Time), openPolls: make(map[string]fleet.Poll),
 	}
 	r.begin(10)
@@ -59,8 +60,8 @@
 // begin starts a new term with an empty control state.
 func (r *rig) begin(token uint64) {
 	r.state = &fleet.State{
-		EntryVM: "entry", Token: token, TermRequestedAt: r.now,
-		Term:          fleet.Term{Holder: "entry", DurationMS: 2500}.WithVersion(token),
+		EntryVM: r.entryVM, Token: token, TermRequestedAt: r.now,
+		Term:          fleet.Term{Holder: r.entryVM, DurationMS: 2500}.WithVersion(token),
 		HandoverPause: 3 * time.Second, MaintenanceTime: 2 * time.Second, MoveTime: time.Second,
 	}
 	r.state.Begin(r.now)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -81,10 +81,11 @@
 	arrivals         workRates // rate of arriving work, by pool
 	departures       workRates // rate of finished work, by pool
 	vmRequests       []vmRequest
-	recentVMRequests map[string]time.Time // last request for each VM
-	// vmRequestsAllowedAt is when requests may be sent for VMs for which the previous controller sent one recently.
-	vmRequestsAllowedAt   map[string]time.Time
-	requestedBefore       map[string]bool // VMs for which the previous controller sent a request shortly before the term
+	recentVMRequests map[string]recentVMRequest // by VM
+	// vmRequestsStored is true if the row with the recent requests for VMs may hold some.
+	vmRequestsStored      bool
+	vmRequestsStoredAt    time.Time       // when the row was last written
+	requestedBefore       map[string]bool // VMs for which earlier controllers sent a request shortly before the term
 	longRunningShortage   map[string]int  // additional servers that long-running tasks need, by pool
 	overLimit             map[string]int  // steps held back by a customer's limit in the last pass, by pool
 	vms                   map[string]backend.VM
@@ -171,8 +172,7 @@
 	s.overLimit = make(map[string]int)
 	s.longRunningShortage = make(map[string]int)
 	s.arrivals, s.departures = make(workRates), make(workRates)
-	s.recentVMRequests = make(map[string]time.Time)
-	s.vmRequestsAllowedAt = make(map[string]time.Time)
+	s.recentVMRequests = make(map[string]recentVMRequest)
 	s.requestedBefore = make(map[string]bool)
 	s.pendingStored = make(map[string]int)
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
--- a/fleet/takeover_test.go
+++ b/fleet/takeover_test.go
@@ -11,7 +11,6 @@
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
-	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -42,8 +41,8 @@
 }
 
 // takeOverWave requests maintenance of two VMs, one at a time. The first is busy, so that the second is requested. Then it starts
-// a new term in which both are idle. It returns the requested VM.
-func takeOverWave(t *testing.T, previous fleet.Term) (*rig, string) {
+// a new term of the given entry VM in which both are idle. It returns the requested VM.
+func takeOverWave(t *testing.T, next string) (*rig, string) {
 	t.Helper()
 	r := newRig(t)
 	begin := func() {
@@ -66,8 +65,7 @@
 	requested := r.maintained()
 	assert.DeepEqual(t, requested, wave.VMs[1:])
 	r.now = r.now.Add(time.Second)
-	r.restart()
-	r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, r.rows[fleet.VMRequestsKey], 1), previous)
+	r.changeLeader(next)
 	begin()
 	r.handle(fleet.OperationArrived{Operation: wave})
 	r.takeEffects()
@@ -77,8 +75,8 @@
 // Guards against more VMs in maintenance than a wave allows: the previous controller requested the maintenance of one just
 // before it was killed, and the list of VMs doesn't show it yet.
 func TestMaintenanceRequestedByPreviousControllerCounts(t *testing.T) {
-	for _, previous := range []fleet.Term{{Holder: "entry"}, {Holder: "other"}, {Successor: "entry"}} {
-		r, requested := takeOverWave(t, previous)
+	for _, next := range []string{"entry", "other"} {
+		r, requested := takeOverWave(t, next)
 		for range 28 {
 			r.listVMs(backend.VMUp, backend.VMUp)
 			for _, vm := range r.maintained() {
@@ -96,7 +94,7 @@
 
 // Guards against more VMs in maintenance than a wave allows: one is in maintenance by a request that isn't stored.
 func TestVMInMaintenanceCounts(t *testing.T) {
-	r, requested := takeOverWave(t, fleet.Term{Holder: "entry"})
+	r, requested := takeOverWave(t, "entry")
 	states := []backend.VMState{backend.VMUp, backend.VMMaintenance}
 	if requested == "m-1" {
 		states = []backend.VMState{backend.VMMaintenance, backend.VMUp}
--- a/fleet/vmrequests_test.go
+++ b/fleet/vmrequests_test.go
@@ -1,6 +1,9 @@
 package fleet_test
 
 import (
+	"encoding/json"
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -22,31 +25,44 @@
 	return vms
 }
 
-func (r *rig) listSpareVMs() {
-	r.handle(fleet.VMsListed{RequestedAt: r.now, VMs: []backend.VM{
-		{Name: "m-1", Pool: "spare", State: backend.VMUp, Capacity: workload.NewResources(8000, 8000, 0)},
-		{Name: "m-2", Pool: "spare", State: backend.VMUp, Capacity: workload.NewResources(8000, 8000, 0)},
-	}})
+func (r *rig) listSpareVMs(names ...string) {
+	var list []backend.VM
+	for _, name := range names {
+		list = append(list, backend.VM{
+			Name: name, Pool: "spare", State: backend.VMUp, Capacity: workload.NewResources(8000, 8000, 0),
+		})
+	}
+	r.handle(fleet.VMsListed{RequestedAt: r.now, VMs: list})
+}
+
+// changeLeader starts the term of another entry VM, which restores the stored requests for VMs.
+func (r *rig) changeLeader(entryVM string) {
+	r.t.Helper()
+	r.entryVM = entryVM
+	r.restart()
+	if data, stored := r.rows[fleet.VMRequestsKey]; stored {
+		r.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, data, r.version))
+	}
+	r.takeEffects()
 }
 
 // Guards against two entry VMs that send requests for the same VM shortly after each other, and against a pause for VMs
-// for which the previous controller sent no recent request.
+// for which no other entry VM sent a recent request. The rows of earlier releases hold times without senders.
 func TestRecentlyRequestedVMsAreBlockedAfterTakeover(t *testing.T) {
-	row := provider.NewRow(fleet.VMRequestsKey, []byte(`{"m-1": 1000000000, "m-3": 999990000}`), 1)
-	for name, previous := range map[string]fleet.Term{
-		"lost":                 {Holder: "other"},
-		"resigned":             {},
-		"resigned for this VM": {Successor: "entry"},
+	for name, row := range map[string]string{
+		"another entry VM": `{"senders":[{"entry-vm":"other","ages-ms":{"m-1":0,"m-3":4000}}]}`,
+		"earlier release":  `{"m-1": 1000000000, "m-3": 999980000}`,
+		"several entry VMs": `{"senders":[{"entry-vm":"entry","ages-ms":{"m-3":0}},
+			{"entry-vm":"other","ages-ms":{"m-1":0}},{"entry-vm":"third","ages-ms":{"m-2":3500}}]}`,
 	} {
-		t.Log("previous controller:", name)
+		t.Log("requests of:", name)
 		r := newRig(t)
-		r.begin(20)
-		r.state.RestoreVMRequests(row, previous)
-		r.configure(workload.Resources{})
-		r.listSpareVMs()
+		r.rows[fleet.VMRequestsKey] = []byte(row)
+		r.changeLeader("entry")
+		r.listSpareVMs("m-1", "m-2", "m-3")
 		r.advance(time.Second)
-		assert.DeepEqual(t, r.moves(), []string{"m-2"})
-		r.listSpareVMs()
+		assert.DeepEqual(t, r.moves(), []string{"m-2", "m-3"})
+		r.listSpareVMs("m-1", "m-2", "m-3")
 		r.advance(2500 * time.Millisecond)
 		assert.DeepEqual(t, r.moves(), []string{"m-1"})
 	}
@@ -57,7 +73,107 @@
 func TestVMRequestIsStoredBeforeItIsSent(t *testing.T) {
 	r := newRig(t)
 	r.holdCommits = true
-	r.listSpareVMs()
+	r.listSpareVMs("m-1", "m-2")
 	r.advance(200 * time.Millisecond)
 	assert.Equal(t, len(r.moves()), 0)
 }
+
+// Guards against a leader that sends requests for VMs for which the leader before the previous one sent some shortly before: the
+// previous one stored requests of its own meanwhile.
+func TestVMPauseOutlastsSeveralHandovers(t *testing.T) {
+	for name, leaders := range map[string][]string{
+		"three entry VMs":                       {"first", "second", "third"},
+		"the previous leader was the same VM":   {"first", "second", "second"},
+		"a leader that sent nothing in between": {"first", "second", "idle", "third"},
+	} {
+		t.Log(name)
+		r := newRig(t)
+		r.changeLeader(leaders[0])
+		r.listSpareVMs("m-1")
+		r.advance(300 * time.Millisecond)
+		assert.DeepEqual(t, r.moves(), []string{"m-1"})
+		first := r.now
+		r.changeLeader(leaders[1])
+		r.listSpareVMs("m-1", "m-2")
+		r.advance(300 * time.Millisecond)
+		assert.DeepEqual(t, r.moves(), []string{"m-2"})
+		for _, leader := range leaders[2:] {
+			r.changeLeader(leader)
+			if leader != "idle" {
+				r.listSpareVMs("m-1")
+			}
+			r.advance(300 * time.Millisecond)
+		}
+		for range 60 {
+			if moved := r.moves(); len(moved) > 0 {
+				assert.DeepEqual(t, moved, []string{"m-1"})
+				break
+			}
+			r.listSpareVMs("m-1")
+			r.advance(100 * time.Millisecond)
+		}
+		// From when the first request was sent, but for the time until its commit was carried out.
+		pause := r.now.Sub(first)
+		assert.Assert(t, pause > 2800*time.Millisecond && pause < 6*time.Second, "after %s", pause)
+	}
+}
+
+// storedVMs returns the VMs in the row of recent requests, with their ages.
+func (r *rig) storedVMs() map[string]int64 {
+	r.t.Helper()
+	var row struct {
+		Senders []struct {
+			AgesMS map[string]int64 `json:"ages-ms"`
+		} `json:"senders"`
+	}
+	assert.NilError(r.t, json.Unmarshal(r.rows[fleet.VMRequestsKey], &row))
+	stored := make(map[string]int64)
+	for _, sender := range row.Senders {
+		maps.Copy(stored, sender.AgesMS)
+	}
+	return stored
+}
+
+// Guards against a row of recent requests that grows without end, or that keeps requests after their pause, also of earlier leaders.
+func TestStoredVMRequestsVanish(t *testing.T) {
+	r := newRig(t)
+	for n, leader := range []string{"first", "second", "third", "fourth"} {
+		r.changeLeader(leader)
+		r.listSpareVMs(fmt.Sprint("m-", n))
+		r.advance(500 * time.Millisecond)
+		assert.Equal(t, len(r.moves()), 1)
+		r.handle(fleet.VMMoveEnded{VM: fmt.Sprint("m-", n), Outcome: backend.Accepted{}})
+	}
+	assert.Equal(t, len(r.storedVMs()), 4)
+	r.listSpareVMs()
+	r.advance(8 * time.Second)
+	assert.Equal(t, len(r.storedVMs()), 0)
+	row := r.rows[fleet.VMRequestsKey]
+	r.takeEffects()
+	writes := 0
+	for range 50 {
+		r.advance(100 * time.Millisecond)
+		for _, e := range r.takeEffects() {
+			if c, ok := e.(fleet.Commit); ok {
+				for _, w := range c.Transaction.Writes() {
+					if w.Key() == fleet.VMRequestsKey {
+						writes++
+					}
+				}
+			}
+		}
+	}
+	assert.Equal(t, writes, 0, "the empty row %s is written again", row)
+}
+
+// Guards against a pause that counts from when the request was sent while the platform may receive it later.
+func TestVMRequestInFlightIsStoredAsNew(t *testing.T) {
+	r := newRig(t)
+	r.listSpareVMs("m-1")
+	r.advance(2500 * time.Millisecond)
+	assert.Equal(t, r.storedVMs()["m-1"], int64(0))
+	r.handle(fleet.VMMoveEnded{VM: "m-1", Outcome: backend.OutcomeUnknown{}})
+	r.advance(2500 * time.Millisecond)
+	age := r.storedVMs()["m-1"]
+	assert.Assert(t, age > 1000 && age <= 2600, "age %d", age)
+}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -417,6 +417,7 @@
 }
 
 func (s *State) maintenanceEnded(e MaintenanceEnded, now time.Time) {
+	s.vmRequestEnded(e.VM, now)
 	s.abandonedRequestEnded(e, now)
 	for _, w := range s.waves {
 		if w.spec.Number == e.Wave && w.inFlight[e.VM] {
