Send no request for a VM after the term in which it was stored

A request for a VM is sent once its intent is stored. If the response of the store comes after the term, the next leader may have read the row already, and counts its pause from the start of its term, before the request. So two leaders could send requests for a VM within LeaseMs.

The request is now stored again, with the renewal of the term, and sent after that; a leader whose term is over finds the term row changed and sends nothing.

TestVMRequestIsNotSentAfterTheTerm fails without the check of the term ("sent after the term").

--- a/fleet/vmrequests.go
+++ b/fleet/vmrequests.go
@@ -106,11 +106,16 @@
 	return max(0, now.Sub(r.at))
 }
 
-// sendVMRequests sends the requests of a commit that was applied.
+// sendVMRequests sends the requests of a commit that was applied. After the term another controller may have read the row already
+// and sent requests, so they are stored again with the renewal of the term.
 func (s *State) sendVMRequests(c *commit, now time.Time) {
 	if c.clearsVMRequests {
 		s.vmRequestsStored = false
 	}
+	if !now.Before(s.termEndsAt) {
+		s.vmRequests = append(c.vmRequests, s.vmRequests...)
+		return
+	}
 	for _, r := range c.vmRequests {
 		s.recentVMRequests[r.vm] = recentVMRequest{sender: s.EntryVM, at: now, inFlight: true}
 		s.emit(r.effect)
--- a/fleet/vmrequests_test.go
+++ b/fleet/vmrequests_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,6 +119,40 @@
 	}
 }
 
+// heldCommit returns the last commit since the last call of takeEffects.
+func (r *rig) heldCommit() fleet.Commit {
+	r.t.Helper()
+	for _, e := range slices.Backward(r.takeEffects()) {
+		if c, ok := e.(fleet.Commit); ok {
+			return c
+		}
+	}
+	r.t.Fatal("no commit")
+	return fleet.Commit{}
+}
+
+// Guards against a request for a VM that is sent after the term because the response of the store was late: the next leader may have
+// read the stored requests already, and its pause doesn't count from then. It is sent once the term is renewed.
+func TestVMRequestIsNotSentAfterTheTerm(t *testing.T) {
+	r := newRig(t)
+	r.holdCommits = true
+	r.listSpareVMs("m-1")
+	r.advance(100 * time.Millisecond)
+	stores := r.heldCommit()
+	assert.Equal(t, stores.Transaction.Writes()[0].Key(), fleet.VMRequestsKey)
+	r.advance(4 * time.Second)
+	assert.Equal(t, len(r.moves()), 0)
+	r.commit(stores)
+	r.settle()
+	for _, e := range r.effects {
+		_, sent := e.(fleet.MoveVM)
+		assert.Assert(t, !sent, "sent after the term")
+	}
+	r.commit(r.heldCommit())
+	r.settle()
+	assert.DeepEqual(t, r.moves(), []string{"m-1"})
+}
+
 // storedVMs returns the VMs in the row of recent requests, with their ages.
 func (r *rig) storedVMs() map[string]int64 {
 	r.t.Helper()
