Bound the row of recent requests for VMs below the limit of the store

The row's size follows the number of VMs and the length of their names. 1,500 VMs with names of 100 characters in one wave made a row of 162 KB; the store accepts 64 KB, and a rejected commit holds back all rows but those of jobs for 10 s.

TestStoredVMRequestsFitIntoARow fails without the bound ("162028 bytes").

--- a/fleet/vmrequests.go
+++ b/fleet/vmrequests.go
@@ -21,6 +21,8 @@
 	maxVMRequestDelay = 250 * time.Millisecond
 	// vmRequestsStoreInterval is the time between two writes of the row without new requests.
 	vmRequestsStoreInterval = time.Second
+	// maxVMRequestsBytes bounds the row, below the 64 KB that the store accepts.
+	maxVMRequestsBytes = 48 << 10
 )
 
 // vmRequest is a request to move or maintain a VM, which is sent once its intent is stored.
@@ -70,10 +72,19 @@
 	return []provider.Write{provider.NewPut(VMRequestsKey, s.encodeVMRequests(now))}
 }
 
-// takeVMRequests moves the pending requests to a commit.
+// takeVMRequests moves the pending requests to a commit, as far as its row has room for them.
 func (s *State) takeVMRequests(c *commit, now time.Time) {
-	c.vmRequests, s.vmRequests = s.vmRequests, nil
-	for _, r := range c.vmRequests {
+	if len(s.vmRequests) == 0 {
+		return
+	}
+	size := len(s.encodeVMRequests(now)) + len(s.EntryVM)
+	for len(s.vmRequests) > 0 {
+		r := s.vmRequests[0]
+		if size += len(r.vm) + len(`"":99999,`); size > maxVMRequestsBytes {
+			return
+		}
+		s.vmRequests = s.vmRequests[1:]
+		c.vmRequests = append(c.vmRequests, r)
 		s.recentVMRequests[r.vm] = recentVMRequest{sender: s.EntryVM, at: now, inFlight: true}
 	}
 }
--- a/fleet/vmrequests_test.go
+++ b/fleet/vmrequests_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/directory"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/workload"
@@ -212,3 +213,25 @@
 	age := r.storedVMs()["m-1"]
 	assert.Assert(t, age > 1000 && age <= 2600, "age %d", age)
 }
+
+// Guards against a row that the store rejects for its size: requests for more VMs wait.
+func TestStoredVMRequestsFitIntoARow(t *testing.T) {
+	r := newRig(t)
+	wave := directory.Wave{Name: "1", Number: 1, TimeLimit: time.Minute, MaxConcurrent: 1500}
+	for n := range 1500 {
+		wave.VMs = append(wave.VMs, fmt.Sprintf("%0100d", n))
+	}
+	r.handle(fleet.OperationArrived{Operation: wave})
+	requests, longest := 0, 0
+	for range 300 {
+		r.listSpareVMs(wave.VMs...)
+		for _, vm := range r.maintained() {
+			requests++
+			r.handle(fleet.MaintenanceEnded{VM: vm, Wave: 1, Outcome: backend.Accepted{}})
+		}
+		longest = max(longest, len(r.rows[fleet.VMRequestsKey]))
+		r.advance(100 * time.Millisecond)
+	}
+	assert.Assert(t, longest > 32_000 && longest < 64_000, "%d bytes", longest)
+	assert.Equal(t, requests, 1500)
+}
