Play hand-overs in series in the model

The model restores the stored requests for VMs at each takeover, and checks in all plays that two entry VMs send no requests for a VM within the pause.

It doesn't notice requests in flight that count as received, nor a pause that is shorter by a second after a restore, nor requests that are sent after the term: the tests in vmrequests_test.go do, the second by TestRecentlyRequestedVMsAreBlockedAfterTakeover.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -32,6 +32,7 @@
 	vmHistory []vmSnapshot
 	wave      *directory.Wave // requested by operators, or nil
 	waveStep  int             // of the faults, before which the wave is requested, or -1
+	pause     time.Duration   // between requests of two entry VMs for one VM
 	current   *modelController
 	violation string
 	trace     []string                 // events on servers, printed with a violation
@@ -107,7 +108,7 @@
 		servers: make(map[string]*modelServer), done: make(map[workload.TaskID]bool),
 		crashing: make(map[string]bool), crashes: make(map[workload.TaskID]int),
 		lostWith: make(map[workload.TaskID]int), startsAfter: make(map[workload.TaskID]int),
-		vms: make(map[string]*modelVM), waveStep: -1,
+		vms: make(map[string]*modelVM), waveStep: -1, pause: time.Second,
 	}
 	for n := range 4 {
 		id := fmt.Sprintf("i-%d", n)
@@ -222,13 +223,16 @@
 	}
 	c.state = &fleet.State{
 		PreviousLease: previousTerm.Lease(),
-		EntryVM:       name, Token: m.version, TermRequestedAt: m.now, HandoverPause: time.Second,
+		EntryVM:       name, Token: m.version, TermRequestedAt: m.now, HandoverPause: m.pause,
 		Term: fleet.Term{Holder: name, DurationMS: 1500}.WithVersion(m.version),
 	}
 	if m.mutation == ignoreLongestLease {
 		c.state.MaxLease = time.Millisecond
 	}
 	c.state.Begin(m.now)
+	if data, stored := m.rows[fleet.VMRequestsKey]; stored {
+		c.state.RestoreVMRequests(provider.NewRow(fleet.VMRequestsKey, data, m.version))
+	}
 	c.state.Handle(fleet.OperationArrived{Operation: directory.ConfigurationPublished{Snapshot: directory.NewSnapshot(1,
 		[]directory.Queue{{Name: "plates", Pool: "press", MaxAttempts: 3}}, nil, []directory.Pool{{Name: "press"}}, 0)}},
 		m.now)
--- a/fleet/modelvms_test.go
+++ b/fleet/modelvms_test.go
@@ -24,6 +24,8 @@
 	state      backend.VMState
 	token      uint64
 	maintained bool
+	sender     string // of the last request that wasn't late
+	receivedAt time.Time
 }
 
 // vmSnapshot is the platform's list of VMs as it was at some time.
@@ -88,14 +90,14 @@
 		m.after(2*time.Second, func() { respond(backend.OutcomeUnknown{Reason: "lost"}) })
 		m.after(time.Duration(rapid.IntRange(1, 4).Draw(m.t, "late by"))*time.Second, func() {
 			m.late = true
-			m.maintain(e)
+			m.maintain(c.name, e)
 			m.late = false
 		})
 		return
 	}
 	lost := m.chance(m.lostResponses, "lost")
 	m.after(m.delay(4), func() {
-		outcome := m.maintain(e)
+		outcome := m.maintain(c.name, e)
 		if lost {
 			m.after(2*time.Second, func() { respond(backend.OutcomeUnknown{Reason: "lost"}) })
 			return
@@ -104,9 +106,21 @@
 	})
 }
 
+// checkPause checks that two entry VMs send no requests for a VM shortly after each other.
+func (m *model) checkPause(sender string, vm *modelVM, name string) {
+	if m.late {
+		return
+	}
+	if since := m.now.Sub(vm.receivedAt); vm.sender != "" && vm.sender != sender && since < m.pause {
+		m.fail("%s sends a request for %s %s after one of %s", sender, name, since, vm.sender)
+	}
+	vm.sender, vm.receivedAt = sender, m.now
+}
+
 // maintain ends the server of a VM, and starts another one under a new id after the maintenance.
-func (m *model) maintain(e fleet.MaintainVM) backend.Outcome {
+func (m *model) maintain(sender string, e fleet.MaintainVM) backend.Outcome {
 	vm := m.vms[e.VM]
+	m.checkPause(sender, vm, e.VM)
 	old := m.servers[vm.server]
 	switch {
 	case e.Token < vm.token:
