--- a/fleet/vmrequests_test.go
+++ b/fleet/vmrequests_test.go
@@ -235,3 +235,29 @@
 	assert.Assert(t, longest > 32_000 && longest < 64_000, "%d bytes", longest)
 	assert.Equal(t, requests, 1500)
 }
+
+// Guards against a pause that is shorter or longer because the times of day of two entry VMs differ.
+func TestVMPauseDoesNotDependOnTheTimeOfDay(t *testing.T) {
+	for _, skew := range []time.Duration{-3 * time.Second, 0, 3 * time.Second} {
+		t.Log("the next leader's time of day differs by", skew)
+		r := newRig(t)
+		r.listSpareVMs("m-1")
+		r.advance(300 * time.Millisecond)
+		assert.DeepEqual(t, r.moves(), []string{"m-1"})
+		r.handle(fleet.VMMoveEnded{VM: "m-1", Outcome: backend.Accepted{}})
+		r.advance(1500 * time.Millisecond)
+		r.now = r.now.Add(skew)
+		began := r.now
+		r.changeLeader("other")
+		r.listSpareVMs("m-1")
+		for range 60 {
+			r.advance(100 * time.Millisecond)
+			if len(r.moves()) > 0 {
+				break
+			}
+			r.listSpareVMs("m-1")
+		}
+		paused := r.now.Sub(began)
+		assert.Assert(t, paused > 1500*time.Millisecond && paused < 3500*time.Millisecond, "%s", paused)
+	}
+}
