Show the signals of the threads of a process that doesn't end

TestPlannedStopEndsAtDrainTimeoutOrSecondSignal failed once on 4 December, and isn't traced. Read: the drain begins after signal.Stop has returned; /healthz says 503 only by the drain; from then on the runtime finds the signal unwanted and ends the process. So the second signal must have stayed pending, or the process took long to end. Which of them can be told by the signals that its threads have pending and blocked: the failure lists them now.

--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -218,14 +218,33 @@
 	select {
 	case <-p.done:
 	case <-ctx.Done():
+		threads := p.threads()
 		// SIGQUIT makes the process write the stacks of its goroutines to its output.
 		p.signal(t, syscall.SIGQUIT)
 		<-p.done
-		t.Fatalf("%v hasn't ended within %s; then it ended: %v", p.cmd.Args, limit, p.cmd.ProcessState)
+		t.Fatalf("%v hasn't ended within %s; then it ended: %v; its threads before:\n%s", p.cmd.Args, limit, p.cmd.ProcessState, threads)
 	}
 	return p.cmd.ProcessState
 }
 
+// threads returns the states of the threads of the process, with the signals that are pending, blocked and caught.
+func (p *process) threads() string {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", p.cmd.Process.Pid))
+	var text strings.Builder
+	for _, file := range files {
+		status, _ := os.ReadFile(file) // the thread may have ended
+		for line := range strings.Lines(string(status)) {
+			for _, field := range []string{"Pid:", "State:", "SigPnd:", "ShdPnd:", "SigBlk:", "SigCgt:"} {
+				if strings.HasPrefix(line, field) {
+					text.WriteString(strings.TrimSpace(line) + "  ")
+				}
+			}
+		}
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
 // addresses returns the addresses for callers of all entry VMs except the given ones.
 func (f *testFleet) addresses(without ...*entryVM) []string {
 	var list []string
