Start nothing on a returned server before its registration

A server is used once the registration is of the incarnation that it reports.

TestReturnedServerGetsNoRunsBeforeItsRegistration failed before with a start on the larger capacity. TestReportToPollOfEarlierIncarnationIsNotEnough registers the new incarnation before its last report now, and checks that this alone isn't enough.

--- a/fleet/returned_test.go
+++ b/fleet/returned_test.go
@@ -221,11 +221,42 @@
 	r.advance(100 * time.Millisecond)
 	assert.Equal(t, len(r.starts()), 0)
 	assert.Assert(t, r.openPolls["i-1"].Request.Token > poll.Request.Token)
+	r.register("i-1", "press")
+	r.advance(100 * time.Millisecond)
+	assert.Equal(t, len(r.starts()), 0)
 	r.report("i-1", nil)
 	r.advance(100 * time.Millisecond)
 	assert.Equal(t, len(r.starts()), 1)
 }
 
+// Guards against starts beyond the capacity of a server that returns smaller under its id: its report comes before its registration.
+func TestReturnedServerGetsNoRunsBeforeItsRegistration(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(time.Second)
+	r.bootTimes["i-1"] = r.now
+	poll := r.openPolls["i-1"]
+	delete(r.openPolls, "i-1")
+	r.handle(fleet.PollEnded{Server: "i-1", Sequence: poll.Sequence, Outcome: backend.Reported{
+		Report: backend.Report{Incarnation: r.now.UnixMilli(), Clock: time.Hour},
+	}})
+	r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 2, MilliCores: 3000, DeclaredDurationMS: 1000})})
+	for range 10 {
+		r.advance(100 * time.Millisecond)
+		if _, open := r.openPolls["i-1"]; open {
+			r.report("i-1", nil)
+		}
+	}
+	assert.Equal(t, len(r.starts()), 0)
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: "i-1", VM: "m-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Rack: "r-i-1",
+		Incarnation: r.bootTimes["i-1"].UnixMilli(), Capacity: workload.NewResources(4000, 8000, 0),
+	}})
+	r.advance(100 * time.Millisecond)
+	assert.Equal(t, len(r.starts()), 1)
+}
+
 // Guards against a controller that takes the refusal of its own earlier token for that of a deposed controller: a server has started
 // again, and has got a higher token meanwhile.
 func TestRefusalOfOwnEarlierTokenKeepsTerm(t *testing.T) {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -53,7 +53,7 @@
 // acceptsStarts reports whether a start request may be sent to a server. The server may have begun to drain since the
 // run was placed.
 func (s *State) acceptsStarts(v *server) bool {
-	return v.registered && !v.down && !v.hasOrphans && !v.reg.Draining && !s.evacuatedZones[v.reg.Zone]
+	return v.registered && v.capacityKnown() && !v.down && !v.hasOrphans && !v.reg.Draining && !s.evacuatedZones[v.reg.Zone]
 }
 
 // hasCapacityFor reports whether a run fits on its server beside those that may exist there. The server's capacity may have
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -122,8 +122,11 @@
 // since its restart. The runs of a responsive server are known from its reports.
 func (v *server) unresponsive() bool { return v.failedPolls > 0 || !v.confirmed }
 
+// capacityKnown reports whether the registration is of the server's present incarnation. The next incarnation may be smaller.
+func (v *server) capacityKnown() bool { return v.reg.Incarnation >= v.incarnation }
+
 // usable reports whether new runs may be placed on the server.
 func (v *server) usable(now time.Time) bool {
-	return v.registered && v.confirmed && !v.retired && !v.down && !v.hasOrphans && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
+	return v.registered && v.capacityKnown() && v.confirmed && !v.retired && !v.down && !v.hasOrphans && v.hasClock && v.failedPolls == 0 && !v.reg.Draining &&
 		!now.Before(v.cooldownUntil)
 }
