End the session with a relay that falls silent while a frame is written to it

Cause: session.write sent frames without a deadline, and the same goroutine checked between two frames whether the relay was silent. A frame that doesn't fit into the buffers of the connection blocked it for good: no outcome, no other way, no end.

A goroutine that doesn't use the connection now counts checks without a received byte, and ends the session after five of them (0.5 s). Closing the connection ends the write and the read. Requests without an outcome then end as after any loss of a relay: polls are sent directly, others have an unknown outcome. Bytes count, not frames, so that a large frame on a slow link isn't silence.

--- a/relay/client.go
+++ b/relay/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,11 +14,12 @@
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/group"
+	"github.com/pistachiolead/pistachiolead/socket"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
-// errSilent is the reason why a relay that sends no frames counts as lost.
-var errSilent = errors.New("the relay sent no frame in time")
+// errSilent is the reason why a relay that sends nothing counts as lost.
+var errSilent = errors.New("the relay sent nothing in time")
 
 // session is the leader's connection to one relay.
 type session struct {
@@ -25,6 +27,7 @@
 	relay Member
 	conn  net.Conn
 	ready chan struct{} // signals that there are requests to send
+	alive atomic.Bool   // bytes were received since the last check
 
 	mu         sync.Mutex
 	requests   []queuedRequest
@@ -42,8 +45,7 @@
 
 // connect connects to a relay. The relay is usable once it has sent its clock.
 func (p *Pool) connect(ctx context.Context, m Member) (*session, *bufio.Reader, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", m.address)
+	conn, err := socket.NewDialer(dialTimeout, userTimeout).DialContext(ctx, "tcp4", m.address)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "connect to a relay")
 	}
@@ -51,21 +53,38 @@
 		pool: p, relay: m, conn: conn, ready: make(chan struct{}, 1), pending: make(map[uint64]fleet.Effect),
 		receivedAt: p.Clock.Now(),
 	}
-	return s, bufio.NewReader(conn), nil
+	return s, bufio.NewReader(observedReader{conn: conn, received: func() { s.alive.Store(true) }}), nil
 }
 
-// run sends requests and receives outcomes until the connection fails or the relay sends nothing. It returns why.
+// run sends requests and receives outcomes until the connection fails or the relay is silent. It returns why.
 func (s *session) run(ctx context.Context, r *bufio.Reader) error {
 	goroutines, ctx := group.New(ctx)
 	goroutines.Go(func() error {
 		<-ctx.Done()
 		return s.conn.Close()
 	})
+	goroutines.Go(func() error { return s.watch(ctx) })
 	goroutines.Go(func() error { return s.write(ctx) })
 	goroutines.Go(func() error { return s.read(r) })
 	return goroutines.Wait()
 }
 
+// watch returns errSilent once the relay has sent nothing for sessionTimeout. It doesn't use the connection, so that it never
+// waits for the relay. Checks are counted, so that time in which this process didn't run isn't taken for silence.
+func (s *session) watch(ctx context.Context) error {
+	for silent := time.Duration(0); silent < sessionTimeout; {
+		timer.Wait(ctx, s.pool.Clock, heartbeatInterval)
+		if err := ctx.Err(); err != nil {
+			return errors.WithStack(err)
+		}
+		silent += heartbeatInterval
+		if s.alive.Swap(false) {
+			silent = 0
+		}
+	}
+	return errSilent
+}
+
 // send queues a request. It reports whether the session is open.
 func (s *session) send(e fleet.Effect) bool {
 	s.mu.Lock()
@@ -93,10 +112,9 @@
 
 // write sends the queued requests in batches, and an empty frame every heartbeatInterval.
 func (s *session) write(ctx context.Context) error {
-	var silent error
 	heartbeat := s.pool.Clock.Every(heartbeatInterval, func(time.Time) { s.flush() })
 	defer heartbeat.Stop()
-	for silent == nil {
+	for {
 		if err := writeFrame(s.conn, s.takeFrame()); err != nil {
 			return err
 		}
@@ -106,18 +124,7 @@
 		case <-ctx.Done():
 			return errors.WithStack(ctx.Err())
 		}
-		silent = s.checkSilent()
-	}
-	return silent
-}
-
-func (s *session) checkSilent() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pool.Clock.Now().Sub(s.receivedAt) >= sessionTimeout {
-		return errSilent
 	}
-	return nil
 }
 
 // takeFrame returns a frame with the queued requests. The time until which a start request is valid is converted to the
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -5,13 +5,18 @@
 const (
 	// heartbeatInterval is the longest time between two frames in each direction.
 	heartbeatInterval = 100 * time.Millisecond
-	// sessionTimeout is the time without a frame after which a session counts as lost. Outcomes of its requests are then
+	// sessionTimeout is the time without a byte from the relay after which a session counts as lost. Outcomes of its requests are then
 	// unknown long before the leases of the servers expire.
 	sessionTimeout = 500 * time.Millisecond
-	// idleSessionTimeout is the time without a frame after which a relay closes the connection of a leader that is gone.
+	// idleSessionTimeout is the time without a byte after which a relay closes the connection of a leader that is gone.
 	idleSessionTimeout = 3 * time.Second
-	dialTimeout        = 400 * time.Millisecond
-	redialDelay        = time.Second
+	// writeTimeout bounds the sending of a frame. A peer that sends but doesn't receive counts as lost then.
+	writeTimeout = time.Second
+	// userTimeout is how long sent data may stay unacknowledged. As there is a frame each heartbeatInterval, it bounds a
+	// partition in one direction.
+	userTimeout = time.Second
+	dialTimeout = 400 * time.Millisecond
+	redialDelay = time.Second
 	// avoidTime is how long a relay isn't used for a backend server from which it got no response.
 	avoidTime = 2 * time.Second
 	// batchDelay is the shortest time between two frames in one direction: requests and outcomes are collected meanwhile.
--- a/relay/message.go
+++ b/relay/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +11,7 @@
 
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/timer"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -100,13 +102,32 @@
 	Outcomes []wireOutcome
 }
 
-func writeFrame(w io.Writer, f wireFrame) error {
+// observedReader calls received whenever bytes of a connection were received.
+type observedReader struct {
+	conn     net.Conn
+	received func()
+}
+
+// Read implements io.Reader.
+func (r observedReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if n > 0 {
+		r.received()
+	}
+	return n, err //nolint:wrapcheck // readers compare it
+}
+
+// writeFrame sends a frame within writeTimeout.
+func writeFrame(conn net.Conn, f wireFrame) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return errors.Wrap(err, "encode a frame")
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
-	_, err = w.Write(append(frame, data...))
+	if err := conn.SetWriteDeadline(timer.System{}.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "send a frame")
+	}
+	_, err = conn.Write(append(frame, data...))
 	return errors.Wrap(err, "send a frame")
 }
 
