End relayed requests that get no outcome in time

A relay that receives a request, lives on and never answers it (a sender that hangs, a request lost inside it, bytes that trickle without completing a frame) left the request without outcome or end: its server isn't polled again, or a start counts as sent, for as long as the session lives.

Cause: the leader relied on the relay for the end of each request; only the loss of the session ended requests.

Each request is now due 2.5 s after it was queued, a poll 2.5 s after the time that it may wait for the end of a run. An overdue request has an unknown outcome, and a server whose poll is overdue is reached another way for 2 s, as after a poll without a response. An overdue request that wasn't sent yet isn't sent.

--- a/relay/client.go
+++ b/relay/client.go
@@ -31,13 +31,19 @@
 
 	mu         sync.Mutex
 	requests   []queuedRequest
-	pending    map[uint64]fleet.Effect // without an outcome, by request id
+	pending    map[uint64]pendingRequest // without an outcome, by request id
 	lastID     uint64
 	relayClock time.Time // in the last frame that was received
 	receivedAt time.Time // when that frame was received, by the leader's clock
 	closed     bool
 }
 
+// pendingRequest is a request without an outcome.
+type pendingRequest struct {
+	effect fleet.Effect
+	due    time.Time // when it ends without an outcome
+}
+
 type queuedRequest struct {
 	wire       wireRequest
 	validUntil time.Time // by the leader's clock
@@ -50,7 +56,7 @@
 		return nil, nil, errors.Wrap(err, "connect to a relay")
 	}
 	s := &session{
-		pool: p, relay: m, conn: conn, ready: make(chan struct{}, 1), pending: make(map[uint64]fleet.Effect),
+		pool: p, relay: m, conn: conn, ready: make(chan struct{}, 1), pending: make(map[uint64]pendingRequest),
 		receivedAt: p.Clock.Now(),
 	}
 	return s, bufio.NewReader(observedReader{conn: conn, received: func() { s.alive.Store(true) }}), nil
@@ -69,7 +75,7 @@
 	return goroutines.Wait()
 }
 
-// watch returns errSilent once the relay has sent nothing for sessionTimeout. It doesn't use the connection, so that it never
+// watch ends overdue requests, and returns errSilent once the relay has sent nothing for sessionTimeout. It doesn't use the connection, so that it never
 // waits for the relay. Checks are counted, so that time in which this process didn't run isn't taken for silence.
 func (s *session) watch(ctx context.Context) error {
 	for silent := time.Duration(0); silent < sessionTimeout; {
@@ -77,6 +83,7 @@
 		if err := ctx.Err(); err != nil {
 			return errors.WithStack(err)
 		}
+		s.endOverdue()
 		silent += heartbeatInterval
 		if s.alive.Swap(false) {
 			silent = 0
@@ -97,11 +104,19 @@
 	if !ok {
 		return false
 	}
-	s.pending[s.lastID] = e
+	s.pending[s.lastID] = pendingRequest{effect: e, due: s.pool.Clock.Now().Add(outcomeTime(e))}
 	s.requests = append(s.requests, queuedRequest{wire: w, validUntil: validUntil})
 	return true
 }
 
+// outcomeTime returns the time after which a request ends without an outcome.
+func outcomeTime(e fleet.Effect) time.Duration {
+	if poll, ok := e.(fleet.Poll); ok {
+		return outcomeTimeout + poll.Request.MaxWait
+	}
+	return outcomeTimeout
+}
+
 // flush starts to send the queued requests.
 func (s *session) flush() {
 	select {
@@ -110,6 +125,35 @@
 	}
 }
 
+// endOverdue ends the requests whose outcome is overdue. The servers of such polls are reached another way.
+func (s *session) endOverdue() {
+	events, unresponsive := s.takeOverdue()
+	if len(unresponsive) > 0 {
+		s.pool.avoid(s.relay.name, unresponsive)
+	}
+	if len(events) > 0 {
+		s.pool.Post(events)
+	}
+}
+
+// takeOverdue returns the events for the requests whose outcome is overdue, and the servers of the polls among them.
+func (s *session) takeOverdue() (events []fleet.Event, unresponsive []string) {
+	now := s.pool.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.pending {
+		if now.Before(r.due) {
+			continue
+		}
+		delete(s.pending, id)
+		if poll, ok := r.effect.(fleet.Poll); ok {
+			unresponsive = append(unresponsive, poll.Target.ID)
+		}
+		events = append(events, outcomeEvent(r.effect, backend.OutcomeUnknown{Reason: "no outcome from the relay in time"}))
+	}
+	return events, unresponsive
+}
+
 // write sends the queued requests in batches, and an empty frame every heartbeatInterval.
 func (s *session) write(ctx context.Context) error {
 	heartbeat := s.pool.Clock.Every(heartbeatInterval, func(time.Time) { s.flush() })
@@ -134,6 +178,9 @@
 	defer s.mu.Unlock()
 	f := wireFrame{ClockMS: s.pool.Clock.Now().UnixMilli(), Requests: make([]wireRequest, 0, len(s.requests))}
 	for _, q := range s.requests {
+		if _, pending := s.pending[q.wire.ID]; !pending {
+			continue // it is overdue
+		}
 		if q.wire.Kind == startRequest {
 			q.wire.ValidUntilMS = s.relayClock.Add(q.validUntil.Sub(s.receivedAt) - clockMargin).UnixMilli()
 		}
@@ -173,10 +220,11 @@
 	defer s.mu.Unlock()
 	s.relayClock, s.receivedAt = time.UnixMilli(f.ClockMS), now
 	for _, o := range f.Outcomes {
-		e, known := s.pending[o.ID]
+		r, known := s.pending[o.ID]
 		if !known {
 			continue
 		}
+		e := r.effect
 		delete(s.pending, o.ID)
 		outcome := o.decode()
 		_, unknown := outcome.(backend.OutcomeUnknown)
@@ -203,8 +251,8 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	lost := make([]fleet.Effect, 0, len(s.pending))
-	for _, e := range s.pending {
-		lost = append(lost, e)
+	for _, r := range s.pending {
+		lost = append(lost, r.effect)
 	}
 	s.pending = nil
 	return lost
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -15,8 +15,11 @@
 	// userTimeout is how long sent data may stay unacknowledged. As there is a frame each heartbeatInterval, it bounds a
 	// partition in one direction.
 	userTimeout = time.Second
-	dialTimeout = 400 * time.Millisecond
-	redialDelay = time.Second
+	// outcomeTimeout is the time after which a request ends without an outcome, beside the time for which a poll may wait for the
+	// end of a run. The requests that a relay sends end sooner.
+	outcomeTimeout = 2500 * time.Millisecond
+	dialTimeout    = 400 * time.Millisecond
+	redialDelay    = time.Second
 	// avoidTime is how long a relay isn't used for a backend server from which it got no response.
 	avoidTime = 2 * time.Second
 	// batchDelay is the shortest time between two frames in one direction: requests and outcomes are collected meanwhile.
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -96,3 +96,30 @@
 	assert.Assert(t, taken > 0)
 	n.awaitUnknown(taken)
 }
+
+// Guards against requests without an end that a relay has received and never answers.
+func TestRequestWithoutAnOutcomeEnds(t *testing.T) {
+	n := newNetwork(t)
+	s := &sender{block: make(chan struct{})}
+	t.Cleanup(func() { close(s.block) })
+	address, _ := n.startRelay(s, timer.System{})
+	n.connect(address)
+	poll := fleet.Poll{Target: backend.Target{ID: "i-2", Address: "b", Incarnation: 5}, Sequence: 3}
+	n.send(testStart(time.Minute), poll)
+	events := n.awaitEvents(2)
+	assert.Equal(t, len(events), 2)
+	for _, e := range events {
+		switch e := e.(type) {
+		case fleet.StartEnded:
+			assert.Equal(t, e.Run, testRun(4))
+			assert.DeepEqual(t, e.Outcome, backend.OutcomeUnknown{Reason: "no outcome from the relay in time"})
+		case fleet.PollEnded:
+			assert.Equal(t, e.Sequence, poll.Sequence)
+			assert.DeepEqual(t, e.Outcome, backend.OutcomeUnknown{Reason: "no outcome from the relay in time"})
+		default:
+			t.Fatalf("unexpected event %#v", e)
+		}
+	}
+	assert.Assert(t, !n.pool.Send(poll), "sent through the relay that gave no outcome")
+	assert.Equal(t, n.pool.Connections(), 1)
+}
