Split the requests and outcomes at a relay into frames of a bounded size

A batch of requests or outcomes was sent as one frame, whatever its size, and the other side refuses frames beyond 4 MB: some 1,000 starts with specifications of 4,000 bytes at once lost the relay, with an unknown outcome for all of its requests, and again after the next burst. While a relay received slowly, the requests to it queued without a bound.

Frames now get no more messages from 64 KB on, so that each is sent within a part of the time for a write on a link of 2 Mbit/s.

Evidence: TestBurstLargerThanAFrame failed before ("receive a frame: found 6125456 bytes, allowed: 4194304"; "condition not met: the relay has all requests"), and with the outcomes alone unsplit ("condition not met: the outcomes arrive"). TestRequestsDoNotQueueUpForASlowRelay failed with the bound of the queue taken out.

--- a/relay/client.go
+++ b/relay/client.go
@@ -31,6 +31,7 @@
 
 	mu         sync.Mutex
 	requests   []queuedRequest
+	queued     int                       // size of requests, in bytes
 	pending    map[uint64]pendingRequest // without an outcome, by request id
 	lastID     uint64
 	relayClock time.Time // in the last frame that was received
@@ -92,11 +93,11 @@
 	return errSilent
 }
 
-// send queues a request. It reports whether the session is open.
+// send queues a request. It reports false if the session is closed, or if the relay doesn't keep up with the requests.
 func (s *session) send(e fleet.Effect) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.queued >= maxQueuedBytes {
 		return false
 	}
 	s.lastID++
@@ -106,6 +107,7 @@
 	}
 	s.pending[s.lastID] = pendingRequest{effect: e, due: s.pool.Clock.Now().Add(outcomeTime(e))}
 	s.requests = append(s.requests, queuedRequest{wire: w, validUntil: validUntil})
+	s.queued += w.size()
 	return true
 }
 
@@ -159,9 +161,13 @@
 	heartbeat := s.pool.Clock.Every(heartbeatInterval, func(time.Time) { s.flush() })
 	defer heartbeat.Stop()
 	for {
-		if err := writeFrame(s.conn, s.takeFrame()); err != nil {
+		f, more := s.takeFrame()
+		if err := writeFrame(s.conn, f); err != nil {
 			return err
 		}
+		if more {
+			continue
+		}
 		timer.Wait(ctx, s.pool.Clock, batchDelay)
 		select {
 		case <-s.ready:
@@ -171,23 +177,32 @@
 	}
 }
 
-// takeFrame returns a frame with the queued requests. The time until which a start request is valid is converted to the
-// relay's clock: its last frame was sent before it was received, so the request expires too early rather than too late.
-func (s *session) takeFrame() wireFrame {
+// takeFrame returns a frame with the first of the queued requests, and whether there are more. The time until which a start
+// request is valid is converted to the relay's clock: its last frame was sent before it was received, so the request expires too
+// early rather than too late.
+func (s *session) takeFrame() (f wireFrame, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := wireFrame{ClockMS: s.pool.Clock.Now().UnixMilli(), Requests: make([]wireRequest, 0, len(s.requests))}
-	for _, q := range s.requests {
+	f = wireFrame{ClockMS: s.pool.Clock.Now().UnixMilli(), Requests: make([]wireRequest, 0, min(len(s.requests), batchBytes/messageBytes))}
+	size, taken := 0, 0
+	for taken < len(s.requests) && size < batchBytes {
+		q := &s.requests[taken]
+		taken++
+		s.queued -= q.wire.size()
 		if _, pending := s.pending[q.wire.ID]; !pending {
 			continue // it is overdue
 		}
+		size += q.wire.size()
 		if q.wire.Kind == startRequest {
 			q.wire.ValidUntilMS = s.relayClock.Add(q.validUntil.Sub(s.receivedAt) - clockMargin).UnixMilli()
 		}
 		f.Requests = append(f.Requests, q.wire)
 	}
-	s.requests = nil
-	return f
+	s.requests = s.requests[taken:]
+	if len(s.requests) == 0 {
+		s.requests = nil
+	}
+	return f, len(s.requests) > 0
 }
 
 // read receives frames and posts their outcomes.
--- a/relay/message.go
+++ b/relay/message.go
@@ -15,8 +15,14 @@
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
-// maxFrameBytes bounds the size of a frame. A batch has some hundred requests with specifications of up to 4 KB.
-const maxFrameBytes = 4 << 20
+const (
+	// maxFrameBytes bounds the size of a frame. It is well above the largest report of a backend server.
+	maxFrameBytes = 4 << 20
+	// batchBytes is the size from which a batch gets no more messages, so that a frame takes a part of writeTimeout on a slow link.
+	batchBytes = 64 << 10
+	// messageBytes is the size of a message or of a run in one, without its strings.
+	messageBytes = 64
+)
 
 type requestKind uint8
 
@@ -56,6 +62,11 @@
 	Percent         int
 }
 
+// size returns the approximate size of the encoded request.
+func (w *wireRequest) size() int {
+	return messageBytes + len(w.Server) + len(w.Address) + len(w.Run.Job) + len(w.Specification) + len(w.Checkpoint) + len(w.Ticket)
+}
+
 type outcomeKind uint8
 
 const (
@@ -93,6 +104,18 @@
 	Ends        []wireEnd
 }
 
+// size returns the approximate size of the encoded outcome.
+func (w *wireOutcome) size() int {
+	size := messageBytes + len(w.Reason)
+	for i := range w.Running {
+		size += messageBytes + len(w.Running[i].Run.Job) + len(w.Running[i].Checkpoint)
+	}
+	for i := range w.Ends {
+		size += messageBytes + len(w.Ends[i].Run.Job) + len(w.Ends[i].Checkpoint)
+	}
+	return size
+}
+
 // wireFrame is a batch of messages. The leader sends requests, the relay outcomes, and both send empty frames if they
 // have nothing else to send.
 type wireFrame struct {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -351,3 +352,40 @@
 		}
 	}
 }
+
+// Guards against a relay that is lost because the requests or outcomes of a burst don't fit into one frame.
+func TestBurstLargerThanAFrame(t *testing.T) {
+	n := newNetwork(t)
+	report := backend.Report{Incarnation: 7, Clock: time.Second}
+	for i := range 200 {
+		report.Running = append(report.Running, backend.ActiveRun{Run: testRun(i), Checkpoint: strings.Repeat("c", 300)})
+	}
+	s := &sender{outcome: backend.Reported{Report: report}, block: make(chan struct{})}
+	address, _ := n.startRelay(s, timer.System{})
+	n.connect(address)
+	start := testStart(time.Minute)
+	start.Request.Specification = strings.Repeat("s", 4000)
+	taken := 0
+	for i := range 1500 { // 6 MB, and more in outcomes
+		start.Request.Run = testRun(i)
+		for _, e := range []fleet.Effect{start, fleet.Poll{Target: backend.Target{ID: "i-1", Address: "a"}, Sequence: uint64(i)}} {
+			if n.pool.Send(e) {
+				taken++
+			}
+		}
+	}
+	assert.Assert(t, taken > 0)
+	n.pool.Flush()
+	n.eventually("the relay has all requests", func() bool { return len(s.recorded()) == taken })
+	close(s.block)
+	for _, e := range n.awaitEvents(taken) {
+		switch e := e.(type) {
+		case fleet.StartEnded:
+			assert.DeepEqual(t, e.Outcome, backend.Accepted{Clock: time.Second})
+		case fleet.PollEnded:
+			_, reported := e.Outcome.(backend.Reported)
+			assert.Assert(t, reported, "%#v", e.Outcome)
+		}
+	}
+	assert.Equal(t, n.pool.Connections(), 1)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -206,14 +206,13 @@
 	})
 	defer heartbeat.Stop()
 	for {
-		s.mu.Lock()
-		outcomes := s.outcomes
-		s.outcomes = nil
-		s.mu.Unlock()
-		f := wireFrame{ClockMS: s.server.Clock.Now().UnixMilli(), Outcomes: outcomes}
+		f, more := s.takeFrame()
 		if err := writeFrame(s.conn, f); err != nil {
 			return err
 		}
+		if more {
+			continue
+		}
 		select {
 		case <-s.ready:
 		case <-ctx.Done():
@@ -222,3 +221,19 @@
 		timer.Wait(ctx, s.server.Clock, batchDelay)
 	}
 }
+
+// takeFrame returns a frame with the first of the outcomes, and whether there are more.
+func (s *leaderSession) takeFrame() (f wireFrame, more bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size, taken := 0, 0
+	for ; taken < len(s.outcomes) && size < batchBytes; taken++ {
+		size += s.outcomes[taken].size()
+	}
+	f = wireFrame{ClockMS: s.server.Clock.Now().UnixMilli(), Outcomes: s.outcomes[:taken:taken]}
+	s.outcomes = s.outcomes[taken:]
+	if len(s.outcomes) == 0 {
+		s.outcomes = nil
+	}
+	return f, len(s.outcomes) > 0
+}
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -123,3 +123,17 @@
 	assert.Assert(t, !n.pool.Send(poll), "sent through the relay that gave no outcome")
 	assert.Equal(t, n.pool.Connections(), 1)
 }
+
+// Guards against a queue of requests to a slow relay that grows without a bound, while the leader could send them itself.
+func TestRequestsDoNotQueueUpForASlowRelay(t *testing.T) {
+	n := newNetwork(t)
+	n.connect(n.startUnreadRelay(50 * time.Millisecond))
+	start := testStart(time.Minute)
+	start.Request.Specification = strings.Repeat("s", 4000)
+	taken := 0
+	for taken < 4000 && n.pool.Send(start) {
+		taken++
+	}
+	assert.Assert(t, taken < 1000, "%d requests are queued", taken)
+	n.awaitEvents(taken)
+}
