--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -25,12 +25,15 @@
 	DiscardAll            // discards all bytes in both directions
 	DiscardResponses      // discards the bytes from the target
 	Reset                 // resets open connections, and forwards like Pass on new ones
+	Stall                 // forwards a part of the next chunk and then reads nothing, in both directions
+	StallResponses        // the same, from the target only
 )
 
 const (
 	maxDelay    = 400 * time.Millisecond
 	bufferBytes = 16 << 10
 	dialTimeout = time.Second
+	stallCheck  = 10 * time.Millisecond
 )
 
 // Proxy forwards TCP connections on loopback to a target. Its exported fields are set before Run.
@@ -70,7 +73,8 @@
 	}
 }
 
-func (p *Proxy) currentMode() Mode {
+// Mode returns the mode.
+func (p *Proxy) Mode() Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.mode
@@ -94,6 +98,7 @@
 			_ = client.Close()
 			continue
 		}
+		limitBuffers(client, server)
 		p.track(client, server)
 		tasks.Go(func() error { return p.relay(ctx, server, client, false) })
 		tasks.Go(func() error { return p.relay(ctx, client, server, true) })
@@ -101,6 +106,15 @@
 	return tasks.Wait()
 }
 
+// limitBuffers makes connections that aren't read block their peers after little data, as on a network.
+func limitBuffers(conns ...net.Conn) {
+	for _, c := range conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(bufferBytes) // the default works as well, with more data
+		}
+	}
+}
+
 func (p *Proxy) track(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,13 +128,22 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		mode := p.currentMode()
+		mode := p.Mode()
 		if mode == Delay {
 			timer.Wait(ctx, p.Clock, time.Duration(rand.Int64N(int64(maxDelay))))
 		}
+		part := 0
+		if mode == Stall || (mode == StallResponses && fromTarget) {
+			part = n / 2
+			if _, writeErr := to.Write(buffer[:part]); writeErr != nil {
+				err = writeErr
+			}
+			p.waitWhile(ctx, mode)
+			mode = p.Mode()
+		}
 		discard := mode == DiscardAll || (mode == DiscardResponses && fromTarget)
-		if n > 0 && !discard {
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+		if n > part && !discard {
+			if _, writeErr := to.Write(buffer[part:n]); writeErr != nil {
 				err = writeErr
 			}
 		}
@@ -131,6 +154,13 @@
 	}
 }
 
+// waitWhile waits until the proxy has another mode.
+func (p *Proxy) waitWhile(ctx context.Context, mode Mode) {
+	for ctx.Err() == nil && p.Mode() == mode {
+		timer.Wait(ctx, p.Clock, stallCheck)
+	}
+}
+
 func (p *Proxy) closeConnections(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
