Bound the connections that a relay serves

A relay served any number of connections, each with a buffer, goroutines and up to 4,096 senders of its own.

A relay now serves 16 connections at a time and closes others, which leaders open again after a second. There is one leader; those of leaders that are gone end 3 s after their last byte.

Evidence: TestRelayLimitsConnections failed before with "50 (served int) != 16 (int)".

--- a/relay/constants.go
+++ b/relay/constants.go
@@ -28,6 +28,8 @@
 	clockMargin = 2 * time.Millisecond
 	// maxQueuedBytes is the size of the queued requests from which on the leader sends others itself.
 	maxQueuedBytes = 1 << 20
+	// maxSessions bounds the connections that a relay serves at a time. There is one leader, and others that were leaders.
+	maxSessions = 16
 	// maxRelaySenders bounds the requests in flight of one leader at a relay. Most of them are polls, one a server.
 	maxRelaySenders = 4096
 	// serversPerProcessor is the number of backend servers whose requests an entry VM with one core of processor time
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,6 +50,7 @@
 		<-ctx.Done()
 		return s.Listener.Close()
 	})
+	open := make(chan struct{}, maxSessions)
 	for {
 		conn, err := s.Listener.Accept()
 		if err != nil {
@@ -58,7 +59,14 @@
 			}
 			return errors.Wrap(err, "accept a leader's connection")
 		}
+		select {
+		case open <- struct{}{}:
+		default:
+			_ = conn.Close() // the leader tries again after redialDelay
+			continue
+		}
 		goroutines.Go(func() error {
+			defer func() { <-open }()
 			session := &leaderSession{server: s, conn: conn, ready: make(chan struct{}, 1), work: make(chan wireRequest), receivedAt: s.Clock.Now()}
 			session.run(ctx)
 			return nil
