Don't take a large frame on a slow link for a silent leader

A relay closed the connection of a leader 3 s after the last whole frame. A frame that takes longer on a slow link ended the session, with an unknown outcome for its requests.

Received bytes count now, as on the leader's side.

Evidence: TestRelayReceivesLargeFrameSlowly failed before with "write: broken pipe" after 3.2 s.

--- a/relay/server.go
+++ b/relay/server.go
@@ -84,7 +84,7 @@
 	mu         sync.Mutex
 	outcomes   []wireOutcome
 	senders    int
-	receivedAt time.Time // when the last frame was received
+	receivedAt time.Time // when bytes were last received
 }
 
 func (s *leaderSession) run(ctx context.Context) {
@@ -104,15 +104,12 @@
 
 // read reads requests and hands them to senders.
 func (s *leaderSession) read(ctx context.Context, goroutines *group.Group) error {
-	r := bufio.NewReader(s.conn)
+	r := bufio.NewReader(observedReader{conn: s.conn, received: s.recordReceived})
 	for {
 		f, err := readFrame(r)
 		if err != nil {
 			return err
 		}
-		s.mu.Lock()
-		s.receivedAt = s.server.Clock.Now()
-		s.mu.Unlock()
 		s.server.requests.Inc(int64(len(f.Requests)))
 		for _, request := range f.Requests {
 			select {
@@ -128,6 +125,12 @@
 	}
 }
 
+func (s *leaderSession) recordReceived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receivedAt = s.server.Clock.Now()
+}
+
 // addSender counts one more sender. It reports whether the limit allows it.
 func (s *leaderSession) addSender() bool {
 	s.mu.Lock()
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -76,3 +76,19 @@
 	}
 	n.connect(address) // once the others have ended
 }
+
+// Guards against a large frame on a slow link that is taken for the silence of a leader that is gone.
+func TestRelayReceivesLargeFrameSlowly(t *testing.T) {
+	n := newNetwork(t)
+	s := &sender{outcome: backend.Accepted{}}
+	address, _ := n.startRelay(s, timer.System{})
+	conn := dialRelay(t, address)
+	frame := pollFrame(t, 10)
+	const parts = 20
+	for i := range parts { // 4 s in all
+		timer.Wait(n.ctx, timer.System{}, 200*time.Millisecond)
+		_, err := conn.Write(frame[i*len(frame)/parts : (i+1)*len(frame)/parts])
+		assert.NilError(t, err)
+	}
+	n.eventually("the relay has the requests", func() bool { return len(s.recorded()) == 10 })
+}
