Open the other connections of the product with TCP_USER_TIMEOUT too

The processes serve and platform dialed and accepted connections without the option, and the servers for other entry VMs and of the simulated platform had no time for a request to be complete.

They use the package socket now. A request to an entry VM must be complete within 10 s, one to the simulated platform within 30 s.

Tests of peer, provider, command and local pass.

--- a/command/serve.go
+++ b/command/serve.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"crypto/tls"
 	"flag"
-	"net"
 	"net/netip"
 	"os/signal"
 	"strconv"
@@ -24,9 +23,13 @@
 	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/provider/remote"
 	"github.com/pistachiolead/pistachiolead/settings"
+	"github.com/pistachiolead/pistachiolead/socket"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
+// acceptedUserTimeout closes an accepted connection whose peer doesn't acknowledge what was sent.
+const acceptedUserTimeout = 10 * time.Second
+
 func newServe() *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
@@ -81,7 +84,7 @@
 }
 
 func provideVM(cfg *settings.Settings, t timer.Clock, m *metrics.Registry) (*entry.VM, error) {
-	listener, err := net.Listen("tcp", cfg.PeerListen())
+	listener, err := socket.Listen("tcp", cfg.PeerListen(), acceptedUserTimeout)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for other entry VMs")
 	}
@@ -97,7 +100,7 @@
 }
 
 func provideServer(cfg *settings.Settings, v *entry.VM, m *metrics.Registry) (*api.Server, error) {
-	listener, err := net.Listen("tcp", cfg.Listen())
+	listener, err := socket.Listen("tcp", cfg.Listen(), acceptedUserTimeout)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -6,6 +6,7 @@
 	// peerHeaderTimeout limits how long another entry VM may take to send the headers of a request, and peerIdleTimeout
 	// how long its connection may stay open without a request.
 	peerHeaderTimeout = 5 * time.Second
+	peerReadTimeout   = 10 * time.Second // until a request is complete
 	peerIdleTimeout   = time.Minute
 	// Timeouts of requests to the platform, to backend servers and to other entry VMs. controlTimeout is that of every
 	// request to a backend server except Run, objectTimeout that of a Put or Get of the object store. scanTimeout,
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -209,7 +209,7 @@
 		Handler: v, Table: guardedTable{table: v.Table, allowed: &v.mayRelay}, Secret: v.PeerSecret, Clock: v.Clock,
 	}
 	s := &http.Server{
-		Handler: protocol.HTTPHandler(), ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout,
+		Handler: protocol.HTTPHandler(), ReadHeaderTimeout: peerHeaderTimeout, ReadTimeout: peerReadTimeout, IdleTimeout: peerIdleTimeout,
 	}
 	v.group.Go(func() error {
 		<-ctx.Done()
--- a/peer/client.go
+++ b/peer/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pistachiolead/pistachiolead/peer/peerwire"
 	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/socket"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -144,7 +145,7 @@
 		}
 		if c.HTTP == nil {
 			c.HTTP = &http.Client{Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				DialContext:         socket.NewDialer(dialTimeout, userTimeout).DialContext,
 				MaxIdleConnsPerHost: maxIdleConnections,
 				IdleConnTimeout:     idleConnectionTimeout,
 				DisableCompression:  true,
--- a/peer/constants.go
+++ b/peer/constants.go
@@ -19,6 +19,8 @@
 	maxTrackedMembers = 64
 	// dialTimeout is several times the largest round trip between entry VMs (R17) and allows for one lost SYN.
 	dialTimeout = 1500 * time.Millisecond
+	// userTimeout closes a connection whose peer doesn't acknowledge what was sent.
+	userTimeout = 3 * time.Second
 	// maxIdleConnections is the number of idle connections kept open to one peer.
 	maxIdleConnections    = 16
 	idleConnectionTimeout = 90 * time.Second
--- a/provider/remote/constants.go
+++ b/provider/remote/constants.go
@@ -31,6 +31,10 @@
 	// server is closing.
 	clientIdleTimeout = 10 * time.Second
 	serverIdleTimeout = 60 * time.Second
+	serverReadTimeout = 30 * time.Second // until a request is complete
+	// dialedUserTimeout and acceptedUserTimeout close a connection whose peer doesn't acknowledge what was sent.
+	dialedUserTimeout   = 3 * time.Second
+	acceptedUserTimeout = 10 * time.Second
 	// shutdownTimeout is the time that a server waits for open requests when it stops.
 	shutdownTimeout = 2 * time.Second
 
--- a/provider/remote/jsonclient.go
+++ b/provider/remote/jsonclient.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/pistachiolead/pistachiolead/socket"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -47,7 +48,9 @@
 			MaxConns:            connections,
 			MaxConnWaitTimeout:  wait,
 			MaxIdleConnDuration: clientIdleTimeout,
-			DialTimeout:         fasthttp.DialTimeout,
+			DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
+				return socket.NewDialer(timeout, dialedUserTimeout).Dial("tcp4", address)
+			},
 		}
 	})
 }
--- a/provider/remote/server.go
+++ b/provider/remote/server.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiolead/pistachiolead/group"
 	"github.com/pistachiolead/pistachiolead/provider"
 	"github.com/pistachiolead/pistachiolead/provider/standin"
+	"github.com/pistachiolead/pistachiolead/socket"
 )
 
 // Server serves a simulated platform over HTTP: the table, the object store, the VM list and the fault settings at one
@@ -87,6 +88,7 @@
 		server := &fasthttp.Server{
 			Handler:            l.handler,
 			MaxRequestBodySize: MaxBodyBytes,
+			ReadTimeout:        serverReadTimeout,
 			IdleTimeout:        serverIdleTimeout,
 			CloseOnShutdown:    true,
 			NoDefaultDate:      true,
@@ -107,7 +109,7 @@
 }
 
 func (s *Server) bind(address string, h fasthttp.RequestHandler) (string, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := socket.Listen("tcp", address, acceptedUserTimeout)
 	if err != nil {
 		return "", err
 	}
