Silence connections in mid-message in the soak, with large jobs

Now and then the connections of an entry VM to the store, or those to a server, forward a part of a message and then nothing for 0.5 to 4.5 s, beside the other faults, by a generator of its own. One job in eight has a specification of 4,000 bytes. The fleet of the soak needs no relays; TestRequestsEndWhileConnectionsToRelaysFail plays the same at those.

--- a/soak/jobs_test.go
+++ b/soak/jobs_test.go
@@ -18,6 +18,8 @@
 		specification = "relapse of " + id
 	case isLongRunning(id):
 		specification = "last for " + id
+	case strings.HasSuffix(id, "5"), strings.HasSuffix(id, "a"):
+		specification += strings.Repeat(".", 4000-len(specification))
 	}
 	b.observer.ExpectSpecification(specification)
 	b.observer.ExpectSteps(id, 1500, 1000)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,7 +77,7 @@
 			if len(all) > 1 {
 				t.Parallel()
 			}
-			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3)), returns: rand.New(rand.NewPCG(s, 4))}).run()
+			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3)), returns: rand.New(rand.NewPCG(s, 4)), stalls: rand.New(rand.NewPCG(s, 5))}).run()
 		})
 	}
 }
@@ -91,6 +91,7 @@
 	sizes         *rand.Rand // of the capacities of servers
 	returns       *rand.Rand // of the servers that return under their ids
 	operations    *rand.Rand // of the requests of operators
+	stalls        *rand.Rand // of the connections that fall silent in mid-message
 	store         *emulator.Store
 	platform      *emulator.Platform
 	observer      *emulator.Observer
@@ -348,6 +349,7 @@
 	b.changeEvacuations()
 	b.restartFaultyServer()
 	b.returnAndCutOff()
+	b.stallConnections(v)
 	switch b.random.IntN(11) {
 	case 0:
 		b.kill(v)
@@ -397,6 +399,26 @@
 	clock.After(time.Duration(3000+b.returns.IntN(6000))*time.Millisecond, func(time.Time) { server.SetUnreachable(false) })
 }
 
+// stallConnections now and then lets the connections of an entry VM to the store, or of all to a server, fall silent in mid-message.
+func (b *testbed) stallConnections(v *entryVM) {
+	if b.stalls.IntN(3) != 0 {
+		return
+	}
+	proxy := v.storeProxy
+	if b.stalls.IntN(2) == 0 {
+		b.mu.Lock()
+		proxy = b.serverProxies[b.stalls.IntN(len(b.serverProxies))]
+		b.mu.Unlock()
+	}
+	before := proxy.Mode()
+	proxy.SetMode(soak.Stall)
+	clock.After(time.Duration(500+b.stalls.IntN(4000))*time.Millisecond, func(time.Time) {
+		if proxy.Mode() == soak.Stall {
+			proxy.SetMode(before)
+		}
+	})
+}
+
 // resizeServer shrinks or restores the capacity of a server now and then.
 func (b *testbed) resizeServer() {
 	server := b.servers[b.sizes.IntN(len(b.servers))]
