Don't displace the replacement of a lost relay with each attempt to reach it

After a relay was lost for good, the leader selected it again a second later, as it ranked first. While it tried to connect, its replacement wasn't used and its connection was closed, until the attempt had failed; and so on each second, as the rows of entry VMs that are gone stay. Meanwhile the leader sent those requests itself.

A relay that was lost or couldn't be reached isn't selected until there is a session with it. The leader goes on trying to connect to it if it would be among the selected. A relay that is disconnected because it isn't needed doesn't count as lost.

--- a/relay/client.go
+++ b/relay/client.go
@@ -37,6 +37,7 @@
 	relayClock time.Time // in the last frame that was received
 	receivedAt time.Time // when that frame was received, by the leader's clock
 	closed     bool
+	unused     bool // closed because the relay isn't needed
 }
 
 // pendingRequest is a request without an outcome.
@@ -256,46 +257,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.pending) == 0 {
+		s.unused = true
 		_ = s.conn.Close() // the reader gets the error, which ends the session
 	}
 }
 
-// close ends the session and returns the requests without an outcome.
-func (s *session) close() []fleet.Effect {
+// close ends the session and returns the requests without an outcome, and whether the relay wasn't needed any more.
+func (s *session) close() (lost []fleet.Effect, unused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	lost := make([]fleet.Effect, 0, len(s.pending))
+	lost = make([]fleet.Effect, 0, len(s.pending))
 	for _, r := range s.pending {
 		lost = append(lost, r.effect)
 	}
 	s.pending = nil
-	return lost
+	return lost, s.unused
 }
 
-// runSession connects to a relay and uses it until it is lost.
-func (p *Pool) runSession(ctx context.Context, m Member) {
+// runSession connects to a relay and uses it until it is lost or not needed. It reports whether the relay is lost.
+func (p *Pool) runSession(ctx context.Context, m Member) bool {
 	s, r, err := p.connect(ctx, m)
 	if err != nil {
 		klog.InfoS("Failed to connect to relay", "relay", m.name, "address", m.address, "error", err.Error())
-		return
+		return true
 	}
 	f, err := s.handshake(r)
 	if err != nil {
 		klog.InfoS("Relay didn't answer", "relay", m.name, "address", m.address, "error", err.Error())
 		_ = s.conn.Close() // nothing was sent on it
-		return
+		return true
 	}
 	s.received(f)
 	p.addSession(s)
 	klog.InfoS("Connected to relay", "relay", m.name, "address", m.address)
 	err = s.run(ctx, r)
 	p.removeSession(s)
-	lost := s.close()
+	lost, unused := s.close()
 	klog.InfoS("Lost relay", "relay", m.name, "reason", err.Error(), "requests", len(lost))
 	if ctx.Err() == nil {
 		p.recover(lost)
 	}
+	return !unused
 }
 
 // handshake waits for the first frame of the relay.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -106,7 +106,7 @@
 
 	mu       sync.Mutex
 	members  []Member
-	lostAt   map[string]time.Time // when a relay was last lost or couldn't be reached
+	lostAt   map[string]time.Time // when a relay was lost or couldn't be reached, until there is a session with it
 	running  map[string]bool      // relays with a session or an attempt to connect
 	selected map[string]bool      // relays that are used, once they are connected
 	avoided  map[string]avoidance // by backend server
@@ -131,11 +131,13 @@
 		}
 		p.running[m.name] = true
 		goroutines.Go(func() error {
-			p.runSession(ctx, m)
+			lost := p.runSession(ctx, m)
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			delete(p.running, m.name)
-			p.lostAt[m.name] = p.Clock.Now()
+			if lost {
+				p.lostAt[m.name] = p.Clock.Now()
+			}
 			return nil
 		})
 	}
@@ -146,23 +148,29 @@
 	}
 }
 
-// selectRelays selects the relays for a number of backend servers among those that weren't lost a short time ago.
+// selectRelays selects the relays for a number of backend servers among those that aren't lost, and returns them together with
+// the lost ones that would be among them and are to be connected to again.
 func (p *Pool) selectRelays(servers int) []Member {
 	if p.running == nil {
 		p.running, p.lostAt = make(map[string]bool), make(map[string]time.Time)
 	}
 	now := p.Clock.Now()
-	candidates := make([]Member, 0, len(p.members))
+	present := make([]Member, 0, len(p.members))
 	for _, m := range p.members {
-		if lost, known := p.lostAt[m.name]; !known || now.Sub(lost) >= redialDelay {
-			candidates = append(candidates, m)
+		if _, lost := p.lostAt[m.name]; !lost {
+			present = append(present, m)
 		}
 	}
-	relays := SelectRelays(candidates, p.Leader, p.Processors, servers)
+	relays := SelectRelays(present, p.Leader, p.Processors, servers)
 	p.selected = make(map[string]bool, len(relays))
 	for _, m := range relays {
 		p.selected[m.name] = true
 	}
+	for _, m := range SelectRelays(p.members, p.Leader, p.Processors, servers) {
+		if lostAt, lost := p.lostAt[m.name]; lost && now.Sub(lostAt) >= redialDelay {
+			relays = append(relays, m)
+		}
+	}
 	return relays
 }
 
@@ -244,6 +252,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sessions = append(p.sessions, s)
+	delete(p.lostAt, s.relay.name)
 }
 
 func (p *Pool) removeSession(s *session) {
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/relay"
 	"github.com/pistachiolead/pistachiolead/timer"
 )
 
@@ -137,3 +138,37 @@
 	assert.Assert(t, taken < 1000, "%d requests are queued", taken)
 	n.awaitEvents(taken)
 }
+
+// Guards against a relay that is gone for good, stays first in the selection, and displaces the one that took its place again
+// and again.
+func TestLostRelayDoesNotDisplaceItsReplacement(t *testing.T) {
+	n := newNetwork(t)
+	replacement, _ := n.startRelay(&sender{outcome: backend.Accepted{}}, timer.System{})
+	n.pool.SetMembers([]relay.Member{
+		relay.NewMember("lost", n.startUnreadRelay(0), 0.4), relay.NewMember("replacement", replacement, 0.4),
+	})
+	resize := func() { n.pool.Resize(n.ctx, n.goroutines, 100) }
+	n.eventually("the leader is connected", func() bool {
+		resize()
+		return n.pool.Connections() == 1
+	})
+	poll := fleet.Poll{Target: backend.Target{ID: "i-1", Address: "a"}, Sequence: 1}
+	n.eventually("a poll has an outcome", func() bool {
+		resize()
+		if !n.pool.Send(poll) {
+			return false
+		}
+		n.pool.Flush()
+		timer.Wait(n.ctx, timer.System{}, 20*time.Millisecond)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.events) > 0
+	})
+	clock := timer.System{}
+	for until := clock.Now().Add(4 * time.Second); clock.Now().Before(until); timer.Wait(n.ctx, clock, 20*time.Millisecond) {
+		resize()
+		poll.Sequence++
+		assert.Assert(t, n.pool.Send(poll), "no relay is used")
+		n.pool.Flush()
+	}
+}
