Give a frame to a relay five seconds on a slow link

On a link of 2 Mbit/s that several relays share, the system's buffers may take longer to make room, while all is acknowledged: the relay would be lost with all requests for being slow. A relay that takes in nothing is still lost after 1 s by TCP_USER_TIMEOUT, one that sends nothing after 0.5 s, and each request ends after 2.5 s.

Tests of relay pass; TestRelayThatOnlySendsIsLost takes 1.6 s.

--- a/relay/constants.go
+++ b/relay/constants.go
@@ -10,10 +10,11 @@
 	sessionTimeout = 500 * time.Millisecond
 	// idleSessionTimeout is the time without a byte after which a relay closes the connection of a leader that is gone.
 	idleSessionTimeout = 3 * time.Second
-	// writeTimeout bounds the sending of a frame. A peer that sends but doesn't receive counts as lost then.
-	writeTimeout = time.Second
-	// userTimeout is how long sent data may stay unacknowledged. As there is a frame each heartbeatInterval, it bounds a
-	// partition in one direction.
+	// writeTimeout bounds the sending of a frame, also on a slow link. A peer that acknowledges but takes in less than a frame
+	// in this time counts as lost.
+	writeTimeout = 5 * time.Second
+	// userTimeout is how long sent data may stay unacknowledged, or not fit into the buffers of a relay. As there is a frame each
+	// heartbeatInterval, it bounds a partition in one direction.
 	userTimeout = time.Second
 	// outcomeTimeout is the time after which a request ends without an outcome, beside the time for which a poll may wait for the
 	// end of a run. The requests that a relay sends end sooner.
