--- a/relay/constants.go
+++ b/relay/constants.go
@@ -5,8 +5,8 @@
 const (
 	// heartbeatInterval is the longest time between two frames in each direction.
 	heartbeatInterval = 100 * time.Millisecond
-	// sessionTimeout is the time without a byte from the relay after which a session counts as lost. Outcomes of its requests are then
-	// unknown long before the leases of the servers expire.
+	// sessionTimeout is the time without a byte from the relay after which a session counts as lost. Outcomes of its requests
+	// are then unknown long before the leases of the servers expire.
 	sessionTimeout = 500 * time.Millisecond
 	// idleSessionTimeout is the time without a byte after which a relay closes the connection of a leader that is gone.
 	idleSessionTimeout = 3 * time.Second
