--- a/relay/message.go
+++ b/relay/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,11 +11,18 @@
 
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/timer"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
-// maxFrameBytes bounds the size of a frame. A batch has some hundred requests with specifications of up to 4 KB.
-const maxFrameBytes = 4 << 20
+const (
+	// maxFrameBytes bounds the size of a frame. It is well above the largest report of a backend server.
+	maxFrameBytes = 4 << 20
+	// batchBytes is the size from which a batch gets no more messages, so that a frame takes a part of writeTimeout on a slow link.
+	batchBytes = 64 << 10
+	// messageBytes is the size of a message or of a run in one, without its strings.
+	messageBytes = 64
+)
 
 type requestKind uint8
 
@@ -54,6 +62,11 @@
 	Percent         int
 }
 
+// size returns the approximate size of the encoded request.
+func (w *wireRequest) size() int {
+	return messageBytes + len(w.Server) + len(w.Address) + len(w.Run.Job) + len(w.Specification) + len(w.Checkpoint) + len(w.Ticket)
+}
+
 type outcomeKind uint8
 
 const (
@@ -91,6 +104,18 @@
 	Ends        []wireEnd
 }
 
+// size returns the approximate size of the encoded outcome.
+func (w *wireOutcome) size() int {
+	size := messageBytes + len(w.Reason)
+	for i := range w.Running {
+		size += messageBytes + len(w.Running[i].Run.Job) + len(w.Running[i].Checkpoint)
+	}
+	for i := range w.Ends {
+		size += messageBytes + len(w.Ends[i].Run.Job) + len(w.Ends[i].Checkpoint)
+	}
+	return size
+}
+
 // wireFrame is a batch of messages. The leader sends requests, the relay outcomes, and both send empty frames if they
 // have nothing else to send.
 type wireFrame struct {
@@ -100,13 +125,32 @@
 	Outcomes []wireOutcome
 }
 
-func writeFrame(w io.Writer, f wireFrame) error {
+// observedReader calls received whenever bytes of a connection were received.
+type observedReader struct {
+	conn     net.Conn
+	received func()
+}
+
+// Read implements io.Reader.
+func (r observedReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if n > 0 {
+		r.received()
+	}
+	return n, err //nolint:wrapcheck // readers compare it
+}
+
+// writeFrame sends a frame within writeTimeout.
+func writeFrame(conn net.Conn, f wireFrame) error {
 	data, err := cbor.Marshal(f)
 	if err != nil {
 		return errors.Wrap(err, "encode a frame")
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
-	_, err = w.Write(append(frame, data...))
+	if err := conn.SetWriteDeadline(timer.System{}.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "send a frame")
+	}
+	_, err = conn.Write(append(frame, data...))
 	return errors.Wrap(err, "send a frame")
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,6 +50,7 @@
 		<-ctx.Done()
 		return s.Listener.Close()
 	})
+	open := make(chan struct{}, maxSessions)
 	for {
 		conn, err := s.Listener.Accept()
 		if err != nil {
@@ -58,7 +59,14 @@
 			}
 			return errors.Wrap(err, "accept a leader's connection")
 		}
+		select {
+		case open <- struct{}{}:
+		default:
+			_ = conn.Close() // the leader tries again after redialDelay
+			continue
+		}
 		goroutines.Go(func() error {
+			defer func() { <-open }()
 			session := &leaderSession{server: s, conn: conn, ready: make(chan struct{}, 1), work: make(chan wireRequest), receivedAt: s.Clock.Now()}
 			session.run(ctx)
 			return nil
@@ -76,7 +84,7 @@
 	mu         sync.Mutex
 	outcomes   []wireOutcome
 	senders    int
-	receivedAt time.Time // when the last frame was received
+	receivedAt time.Time // when bytes were last received
 }
 
 func (s *leaderSession) run(ctx context.Context) {
@@ -96,15 +104,12 @@
 
 // read reads requests and hands them to senders.
 func (s *leaderSession) read(ctx context.Context, goroutines *group.Group) error {
-	r := bufio.NewReader(s.conn)
+	r := bufio.NewReader(observedReader{conn: s.conn, received: s.recordReceived})
 	for {
 		f, err := readFrame(r)
 		if err != nil {
 			return err
 		}
-		s.mu.Lock()
-		s.receivedAt = s.server.Clock.Now()
-		s.mu.Unlock()
 		s.server.requests.Inc(int64(len(f.Requests)))
 		for _, request := range f.Requests {
 			select {
@@ -120,6 +125,12 @@
 	}
 }
 
+func (s *leaderSession) recordReceived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receivedAt = s.server.Clock.Now()
+}
+
 // addSender counts one more sender. It reports whether the limit allows it.
 func (s *leaderSession) addSender() bool {
 	s.mu.Lock()
@@ -206,14 +217,13 @@
 	})
 	defer heartbeat.Stop()
 	for {
-		s.mu.Lock()
-		outcomes := s.outcomes
-		s.outcomes = nil
-		s.mu.Unlock()
-		f := wireFrame{ClockMS: s.server.Clock.Now().UnixMilli(), Outcomes: outcomes}
+		f, more := s.takeFrame()
 		if err := writeFrame(s.conn, f); err != nil {
 			return err
 		}
+		if more {
+			continue
+		}
 		select {
 		case <-s.ready:
 		case <-ctx.Done():
@@ -222,3 +232,19 @@
 		timer.Wait(ctx, s.server.Clock, batchDelay)
 	}
 }
+
+// takeFrame returns a frame with the first of the outcomes, and whether there are more.
+func (s *leaderSession) takeFrame() (f wireFrame, more bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size, taken := 0, 0
+	for ; taken < len(s.outcomes) && size < batchBytes; taken++ {
+		size += s.outcomes[taken].size()
+	}
+	f = wireFrame{ClockMS: s.server.Clock.Now().UnixMilli(), Outcomes: s.outcomes[:taken:taken]}
+	s.outcomes = s.outcomes[taken:]
+	if len(s.outcomes) == 0 {
+		s.outcomes = nil
+	}
+	return f, len(s.outcomes) > 0
+}
