Hold a task for the lease of a late start that no report rules out

Callers could see a task run twice: a server accepted a repeated start request, started again unnoticed, carried out the first request just before it could no longer be carried out, and was cut off. Its lease expired by the controller's count, and the task started elsewhere, while the next incarnation held its longest lease by the request.

When a run was given up, a late start was kept only if a request could be carried out from then on. What counts is whether one could be carried out since the last report: an incarnation that isn't known yet may have started the run. The stored record calls a start answered by the same rule.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -321,7 +321,7 @@
 	r := t.record
 	r.Assignments = nil
 	for _, a := range t.attempts {
-		a.answerStored = a.startAnswered(now)
+		a.answerStored = a.startAnswered()
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber,
 			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: a.answerStored,
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -38,9 +38,13 @@
 	}
 }
 
-// startAnswered reports whether the server has started the run, and no request to start it can be carried out any more.
-func (a *attempt) startAnswered(now time.Time) bool {
-	return (a.accepted || a.reported || a.answerStored) && !a.startMayBeCarriedOut(now)
+// startOutlastsReports reports whether a request to start the run may have been carried out since the server's last report, by an
+// incarnation that isn't known yet, or may still be.
+func (a *attempt) startOutlastsReports() bool { return a.startableUntil.After(a.server.clockAfter) }
+
+// startAnswered reports whether the server has started the run, and its reports show what became of all requests to start it.
+func (a *attempt) startAnswered() bool {
+	return (a.accepted || a.reported || a.answerStored) && !a.startOutlastsReports()
 }
 
 // storeAnswer stores that the server has started a run that lasts. The next controller waits for other runs if their server is gone,
@@ -48,7 +52,7 @@
 func (s *State) storeAnswer(a *attempt, now time.Time) {
 	lasts := a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
 		now.Sub(a.startedAt) >= lastingRunTime
-	if lasts && !a.answerStored && a.startAnswered(now) {
+	if lasts && !a.answerStored && a.startAnswered() {
 		s.markChanged(a.task.job)
 	}
 }
--- /dev/null
+++ b/fleet/latestarts2_test.go
@@ -0,0 +1,53 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// acceptRepeat leaves the start request without a response and accepts the repeated one. It returns when that was sent.
+func (r *heldStartRig) acceptRepeat() (lastRequestAt time.Time) {
+	r.t.Helper()
+	r.loseStartResponse(r.start)
+	for range 20 {
+		r.advance(100 * time.Millisecond)
+		for id := range r.openPolls {
+			r.report(id, nil)
+		}
+		for _, s := range r.starts() {
+			assert.Equal(r.t, s.Request.Run, r.start.Request.Run)
+			r.acceptStart(s)
+			return r.now
+		}
+	}
+	r.t.Fatal("the request wasn't repeated")
+	return time.Time{}
+}
+
+// Guards against a task that runs twice: its server accepted a repeated request, started again unnoticed, and carries out the first
+// request before it is cut off from all calls, so that it holds its longest lease.
+func TestRepeatedStartOutlastsLeaseOfItsServer(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 60_000})
+	lastRequestAt := r.acceptRepeat()
+	server, run := r.start.Target.ID, r.start.Request.Run
+	for r.now.Before(lastRequestAt.Add(maxRequestDelay - 2*time.Second)) {
+		r.advance(100 * time.Millisecond)
+		for id := range r.openPolls {
+			if id == server {
+				r.report(id, []backend.Run{run})
+				continue
+			}
+			r.report(id, nil)
+		}
+	}
+	assert.Equal(t, len(r.starts()), 0)
+	startedAt := r.cutOff(server, 40*time.Second)
+	assert.Assert(t, !startedAt.IsZero(), "the task wasn't started again")
+	after := startedAt.Sub(lastRequestAt)
+	assert.Assert(t, after >= maxRequestDelay+maxLeaseOnSlowestClock, "started again %s after the last request", after)
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -457,7 +457,7 @@
 	if a.checkpoint != "" {
 		t.record.Checkpoint = a.checkpoint
 	}
-	if a.startMayBeCarriedOut(s.now) {
+	if a.startOutlastsReports() {
 		s.keepLateStart(a)
 	}
 	if !v.registered && len(v.attempts) == 0 {
