Repeat no start request before the cancellations of its job are known

Callers could see a task start after the cancellation of its job was acknowledged: a new controller repeated the request of a run that its server doesn't report, before it had read the cancellations of the partition. New runs wait for them; repeated requests didn't.

Evidence: TestRepeatedStartAwaitsCancelsOfItsPartition failed before, with 5 repeated requests before CancelsRead. The request waits now, as it does while no requests may be sent.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -142,7 +142,7 @@
 	for _, l := range v.lateStarts {
 		t := l.task
 		if l.final || l.born != v.incarnation || l.requests >= maxStartRequests || now.After(l.until) || !t.isWanted() ||
-			len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !t.step.spec.Reserves().FitsIn(v.reg.Capacity.Minus(v.reserved)) {
+			s.awaitsCancels(t.job) || len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !t.step.spec.Reserves().FitsIn(v.reg.Capacity.Minus(v.reserved)) {
 			continue
 		}
 		s.endLateStart(l, "resumed")
@@ -223,7 +223,7 @@
 		!s.acceptsStarts(v) || !v.hasCapacityFor(a) {
 		return false
 	}
-	if a.repeatUnstored || !s.maySendRequests(now) {
+	if a.repeatUnstored || !s.maySendRequests(now) || s.awaitsCancels(t.job) {
 		return true // later
 	}
 	klog.InfoS("Repeating start request", "run", a.id(), "server", v.id, "incarnation", v.incarnation, "requests", a.startRequests)
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -51,3 +52,32 @@
 	after := startedAt.Sub(lastRequestAt)
 	assert.Assert(t, after >= maxRequestDelay+maxLeaseOnSlowestClock, "started again %s after the last request", after)
 }
+
+// Guards against tasks that start after their job was cancelled: a new controller repeats the request of a run that its server
+// doesn't report, before it knows of the cancellation.
+func TestRepeatedStartAwaitsCancelsOfItsPartition(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	progress, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+r.job.ID()])
+	assert.NilError(t, err)
+	r.version++
+	r.state = &fleet.State{
+		EntryVM: "entry", Token: r.version, TermRequestedAt: r.now,
+		Term:             fleet.Term{Holder: "entry", DurationMS: 2500}.WithVersion(r.version),
+		CancelPartitions: 1, CancelPartition: func(string) int { return 0 },
+	}
+	r.state.Begin(r.now)
+	r.state.Restore(fleet.Stored{
+		Jobs: []*workload.Job{r.job}, Progress: map[string]workload.Progress{r.job.ID(): progress},
+	}, r.now)
+	r.configure(workload.Resources{})
+	clear(r.openPolls)
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+	}
+	repeated, after := r.run(3 * time.Second)
+	assert.Equal(t, repeated, 0, "the request was repeated")
+	assert.Equal(t, after, time.Duration(0))
+	r.handle(fleet.CancelsRead{Partition: 0})
+	repeated, _ = r.run(3 * time.Second)
+	assert.Assert(t, repeated > 0, "the request wasn't repeated")
+}
