Repeat the request of a restored run only once that is stored

A repeated request of a run that was restored was sent with the next tick, as if it were the first one, while the commit that says so was still in flight. If the controller is replaced then, the next one takes the run for requested once, and a single response for the end of all requests: the task may start elsewhere while another request is still on the way.

Evidence: TestRestoredStartIsRepeatedOnlyOnceStored failed before, with a start request while the commit had no outcome. The tick now leaves runs that await a report to the reports.

--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -81,3 +81,19 @@
 	repeated, _ = r.run(3 * time.Second)
 	assert.Assert(t, repeated > 0, "the request wasn't repeated")
 }
+
+// Guards against a repeated request that the next controller doesn't know of: it was sent before the row of the job said so.
+func TestRestoredStartIsRepeatedOnlyOnceStored(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.takeOver()
+	r.takeEffects()
+	r.holdCommits = true
+	server := r.start.Target.ID
+	for range 10 {
+		if _, open := r.openPolls[server]; open {
+			r.report(server, nil)
+		}
+		r.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(r.starts()), 0, "the request was repeated before that was stored")
+}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -235,7 +235,7 @@
 		case a.stopRequested && a.phase == storing:
 		case a.stopRequested && !a.stopAccepted && now.Sub(a.stopTriedAt) >= startRetryDelay && v.failedPolls == 0:
 			s.repeatStop(a, now)
-		case a.phase == requested && a.startSentAt.IsZero() && !a.stopRequested && v.failedPolls == 0:
+		case a.phase == requested && a.startSentAt.IsZero() && !a.awaitsReport && !a.stopRequested && v.failedPolls == 0:
 			s.sendStart(a, now)
 		case s.stalled(a):
 			s.requestStop(a, "stalled")
