Request no run again that its server has ended

The end of a run whose start request was repeated leaves a late start, as the next incarnation of the server may carry out the other request. While the server went on, the run was requested there once more, which the server refuses for certain, with a write of the row before and another one after.

The late start is final now, as after a refusal as old.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -99,7 +99,7 @@
 	startSentAt       time.Time     // when the start request was last sent
 	startRequests     int           // number of start requests that were sent
 	repeated          bool          // the start request may have been sent more than once
-	refusedAsOld      bool          // the server has ended or stopped the run
+	endedThere        bool          // the server has ended or stopped the run
 	repeatUnstored    bool          // the start request is repeated once the record says so
 	answerStored      bool          // the stored record says that the server has started the run
 	startableUntil    time.Time     // when no start request can be carried out any more, or zero if none is outstanding
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -62,7 +62,7 @@
 	v := a.server
 	l := &lateStart{
 		task: a.task, run: a.id(), server: v.id, vm: v.reg.VM, born: a.incarnation, repeated: a.repeated,
-		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.refusedAsOld,
+		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.endedThere,
 		until: a.startableUntil, endsBy: a.startableUntil.Add(onSlowestClock(s.MaxLease) + leaseMargin),
 	}
 	for _, other := range s.serversByVM[v.reg.VM] {
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -97,3 +97,21 @@
 	}
 	assert.Equal(t, len(r.starts()), 0, "the request was repeated before that was stored")
 }
+
+// Guards against requests that a server refuses for certain: it has ended the run.
+func TestEndedRunIsNotRequestedAgain(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.acceptRepeat()
+	server, run := r.start.Target.ID, r.start.Request.Run
+	r.advance(100 * time.Millisecond)
+	r.report(server, []backend.Run{run})
+	r.advance(300 * time.Millisecond)
+	r.report(server, nil, backend.RunEnd{Number: 1, Run: run, Kind: workload.EndFailed})
+	for range 20 {
+		r.advance(100 * time.Millisecond)
+		for id := range r.openPolls {
+			r.report(id, nil)
+		}
+	}
+	assert.Equal(t, len(r.starts()), 0, "a run that has ended was requested again")
+}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -396,6 +396,7 @@
 	t := a.task
 	t.job.begun = true
 	klog.V(1).InfoS("Run ended", "run", end.Run, "server", v.id, "kind", end.Kind, "took", now.Sub(a.startedAt))
+	a.endedThere = true
 	a.startAccountedFor()
 	a.save(end.Checkpoint)
 	if end.Kind == workload.EndFailed || end.Kind == workload.EndDone {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -134,7 +134,7 @@
 	case backend.RefusedTicket:
 		s.discardTicket(a.task, v)
 	case backend.RefusedOldRun:
-		a.refusedAsOld = true
+		a.endedThere = true
 	case backend.RefusedStaleToken, backend.RefusedOther:
 	}
 	a.startAccountedFor()
