Count the failures of a run that two incarnations have started

Callers could see a task start after as many of its runs had failed as its queue allows: a run whose start request was repeated failed on its server, the next incarnation carried the other request out, and the second failure was taken for the first one, received again.

An end that is received again belongs to a run that is no longer recorded, as the failure and the removal of the run are stored together. Only such ends are compared with the failures that are counted.

Evidence: TestBothFailuresOfRepeatedRunCount failed before: the job was running after two of two attempts had failed.

--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -124,12 +123,8 @@
 	}
 }
 
-// failTask records a failed run of a task, and fails the job if no attempts are left. A run counts once: its end is received
-// again if the controller that received it first didn't acknowledge it.
+// failTask records a failed run of a task, and fails the job if no attempts are left.
 func (s *State) failTask(t *task, server string, run int) {
-	if slices.Contains(t.record.FailedRuns, run) {
-		return
-	}
 	if !t.step.spec.LongRunning() {
 		t.record.FailedRuns = append(t.record.FailedRuns, run)
 	}
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -98,6 +98,27 @@
 	assert.Equal(t, len(r.starts()), 0, "the request was repeated before that was stored")
 }
 
+// Guards against a task that runs more often than its job allows: two incarnations of its server start a run of the same number, and
+// both runs fail.
+func TestBothFailuresOfRepeatedRunCount(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.acceptRepeat()
+	server, run := r.start.Target.ID, r.start.Request.Run
+	fail := func() {
+		r.advance(100 * time.Millisecond)
+		r.report(server, []backend.Run{run})
+		r.advance(300 * time.Millisecond)
+		r.report(server, nil, backend.RunEnd{Number: 1, Run: run, Kind: workload.EndFailed})
+	}
+	fail()
+	r.comeBack(server)
+	r.advance(300 * time.Millisecond)
+	fail()
+	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+r.job.ID()])
+	assert.NilError(t, err)
+	assert.Equal(t, p.State, workload.JobFailed)
+}
+
 // Guards against requests that a server refuses for certain: it has ended the run.
 func TestEndedRunIsNotRequestedAgain(t *testing.T) {
 	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -460,6 +461,9 @@
 		klog.InfoS("Run that was considered lost is done", "run", end.Run, "server", v.id)
 		s.runDone(t, s.now)
 	case workload.EndFailed:
+		if slices.Contains(t.record.FailedRuns, end.Run.Number) {
+			return // received again, as the controller that received it first didn't acknowledge it
+		}
 		klog.InfoS("Run that was considered lost has failed", "run", end.Run, "server", v.id)
 		s.failTask(t, v.id, end.Run.Number)
 	case workload.EndStopped, workload.EndExpired, workload.EndGangBroken, workload.EndGangIncomplete:
