Check the room of a server before a late start is resumed on it

A task whose late start was on a server that refused it for a while was resumed there by its capacity alone, though other runs were placed there since: more tasks of its step than may run on one server, or beside a run of another job that is isolated after crashes.

Evidence: TestResumedStartLeavesRoomOfItsStep failed before, with both tasks of a step of one per server on one server. The constraints of placement hold now; the isolated case is covered by reading only.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/schedule"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -142,7 +143,7 @@
 	for _, l := range v.lateStarts {
 		t := l.task
 		if l.final || l.born != v.incarnation || l.requests >= maxStartRequests || now.After(l.until) || !t.isWanted() ||
-			s.awaitsCancels(t.job) || len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !t.step.spec.Reserves().FitsIn(v.reg.Capacity.Minus(v.reserved)) {
+			s.awaitsCancels(t.job) || len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !s.mayResume(t, v) {
 			continue
 		}
 		s.endLateStart(l, "resumed")
@@ -154,6 +155,17 @@
 	}
 }
 
+// mayResume reports whether a server has room for a task that has a late start there, and satisfies its constraints. It may have
+// got other runs since.
+func (s *State) mayResume(t *task, v *server) bool {
+	if j := v.isolatedJob(); j != nil && j != t.job {
+		return false
+	}
+	view := placementView(v)
+	view.Free, view.SameStepRuns = v.reg.Capacity.Minus(v.reserved), v.runsOf(t.step)
+	return schedule.SelectServer(t.step.spec, []schedule.Server{view}) == 0
+}
+
 // endLateStarts releases the tasks whose late starts can't be carried out any more, and whose server doesn't run them.
 func (s *State) endLateStarts(now time.Time) {
 	for id, starts := range s.lateStarts {
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -136,3 +136,40 @@
 	}
 	assert.Equal(t, len(r.starts()), 0, "a run that has ended was requested again")
 }
+
+// Guards against more tasks of a step on a server than may run there: the server has refused a task once, and another one of the
+// step runs there since.
+func TestResumedStartLeavesRoomOfItsStep(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 2, MilliCores: 1000, DeclaredDurationMS: 60_000, MaxPerServer: 1})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	first := starts[0]
+	r.loseStartResponse(first)
+	var running []backend.Run
+	refused := false
+	for range 60 {
+		r.advance(100 * time.Millisecond)
+		for _, s := range r.starts() {
+			switch {
+			case s.Request.Run == first.Request.Run && !refused:
+				refused = true
+				r.handle(fleet.StartEnded{
+					Server: s.Target.ID, Incarnation: s.Target.Incarnation, Run: s.Request.Run,
+					Outcome: backend.Refused{Reason: backend.RefusedBusy},
+				})
+			default:
+				running = append(running, s.Request.Run)
+				r.acceptStart(s)
+			}
+		}
+		if _, open := r.openPolls["i-1"]; open {
+			r.report("i-1", running)
+		}
+	}
+	assert.Equal(t, len(running), 1, "%v run on a server that may run one task of the step", running)
+}
