Count late starts in the tasks of their step on a server

More tasks of a step than may run on one server could start there: one has a late start, another is placed beside it, the server leaves that request without a response as well, and its next incarnation carries both out. Capacity counts late starts already; now the limit of a step on a server does too.

Evidence: TestLateStartsCountInTasksOfTheirStep failed before: the second task of a step of one per server was requested 712ms after the held request.

--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -222,9 +222,14 @@
 	return true
 }
 
-// runsOf returns the number of runs of a step on the server.
+// runsOf returns the number of runs of a step on the server, with those that its next incarnation may start late.
 func (v *server) runsOf(st *step) int {
 	n := 0
+	for _, l := range v.lateStarts {
+		if l.task.step == st {
+			n++
+		}
+	}
 	for _, a := range v.attempts {
 		if a.task.step == st {
 			n++
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -162,7 +162,7 @@
 		return false
 	}
 	view := placementView(v)
-	view.Free, view.SameStepRuns = v.reg.Capacity.Minus(v.reserved), v.runsOf(t.step)
+	view.Free, view.SameStepRuns = v.reg.Capacity.Minus(v.reserved), v.runsOf(t.step)-1
 	return schedule.SelectServer(t.step.spec, []schedule.Server{view}) == 0
 }
 
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -173,3 +173,32 @@
 	}
 	assert.Equal(t, len(running), 1, "%v run on a server that may run one task of the step", running)
 }
+
+// Guards against more tasks of a step on a server than may run there: its next incarnation carries out two held requests.
+func TestLateStartsCountInTasksOfTheirStep(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 2, MilliCores: 1000, DeclaredDurationMS: 1000, MaxPerServer: 1})})
+	sentAt := r.now
+	assert.Equal(t, len(r.starts()), 1)
+	r.comeBack("i-1")
+	for r.now.Before(sentAt.Add(maxRequestDelay - time.Second)) {
+		r.advance(100 * time.Millisecond)
+		if _, open := r.openPolls["i-1"]; open {
+			r.report("i-1", nil)
+		}
+		for _, e := range r.takeEffects() {
+			switch e := e.(type) {
+			case fleet.Stop:
+				r.handle(fleet.StopEnded{
+					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
+				})
+			case fleet.Start:
+				t.Fatalf("%v is requested %s after a held request for another task of the step", e.Request.Run, r.now.Sub(sentAt))
+			}
+		}
+	}
+}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -245,8 +245,12 @@
 // countStepRuns fills in the fields of the views that depend on the step.
 func (p *placementPool) countStepRuns(st *step) {
 	onServer := make(map[*server]int)
+	startableOn := make(map[string]int) // by the next incarnation of the server
 	onRack := make(map[string]int)
 	for _, other := range st.tasks {
+		for _, l := range other.lateStarts {
+			startableOn[l.server]++
+		}
 		for _, a := range other.attempts {
 			onServer[a.server]++
 			onRack[a.server.reg.Rack]++
@@ -254,7 +258,7 @@
 	}
 	interferes := st.spec.BestEffort() || st.spec.LatencyTarget() > 0
 	for i, v := range p.servers {
-		p.views[i].SameStepRuns = onServer[v]
+		p.views[i].SameStepRuns = onServer[v] + startableOn[v.id]
 		p.views[i].RackSameStepRuns = onRack[v.reg.Rack]
 		p.views[i].TaskFailedBefore = false
 		p.views[i].InterferingRuns = 0
