End a late start only by a report that lists all ends of runs

A report holds 500 ends at most. If a server has more, the end of a run that was started late may be among the rest, and the run isn't listed as running any more. A late start ended by such a report, and the task ran once more, though it may be done.

Evidence: TestLateStartAwaitsAllEndsOfItsServer failed before: "started elsewhere 15.237s after the request", with 500 ends in each report. Runs that are recorded were given up by complete reports only; late starts are too now.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -175,7 +175,7 @@
 			case now.Before(l.until):
 			case now.After(l.endsBy):
 				s.endLateStart(l, "lease-expired")
-			case known && v.confirmed && v.failedPolls == 0 && !v.clockAfter.Before(l.until):
+			case known && v.confirmed && v.failedPolls == 0 && !v.allReportedAfter.Before(l.until):
 				s.endLateStart(l, "not-reported")
 			}
 		}
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -174,6 +174,43 @@
 	assert.Equal(t, len(running), 1, "%v run on a server that may run one task of the step", running)
 }
 
+// Guards against a run that is started again while its end isn't known: its server has more ends to report than one report holds.
+func TestLateStartAwaitsAllEndsOfItsServer(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.comeBack(r.start.Target.ID)
+	server := r.start.Target.ID
+	sentAt := r.sentAt
+	var number int64
+	for r.now.Before(sentAt.Add(maxRequestDelay + 3*time.Second)) {
+		r.advance(100 * time.Millisecond)
+		for id := range r.openPolls {
+			if id != server || r.now.Before(sentAt.Add(5*time.Second)) {
+				r.report(id, nil)
+				continue
+			}
+			ends := make([]backend.RunEnd, backend.MaxReportedEnds)
+			for i := range ends {
+				number++
+				other := workload.TaskID{Job: "00000000000000ff", Index: int(number)}
+				ends[i] = backend.RunEnd{Number: number, Run: backend.Run{Task: other, Number: 1}, Kind: workload.EndStopped}
+			}
+			r.report(id, nil, ends...)
+		}
+		for _, e := range r.takeEffects() {
+			switch e := e.(type) {
+			case fleet.Stop:
+				r.handle(fleet.StopEnded{
+					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
+				})
+			case fleet.Start:
+				assert.Equal(t, e.Target.ID, server, "started elsewhere %s after the request", r.now.Sub(sentAt))
+				sentAt = r.now
+				r.loseStartResponse(e)
+			}
+		}
+	}
+}
+
 // Guards against more tasks of a step on a server than may run there: its next incarnation carries out two held requests.
 func TestLateStartsCountInTasksOfTheirStep(t *testing.T) {
 	r := newRig(t)
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -333,6 +333,7 @@
 		s.pollAt(v, now)
 		return
 	}
+	v.allReportedAfter = v.pollSentAt
 	for _, a := range v.attempts {
 		if a.phase == requested && a.awaitsReport && !listed[a.id()] && v.pollSentAt.After(a.awaitsSince) {
 			if !s.repeatStart(a, now) {
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -37,8 +37,9 @@
 	pollIndex    int // in State.polls, or notQueued
 	failedPolls  int // consecutive failed polls
 
-	lastEndReceived     int64 // number of the last end of a run that was received
-	lastEndStored       int64 // number of the last end of a run that is stored
+	lastEndReceived     int64     // number of the last end of a run that was received
+	lastEndStored       int64     // number of the last end of a run that is stored
+	allReportedAfter    time.Time // when the poll was sent for the latest report that had room for all ends of runs
 	attempts            map[backend.Run]*attempt
 	longRunning         int // number of attempts of long-running tasks
 	bestEffort          int // number of attempts of best-effort tasks
