Repeat no start request to a server without the label of the step

A task could start on a server without the label that it requires: its server was draining, left the request without a response and started again under its id as one of another kind; the request was repeated there. The server that doesn't drain is taken for crashed, and gets no repeated request.

The label is compared before a request is repeated, and nothing is repeated until the present incarnation has registered.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -232,10 +232,10 @@
 func (s *State) repeatStart(a *attempt, now time.Time) bool {
 	t, v := a.task, a.server
 	if a.startRequests >= maxStartRequests || !a.startMayBeCarriedOut(now) || !t.isWanted() || a.stopRequested || a.lossRecorded ||
-		!s.acceptsStarts(v) || !v.hasCapacityFor(a) {
+		!s.acceptsStarts(v) || !v.hasCapacityFor(a) || !schedule.HasLabel(t.step.spec, v.reg.Kind, v.reg.Rack) {
 		return false
 	}
-	if a.repeatUnstored || !s.maySendRequests(now) || s.awaitsCancels(t.job) {
+	if a.repeatUnstored || v.reg.Incarnation < v.incarnation || !s.maySendRequests(now) || s.awaitsCancels(t.job) {
 		return true // later
 	}
 	klog.InfoS("Repeating start request", "run", a.id(), "server", v.id, "incarnation", v.incarnation, "requests", a.startRequests)
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -98,6 +98,40 @@
 	assert.Equal(t, len(r.starts()), 0, "the request was repeated before that was stored")
 }
 
+// Guards against a task on a server without the label that it requires: its server has started again as one of another kind.
+func TestStartIsNotRepeatedOnServerOfAnotherKind(t *testing.T) {
+	r := newRig(t)
+	registration := func(kind string) backend.Registration {
+		return backend.Registration{
+			ID: "i-1", VM: "m-1", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Rack: "r", Kind: kind,
+			Incarnation: r.bootTimes["i-1"].UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+		}
+	}
+	r.bootTimes["i-1"] = r.now.Add(-time.Minute)
+	r.handle(fleet.ServerRegistered{Registration: registration("a")})
+	r.report("i-1", nil)
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000, Label: "a"})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	draining := registration("a")
+	draining.Draining = true
+	r.handle(fleet.ServerRegistered{Registration: draining})
+	r.bootTimes["i-1"] = r.now
+	r.handle(fleet.ServerRegistered{Registration: registration("b")})
+	poll := r.openPolls["i-1"]
+	delete(r.openPolls, "i-1")
+	r.handle(fleet.PollEnded{Server: "i-1", Sequence: poll.Sequence, Outcome: backend.OutcomeUnknown{Reason: "connection closed"}})
+	for range 30 {
+		r.advance(100 * time.Millisecond)
+		if _, open := r.openPolls["i-1"]; open {
+			r.report("i-1", nil)
+		}
+	}
+	assert.Equal(t, len(r.starts()), 0, "the request was repeated on a server of another kind")
+}
+
 // Guards against a task that runs more often than its job allows: two incarnations of its server start a run of the same number, and
 // both runs fail.
 func TestBothFailuresOfRepeatedRunCount(t *testing.T) {
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -77,7 +77,12 @@
 	if step.MaxPerServer() > 0 && s.SameStepRuns >= step.MaxPerServer() {
 		return false
 	}
-	return step.Label() == "" || step.Label() == s.Kind || step.Label() == s.Rack
+	return HasLabel(step, s.Kind, s.Rack)
+}
+
+// HasLabel reports whether a server of the given kind and rack has the label that a step requires.
+func HasLabel(step workload.Step, kind, rack string) bool {
+	return step.Label() == "" || step.Label() == kind || step.Label() == rack
 }
 
 // preferable reports whether the first server is a better choice than the second one.
