--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/schedule"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
 
@@ -38,9 +39,13 @@
 	}
 }
 
-// startAnswered reports whether the server has started the run, and no request to start it can be carried out any more.
-func (a *attempt) startAnswered(now time.Time) bool {
-	return (a.accepted || a.reported || a.answerStored) && !a.startMayBeCarriedOut(now)
+// startOutlastsReports reports whether a request to start the run may have been carried out since the server's last report, by an
+// incarnation that isn't known yet, or may still be.
+func (a *attempt) startOutlastsReports() bool { return a.startableUntil.After(a.server.clockAfter) }
+
+// startAnswered reports whether the server has started the run, and its reports show what became of all requests to start it.
+func (a *attempt) startAnswered() bool {
+	return (a.accepted || a.reported || a.answerStored) && !a.startOutlastsReports()
 }
 
 // storeAnswer stores that the server has started a run that lasts. The next controller waits for other runs if their server is gone,
@@ -48,7 +53,7 @@
 func (s *State) storeAnswer(a *attempt, now time.Time) {
 	lasts := a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
 		now.Sub(a.startedAt) >= lastingRunTime
-	if lasts && !a.answerStored && a.startAnswered(now) {
+	if lasts && !a.answerStored && a.startAnswered() {
 		s.markChanged(a.task.job)
 	}
 }
@@ -58,7 +63,7 @@
 	v := a.server
 	l := &lateStart{
 		task: a.task, run: a.id(), server: v.id, vm: v.reg.VM, born: a.incarnation, repeated: a.repeated,
-		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.refusedAsOld,
+		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.endedThere,
 		until: a.startableUntil, endsBy: a.startableUntil.Add(onSlowestClock(s.MaxLease) + leaseMargin),
 	}
 	for _, other := range s.serversByVM[v.reg.VM] {
@@ -138,7 +143,7 @@
 	for _, l := range v.lateStarts {
 		t := l.task
 		if l.final || l.born != v.incarnation || l.requests >= maxStartRequests || now.After(l.until) || !t.isWanted() ||
-			len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !t.step.spec.Reserves().FitsIn(v.reg.Capacity.Minus(v.reserved)) {
+			s.awaitsCancels(t.job) || len(t.attempts) > 0 || t.step.spec.Gang() || s.needsIsolation(t, now) || !s.mayResume(t, v) {
 			continue
 		}
 		s.endLateStart(l, "resumed")
@@ -150,6 +155,17 @@
 	}
 }
 
+// mayResume reports whether a server has room for a task that has a late start there, and satisfies its constraints. It may have
+// got other runs since.
+func (s *State) mayResume(t *task, v *server) bool {
+	if j := v.isolatedJob(); j != nil && j != t.job {
+		return false
+	}
+	view := placementView(v)
+	view.Free, view.SameStepRuns = v.reg.Capacity.Minus(v.reserved), v.runsOf(t.step)-1
+	return schedule.SelectServer(t.step.spec, []schedule.Server{view}) == 0
+}
+
 // endLateStarts releases the tasks whose late starts can't be carried out any more, and whose server doesn't run them.
 func (s *State) endLateStarts(now time.Time) {
 	for id, starts := range s.lateStarts {
@@ -159,7 +175,7 @@
 			case now.Before(l.until):
 			case now.After(l.endsBy):
 				s.endLateStart(l, "lease-expired")
-			case known && v.confirmed && v.failedPolls == 0 && !v.clockAfter.Before(l.until):
+			case known && v.confirmed && v.failedPolls == 0 && !v.allReportedAfter.Before(l.until):
 				s.endLateStart(l, "not-reported")
 			}
 		}
@@ -216,10 +232,10 @@
 func (s *State) repeatStart(a *attempt, now time.Time) bool {
 	t, v := a.task, a.server
 	if a.startRequests >= maxStartRequests || !a.startMayBeCarriedOut(now) || !t.isWanted() || a.stopRequested || a.lossRecorded ||
-		!s.acceptsStarts(v) || !v.hasCapacityFor(a) {
+		!s.acceptsStarts(v) || !v.hasCapacityFor(a) || !schedule.HasLabel(t.step.spec, v.reg.Kind, v.reg.Rack) {
 		return false
 	}
-	if a.repeatUnstored || !s.maySendRequests(now) {
+	if a.repeatUnstored || v.reg.Incarnation < v.incarnation || !s.maySendRequests(now) || s.awaitsCancels(t.job) {
 		return true // later
 	}
 	klog.InfoS("Repeating start request", "run", a.id(), "server", v.id, "incarnation", v.incarnation, "requests", a.startRequests)
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -332,6 +333,7 @@
 		s.pollAt(v, now)
 		return
 	}
+	v.allReportedAfter = v.pollSentAt
 	for _, a := range v.attempts {
 		if a.phase == requested && a.awaitsReport && !listed[a.id()] && v.pollSentAt.After(a.awaitsSince) {
 			if !s.repeatStart(a, now) {
@@ -396,6 +398,7 @@
 	t := a.task
 	t.job.begun = true
 	klog.V(1).InfoS("Run ended", "run", end.Run, "server", v.id, "kind", end.Kind, "took", now.Sub(a.startedAt))
+	a.endedThere = true
 	a.startAccountedFor()
 	a.save(end.Checkpoint)
 	if end.Kind == workload.EndFailed || end.Kind == workload.EndDone {
@@ -459,6 +462,9 @@
 		klog.InfoS("Run that was considered lost is done", "run", end.Run, "server", v.id)
 		s.runDone(t, s.now)
 	case workload.EndFailed:
+		if slices.Contains(t.record.FailedRuns, end.Run.Number) {
+			return // received again, as the controller that received it first didn't acknowledge it
+		}
 		klog.InfoS("Run that was considered lost has failed", "run", end.Run, "server", v.id)
 		s.failTask(t, v.id, end.Run.Number)
 	case workload.EndStopped, workload.EndExpired, workload.EndGangBroken, workload.EndGangIncomplete:
