Weigh the crashes under a task by how often servers crash anyway

Cause: two certain crashes, one of them isolated, or any five, were taken for proof that a task crashes servers. Isolation tells a task from its neighbors, not from crashes that have another cause.

Each crash now counts with the probability that any server crashes in as little time, as seen on the servers on which no run is starting. By the users' rules it still isn't started again after five crashes; so that tasks don't get there by chance, they wait from the third on until servers don't crash at once, up to a minute.

The simulation booted the server of a crashed VM also if a move had begun meanwhile, so that a VM ran two servers; it doesn't any more.

--- a/fleet/crashes.go
+++ b/fleet/crashes.go
@@ -21,6 +21,8 @@
 	maxCauseWait = 6 * time.Second
 	// crashAlertTime is how long tasks are isolated after their first crash, since a task crashed two servers.
 	crashAlertTime = time.Minute
+	// expectedDigits bounds the length of the number of expected crashes in a row.
+	expectedDigits = 1e4
 	// maxIncarnation is above the incarnation of any server.
 	maxIncarnation = math.MaxInt64
 )
@@ -31,15 +33,15 @@
 	run  int
 }
 
-// losses holds the runs that were lost with a server of which isn't known whether it crashed, by the server's id. The
-// tasks' records hold the same losses.
-type losses map[string]map[lossKey]bool
+// losses holds the runs that were lost with a server of which isn't known whether it crashed, by the server's id, and when they
+// were there. The tasks' records hold the same losses.
+type losses map[string]map[lossKey]exposure
 
-func (l losses) add(server string, key lossKey) {
+func (l losses) add(server string, key lossKey, e exposure) {
 	if l[server] == nil {
-		l[server] = make(map[lossKey]bool)
+		l[server] = make(map[lossKey]exposure)
 	}
-	l[server][key] = true
+	l[server][key] = e
 }
 
 func (l losses) remove(server string, key lossKey) {
@@ -91,7 +93,7 @@
 		AtStart: !a.reported, Isolated: a.isolated,
 	})
 	t.lostAt, t.step.mayNeedIsolation = now, true
-	s.losses.add(a.server.id, lossKey{task: t, run: a.runNumber})
+	s.losses.add(a.server.id, lossKey{task: t, run: a.runNumber}, a.exposure(now))
 	s.markChanged(t.job)
 }
 
@@ -108,7 +110,7 @@
 	}
 	klog.InfoS("Run survived its start", "run", a.id(), "server", a.server.id, "crashes", r.Crashes, "unresolved", len(r.Losses))
 	s.forgetLosses(a.task)
-	r.Crashes, r.CertainCrashes, r.IsolatedCrashes, r.CrashedAtStart = 0, 0, 0, false
+	r.Crashes, r.CertainCrashes, r.IsolatedCrashes, r.CrashedAtStart, r.ExpectedCrashes = 0, 0, 0, false, 0
 	s.markChanged(a.task.job)
 }
 
@@ -122,37 +124,49 @@
 
 // serverCrashed confirms that a server crashed, for the runs that were lost with its incarnations before the given one.
 func (s *State) serverCrashed(id string, before int64, evidence string) {
-	s.resolveLosses(id, before, func(t *task, l workload.Loss) {
-		t.record.Crashes++
-		if l.Started {
-			t.record.CertainCrashes++
-		}
-		if l.Started && l.Isolated {
-			t.record.IsolatedCrashes++
-		}
-		t.record.CrashedAtStart = t.record.CrashedAtStart || l.AtStart
+	s.resolveLosses(id, before, func(t *task, l workload.Loss, e exposure) {
+		others := s.crashesElsewhere(t, id, e)
+		t.countCrash(l, others.probability())
 		t.avoid(id)
 		s.counters.crashes.Inc(1)
+		c := t.crashes()
 		klog.InfoS("Backend server crashed under a task", "task", t.id, "run", l.Run, "server", id, "evidence", evidence,
-			"crashes", t.record.Crashes, "started", l.Started, "at-start", l.AtStart, "isolated", l.Isolated)
-		if schedule.RaisesAlert(t.crashes()) {
+			"crashes", t.record.Crashes, "started", l.Started, "at-start", l.AtStart, "isolated", l.Isolated,
+			"after", others.duration, "others-crashed", others.crashed, "others", others.servers, "pool-crashed", others.crashedInPool,
+			"pool-others", others.serversInPool, "crash-rate", float32(others.rate), "expected", c.Expected, "coincidence", float32(c.Coincidence()))
+		if schedule.RaisesAlert(c) {
 			s.crashAlertUntil = s.now.Add(crashAlertTime)
 		}
-		if schedule.GivesUp(t.crashes()) {
+		if schedule.GivesUp(c) {
 			s.giveUp(t, "crashes-servers")
 		}
 	})
 }
 
+// countCrash counts a crash of a server under the task, which has the given probability on any server.
+func (t *task) countCrash(l workload.Loss, probability float64) {
+	r := &t.record
+	r.Crashes++
+	r.ExpectedCrashes = math.Ceil((r.ExpectedCrashes+probability)*expectedDigits) / expectedDigits
+	r.CrashedAtStart = r.CrashedAtStart || l.AtStart
+	if !l.Started {
+		return
+	}
+	r.CertainCrashes++
+	if l.Isolated {
+		r.IsolatedCrashes++
+	}
+}
+
 // serverSurvived records that a server was unresponsive for a while and goes on with the same incarnation.
 func (s *State) serverSurvived(id string, incarnation int64, evidence string) {
-	s.resolveLosses(id, incarnation+1, func(t *task, l workload.Loss) {
+	s.resolveLosses(id, incarnation+1, func(t *task, l workload.Loss, _ exposure) {
 		klog.InfoS("Backend server hadn't crashed", "task", t.id, "run", l.Run, "server", id, "evidence", evidence)
 	})
 }
 
 // resolveLosses removes the losses with the incarnations of a server before the given one, and calls resolve for each.
-func (s *State) resolveLosses(id string, before int64, resolve func(*task, workload.Loss)) {
+func (s *State) resolveLosses(id string, before int64, resolve func(*task, workload.Loss, exposure)) {
 	for _, key := range s.losses.of(id) {
 		recorded := key.task.record.Losses
 		i := slices.IndexFunc(recorded, func(l workload.Loss) bool { return l.Server == id && l.Run == key.run })
@@ -164,11 +178,12 @@
 		if l.Incarnation >= before {
 			continue
 		}
+		e := s.losses[id][key]
 		s.losses.remove(id, key)
 		key.task.record.Losses = slices.Delete(recorded, i, i+1)
 		s.markChanged(key.task.job)
 		s.dirtyPools[s.poolOf(key.task.job)] = true
-		resolve(key.task, l)
+		resolve(key.task, l, e)
 	}
 }
 
@@ -191,7 +206,7 @@
 	}
 }
 
-func anyLostAfter(lost map[lossKey]bool, t time.Time) bool {
+func anyLostAfter(lost map[lossKey]exposure, t time.Time) bool {
 	for key := range lost {
 		if key.task.lostAt.After(t) {
 			return true
--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -69,6 +69,9 @@
 			"report-age", s.now.Sub(v.clockAt), "list-age", s.now.Sub(s.vmsListedAt))
 	}
 	crashed := state != backend.VMMoving && state != backend.VMMaintenance
+	if crashed {
+		s.noteServerCrash(v)
+	}
 	for _, a := range v.attempts {
 		if a.phase != running || a.onNextIncarnation {
 			continue
--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -239,6 +239,7 @@
 		LongRunning: t.step.spec.LongRunning(),
 		Confirmed:   t.record.Crashes, Certain: t.record.CertainCrashes, Isolated: t.record.IsolatedCrashes,
 		Unresolved: len(t.record.Losses), AtStart: t.record.CrashedAtStart,
+		Expected: t.record.ExpectedCrashes,
 	}
 	for _, l := range t.record.Losses {
 		c.AtStart = c.AtStart || l.AtStart
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -174,7 +174,7 @@
 	s.applyRecommendation(st, p, now)
 	last := -1 // the server of the previous task
 	for _, t := range st.tasks {
-		if !t.needsRun(now) {
+		if !t.needsRun(now) || s.awaitsCalm(t, now) {
 			continue
 		}
 		if t.job.activeRuns >= maxActiveRuns {
@@ -361,7 +361,7 @@
 func (s *State) placeGang(st *step, p *placementPool, now time.Time) int {
 	run := 0
 	for _, t := range st.tasks {
-		if !t.needsRun(now) {
+		if !t.needsRun(now) || s.awaitsCalm(t, now) {
 			return 0
 		}
 		run = max(run, t.record.LastRun+1)
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -63,6 +63,9 @@
 // that is still in flight could reach the new one, so the runs are first stopped there. Those of an earlier controller
 // needn't be: its requests are refused once the new incarnation has reported.
 func (s *State) serverRestarted(v *server, incarnation int64, now time.Time) {
+	if !v.down {
+		s.noteServerCrash(v)
+	}
 	klog.InfoS("Backend server restarted", "server", v.id, "incarnation", incarnation, "previous", v.incarnation)
 	v.setIncarnation(incarnation, now)
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -95,7 +95,7 @@
 		}
 		for _, l := range record.Losses {
 			t.lostAt = now
-			s.losses.add(l.Server, lossKey{task: t, run: l.Run})
+			s.losses.add(l.Server, lossKey{task: t, run: l.Run}, exposure{from: now, until: now})
 		}
 	}
 	if j.state.Final() {
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -174,7 +174,13 @@
 		}, sm.now)
 	}
 	sm.after(time.Second, func() { sm.state.Handle(fleet.ServerUnregistered{ID: id}, sm.now) })
-	sm.after(d, func() { sm.boot(s.vm) })
+	vm.outages++
+	outage := vm.outages
+	sm.after(d, func() {
+		if vm.outages == outage { // otherwise a move or maintenance began meanwhile
+			sm.boot(s.vm)
+		}
+	})
 }
 
 // breakGang ends the runs of a gang on the remaining servers.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -70,6 +70,7 @@
 	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
 	losses           losses
+	crashHistory     crashHistory
 	crashAlertUntil  time.Time
 	isolatedServers  map[string]int // servers that isolated runs have or need, by pool
 	waves            map[string]*wave
@@ -164,6 +165,7 @@
 	s.customerUsage = make(map[string]workload.Resources)
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
+	s.crashHistory = crashHistory{unrest: make(map[string]time.Time)}
 	s.formerServers = make(map[string]formerServer)
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
@@ -266,6 +268,7 @@
 
 func (s *State) tick(now time.Time) {
 	s.placeAll = true
+	s.countIdleTime(now)
 	for _, j := range s.jobs {
 		if j.occurrences < j.spec.Occurrences() {
 			j.createDueOccurrences(now)
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -64,6 +64,8 @@
 	CertainCrashes  int  `json:"certain-crashes,omitempty"`
 	IsolatedCrashes int  `json:"isolated-crashes,omitempty"`
 	CrashedAtStart  bool `json:"crashed-at-start,omitempty"`
+	// ExpectedCrashes is the number of the crashes in Crashes that are expected of any servers.
+	ExpectedCrashes float64 `json:"expected,omitempty"`
 	// Losses are the runs that were lost with a backend server of which isn't known yet whether it crashed.
 	Losses []Loss `json:"losses,omitempty"`
 	// GivenUp says that the task isn't started again, while its job goes on.
