Repeat the stop of an unanswered long-running start only after a report

Cause: a start request had no response, and a report didn't list the run, so it was stopped. That request had no response either, and was repeated a second later without another report. Meanwhile the server had carried out the start, and the task was at work.

The stop is now repeated only after a report of a poll that was sent after the stop request had ended; a run that it lists goes on. Stops of long-running tasks with a limit of unavailable tasks are logged with how many of the others were away, by which knowledge and how old.

Evidence: TestStopWithoutResponseIsRepeatedOnlyAfterReport failed before ("1 (int) != 0 (int): stopped again without a report").

--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -224,7 +224,7 @@
 		return false
 	}
 	for _, a := range v.attempts {
-		if a.task.step.spec.LongRunning() && a.phase != storing && !a.stopRequested && (a.percent < 100 || !a.survived) {
+		if a.task.step.spec.LongRunning() && a.phase != storing && !a.stopAccepted && (a.percent < 100 || !a.survived) {
 			return true
 		}
 	}
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -159,7 +159,7 @@
 		return
 	}
 	a.stopInFlight, a.stopTriedAt = true, now
-	klog.InfoS("Stopping run", "run", a.id(), "server", a.server.id, "reason", a.stopReason)
+	s.logStop(a)
 	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: s.tokenFor(a.server)})
 }
 
@@ -208,6 +208,10 @@
 // repeatStop sends a stop request again that had no response, unless the run may go on: the first request may have been sent
 // seconds ago.
 func (s *State) repeatStop(a *attempt, now time.Time) {
+	if !a.stopInFlight && a.lacksReport() {
+		s.pollAt(a.server, now)
+		return
+	}
 	if a.stopInFlight || !s.mayGoOn(a) {
 		s.sendStop(a, now)
 		return
@@ -266,17 +270,8 @@
 // mayInterrupt reports whether a long-running task may be stopped, given the number of other tasks of its step that are
 // unavailable.
 func (s *State) mayInterrupt(a *attempt) bool {
-	st := a.task.step
-	if st.spec.MaxUnavailable() == 0 {
-		return true
-	}
-	unavailable := 0
-	for _, t := range st.tasks {
-		if t != a.task && !t.atFullSpeed(s.now.Add(-s.StopTime-stopReportMargin)) {
-			unavailable++
-		}
-	}
-	return unavailable < st.spec.MaxUnavailable()
+	maxUnavailable := a.task.step.spec.MaxUnavailable()
+	return maxUnavailable == 0 || s.othersOf(a).unavailable() < maxUnavailable
 }
 
 // atFullSpeed reports whether a long-running task has started up and works at full speed, on a server that has
--- a/fleet/starts_test.go
+++ b/fleet/starts_test.go
@@ -96,3 +96,40 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !p.State.Final(), "%s", p.State)
 }
+
+// Guards against a long-running task at work that is stopped while others of its step are unavailable: the server started it late, after
+// the report that decided on the stop, and a stop request without a response was repeated without another report.
+func TestStopWithoutResponseIsRepeatedOnlyAfterReport(t *testing.T) {
+	for name, startedLate := range map[string]bool{"started late": true, "not started": false} {
+		t.Run(name, func(t *testing.T) {
+			r, start := startWithoutResponse(t)
+			r.report("i-1", nil) // to a poll that was sent before the response was known to be lost
+			r.advance(200 * time.Millisecond)
+			r.report("i-1", nil)
+			assert.Equal(t, r.stops(), 1)
+			r.advance(time.Second)
+			r.handle(fleet.StopEnded{
+				Server: "i-1", Incarnation: start.Target.Incarnation, Run: start.Request.Run,
+				Outcome: backend.OutcomeUnknown{Reason: "no response"},
+			})
+			r.takeEffects()
+			for range 5 {
+				r.advance(200 * time.Millisecond)
+				assert.Equal(t, r.stops(), 0, "stopped again without a report")
+			}
+			var running []backend.Run
+			if startedLate {
+				running = []backend.Run{start.Request.Run}
+			}
+			stops := 0
+			for range 5 {
+				if _, open := r.openPolls["i-1"]; open {
+					r.report("i-1", running)
+				}
+				r.advance(200 * time.Millisecond)
+				stops += r.stops()
+			}
+			assert.Equal(t, stops > 0, !startedLate, "%d stops", stops)
+		})
+	}
+}
