--- a/fleet/state.go
+++ b/fleet/state.go
@@ -71,6 +71,7 @@
 	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
 	lateStarts       map[string]lateStarts         // by server id
 	losses           losses
+	crashHistory     crashHistory
 	crashAlertUntil  time.Time
 	isolatedServers  map[string]int // servers that isolated runs have or need, by pool
 	waves            map[string]*wave
@@ -167,6 +168,7 @@
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
 	s.formerServers, s.lateStarts = make(map[string]formerServer), make(map[string]lateStarts)
+	s.crashHistory = crashHistory{unrest: make(map[string]time.Time)}
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
@@ -267,6 +269,7 @@
 
 func (s *State) tick(now time.Time) {
 	s.placeAll = true
+	s.countIdleTime(now)
 	for _, j := range s.jobs {
 		if j.occurrences < j.spec.Occurrences() {
 			j.createDueOccurrences(now)
