Cut commits by entries and bytes at one place, whatever adds rows

Cause: the numbers of all queues went into one commit without a limit. The store takes 100 entries and 1 MB in a call. After its rejection all rows but jobs and the term were held back for 10 s, and the next commit was as large.

State.add is now the one place that adds rows. It counts entries and bytes as they are sent. The term comes first, then jobs and starts, requests about VMs, waves and numbers; what doesn't fit follows in the next commit. Jobs take at most 80%. After a rejection the search for the row at fault covers rows of all kinds, and a rejected row isn't sent again unchanged. The row of requests about VMs takes as many as it holds.

The rig, the simulation and the model now enforce the store's limits.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"sort"
 	"time"
 
@@ -24,22 +23,56 @@
 
 // commit is a transaction in flight, with what to do once its outcome is known.
 type commit struct {
-	sentAt time.Time
-	renews bool
-	jobs   []*job
-	// rows are the rows of progress of jobs. jobsOnly says that the transaction holds no other rows but the term.
-	rows     [][]byte
-	jobsOnly bool
-	copied   []*job // jobs whose copy it stores
-	intents  []*attempt
-	waves    []committedWave
-	ends     map[string]endNumber // the last end of a run that it stores, by server id
-	resigns  bool
-	term     Term // the term row that it writes, if renews is set
+	sentAt  time.Time
+	renews  bool
+	parts   []committedPart
+	writes  []provider.Write // of the parts
+	size    commitSize
+	ends    map[string]endNumber // the last end of a run that it stores, by server id
+	resigns bool
+	term    Term // the term row that it writes, if renews is set
+	// suspectsOnly says that it holds only rows of a commit that the store rejected.
+	suspectsOnly bool
+}
+
+// committedPart is a part of a commit, with the key and the value of its first row.
+type committedPart struct {
+	part  part
+	key   string
+	value []byte
+}
 
-	vmRequests []vmRequest
+// part is something that a commit stores as a whole: jobPart, requestsPart, wavePart or pendingPart.
+type part interface{ part() }
+
+// jobPart is the progress of a job, and the copy of the job if copied is set.
+type jobPart struct {
+	job     *job
+	intents []*attempt
+	copied  bool
 }
 
+// requestsPart are requests about VMs that are sent once it is stored.
+type requestsPart struct{ requests []vmRequest }
+
+// wavePart is a wave, with the version of its row and its completion when the commit was sent.
+type wavePart struct {
+	wave     *wave
+	version  uint64
+	complete bool
+}
+
+// pendingPart is the number of pending jobs of a queue.
+type pendingPart struct {
+	queue string
+	jobs  int
+}
+
+func (jobPart) part()      {}
+func (requestsPart) part() {}
+func (wavePart) part()     {}
+func (pendingPart) part()  {}
+
 // endNumber is the number of the end of a run. Numbers restart with each incarnation of a server.
 type endNumber struct {
 	incarnation int64
@@ -47,56 +80,112 @@
 }
 
 // commitChanges commits the changes since the last commit and renews the term if due. One transaction is in flight at a
-// time.
+// time. What doesn't fit into it follows in the next one.
 func (s *State) commitChanges(now time.Time) {
 	if s.commit != nil || s.resigned {
 		return
 	}
-	c := &commit{sentAt: now, ends: make(map[string]endNumber)}
-	writes, all := s.jobWrites(c, now)
-	c.jobsOnly = (len(writes) > 0 && s.commitLimit > 0) || now.Before(s.otherRowsHeldUntil)
-	if !c.jobsOnly {
-		writes = append(writes, s.waveWrites(c)...)
-		writes = append(writes, s.statusWrites(now)...)
-		writes = append(writes, s.vmRequestsWrite(c, now)...)
-	}
-	if all {
-		for v := range s.unstoredEnds {
-			if v.lastEndReceived > v.lastEndStored {
-				c.ends[v.id] = endNumber{incarnation: v.incarnation, number: v.lastEndReceived}
-			}
-		}
-		clear(s.unstoredEnds)
-	}
-	c.resigns = s.stopping && all && !c.jobsOnly && !s.startsInFlight() && len(s.vmRequests) == 0
+	c, all := s.gatherChanges(now)
+	c.resigns = s.stopping && all && !s.startsInFlight() && len(s.vmRequests) == 0
 	c.renews = c.resigns || s.renewalNeeded || now.Sub(s.renewedAt) >= renewInterval
-	if len(writes) == 0 && !c.renews {
+	if len(c.writes) == 0 && !c.renews {
 		s.acknowledgeEnds(c.ends, now)
 		return
 	}
+	writes := c.writes
 	if c.renews {
 		s.renewalNeeded = false
-		term := s.Term
-		term.Renewals++
 		s.updateBacklog(now)
-		term.FullForMS = s.backlog.fullFor.Milliseconds()
-		term.DurationMS = s.termDuration().Milliseconds()
-		term.LeaseMS = s.leaseBound(now).Milliseconds()
-		if term.Duration() > ShortTerm {
-			term.LeaseMS = LongLease.Milliseconds()
-		}
-		c.term = term
+		c.term = s.nextTerm(now)
+		row := c.term
 		if c.resigns {
-			term.Holder, term.Successor = "", s.successor
+			row.Holder, row.Successor = "", s.successor
 		}
-		writes = append(writes, provider.NewPut(TermKey, term.Encode()))
+		writes = append(writes, provider.NewPut(TermKey, row.Encode()))
 	}
 	s.commit = c
+	s.rejections.last = c.suspectsOnly
 	s.counters.commits.Inc(1)
 	conditions := []provider.Condition{provider.NewCondition(TermKey, s.Term.Version())}
 	s.emit(Commit{Transaction: provider.NewTransaction(conditions, writes)})
 }
 
+// nextTerm returns the term row of the next renewal.
+func (s *State) nextTerm(now time.Time) Term {
+	term := s.Term
+	term.Renewals++
+	term.FullForMS = s.backlog.fullFor.Milliseconds()
+	term.DurationMS = s.termDuration().Milliseconds()
+	term.LeaseMS = s.leaseBound(now).Milliseconds()
+	if term.Duration() > ShortTerm {
+		term.LeaseMS = LongLease.Milliseconds()
+	}
+	return term
+}
+
+// gatherChanges returns a commit with the changes that fit, and whether it holds all changes of jobs and waves. While a row is
+// searched that the store rejects, commits with suspects and without take turns.
+func (s *State) gatherChanges(now time.Time) (c *commit, all bool) {
+	searching := len(s.rejections.suspects) > 0
+	c = &commit{sentAt: now, suspectsOnly: searching && !s.rejections.last}
+	allJobs, allWaves := s.addChanges(c, now)
+	for tries := 0; searching && len(c.parts) == 0 && tries < 2; tries++ {
+		if c.suspectsOnly {
+			clear(s.rejections.suspects) // their changes are gone
+		}
+		c = &commit{sentAt: now, suspectsOnly: !c.suspectsOnly}
+		allJobs, allWaves = s.addChanges(c, now)
+	}
+	c.ends = make(map[string]endNumber)
+	if allJobs {
+		for v := range s.unstoredEnds {
+			if v.lastEndReceived > v.lastEndStored {
+				c.ends[v.id] = endNumber{incarnation: v.incarnation, number: v.lastEndReceived}
+			}
+		}
+		clear(s.unstoredEnds)
+	}
+	return c, allJobs && allWaves
+}
+
+// addChanges adds the changes to a commit, the most important first. It reports whether it holds all changes of jobs and waves.
+func (s *State) addChanges(c *commit, now time.Time) (allJobs, allWaves bool) {
+	c.size = s.termSize(now)
+	allJobs = s.addJobs(c, now)
+	s.addVMRequests(c, now)
+	allWaves = s.addWaves(c)
+	s.addPendingJobs(c, now)
+	return allJobs, allWaves
+}
+
+// termSize returns the size of what each commit holds: the condition on the term row, the committer's own row and the term row.
+func (s *State) termSize(now time.Time) commitSize {
+	row := s.nextTerm(now)
+	row.Successor += s.successor
+	size := entrySize(TermKey, nil).plus(entrySize(TermKey, row.Encode()))
+	return size.plus(commitSize{entries: committerEntries, bytes: committerEntries * entrySize(s.EntryVM, nil).bytes})
+}
+
+// add adds a part with its rows to a commit if they fit, and reports whether it did.
+func (s *State) add(c *commit, p part, writes ...provider.Write) bool {
+	key := writes[0].Key()
+	if s.rejections.excludes(key, c.suspectsOnly, len(c.parts)) || s.rejections.holds(writes[0], c.sentAt) {
+		return false
+	}
+	share := 1.0
+	if _, isJob := p.(jobPart); isJob {
+		share = jobShare
+	}
+	size := c.size.plus(writesSize(writes))
+	if !size.within(share) {
+		return false
+	}
+	c.size = size
+	c.parts = append(c.parts, committedPart{part: p, key: key, value: writes[0].Value()})
+	c.writes = append(c.writes, writes...)
+	return true
+}
+
 // termDuration returns the duration of the next term, by how fast the store was at the last commit.
 func (s *State) termDuration() time.Duration {
 	if s.lastCommitDuration >= slowRenewalThreshold {
@@ -129,9 +218,10 @@
 	return 2
 }
 
-func (s *State) jobWrites(c *commit, now time.Time) (writes []provider.Write, all bool) {
+// addJobs adds the changed jobs to a commit, and reports whether it holds all of them.
+func (s *State) addJobs(c *commit, now time.Time) (all bool) {
 	if len(s.changedJobs) == 0 {
-		return nil, true
+		return true
 	}
 	changed := make([]*job, 0, len(s.changedJobs))
 	for j := range s.changedJobs {
@@ -145,8 +235,9 @@
 	})
 	all = true
 	for _, j := range changed {
-		if len(writes) >= maxRowsPerCommit || (s.commitLimit > 0 && len(c.jobs) >= s.commitLimit) {
-			return writes, false
+		if s.rejections.excludes(ProgressPrefix+j.spec.ID(), c.suspectsOnly, len(c.parts)) {
+			all = false
+			continue
 		}
 		if j.state == workload.JobQueued && j.started {
 			j.state = workload.JobRunning
@@ -157,63 +248,21 @@
 			all = false
 			continue // its ends of runs stay unstored
 		}
-		j.changed = false
-		delete(s.changedJobs, j)
-		if j.unstoredRuns > 0 {
-			c.intents = append(c.intents, j.intents()...)
-		}
-		c.jobs, c.rows = append(c.jobs, j), append(c.rows, row)
-		writes = append(writes, provider.NewPut(ProgressPrefix+j.spec.ID(), row))
+		part := jobPart{job: j, intents: j.intents(), copied: !p.Settled() && !j.copyStored}
+		writes := []provider.Write{provider.NewPut(ProgressPrefix+j.spec.ID(), row)}
 		switch {
 		case p.Settled() && j.copyStored:
 			writes = append(writes, provider.NewDelete(JobsPrefix+j.spec.ID()))
-		case !p.Settled() && !j.copyStored:
+		case part.copied:
 			writes = append(writes, provider.NewPut(JobsPrefix+j.spec.ID(), j.spec.Encode()))
-			c.copied = append(c.copied, j)
 		}
-	}
-	return writes, all
-}
-
-// statusWrites returns the writes of the number of pending jobs for each queue in which it changed. Until a new controller
-// knows all jobs, the rows of the previous one stay.
-func (s *State) statusWrites(now time.Time) []provider.Write {
-	if !s.jobsRead || now.Sub(s.statusWrittenAt) < statusInterval {
-		return nil
-	}
-	s.statusWrittenAt = now
-	pending := make(map[string]int)
-	total := 0
-	for _, j := range s.jobs {
-		if !j.begun && !j.state.Final() {
-			pending[j.spec.Queue()]++
-			total++
+		if !s.add(c, part, writes...) {
+			return false
 		}
+		j.changed = false
+		delete(s.changedJobs, j)
 	}
-	s.counters.pending.Update(float64(total))
-	for queue := range s.pendingStored {
-		pending[queue] += 0
-	}
-	var writes []provider.Write
-	for queue, n := range pending {
-		if known, stored := s.pendingStored[queue]; stored && known == n {
-			continue
-		}
-		s.pendingStored[queue] = n
-		data, err := json.Marshal(map[string]int{"jobs": n})
-		if err != nil {
-			panic(err) // a map of numbers can always be encoded
-		}
-		writes = append(writes, provider.NewPut(PendingJobsPrefix+queue, data))
-	}
-	return writes
-}
-
-// DecodePendingJobs decodes the row with the number of pending jobs of a queue.
-func DecodePendingJobs(row provider.Row) (int, error) {
-	var w map[string]int
-	err := json.Unmarshal(row.Value(), &w)
-	return w["jobs"], err
+	return all
 }
 
 func (s *State) commitEnded(outcome provider.CommitOutcome, now time.Time) {
@@ -238,55 +287,28 @@
 }
 
 func (s *State) commitNotApplied(c *commit, reason string) {
-	klog.InfoS("Commit not applied", "reason", reason, "jobs", len(c.jobs))
+	klog.InfoS("Commit not applied", "reason", reason, "rows", len(c.parts))
 	for id := range c.ends {
 		if v, known := s.servers[id]; known {
 			s.unstoredEnds[v] = true
 		}
 	}
-	for _, j := range c.jobs {
-		s.markChanged(j)
-	}
-	for _, w := range c.waves {
-		w.wave.changed = true
-	}
-	s.vmRequests = append(c.vmRequests, s.vmRequests...)
-	s.pendingStored = make(map[string]int)
-}
-
-// commitRejected searches for the row that the store rejects: the next commits hold jobs only, and then fewer and fewer, until one
-// with a single job is rejected. The runs of this job that aren't stored are given up, and it gets no others for a while. If no
-// job is at fault, the rows of other kinds are held back for a while.
-func (s *State) commitRejected(c *commit, reason string, now time.Time) {
-	s.commitNotApplied(c, reason)
-	switch {
-	case !c.jobsOnly:
-		klog.ErrorS(nil, "The store rejects a commit", "reason", reason, "jobs", len(c.jobs), "waves", len(c.waves),
-			"vm-requests", len(c.vmRequests))
-		s.otherRowsHeldUntil = now.Add(rejectedRowPause)
-		return
-	case len(c.jobs) != 1:
-		s.commitLimit = max(1, len(c.jobs)/2)
-		return
-	}
-	s.otherRowsHeldUntil = time.Time{}
-	j := c.jobs[0]
-	klog.ErrorS(nil, "The store rejects the progress of a job", "job", j.spec.ID(), "bytes", len(c.rows[0]), "reason", reason,
-		"unstored-runs", j.unstoredRuns)
-	s.counters.rejected.Inc(1)
-	j.rejectedRow, j.heldUntil = c.rows[0], now.Add(rejectedRowPause)
-	for _, a := range j.intents() {
-		s.removeAttempt(a)
+	for _, p := range c.parts {
+		switch p := p.part.(type) {
+		case jobPart:
+			s.markChanged(p.job)
+		case requestsPart:
+			s.vmRequests = append(p.requests, s.vmRequests...)
+		case wavePart:
+			p.wave.changed = true
+		case pendingPart:
+			s.pending.setDue(p.queue)
+		}
 	}
 }
 
 func (s *State) commitApplied(c *commit, version uint64, now time.Time) {
-	if s.commitLimit *= 2; s.commitLimit >= maxRowsPerCommit {
-		s.commitLimit = 0
-	}
-	if len(c.jobs) == 0 {
-		s.commitLimit = 0
-	}
+	s.rejections.stored(c.parts)
 	if c.renews {
 		s.Term = c.term.WithVersion(version)
 		s.renewedAt = c.sentAt
@@ -297,31 +319,14 @@
 		s.depose("released")
 		return
 	}
-	for _, a := range c.intents {
-		a.task.job.unstoredRuns--
-		a.phase = requested
-		if a.stopRequested || !s.acceptsStarts(a.server) {
-			s.removeAttempt(a) // its start request was never sent
-			continue
-		}
-		s.sendStart(a, now)
-	}
-	for _, j := range c.copied {
-		j.copyStored = true
-	}
-	for _, w := range c.waves {
-		if w.version == w.wave.spec.Version {
-			w.wave.storedComplete = w.complete
-		}
-	}
-	for _, r := range c.vmRequests {
-		s.emit(r.effect)
+	for _, p := range c.parts {
+		s.partStored(p.part, now)
 	}
 	s.acknowledgeEnds(c.ends, now)
 	var settled []string
-	for _, j := range c.jobs {
-		if s.dropFinishedJob(j) {
-			settled = append(settled, j.spec.ID())
+	for _, p := range c.parts {
+		if p, isJob := p.part.(jobPart); isJob && s.dropFinishedJob(p.job) {
+			settled = append(settled, p.job.spec.ID())
 		}
 	}
 	if len(settled) > 0 {
@@ -329,6 +334,38 @@
 	}
 }
 
+// partStored does what waited until a part of a commit is stored.
+func (s *State) partStored(p part, now time.Time) {
+	switch p := p.(type) {
+	case jobPart:
+		p.job.copyStored = p.job.copyStored || p.copied
+		for _, a := range p.intents {
+			s.intentStored(a, now)
+		}
+	case requestsPart:
+		for _, r := range p.requests {
+			s.emit(r.effect)
+		}
+	case wavePart:
+		if p.version == p.wave.spec.Version {
+			p.wave.storedComplete = p.complete
+		}
+	case pendingPart:
+		s.pending.stored[p.queue] = p.jobs
+	}
+}
+
+// intentStored sends the start request of a run whose intent is stored.
+func (s *State) intentStored(a *attempt, now time.Time) {
+	a.task.job.unstoredRuns--
+	a.phase = requested
+	if a.stopRequested || !s.acceptsStarts(a.server) {
+		s.removeAttempt(a) // its start request was never sent
+		return
+	}
+	s.sendStart(a, now)
+}
+
 // acknowledgeEnds records which ends of runs are stored, so that the next poll lets the servers discard them.
 func (s *State) acknowledgeEnds(ends map[string]endNumber, now time.Time) {
 	for id, last := range ends {
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -95,10 +95,9 @@
 	// maxAvoidedServers bounds the servers that a task remembers because it failed there, as it may be restarted for months.
 	maxAvoidedServers = 8
 
-	// rejectedRowPause is how long a job gets no runs after the store rejected its progress, and how long rows of other kinds
-	// aren't sent again.
+	// rejectedRowPause is how long a job gets no runs after the store rejected its progress, and how long a row of another kind
+	// isn't sent again.
 	rejectedRowPause  = 10 * time.Second
-	maxRowsPerCommit  = 80   // the store accepts 100 entries, including conditions and the committer's own row
 	maxIntentsPerPass = 1200 // starts in one placement pass; a large fleet has ten passes a second
 	// maxActiveRuns bounds the runs of a job at a time, as its progress row must stay below the 64 KB that the store
 	// accepts: the record of a task with a run has some 110 bytes.
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -284,6 +284,9 @@
 
 // intents returns the runs whose intent isn't stored yet.
 func (j *job) intents() []*attempt {
+	if j.unstoredRuns == 0 {
+		return nil
+	}
 	var intents []*attempt
 	for _, t := range j.tasks {
 		for _, a := range t.attempts {
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -521,6 +521,9 @@
 	if c.dead || c.storeUnreachable {
 		return
 	}
+	if refusal := storeRefusal(e.Transaction); refusal != "" {
+		panic(refusal)
+	}
 	condition := e.Transaction.Conditions()[0]
 	if condition.Version() != m.term && m.mutation != storeIgnoresTerms {
 		m.handle(c, fleet.CommitEnded{Outcome: provider.NewConflict(provider.NewRow(fleet.TermKey, nil, m.term))})
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -24,6 +24,7 @@
 	holdCommits bool // commits get no outcome
 	// rejects reports whether the store rejects a transaction for its content. It may be nil.
 	rejects      func(provider.Transaction) bool
+	refusals     []string // of transactions that the store rejected for their size
 	effects      []fleet.Effect
 	rows         map[string][]byte
 	bootTimes    map[string]time.Time  // start times of servers by id, a minute before they register if none is set
@@ -116,6 +117,11 @@
 }
 
 func (r *rig) commit(c fleet.Commit) {
+	if refusal := storeRefusal(c.Transaction); refusal != "" {
+		r.refusals = append(r.refusals, refusal)
+		r.state.Handle(fleet.CommitEnded{Outcome: provider.NewRejected(refusal)}, r.now)
+		return
+	}
 	if r.rejects != nil && r.rejects(c.Transaction) {
 		r.state.Handle(fleet.CommitEnded{Outcome: provider.NewRejected("a row is too long")}, r.now)
 		return
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -229,6 +229,9 @@
 			return
 		}
 		sm.after(15*time.Millisecond, func() {
+			if refusal := storeRefusal(e.Transaction); refusal != "" {
+				panic(refusal)
+			}
 			sm.version++
 			sm.store(e.Transaction)
 			sm.state.Handle(fleet.CommitEnded{Outcome: provider.NewCommitted(sm.version)}, sm.now)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -113,12 +113,10 @@
 	renewedAt             time.Time
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
-	commitLimit           int           // of the jobs in one commit after the store rejected one, or 0
-	otherRowsHeldUntil    time.Time     // until then commits hold jobs and the term only, as the store rejected others
+	rejections            rejections
 	lastCommitDuration    time.Duration // duration of the last commit
 	jobsRead              bool          // all jobs that were stored before the term are known
-	statusWrittenAt       time.Time
-	pendingStored         map[string]int      // pending jobs by queue, as last written
+	pending               pendingJobs
 	recommendationCall    *recommendationCall // the current call of the recommendation service, or nil
 	recommendationRetryAt time.Time           // when the service may be called again after a failure
 	effects               []Effect
@@ -174,7 +172,7 @@
 	s.recentVMRequests = make(map[string]time.Time)
 	s.vmRequestsAllowedAt = make(map[string]time.Time)
 	s.requestedBefore = make(map[string]bool)
-	s.pendingStored = make(map[string]int)
+	s.pending, s.rejections = newPendingJobs(), newRejections()
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
 	s.renewedAt = s.TermRequestedAt
 }
--- a/fleet/vmrequests.go
+++ b/fleet/vmrequests.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,35 +18,56 @@
 // maxClockSkew is the largest difference between the clocks of two entry VMs in normal operation.
 const maxClockSkew = 500 * time.Millisecond
 
+// vmRequestBytes bounds the encoded size of a VM in the row without its name.
+const vmRequestBytes = 32
+
 // vmRequest is a request to move or maintain a VM, which is sent once its intent is stored.
 type vmRequest struct {
 	vm     string
 	effect Effect
 }
 
-// vmRequestsWrite returns the write that stores the intents of the pending requests, if there are any.
-func (s *State) vmRequestsWrite(c *commit, now time.Time) []provider.Write {
+// addVMRequests adds the intents of the pending requests to a commit. They are as many as the row holds beside the recent ones.
+func (s *State) addVMRequests(c *commit, now time.Time) {
 	if len(s.vmRequests) == 0 {
-		return nil
+		return
 	}
-	c.vmRequests, s.vmRequests = s.vmRequests, nil
 	for vm, at := range s.recentVMRequests {
 		if now.Sub(at) > s.HandoverPause+LongTerm {
 			delete(s.recentVMRequests, vm)
 		}
 	}
-	for _, r := range c.vmRequests {
-		s.recentVMRequests[r.vm] = now
+	stored, size := make(map[string]int64, len(s.recentVMRequests)), 0
+	add := func(vm string, at time.Time) bool {
+		size += maxEscapedBytes*len(vm) + vmRequestBytes
+		if size > maxRowBytes {
+			return false
+		}
+		stored[vm] = at.UnixMilli()
+		return true
 	}
-	stored := make(map[string]int64, len(s.recentVMRequests))
 	for vm, at := range s.recentVMRequests {
-		stored[vm] = at.UnixMilli()
+		add(vm, at)
+	}
+	count := 0
+	for count < len(s.vmRequests) && add(s.vmRequests[count].vm, now) {
+		count++
+	}
+	if count == 0 {
+		return
 	}
 	data, err := json.Marshal(stored)
 	if err != nil {
 		panic(err) // strings and numbers can always be encoded
 	}
-	return []provider.Write{provider.NewPut(VMRequestsKey, data)}
+	requests := slices.Clone(s.vmRequests[:count])
+	if !s.add(c, requestsPart{requests: requests}, provider.NewPut(VMRequestsKey, data)) {
+		return
+	}
+	s.vmRequests = slices.Clone(s.vmRequests[count:])
+	for _, r := range requests {
+		s.recentVMRequests[r.vm] = now
+	}
 }
 
 // RestoreVMRequests loads the row with the VMs for which the previous controller recently sent requests. Unless that was an earlier
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -62,13 +62,6 @@
 	Version uint64 `json:"version,omitempty"`
 }
 
-// committedWave is a wave in a commit, with the version of its row and its completion when the commit was sent.
-type committedWave struct {
-	wave     *wave
-	version  uint64
-	complete bool
-}
-
 func newWave(spec directory.Wave) *wave {
 	return &wave{
 		spec: spec, begunAt: make(map[string]time.Time), requestedAt: make(map[string]time.Time),
@@ -124,14 +117,13 @@
 	}
 }
 
-func (s *State) waveWrites(c *commit) []provider.Write {
-	var writes []provider.Write
+// addWaves adds the changed waves to a commit, and reports whether it holds all of them but those that the store rejected.
+func (s *State) addWaves(c *commit) (all bool) {
+	all = true
 	for _, w := range s.waves {
 		if !w.changed {
 			continue
 		}
-		w.changed = false
-		c.waves = append(c.waves, committedWave{wave: w, version: w.spec.Version, complete: w.complete})
 		stored := storedWave{Complete: w.complete, SeenMS: w.firstSeen.UnixMilli(), Version: w.spec.Version}
 		for vm := range w.begunAt {
 			stored.Begun = append(stored.Begun, vm)
@@ -141,9 +133,14 @@
 		if err != nil {
 			panic(err) // strings and numbers can always be encoded
 		}
-		writes = append(writes, provider.NewPut(WavesPrefix+w.spec.Name, data))
+		write := provider.NewPut(WavesPrefix+w.spec.Name, data)
+		if s.add(c, wavePart{wave: w, version: w.spec.Version, complete: w.complete}, write) {
+			w.changed = false
+			continue
+		}
+		all = all && s.rejections.holds(write, c.sentAt)
 	}
-	return writes
+	return all
 }
 
 // publishWaves publishes the status of each wave if it changed. A wave is published as complete only after that is
