Bound the row of a job by its encoded size, and pack a long one

Cause: the runs of a job were bounded by their number, and its row in bytes only by an estimate for one state of a record. With checkpoints and counts of crashes 400 records outgrow the store's 65,536 bytes. The store rejected the row, the runs were dropped, and the next placement made the same row.

Progress that is too long as JSON is stored packed now. A run is started only while the row holds it and whatever becomes of the present runs, by the encoded size of the longest records. Records that are there leave room for one run more. Checkpoints of any length may be left out of the row. A row that is too long all the same isn't sent.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -243,7 +243,10 @@
 			j.state = workload.JobRunning
 		}
 		p := j.progress(now)
-		row := p.Encode()
+		row, fits := encodeProgress(p)
+		if !fits && !bytes.Equal(row, j.rejectedRow) {
+			s.holdJob(j, row, now)
+		}
 		if bytes.Equal(row, j.rejectedRow) {
 			all = false
 			continue // its ends of runs stay unstored
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -33,6 +33,7 @@
 	longRunning  bool // it has a step whose tasks run until it is cancelled
 	failed       bool // a task was given up without which it is never completed
 	objective    time.Duration
+	row          rowBound
 	activeRuns   int // runs that may exist
 	unstoredRuns int // of these, runs whose intent isn't stored yet
 }
@@ -125,7 +126,7 @@
 func newJob(spec *workload.Job) *job {
 	return &job{
 		spec: spec, state: workload.JobQueued, tasks: make(map[string]*task), steps: make(map[[2]int]*step),
-		submitted: spec.Accepted(), longRunning: spec.LongRunning(), objective: spec.Objective(),
+		submitted: spec.Accepted(), longRunning: spec.LongRunning(), objective: spec.Objective(), row: rowBound{bytes: emptyRowBytes},
 	}
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -180,6 +180,9 @@
 		if t.job.activeRuns >= maxActiveRuns {
 			break
 		}
+		if !s.hasRowFor([]*task{t}, now) {
+			break
+		}
 		if !s.withinLimit(t, 1) {
 			s.overLimit[s.poolOf(t.job)]++
 			break
@@ -350,6 +353,7 @@
 		runNumber: run, phase: storing, incarnation: v.incarnation, checkpoint: t.record.Checkpoint, startedAt: now,
 	}
 	s.addAttempt(t, v, a)
+	t.job.row.bytes += s.runBytes()
 	t.job.started = true
 	s.markChanged(t.job)
 	klog.V(1).InfoS("Run placed", "run", a.id(), "server", v.id, "wait", now.Sub(t.job.submitted),
@@ -369,7 +373,7 @@
 	if active := st.tasks[0].job.activeRuns; active > 0 && active+len(st.tasks) > maxActiveRuns {
 		return 0
 	}
-	if !s.withinLimit(st.tasks[0], int64(len(st.tasks))) {
+	if !s.withinLimit(st.tasks[0], int64(len(st.tasks))) || !s.hasRowFor(st.tasks, now) {
 		return 0
 	}
 	p.countStepRuns(st)
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -98,6 +98,7 @@
 			s.losses.add(l.Server, lossKey{task: t, run: l.Run})
 		}
 	}
+	j.row.bytes = s.restoredRowBytes(p)
 	if j.state.Final() {
 		for _, t := range j.tasks {
 			for _, a := range t.attempts {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -102,6 +102,7 @@
 	dirtyPools            map[string]bool  // pools in which a change may allow starts
 	placedAt              time.Time
 	rebalancedAt          time.Time
+	longestServerName     int           // encoded length of the longest id of a server so far
 	sortedServers         []*server     // all servers by id, or nil if it has to be rebuilt
 	changedJobs           map[*job]bool // jobs whose progress has to be stored
 	stopping              bool
@@ -385,6 +386,7 @@
 		}
 		s.servers[id] = v
 		s.sortedServers = nil
+		s.longestServerName = max(s.longestServerName, encodedName(id))
 	}
 	return v
 }
--- a/workload/fuzz_test.go
+++ b/workload/fuzz_test.go
@@ -36,6 +36,8 @@
 func FuzzDecodeProgress(f *testing.F) {
 	f.Add([]byte(`{"state":"running","tasks":{"0.0.0":{"last-run":1}},"done-steps":["0.1"],"done-tasks":{"1.0":[0]}}`))
 	f.Add([]byte(`{"state":"running","done-occurrences":-1,"job":{"id":"1"}}`))
+	f.Add([]byte(`{"state":"packed","data":"AAAA"}`))
+	f.Add(longProgress().Encode())
 	f.Fuzz(func(t *testing.T, row []byte) {
 		p, err := workload.DecodeProgress(row)
 		if err != nil {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -107,12 +107,15 @@
 // Settled reports whether the job has ended and none of its runs may exist any more.
 func (p Progress) Settled() bool { return p.State.Final() && len(p.Tasks) == 0 }
 
-// Encode returns the stored form of the progress.
+// Encode returns the stored form of the progress. It is packed if it would be longer than MaxProgressBytes otherwise.
 func (p Progress) Encode() []byte {
 	data, err := json.Marshal(p)
 	if err != nil {
 		panic(err) // impossible: all fields are strings, numbers, booleans and the JSON of a valid job
 	}
+	if len(data) > MaxProgressBytes {
+		return p.pack()
+	}
 	return data
 }
 
@@ -122,6 +125,12 @@
 	if err := json.Unmarshal(data, &p); err != nil {
 		return Progress{}, errors.Wrap(err, "decode progress")
 	}
+	if p.State == jobPacked {
+		var err error
+		if p, err = unpackProgress(data); err != nil {
+			return Progress{}, err
+		}
+	}
 	switch p.State {
 	case JobQueued, JobRunning, JobCompleted, JobFailed, JobCancelled:
 		return p, nil
