--- a/fleet/jobrow.go
+++ b/fleet/jobrow.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
-	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +23,8 @@
 	// runServerNames the names of servers in it: in the assignment, the loss and what may still start late.
 	runRecordBytes = 900
 	runServerNames = 5
+	// minMeasuredRuns is how many further runs a row is measured with at least, if there are as many tasks.
+	minMeasuredRuns = 100
 	// checkpointBytes is kept for the next checkpoint of a run.
 	checkpointBytes = 64
 	// maxLateEntries bounds the records of starts of a task that may still be carried out.
@@ -55,20 +57,25 @@
 	if now.Sub(b.fullAt) < rowMeasureInterval {
 		return false
 	}
-	j := tasks[0].job
+	// The bound of the growth is far above that of a compressed row, so the row is measured with as many runs as may follow.
+	// Any tasks may then follow, and so the limit is that of tasks without a record.
+	j, measured, measuredLimit := tasks[0].job, tasks, limit
+	if len(tasks) == 1 {
+		measured = tasks[0].nextTasks(max(maxActiveRuns-j.activeRuns, minMeasuredRuns), now)
+		measuredLimit = int(newTaskShare * workload.MaxProgressBytes)
+	}
+	if size := s.worstProgress(j, measured, now).PackedBytes(); size <= measuredLimit {
+		b.bytes = size - len(measured)*s.runBytes()
+		return true
+	}
 	b.bytes = s.worstProgress(j, nil, now).PackedBytes()
 	if b.bytes+growth <= limit {
 		return true
 	}
 	if len(tasks) > 1 || j.activeRuns == 0 {
-		// The bound of the growth is far above that of a compressed row.
 		with := s.worstProgress(j, tasks, now)
-		size := with.PackedBytes()
-		if size > limit {
-			removeCheckpoints(with)
-			size = with.PackedBytes()
-		}
-		if size <= limit {
+		removeCheckpoints(with)
+		if size := with.PackedBytes(); size <= limit {
 			b.bytes = size - growth
 			return true
 		}
@@ -77,6 +84,20 @@
 	return false
 }
 
+// nextTasks returns the task and others of its step that may be started after it.
+func (t *task) nextTasks(count int, now time.Time) []*task {
+	next := []*task{t}
+	for _, other := range t.step.tasks[min(t.id.Index+1, len(t.step.tasks)):] {
+		if len(next) >= count {
+			break
+		}
+		if other.needsRun(now) {
+			next = append(next, other)
+		}
+	}
+	return next
+}
+
 // restoredRowBytes bounds the size that a row can reach that an earlier controller stored.
 func (s *State) restoredRowBytes(p workload.Progress) int {
 	const doneBytes = 32 // of the name of a step or the index of a task
@@ -163,11 +184,13 @@
 
 // incompressible returns a text of a length that no compression shortens to less than half, and that differs for each seed.
 func incompressible(seed string, length int) string {
-	var b strings.Builder
-	for n := 0; b.Len() < length; n++ {
-		fmt.Fprintf(&b, "%016x", xxhash.Sum64String(fmt.Sprint(seed, n)))
+	text := make([]byte, 0, length+16)
+	for state := xxhash.Sum64String(seed); len(text) < length; {
+		block := binary.BigEndian.AppendUint64(nil, state)
+		text = hex.AppendEncode(text, block)
+		state = xxhash.Sum64(block)
 	}
-	return b.String()[:length]
+	return string(text[:length])
 }
 
 // encodeProgress returns the row of a job. If it is too long for the store in spite of hasRowFor, as a checkpoint may have any
