--- a/directory/directory.go
+++ b/directory/directory.go
@@ -115,9 +115,6 @@
 	return q, ok
 }
 
-// Queues returns the queues by name. Callers must not modify the map.
-func (s *Snapshot) Queues() map[string]Queue { return s.queues }
-
 // QueueCount returns the number of queues.
 func (s *Snapshot) QueueCount() int { return len(s.queues) }
 
--- a/fleet/pendingjobs.go
+++ b/fleet/pendingjobs.go
@@ -58,14 +58,6 @@
 			p.setDue(queue)
 		}
 	}
-	if s.directory == nil {
-		return
-	}
-	for queue := range s.directory.Queues() {
-		if !p.isStored(queue) {
-			p.setDue(queue) // the previous controller may have stored another number
-		}
-	}
 }
 
 // addPendingJobs adds the numbers of pending jobs that have to be stored to a commit.
