--- a/fleet/job.go
+++ b/fleet/job.go
@@ -33,6 +33,7 @@
 	longRunning  bool // it has a step whose tasks run until it is cancelled
 	failed       bool // a task was given up without which it is never completed
 	objective    time.Duration
+	row          rowBound
 	activeRuns   int // runs that may exist
 	unstoredRuns int // of these, runs whose intent isn't stored yet
 	repeats      int // runs whose start request is repeated once that is stored
@@ -134,7 +135,7 @@
 func newJob(spec *workload.Job) *job {
 	return &job{
 		spec: spec, state: workload.JobQueued, tasks: make(map[string]*task), steps: make(map[[2]int]*step),
-		submitted: spec.Accepted(), longRunning: spec.LongRunning(), objective: spec.Objective(),
+		submitted: spec.Accepted(), longRunning: spec.LongRunning(), objective: spec.Objective(), row: rowBound{bytes: emptyRowBytes},
 	}
 }
 
@@ -293,6 +294,9 @@
 
 // intents returns the runs whose intent isn't stored yet.
 func (j *job) intents() []*attempt {
+	if j.unstoredRuns == 0 {
+		return nil
+	}
 	var intents []*attempt
 	for _, t := range j.tasks {
 		for _, a := range t.attempts {
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/pistachiolead/pistachiolead/backend"
@@ -25,10 +26,12 @@
 	holdCommits bool // commits get no outcome
 	// rejects reports whether the store rejects a transaction for its content. It may be nil.
 	rejects      func(provider.Transaction) bool
+	refusals     []string // of transactions that the store rejected for their size
 	effects      []fleet.Effect
 	rows         map[string][]byte
 	bootTimes    map[string]time.Time  // start times of servers by id, a minute before they register if none is set
 	openPolls    map[string]fleet.Poll // polls without a response, by server id
+	scope        tally.Scope           // receives the metrics; may be nil
 	measurements map[backend.Run]int64 // reported tail latencies in milliseconds
 
 	recommendation *backend.Recommendation // of the queue
@@ -60,7 +63,7 @@
 // begin starts a new term with an empty control state.
 func (r *rig) begin(token uint64) {
 	r.state = &fleet.State{
-		EntryVM: r.entryVM, Token: token, TermRequestedAt: r.now,
+		EntryVM: r.entryVM, Token: token, Scope: r.scope, TermRequestedAt: r.now,
 		Term:          fleet.Term{Holder: r.entryVM, DurationMS: 2500}.WithVersion(token),
 		HandoverPause: 3 * time.Second, MaintenanceTime: 2 * time.Second, MoveTime: time.Second,
 	}
@@ -117,6 +120,11 @@
 }
 
 func (r *rig) commit(c fleet.Commit) {
+	if refusal := storeRefusal(c.Transaction); refusal != "" {
+		r.refusals = append(r.refusals, refusal)
+		r.state.Handle(fleet.CommitEnded{Outcome: provider.NewRejected(refusal)}, r.now)
+		return
+	}
 	if r.rejects != nil && r.rejects(c.Transaction) {
 		r.state.Handle(fleet.CommitEnded{Outcome: provider.NewRejected("a row is too long")}, r.now)
 		return
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -105,6 +105,7 @@
 	dirtyPools            map[string]bool  // pools in which a change may allow starts
 	placedAt              time.Time
 	rebalancedAt          time.Time
+	longestServerName     int           // encoded length of the longest id of a server so far
 	sortedServers         []*server     // all servers by id, or nil if it has to be rebuilt
 	changedJobs           map[*job]bool // jobs whose progress has to be stored
 	stopping              bool
@@ -116,12 +117,10 @@
 	renewedAt             time.Time
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
-	commitLimit           int           // of the jobs in one commit after the store rejected one, or 0
-	otherRowsHeldUntil    time.Time     // until then commits hold jobs and the term only, as the store rejected others
+	rejections            rejections
 	lastCommitDuration    time.Duration // duration of the last commit
 	jobsRead              bool          // all jobs that were stored before the term are known
-	statusWrittenAt       time.Time
-	pendingStored         map[string]int      // pending jobs by queue, as last written
+	pending               pendingJobs
 	recommendationCall    *recommendationCall // the current call of the recommendation service, or nil
 	recommendationRetryAt time.Time           // when the service may be called again after a failure
 	effects               []Effect
@@ -177,7 +176,7 @@
 	s.arrivals, s.departures = make(workRates), make(workRates)
 	s.recentVMRequests = make(map[string]recentVMRequest)
 	s.requestedBefore = make(map[string]bool)
-	s.pendingStored = make(map[string]int)
+	s.pending, s.rejections = newPendingJobs(), newRejections()
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
 	s.renewedAt = s.TermRequestedAt
 }
@@ -393,6 +392,7 @@
 		}
 		s.servers[id] = v
 		s.sortedServers = nil
+		s.longestServerName = max(s.longestServerName, encodedName(id))
 	}
 	return v
 }
--- a/fleet/vmrequests.go
+++ b/fleet/vmrequests.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -49,9 +50,9 @@
 	AgesMS  map[string]int64 `json:"ages-ms"` // ages of the requests when the row was written, by VM
 }
 
-// vmRequestsWrite returns the write that stores the intents of the pending requests, if there are any. While there are recent
-// requests, it also returns a write from time to time, so that their stored ages don't lag far behind and they are removed.
-func (s *State) vmRequestsWrite(c *commit, now time.Time) []provider.Write {
+// addVMRequests adds the intents of the pending requests to a commit, as many as its row has room for beside the recent ones. While there
+// are recent requests, the row is also written from time to time, so that their stored ages don't lag far behind and they are removed.
+func (s *State) addVMRequests(c *commit, now time.Time) {
 	if s.stopping {
 		s.vmRequests = nil // this controller sends no more of them
 	}
@@ -60,33 +61,37 @@
 			delete(s.recentVMRequests, vm)
 		}
 	}
-	s.takeVMRequests(c, now)
+	count := s.storableVMRequests(now)
 	renewalDue := now.Sub(s.renewedAt) >= renewInterval // a write on its own would be a commit more
 	refresh := s.vmRequestsStored && renewalDue && now.Sub(s.vmRequestsStoredAt) >= vmRequestsStoreInterval
-	if len(c.vmRequests) == 0 && !refresh {
-		return nil
+	if count == 0 && !refresh {
+		return
+	}
+	requests, previous := slices.Clone(s.vmRequests[:count]), maps.Clone(s.recentVMRequests)
+	for _, r := range requests {
+		s.recentVMRequests[r.vm] = recentVMRequest{sender: s.EntryVM, at: now, inFlight: true}
+	}
+	part := requestsPart{requests: requests, clears: len(s.recentVMRequests) == 0}
+	if !s.add(c, part, provider.NewPut(VMRequestsKey, s.encodeVMRequests(now))) {
+		s.recentVMRequests = previous
+		return
 	}
-	s.vmRequestsStoredAt = now
-	s.vmRequestsStored = true
-	c.clearsVMRequests = len(s.recentVMRequests) == 0
-	return []provider.Write{provider.NewPut(VMRequestsKey, s.encodeVMRequests(now))}
+	s.vmRequests = slices.Clone(s.vmRequests[count:])
+	s.vmRequestsStoredAt, s.vmRequestsStored = now, true
 }
 
-// takeVMRequests moves the pending requests to a commit, as far as its row has room for them.
-func (s *State) takeVMRequests(c *commit, now time.Time) {
+// storableVMRequests returns the number of the pending requests for which the row of recent ones has room.
+func (s *State) storableVMRequests(now time.Time) int {
 	if len(s.vmRequests) == 0 {
-		return
+		return 0
 	}
 	size := len(s.encodeVMRequests(now)) + len(s.EntryVM)
-	for len(s.vmRequests) > 0 {
-		r := s.vmRequests[0]
-		if size += len(r.vm) + len(`"":99999,`); size > maxVMRequestsBytes {
-			return
+	for n, r := range s.vmRequests {
+		if size += maxEscapedBytes*len(r.vm) + len(`"":99999,`); size > maxVMRequestsBytes {
+			return n
 		}
-		s.vmRequests = s.vmRequests[1:]
-		c.vmRequests = append(c.vmRequests, r)
-		s.recentVMRequests[r.vm] = recentVMRequest{sender: s.EntryVM, at: now, inFlight: true}
 	}
+	return len(s.vmRequests)
 }
 
 func (s *State) encodeVMRequests(now time.Time) []byte {
@@ -117,17 +122,17 @@
 	return max(0, now.Sub(r.at))
 }
 
-// sendVMRequests sends the requests of a commit that was applied. After the term another controller may have read the row already
+// sendVMRequests sends the requests of a row that is stored. After the term another controller may have read the row already
 // and sent requests, so they are stored again with the renewal of the term.
-func (s *State) sendVMRequests(c *commit, now time.Time) {
-	if c.clearsVMRequests {
+func (s *State) sendVMRequests(p requestsPart, now time.Time) {
+	if p.clears {
 		s.vmRequestsStored = false
 	}
 	if !now.Before(s.termEndsAt) {
-		s.vmRequests = append(c.vmRequests, s.vmRequests...)
+		s.vmRequests = append(p.requests, s.vmRequests...)
 		return
 	}
-	for _, r := range c.vmRequests {
+	for _, r := range p.requests {
 		s.recentVMRequests[r.vm] = recentVMRequest{sender: s.EntryVM, at: now, inFlight: true}
 		s.emit(r.effect)
 	}
