Store the late starts of jobs and tasks that have ended

Starts could exceed the capacity of a server and the limit of a customer after a change of controllers: the row of a cancelled job, and of a task that is done, had no late starts. The next controller placed runs where held requests could still be carried out beside them by the next incarnation of their server.

The row keeps them, and the job, until they can't be carried out any more.

Evidence: TestLateStartsOfCancelledJobTakeCapacityAfterTakeover failed before: another task was requested 3.675s after held requests that take all capacity. Late starts in occurrences that were removed are still lost with the term.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -248,21 +248,22 @@
 	return p
 }
 
-// store adds the tasks of a step to the progress to be stored. For a job that has ended only runs that may exist are
-// stored.
+// store adds the tasks of a step to the progress to be stored. For a job that has ended only runs that may exist or be started late
+// are stored.
 func (st *step) store(p *workload.Progress, now time.Time) {
 	name := st.id().String()
-	if st.remaining == 0 && st.activeRuns() == 0 {
+	if st.remaining == 0 && st.activeRuns() == 0 && !st.hasLateStarts() {
 		if !p.State.Final() {
 			p.DoneSteps = append(p.DoneSteps, name)
 		}
 		return
 	}
 	for _, t := range st.tasks {
-		if len(t.attempts) == 0 && (p.State.Final() || t.record.LastRun == 0 && !t.record.Done) {
+		idle := len(t.attempts) == 0 && len(t.lateStarts) == 0
+		if idle && (p.State.Final() || t.record.LastRun == 0 && !t.record.Done) {
 			continue
 		}
-		if len(t.attempts) == 0 && t.record.Done {
+		if idle && t.record.Done {
 			if p.DoneTasks == nil {
 				p.DoneTasks = make(map[string][]int)
 			}
@@ -291,6 +292,11 @@
 	return n
 }
 
+// hasLateStarts reports whether runs of the step may be started late.
+func (st *step) hasLateStarts() bool {
+	return slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.lateStarts) > 0 })
+}
+
 // intents returns the runs whose intent isn't stored yet.
 func (j *job) intents() []*attempt {
 	var intents []*attempt
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -69,9 +69,9 @@
 	}
 }
 
-// dropFinishedJob removes a job if it has ended, has no runs, and all of that is stored. It reports whether it did.
+// dropFinishedJob removes a job if it has ended, has no runs and no late starts, and all of that is stored. It reports whether it did.
 func (s *State) dropFinishedJob(j *job) bool {
-	if !j.state.Final() || j.activeRuns > 0 || j.changed {
+	if !j.state.Final() || j.activeRuns > 0 || j.lateStarts > 0 || j.changed {
 		return false
 	}
 	delete(s.jobs, j.spec.ID())
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -106,10 +106,8 @@
 	t.job.lateStarts--
 	customer := t.job.spec.Customer()
 	s.customerUsage[customer] = s.customerUsage[customer].Minus(t.step.spec.Requests())
-	if !t.job.state.Final() {
-		s.markChanged(t.job)
-		s.dirtyPools[s.poolOf(t.job)] = true
-	}
+	s.markChanged(t.job)
+	s.dirtyPools[s.poolOf(t.job)] = true
 }
 
 // isReplacedBy reports whether a registered server runs on the VM of a late start's server, which won't return under its id then.
--- a/fleet/latestarts2_test.go
+++ b/fleet/latestarts2_test.go
@@ -273,3 +273,47 @@
 		}
 	}
 }
+
+// Guards against starts beyond the capacity of a server whose next incarnation carries out held requests for a cancelled job, of which
+// the next controller doesn't know.
+func TestLateStartsOfCancelledJobTakeCapacityAfterTakeover(t *testing.T) {
+	r := newRig(t)
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	cancelled := r.job(1, workload.StepOptions{Count: 2, MilliCores: 4000, DeclaredDurationMS: 1000})
+	r.handle(fleet.JobArrived{Job: cancelled})
+	sentAt := r.now
+	assert.Equal(t, len(r.starts()), 2)
+	r.comeBack("i-1")
+	report := func() {
+		r.advance(100 * time.Millisecond)
+		if _, open := r.openPolls["i-1"]; open {
+			r.report("i-1", nil)
+		}
+		for _, e := range r.takeEffects() {
+			switch e := e.(type) {
+			case fleet.Stop:
+				r.handle(fleet.StopEnded{Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{}})
+			case fleet.Start:
+				t.Fatalf("%v is requested %s after held requests that take all capacity", e.Request.Run, r.now.Sub(sentAt))
+			}
+		}
+	}
+	for range 20 {
+		report()
+	}
+	r.handle(fleet.CancelRequested{ID: cancelled.ID()})
+	other := r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	r.handle(fleet.JobArrived{Job: other})
+	for range 10 {
+		report()
+	}
+	r.restart(cancelled, other)
+	clear(r.openPolls)
+	r.register("i-1", "press")
+	for range 30 {
+		report()
+	}
+}
