Store the answers to the starts of a job together

Each answered start of a run that lasts wrote the row of its job, so that a job of 400 tasks encoded up to 64 KB 400 times. The row is written once no start of the job is in flight.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -53,11 +53,23 @@
 func (s *State) storeAnswer(a *attempt, now time.Time) {
 	lasts := a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
 		now.Sub(a.startedAt) >= lastingRunTime
-	if lasts && !a.answerStored && a.startAnswered() {
+	if lasts && !a.answerStored && a.startAnswered() && !a.task.job.startsInFlight() {
 		s.markChanged(a.task.job)
 	}
 }
 
+// startsInFlight reports whether the outcome of a start request of the job is outstanding.
+func (j *job) startsInFlight() bool {
+	for _, t := range j.tasks {
+		for _, a := range t.attempts {
+			if a.inFlight {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // keepLateStart holds the task of a run that was given up until the request to start it can't be carried out any more.
 func (s *State) keepLateStart(a *attempt) {
 	v := a.server
