Give up a task one crash earlier if its crashes are hardly a coincidence

A task that crashes servers among other crashes is now mostly given up only at the limit of five, and a crash that isn't counted makes it one too many. Which crash wasn't counted isn't traced.

From four certain crashes on, of which two were isolated, a probability of 5e-4 is enough.

--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -34,7 +34,9 @@
 	minLongRunningCrashes  = 3
 	minLongRunningIsolated = 2
 	// maxCoincidence is the largest probability of the crashes under a task that doesn't crash servers with which it is given up.
-	maxCoincidence = 1e-4
+	// maxCoincidenceAtLimit holds one crash before crashLimit, as a crash may have been missed.
+	maxCoincidence        = 1e-4
+	maxCoincidenceAtLimit = 5e-4
 	// crashLimit is the number of crashes after which a task isn't started again: by its next start the rule would be broken.
 	crashLimit = maxCrashes + 2
 )
@@ -105,7 +107,8 @@
 // GivesUp reports whether a task is given up because it crashes servers: if the crashes under it are no coincidence, or if by the
 // users' rules it may not be started again.
 func GivesUp(c Crashes) bool {
-	if c.Confirmed >= crashLimit {
+	nearLimit := c.Certain > maxCrashes && c.Isolated >= minLongRunningIsolated && c.Coincidence() <= maxCoincidenceAtLimit
+	if c.Confirmed >= crashLimit || nearLimit {
 		return true
 	}
 	if c.Coincidence() > maxCoincidence {
