--- a/fleet/state.go
+++ b/fleet/state.go
@@ -167,7 +167,7 @@
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
 	s.formerServers, s.lateStarts = make(map[string]formerServer), make(map[string]lateStarts)
-	s.crashHistory = crashHistory{unrest: make(map[string]time.Time)}
+	s.crashHistory = crashHistory{unrest: make(map[string]time.Time), rates: make(map[string]*crashRate)}
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
 	s.vms = make(map[string]backend.VM)
--- a/schedule/crashes.go
+++ b/schedule/crashes.go
@@ -34,7 +34,9 @@
 	minLongRunningCrashes  = 3
 	minLongRunningIsolated = 2
 	// maxCoincidence is the largest probability of the crashes under a task that doesn't crash servers with which it is given up.
-	maxCoincidence = 1e-4
+	// maxCoincidenceAtLimit holds one crash before crashLimit, as a crash may have been missed.
+	maxCoincidence        = 1e-4
+	maxCoincidenceAtLimit = 5e-4
 	// crashLimit is the number of crashes after which a task isn't started again: by its next start the rule would be broken.
 	crashLimit = maxCrashes + 2
 )
@@ -62,19 +64,20 @@
 //
 // A task that crashes each server that starts it takes all runs on these servers with it. It can't be told from its
 // neighbors there. Isolated starts tell them apart: the run survives, or the crash is certainly its own. A single crash is
-// mostly a fault of the server, unless tasks that crash servers are about.
+// mostly a fault of the server, unless tasks that crash servers are about. A task that may be started only a few times more is
+// isolated even if its crashes are expected, as its neighbors' crashes would count as its own.
 func NeedsIsolation(c Crashes, alert bool) bool {
-	if c.suspected() >= suspiciousCrashes {
+	if c.suspected() >= suspiciousCrashes || AwaitsCalm(c) {
 		return true
 	}
-	return alert && (c.AtStart && c.unexplained(c.Confirmed) > 0 || c.Confirmed+c.Unresolved >= maxCrashes)
+	return alert && c.AtStart && c.unexplained(c.Confirmed) > 0
 }
 
 // RaisesAlert reports whether crashes under a task are a sign that tasks crash servers.
 func RaisesAlert(c Crashes) bool { return c.AtStart && c.unexplained(c.Confirmed) >= suspiciousCrashes }
 
 // IsIsolatedThroughout reports whether runs of a task are isolated until they end, not only while they start.
-func IsIsolatedThroughout(c Crashes) bool { return c.suspected() >= maxCrashes }
+func IsIsolatedThroughout(c Crashes) bool { return c.Confirmed+c.Unresolved >= maxCrashes }
 
 // CauseWait is how long a task waits until it is known whether the lost servers crashed.
 type CauseWait uint8
@@ -104,7 +107,8 @@
 // GivesUp reports whether a task is given up because it crashes servers: if the crashes under it are no coincidence, or if by the
 // users' rules it may not be started again.
 func GivesUp(c Crashes) bool {
-	if c.Confirmed >= crashLimit {
+	nearLimit := c.Certain > maxCrashes && c.Isolated >= minLongRunningIsolated && c.Coincidence() <= maxCoincidenceAtLimit
+	if c.Confirmed >= crashLimit || nearLimit {
 		return true
 	}
 	if c.Coincidence() > maxCoincidence {
