--- a/fleet/commitsize.go
+++ b/fleet/commitsize.go
@@ -4,15 +4,12 @@
 	"encoding/base64"
 
 	"github.com/pistachiolead/pistachiolead/provider"
-	"github.com/pistachiolead/pistachiolead/workload"
 )
 
 const (
 	// maxCommitEntries and maxCommitBytes are the limits of the store for one transaction, with what the committer adds.
 	maxCommitEntries = 100
 	maxCommitBytes   = 1_000_000
-	// maxRowBytes is the limit of the store for the value of a row.
-	maxRowBytes = workload.MaxProgressBytes
 	// committerEntries are the condition and the write of the committer's own row.
 	committerEntries = 2
 	// jobShare is the share of a commit that rows of jobs take at most, so that they don't hold up the others.
