End a late start if its server was replaced before the run was given up

A job had a task that could run and didn't while the fleet was free (LOST): its start request was in flight when the zone lost its power, another server registered on the VM and was moved off it, and only then the lease of the first one expired. The late start was held for the longest lease beyond its 15 s, though its server can't return. The controller now remembers the youngest server of each VM.

TestLateStartEndsWithReplacedServer failed before: "not started again 8.074s after the server was replaced".

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -78,10 +78,8 @@
 		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.endedThere,
 		until: a.startableUntil, endsBy: a.startableUntil.Add(onSlowestClock(s.MaxLease) + leaseMargin),
 	}
-	for _, other := range s.serversByVM[v.reg.VM] {
-		if l.isReplacedBy(other.reg) {
-			return
-		}
+	if l.isReplacedBy(s.latestOnVM[l.vm]) {
+		return
 	}
 	s.addLateStart(l)
 	klog.InfoS("Start request may still be carried out", "run", l.run, "server", l.server, "incarnation", a.incarnation,
@@ -129,6 +127,9 @@
 
 // endReplacedLateStarts releases the tasks whose late starts were sent to earlier servers of the VM of a registered server.
 func (s *State) endReplacedLateStarts(r backend.Registration) {
+	if r.VM != "" && r.Incarnation >= s.latestOnVM[r.VM].Incarnation {
+		s.latestOnVM[r.VM] = r
+	}
 	for _, starts := range s.lateStarts {
 		for _, l := range starts {
 			if l.isReplacedBy(r) {
--- a/fleet/latestarts_test.go
+++ b/fleet/latestarts_test.go
@@ -167,6 +167,18 @@
 	assert.Assert(t, after > 0, "not started again after another server registered on the VM")
 }
 
+// Guards against the same if the other server is gone again before the run is given up.
+func TestLateStartEndsWithReplacedServer(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	server := r.start.Target.ID
+	r.registerOn("m"+server[1:], "i-3", "press")
+	r.handle(fleet.ServerUnregistered{ID: "i-3"}, fleet.ServerUnregistered{ID: server})
+	delete(r.openPolls, "i-3")
+	r.loseStartResponse(r.start)
+	after := r.cutOff(server, 8*time.Second)
+	assert.Assert(t, !after.IsZero(), "not started again %s after the server was replaced", r.now.Sub(r.sentAt))
+}
+
 // Guards against starts beyond the capacity of a server that has started again and carries out what its earlier incarnation held.
 func TestLateStartsFitOnTheirServerTogether(t *testing.T) {
 	r := newRig(t)
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -65,11 +65,12 @@
 	earlyCancels     map[string]bool // cancellations that were read before their jobs
 	unreadCancels    map[int]bool    // the partitions for which CancelsRead is awaited
 	servers          map[string]*server
-	serversByVM      map[string][]*server          // servers that have registered on a VM and aren't dropped
-	formerServers    map[string]formerServer       // dropped servers to which requests may be on the way, by id
-	poolCapacity     map[string]workload.Resources // capacity of a server, by pool
-	customerUsage    map[string]workload.Resources // requested resources of the active runs, by customer
-	lateStarts       map[string]lateStarts         // by server id
+	serversByVM      map[string][]*server            // servers that have registered on a VM and aren't dropped
+	formerServers    map[string]formerServer         // dropped servers to which requests may be on the way, by id
+	poolCapacity     map[string]workload.Resources   // capacity of a server, by pool
+	customerUsage    map[string]workload.Resources   // requested resources of the active runs, by customer
+	lateStarts       map[string]lateStarts           // by server id
+	latestOnVM       map[string]backend.Registration // of the youngest server that has registered on a VM, by VM
 	losses           losses
 	crashHistory     crashHistory
 	crashAlertUntil  time.Time
@@ -167,6 +168,7 @@
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers = make(losses), make(map[string]int)
 	s.formerServers, s.lateStarts = make(map[string]formerServer), make(map[string]lateStarts)
+	s.latestOnVM = make(map[string]backend.Registration)
 	s.crashHistory = crashHistory{unrest: make(map[string]time.Time), rates: make(map[string]*crashRate)}
 	s.waves, s.abandoned = make(map[string]*wave), make(map[string]abandonedRequest)
 	s.moves = make(map[string]*move)
