Place nothing on a server that is late with the response to a start

Jobs were served late, or not within three times their objective, when servers crashed: until a poll had failed, a second or two later, tasks were placed on them, and since a start request without a response keeps its task on its server, they waited for its return. A server that hasn't responded to a start request for 0.3 s gets no others.

TestServerWithOverdueStartGetsNoOthers is new.

TestShrunkServerGetsNoRunsUntilItGrows and TestRejectedRowOfVMsHoldsUpNoJob left start requests without an outcome for seconds, which isn't their subject; they accept them now.

--- a/fleet/capacity_test.go
+++ b/fleet/capacity_test.go
@@ -44,7 +44,11 @@
 	r.register("i-1", "press")
 	r.report("i-1", nil)
 	r.handle(fleet.JobArrived{Job: r.job(1, workload.StepOptions{Count: 2, MilliCores: 2000, DeclaredDurationMS: 1000})})
-	assert.Equal(t, len(r.starts()), 2)
+	starts := r.starts()
+	assert.Equal(t, len(starts), 2)
+	for _, s := range starts {
+		r.acceptStart(s)
+	}
 	r.resize("i-1", 3000)
 	r.handle(fleet.JobArrived{Job: r.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
 	r.advance(200 * time.Millisecond)
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -55,6 +55,9 @@
 	// maxStartRequests bounds the requests to start a run on one server. If none of them has a response, the task waits until none can be
 	// carried out any more, and starts on another server.
 	maxStartRequests = 6
+	// overdueStartTime is the time without a response to a start request from which on its server gets no other runs: it may be gone,
+	// which a poll shows only after a second or two, and their tasks would wait for it as well.
+	overdueStartTime = 300 * time.Millisecond
 	// lastingRunTime is how long a run has to last for its start to be worth a write of its own.
 	lastingRunTime = 2 * time.Second
 	// maxTimeOfDaySkew is the largest difference between the time of day on two machines, also if one jumps.
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -282,10 +282,11 @@
 	a.awaitsReport = !a.inFlight
 }
 
-// leavesStartsUnanswered reports whether the server has left a repeated start request without a response.
-func (v *server) leavesStartsUnanswered() bool {
+// leavesStartsUnanswered reports whether the server has left a repeated start request without a response, or is late with one.
+func (v *server) leavesStartsUnanswered(now time.Time) bool {
 	for _, a := range v.attempts {
-		if a.phase == requested && a.awaitsReport && a.startRequests > 1 {
+		overdue := a.inFlight && now.Sub(a.startSentAt) > overdueStartTime
+		if a.phase == requested && (overdue || a.awaitsReport && a.startRequests > 1) {
 			return true
 		}
 	}
--- a/fleet/latestarts_test.go
+++ b/fleet/latestarts_test.go
@@ -179,6 +179,24 @@
 	assert.Assert(t, !after.IsZero(), "not started again %s after the server was replaced", r.now.Sub(r.sentAt))
 }
 
+// Guards against many tasks that wait for a server that is gone: start requests are sent to it until a poll fails.
+func TestServerWithOverdueStartGetsNoOthers(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.advance(400 * time.Millisecond)
+	r.handle(fleet.JobArrived{Job: r.rig.job(2, workload.StepOptions{Count: 4, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	starts := r.starts()
+	assert.Equal(t, len(starts), 4)
+	for _, s := range starts {
+		assert.Assert(t, s.Target.ID != r.start.Target.ID)
+	}
+	r.acceptStart(r.start)
+	r.handle(fleet.JobArrived{Job: r.rig.job(3, workload.StepOptions{Count: 1, MilliCores: 8000, DeclaredDurationMS: 1000})})
+	r.handle(fleet.JobArrived{Job: r.rig.job(4, workload.StepOptions{Count: 1, MilliCores: 7000, DeclaredDurationMS: 1000})})
+	starts = r.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Target.ID, r.start.Target.ID)
+}
+
 // Guards against starts beyond the capacity of a server that has started again and carries out what its earlier incarnation held.
 func TestLateStartsFitOnTheirServerTogether(t *testing.T) {
 	r := newRig(t)
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -125,7 +125,7 @@
 
 // acceptsPlacement reports whether new runs may be placed on a server.
 func (s *State) acceptsPlacement(v *server, now time.Time) bool {
-	return v.usable(now) && !v.leavesStartsUnanswered() && !v.cordoned && !v.releasing && !s.evacuatedZones[v.reg.Zone]
+	return v.usable(now) && !v.leavesStartsUnanswered(now) && !v.cordoned && !v.releasing && !s.evacuatedZones[v.reg.Zone]
 }
 
 func (p *placementPool) add(v *server) {
--- a/fleet/rejected_test.go
+++ b/fleet/rejected_test.go
@@ -99,12 +99,17 @@
 			{Name: "m-8", Pool: "spare", State: backend.VMUp, Capacity: capacity},
 		}})
 	}
+	started := 0
 	for n := 1; n <= 3; n++ {
 		list()
 		r.handle(fleet.JobArrived{Job: r.job(n, workload.StepOptions{Count: 1, MilliCores: 500})})
 		r.advance(2 * time.Second)
+		for _, s := range r.starts() {
+			started++
+			r.acceptStart(s)
+		}
 	}
-	assert.Equal(t, len(r.starts()), 3)
+	assert.Equal(t, started, 3)
 	assert.Assert(t, rejected > 0 && rejected < 10, "rejected %d times", rejected)
 	assert.Assert(t, r.storedTerm().Renewals > 5, "the term isn't renewed")
 }
