Keep the end of a late start from being forgotten unseen

The server had held a poll that acknowledges three ends and the request to start the task, crashed, and carried out both in its next incarnation: the task's run was done there as end 1, and the poll made it forget that end. No report listed the run, which was taken for the proof that it never began.

Cause: numbers of ends start anew with each incarnation and a poll names none, so acknowledgements of earlier ends hold for the next incarnation's too.

Change: an end can be forgotten only by a poll that is carried out after the start. A start request has a higher fencing token than all polls before it that acknowledged ends on its server (the version of the commit that stored the run), so that they are refused after it. Polls acknowledge nothing while a start request may still be carried out by the next incarnation. Requests that a start with a higher token has overtaken don't end the term, and are sent again.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -326,6 +326,7 @@
 
 func (s *State) commitApplied(c *commit, version uint64, now time.Time) {
 	s.rejections.stored(c.parts)
+	s.committed = version
 	if c.renews {
 		s.Term = c.term.WithVersion(version)
 		s.renewedAt = c.sentAt
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -103,6 +103,7 @@
 	reserves          workload.Resources
 	checkpoint        string
 	startSentAt       time.Time     // when the start request was last sent
+	startToken        uint64        // fencing token of the latest start request
 	startRequests     int           // number of start requests that were sent
 	repeated          bool          // the start request may have been sent more than once
 	endedThere        bool          // the server has ended or stopped the run
@@ -136,6 +137,7 @@
 	stopInFlight  bool      // a stop request has no outcome yet
 	stopAccepted  bool      // the server accepted the stop request
 	stopTriedAt   time.Time // when a stop request was last sent or answered
+	stopToken     uint64    // fencing token of the latest stop request
 	stopReason    string
 }
 
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -43,6 +43,22 @@
 // incarnation that isn't known yet, or may still be.
 func (a *attempt) startOutlastsReports() bool { return a.startableUntil.After(a.server.clockAfter) }
 
+// startsOutlastRestart reports whether the next incarnation of the server may carry out a start request. A poll that acknowledges ends
+// could then make it forget the end of that run, as it can't tell the poll from one to itself.
+func (v *server) startsOutlastRestart(now time.Time) bool {
+	for _, a := range v.attempts {
+		if a.startMayBeCarriedOut(now) || a.onNextIncarnation {
+			return true
+		}
+	}
+	for _, l := range v.lateStarts {
+		if l.until.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // startAnswered reports whether the server has started the run, and its reports show what became of all requests to start it.
 func (a *attempt) startAnswered() bool {
 	return (a.accepted || a.reported || a.answerStored) && !a.startOutlastsReports()
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -177,9 +177,13 @@
 		if !v.confirmed || v.failedPolls > 0 || v.lastEndReceived > v.lastEndStored {
 			request.MaxWait = 0
 		}
-		if v.failedPolls > 0 {
+		if v.failedPolls > 0 || v.startsOutlastRestart(now) {
 			request.AcknowledgedEnd = 0 // the server may have restarted, and its end numbers with it
 		}
+		v.pollToken = request.Token
+		if request.AcknowledgedEnd > 0 {
+			v.ackToken = request.Token
+		}
 		// The lease is extended only while the server responds. The lease of an unresponsive server has to expire.
 		if v.hasClock && v.failedPolls == 0 && now.Before(s.termEndsAt.Add(leaseExtensionGrace)) {
 			request.LeaseExpiry = v.clockNow(now) + s.lease(now)
@@ -197,17 +201,24 @@
 	return v.token
 }
 
-// raiseToken raises the fencing token for a server that has started again, so that it refuses the requests to its earlier incarnation.
-// Each renewal of the term row gives a higher token that no other controller has. It returns false if one has to be waited for.
+// raiseToken raises the fencing token for a server, so that it refuses the earlier requests to it that are still on the way. Each commit
+// gives a higher token that no other controller has. It returns false if one has to be waited for.
 func (s *State) raiseToken(v *server) bool {
-	if s.Term.Version() <= v.token {
+	if s.committed <= v.token {
 		s.renewalNeeded = true
 		return false
 	}
-	v.token, v.needsToken = s.Term.Version(), false
+	v.token, v.needsToken = s.committed, false
 	return true
 }
 
+// raiseTokenForStart raises the fencing token for a server above those of all polls that acknowledged ends. If the next incarnation of the
+// server carries out the start request late, it refuses these polls from then on. Otherwise one of them could make it forget the end of
+// the run before it was reported, as the numbers of ends start anew.
+func (s *State) raiseTokenForStart(v *server) bool {
+	return v.ackToken == 0 || s.tokenFor(v) > v.ackToken || s.raiseToken(v)
+}
+
 // lease returns the duration of a lease that is granted now. Leases are long while terms are long, because a new
 // controller then needs more time to take over.
 func (s *State) lease(now time.Time) time.Duration {
@@ -236,11 +247,15 @@
 	case backend.Reported:
 		s.handleReport(v, o.Report, now)
 	case backend.Refused:
-		if o.Reason == backend.RefusedStaleToken {
+		if o.Reason != backend.RefusedStaleToken {
+			s.pollFailed(v, string(o.Reason), now)
+			return
+		}
+		if v.pollToken == v.token {
 			s.depose("server-knows-newer-token")
 			return
 		}
-		s.pollFailed(v, string(o.Reason), now)
+		s.pollAt(v, now) // a start request with a higher token has overtaken the poll
 	case backend.OutcomeUnknown:
 		s.pollFailed(v, o.Reason, now)
 	case backend.Accepted:
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -29,13 +29,13 @@
 		s.requestStop(a, "server-has-shrunk")
 		return
 	}
-	if !now.Before(s.termEndsAt) || !v.hasClock || !v.confirmed {
+	if !now.Before(s.termEndsAt) || !v.hasClock || !v.confirmed || !s.raiseTokenForStart(v) {
 		return
 	}
 	deadline := v.clockNow(now) + s.lease(now)
 	v.leaseUntil = max(v.leaseUntil, deadline)
 	v.extendExpiry()
-	a.inFlight, a.startSentAt = true, now
+	a.inFlight, a.startSentAt, a.startToken = true, now, s.tokenFor(v)
 	a.startRequests++
 	if a.ticketFor() == "" { // the next incarnation refuses the ticket
 		a.startableUntil = now.Add(maxCallDelay)
@@ -119,7 +119,7 @@
 
 func (s *State) startRefused(v *server, a *attempt, reason backend.RefusalReason, now time.Time) {
 	if reason == backend.RefusedStaleToken {
-		s.depose("server-knows-newer-token")
+		s.startRefusedByToken(v, a)
 		return
 	}
 	if a.phase == running {
@@ -144,6 +144,20 @@
 	s.removeAttempt(a)
 }
 
+// startRefusedByToken handles the refusal of a start request because the server has seen a higher fencing token: that of another
+// controller, or of a later request of this one. The request is then sent again with the later token.
+func (s *State) startRefusedByToken(v *server, a *attempt) {
+	if a.startToken == v.token {
+		s.depose("server-knows-newer-token")
+		return
+	}
+	klog.InfoS("Start request was overtaken by one with a higher token", "run", a.id(), "server", v.id, "token", a.startToken, "later", v.token)
+	if a.phase == requested && !a.stopRequested {
+		a.startSentAt = time.Time{}
+	}
+	a.startAccountedFor()
+}
+
 // startWasInvalid delays the next run of a task whose start request a server refused as invalid, and prefers other servers. That
 // counts as no attempt, as the server has run nothing: it may be another release that refuses, or something else at its address.
 func (t *task) startWasInvalid(v *server, now time.Time) {
@@ -201,7 +215,7 @@
 	if a.stopInFlight || a.stopAccepted || a.server.reg.Address == "" || a.server.needsToken {
 		return
 	}
-	a.stopInFlight, a.stopTriedAt = true, now
+	a.stopInFlight, a.stopTriedAt, a.stopToken = true, now, s.tokenFor(a.server)
 	s.logStop(a)
 	s.emit(Stop{Target: a.server.target(), Run: a.id(), Token: s.tokenFor(a.server)})
 }
@@ -223,7 +237,7 @@
 		}
 		s.pollAt(a.server, now)
 	case backend.Refused:
-		if o.Reason == backend.RefusedStaleToken {
+		if o.Reason == backend.RefusedStaleToken && a.stopToken == a.server.token {
 			s.depose("server-knows-newer-token")
 		}
 	case backend.OutcomeUnknown, backend.Reported:
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -20,6 +20,7 @@
 	listed      bool      // a list of VMs has shown it
 	token       uint64    // fencing token of the latest requests, or 0 if none was sent in this term
 	needsToken  bool      // requests need a higher token, as those to an earlier incarnation may still be carried out
+	ackToken    uint64    // token of the latest poll in this term that acknowledged ends of runs, or 0 if none did
 	returned    bool      // requests to an earlier incarnation may reach this one, until it is confirmed
 
 	confirmed   bool          // it has responded to a poll with this term's token since it last restarted
@@ -33,6 +34,7 @@
 
 	pollInFlight bool
 	pollSequence uint64
+	pollToken    uint64
 	pollSentAt   time.Time
 	nextPollAt   time.Time
 	pollIndex    int // in State.polls, or notQueued
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -124,7 +124,8 @@
 	resigned              bool
 	deposed               bool
 	termEndsAt            time.Time
-	renewalNeeded         bool // a server needs a higher fencing token
+	renewalNeeded         bool   // a server needs a higher fencing token
+	committed             uint64 // version of the latest commit of this term
 	renewedAt             time.Time
 	longLeaseGrantedAt    time.Time // when a LongLease was last granted
 	commit                *commit
@@ -193,6 +194,7 @@
 	s.requestedBefore = make(map[string]bool)
 	s.pending, s.rejections = newPendingJobs(), newRejections()
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
+	s.committed = s.Term.Version()
 	s.renewedAt = s.TermRequestedAt
 }
 
