Reserve capacity for long-running tasks only where they may run

Cause: twelve long-running tasks require the label of the lost rack. reserveCapacity kept capacity free for each of them on a server without the label, as it looked at the whole capacity only, not at the label or the ticket.

Change: schedule.MayRun says whether a server may run a task, now or later; schedule.Fits adds the free capacity. Reservations, SelectServer, isolated runs and late starts ask these.

--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -87,7 +87,7 @@
 		view := placementView(v)
 		view.SameStepRuns = v.runsOf(t.step)
 		view.Excluded = s.recommendation(j) != nil && !t.step.hasTicket(v, now)
-		if schedule.SelectServer(t.step.spec, []schedule.Server{view}) == 0 {
+		if schedule.Fits(t.step.spec, &view) {
 			s.assignIsolated(t, v, t.record.LastRun+1, now)
 			return true
 		}
@@ -130,7 +130,7 @@
 		if best >= 0 && !t.prefersForIsolation(v, p.servers[best]) {
 			continue
 		}
-		if schedule.SelectServer(t.step.spec, []schedule.Server{p.isolationView(i)}) == 0 {
+		if view := p.isolationView(i); schedule.Fits(t.step.spec, &view) {
 			best = i
 		}
 	}
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -190,7 +190,7 @@
 	}
 	view := placementView(v)
 	view.Free, view.SameStepRuns = v.reg.Capacity.Minus(v.reserved), v.runsOf(t.step)-1
-	return schedule.SelectServer(t.step.spec, []schedule.Server{view}) == 0
+	return schedule.Fits(t.step.spec, &view)
 }
 
 // endLateStarts releases the tasks whose late starts can't be carried out any more, and whose server doesn't run them.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -326,12 +326,11 @@
 }
 
 // reserveCapacity keeps capacity free for a long-running task that doesn't fit yet, on the server with the most free
-// processor capacity that isn't due for maintenance.
+// processor capacity of those that may run it and aren't due for maintenance.
 func (p *placementPool) reserveCapacity(spec workload.Step) {
 	best := -1
 	for i := range p.views {
-		if p.views[i].MaintenanceDue || !spec.Reserves().FitsIn(p.views[i].Capacity) ||
-			(spec.MaxPerServer() > 0 && p.views[i].SameStepRuns >= spec.MaxPerServer()) {
+		if p.views[i].MaintenanceDue || !schedule.MayRun(spec, &p.views[i]) {
 			continue
 		}
 		if best < 0 || p.views[i].Free.MilliCores() > p.views[best].Free.MilliCores() {
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -38,7 +38,7 @@
 	best := -1
 	var bestOne choice
 	for i := range servers {
-		if !fits(step, &servers[i]) {
+		if !Fits(step, &servers[i]) {
 			continue
 		}
 		one := choice{server: &servers[i]}
@@ -53,7 +53,7 @@
 // the step too. It is if the task fits: a run only raises the server's utilization, unless runs of the step on one server
 // or rack count.
 func StaysBest(step workload.Step, selected *Server) bool {
-	return !step.LongRunning() && !step.SameRack() && fits(step, selected)
+	return !step.LongRunning() && !step.SameRack() && Fits(step, selected)
 }
 
 // choice is a server with its utilization, which is computed when a comparison needs it.
@@ -71,9 +71,15 @@
 	return c.utilization
 }
 
-// fits reports whether the server has the capacity for a task of the step and satisfies its constraints.
-func fits(step workload.Step, s *Server) bool {
-	if s.Excluded || !step.Reserves().FitsIn(s.Free) {
+// Fits reports whether the server can start a task of the step now: it may run the task, and has the free capacity.
+func Fits(step workload.Step, s *Server) bool {
+	return MayRun(step, s) && step.Reserves().FitsIn(s.Free)
+}
+
+// MayRun reports whether the server may run a task of the step beside the runs of the step that it has, now or once other runs have
+// ended there.
+func MayRun(step workload.Step, s *Server) bool {
+	if s.Excluded || !step.Reserves().FitsIn(s.Capacity) {
 		return false
 	}
 	if step.MaxPerServer() > 0 && s.SameStepRuns >= step.MaxPerServer() {
