Request tickets for servers that can start the step

Cause: candidates took the 30 servers with the most free processor capacity, whatever the step requires, and counted tickets for servers that it can't use as enough. After their expiry the same 30 came first again.

Change: tickets are requested and counted for servers on which a task fits now, by schedule.Fits; for a long-running step that fits nowhere, for those that may run it, as capacity is reserved with a ticket only; for a step that may need isolation also for reserved servers.

--- a/fleet/recommendation.go
+++ b/fleet/recommendation.go
@@ -8,6 +8,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/schedule"
+	"github.com/pistachiolead/pistachiolead/workload"
 )
 
 const (
@@ -83,20 +85,13 @@
 	}
 }
 
-// candidates returns the servers to request tickets for, those with the most free processor capacity first. It returns
-// none if each unassigned task could get a server with a ticket of its own.
+// candidates returns the servers to request tickets for: those that can start a task of the step now, the ones with the most free
+// processor capacity first. It returns none if each unassigned task could get a server with a ticket of its own. For a long-running step
+// that fits on no server now these are the servers that may run it, so that capacity can be reserved on one of them.
 func (st *step) candidates(p *placementPool, now time.Time) []*server {
-	withTicket := 0
-	var without []int
-	for i, v := range p.servers {
-		if !st.spec.Reserves().FitsIn(p.views[i].Free) {
-			continue
-		}
-		if st.hasTicket(v, now) {
-			withTicket++
-		} else if st.recommendations.requestedFor[v] != v.incarnation {
-			without = append(without, i)
-		}
+	without, withTicket := st.withoutTicket(p, schedule.Fits, now)
+	if len(without) == 0 && withTicket == 0 && st.spec.LongRunning() {
+		without, withTicket = st.withoutTicket(p, schedule.MayRun, now)
 	}
 	if withTicket >= st.unassigned {
 		return nil
@@ -111,6 +106,27 @@
 	return servers
 }
 
+// withoutTicket returns the indexes of the usable servers for which no ticket was requested, and the number of those with a ticket.
+func (st *step) withoutTicket(
+	p *placementPool, usable func(workload.Step, *schedule.Server) bool, now time.Time,
+) (without []int, withTicket int) {
+	for i, v := range p.servers {
+		view := p.views[i]
+		if st.mayNeedIsolation {
+			view = p.isolationView(i)
+		}
+		view.Excluded = false // for want of a ticket
+		switch {
+		case !usable(st.spec, &view):
+		case st.hasTicket(v, now):
+			withTicket++
+		case st.recommendations.requestedFor[v] != v.incarnation:
+			without = append(without, i)
+		}
+	}
+	return without, withTicket
+}
+
 func (st *step) hasTicket(v *server, now time.Time) bool {
 	if st.recommendations == nil {
 		return false
