Don't refuse jobs that require a label by the wait of their whole pool

What callers would see: a job that requires a label is rejected while servers with the label are idle, because the other servers of the pool are busy for longer than its hard deadline.

Change: the forecast tells no wait for such jobs.

--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -51,9 +51,10 @@
 	return [3]int64{(s.LatestStart + time.Millisecond - 1).Milliseconds(), int64(s.Work) + 1, s.Wait.Milliseconds()}
 }
 
-// For returns the least time that a new job waits, age after the forecast, and whether it would then end after its hard deadline.
+// For returns the least time that a new job waits, age after the forecast, and whether it would then end after its hard deadline. The
+// servers with a label that it requires may be idle while those of its pool are busy.
 func (w Wait) For(j *workload.Job, age time.Duration) (wait time.Duration, late bool) {
-	if j.Scheduled() || j.LongRunning() || j.Objective() <= 0 || j.Priority() < w.Priority ||
+	if j.Scheduled() || j.LongRunning() || j.RequiresLabel() || j.Objective() <= 0 || j.Priority() < w.Priority ||
 		(len(w.Customers) > 0 && !slices.Contains(w.Customers, j.Customer())) {
 		return 0, false
 	}
--- a/workload/job.go
+++ b/workload/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -162,6 +163,11 @@
 	return false
 }
 
+// RequiresLabel reports whether a step of the job may run only on servers with a label.
+func (j *Job) RequiresLabel() bool {
+	return slices.ContainsFunc(j.steps, func(s Step) bool { return s.Label() != "" })
+}
+
 // CriticalPath returns the longest total of the declared durations along a chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration { return j.RemainingPath(nil) }
 
