Size pools for tasks with a label by the VMs that may run them

What callers would see: a job that requires a label waits for good once the VMs with it are switched off or in another pool, as its pool has enough other servers; and long-running tasks whose label no VM has any more make their pool take all VMs that others could use, pass by pass.

Cause: a pool's need counted servers of any kind. Moves don't look at labels.

Change: placement notes what tasks with a label lack. Just VMs that satisfy that are moved, first of all, and from where they aren't needed. Tasks that no VM may run at present take no part in the load of their pool. The list of VMs gives their kind for it.

--- a/backend/vm.go
+++ b/backend/vm.go
@@ -20,6 +20,7 @@
 	State    VMState
 	Zone     string
 	Rack     string
+	Kind     string // a label of the VM, like Rack, which stays with it over moves and maintenance
 	Capacity workload.Resources
 	// Server is the id of the backend server on the VM, or "" if none runs there.
 	Server string
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -32,6 +32,7 @@
 	heldUntil    time.Time
 	beyondWeight bool // it was submitted beyond its customer's weight
 	longRunning  bool // it has a step whose tasks run until it is cancelled
+	labelled     bool // it has a step that requires a label
 	failed       bool // a task was given up without which it is never completed
 	objective    time.Duration
 	row          rowBound
@@ -144,7 +145,7 @@
 func newJob(spec *workload.Job) *job {
 	return &job{
 		spec: spec, state: workload.JobQueued, tasks: make(map[string]*task), steps: make(map[[2]int]*step),
-		submitted: spec.Accepted(), longRunning: spec.LongRunning(), objective: spec.Objective(), row: rowBound{bytes: emptyRowBytes},
+		submitted: spec.Accepted(), longRunning: spec.LongRunning(), labelled: spec.RequiresLabel(), objective: spec.Objective(), row: rowBound{bytes: emptyRowBytes},
 	}
 }
 
--- a/fleet/migration.go
+++ b/fleet/migration.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		if !s.fitElsewhere(a.task.step, v, 1+a.task.step.tasksWithoutPlace(), now) {
-			s.longRunningShortage[v.reg.Pool]++
+			s.noteShortage(a.task.step, v.reg.Pool, 1)
 			continue
 		}
 		s.interruptFor(w, a)
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -148,15 +148,21 @@
 			p.Joining++
 		}
 	}
+	satisfied := make(map[requirement]bool)
 	for _, j := range s.jobs {
 		pool := s.poolOf(j)
 		if p, known := byName[pool]; known && !j.state.Final() {
-			s.addLoad(p, j, j.remaining(capacity[pool]), now)
+			rest := j.remaining(capacity[pool])
+			if j.labelled {
+				rest.load -= s.loadWithoutVM(j, capacity[pool], satisfied)
+			}
+			s.addLoad(p, j, rest, now)
 		}
 	}
 	for name, p := range byName {
 		p.ArrivalRate, p.DepartureRate = s.arrivals[name].rate(now), s.departures[name].rate(now)
 		p.LongRunningShortage, p.IsolatedServers = s.longRunningShortage[name], s.isolatedServers[name]
+		p.Lacks = s.vmsLacking(name)
 	}
 	pools := make([]schedule.Pool, 0, len(names))
 	for _, name := range names {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -58,7 +58,7 @@
 	}
 	budget := maxIntentsPerPass
 	for name, p := range pools {
-		s.overLimit[name], s.longRunningShortage[name] = 0, 0
+		s.overLimit[name], s.longRunningShortage[name], s.lacks[name] = 0, 0, nil
 		p.reserveServers(s.isolatedServers[name] - p.isolation.count)
 		candidates := make([]schedule.Candidate, 0, len(p.jobs))
 		for _, j := range p.jobs {
@@ -215,9 +215,9 @@
 			break
 		}
 		if i < 0 {
+			s.noteLack(st, p)
 			if st.spec.LongRunning() {
 				p.reserveCapacity(st.spec)
-				s.longRunningShortage[s.poolOf(t.job)] += st.missingServers()
 			} else if !st.spec.Constrained() && s.recommendation(t.job) == nil {
 				p.unplaceable = append(p.unplaceable, st.spec.Reserves())
 			}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -97,10 +97,11 @@
 	recentVMRequests map[string]recentVMRequest // by VM
 	// vmRequestsStored is true if the row with the recent requests for VMs may hold some.
 	vmRequestsStored      bool
-	vmRequestsStoredAt    time.Time       // when the row was last written
-	requestedBefore       map[string]bool // VMs for which earlier controllers sent a request shortly before the term
-	longRunningShortage   map[string]int  // additional servers that long-running tasks need, by pool
-	overLimit             map[string]int  // steps held back by a customer's limit in the last pass, by pool
+	vmRequestsStoredAt    time.Time                      // when the row was last written
+	requestedBefore       map[string]bool                // VMs for which earlier controllers sent a request shortly before the term
+	longRunningShortage   map[string]int                 // additional servers that long-running tasks need, by pool
+	lacks                 map[string]map[requirement]int // servers that tasks with a label lack, by pool
+	overLimit             map[string]int                 // steps held back by a customer's limit in the last pass, by pool
 	vms                   map[string]backend.VM
 	vmNames               []string             // the keys of vms in order
 	droppedAt             map[string]time.Time // when servers that the list of VMs may still show were dropped, by id
@@ -189,6 +190,7 @@
 	s.vms = make(map[string]backend.VM)
 	s.overLimit = make(map[string]int)
 	s.longRunningShortage = make(map[string]int)
+	s.lacks = make(map[string]map[requirement]int)
 	s.arrivals, s.departures = make(workRates), make(workRates)
 	s.recentVMRequests = make(map[string]recentVMRequest)
 	s.requestedBefore = make(map[string]bool)
--- a/fleet/usableservers_test.go
+++ b/fleet/usableservers_test.go
@@ -16,11 +16,15 @@
 func (r *rig) registerKind(id, kind string, milliCores int64) {
 	r.t.Helper()
 	r.bootTimes[id] = r.now.Add(-time.Minute)
+	r.registerAs(id, kind, milliCores)
+	r.report(id, nil)
+}
+
+func (r *rig) registerAs(id, kind string, milliCores int64) {
 	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
 		ID: id, VM: "m" + id[1:], Pool: "press", Address: "10.0.0.1:1", Zone: "z", Rack: "r-" + id, Kind: kind,
 		Incarnation: r.bootTimes[id].UnixMilli(), Capacity: workload.NewResources(milliCores, 8000, 0),
 	}})
-	r.report(id, nil)
 }
 
 // Guards against long-running tasks that keep capacity free on servers that they may never run on: all servers with the label that they
--- a/schedule/pools.go
+++ b/schedule/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -54,6 +55,8 @@
 	// LongRunningShortage is the number of additional servers needed for long-running tasks that fit on no server of the
 	// pool.
 	LongRunningShortage int
+	// Lacks are the VMs that the pool lacks for tasks that not every VM may run.
+	Lacks []Lack
 	// IsolatedServers is the number of servers that isolated runs have or need, as they share them with no other starts.
 	IsolatedServers int
 	// ArrivalRate is the rate at which work is submitted, DepartureRate the rate at which it is completed. Both are in
@@ -61,6 +64,12 @@
 	ArrivalRate, DepartureRate float64
 }
 
+// Lack is a number of VMs that a pool lacks, and the names of those that would do.
+type Lack struct {
+	VMs   map[string]bool
+	Count int
+}
+
 // Move moves a VM to the pool To.
 type Move struct {
 	VM string
@@ -114,14 +123,51 @@
 	for i := range pools {
 		have[i] = len(pools[i].Servers) + pools[i].Joining
 	}
-	var moves []Move
 	moved := make(map[string]bool)
+	moves := planMovesForLacks(pools, have, moved)
 	for n := needOnTime; n <= needAll; n++ {
 		moves = append(moves, planMovesFor(pools, n, have, moved)...)
 	}
 	return append(moves, planSwitchOffs(pools, have, moved)...)
 }
 
+// planMovesForLacks moves idle VMs to pools that lack just these, and updates the numbers of servers and the set of moved VMs.
+func planMovesForLacks(pools []Pool, have []int, moved map[string]bool) []Move {
+	if !slices.ContainsFunc(pools, func(p Pool) bool { return len(p.Lacks) > 0 }) {
+		return nil
+	}
+	want := sizes(pools, needOnTime)
+	var moves []Move
+	for _, v := range listSurplusVMs(pools, want, have) {
+		if !pools[v.pool].Spare && have[v.pool] <= want[v.pool] {
+			continue
+		}
+		if target := lacking(pools, v); target >= 0 {
+			moved[v.vm] = true
+			have[v.pool]--
+			have[target]++
+			moves = append(moves, Move{VM: v.vm, To: pools[target].Name})
+		}
+	}
+	return moves
+}
+
+// lacking returns the index of a pool that lacks the VM, and takes it off what the pool lacks, or -1.
+func lacking(pools []Pool, v surplusVM) int {
+	for i := range pools {
+		if i == v.pool || pools[i].Spare {
+			continue
+		}
+		for k := range pools[i].Lacks {
+			if l := &pools[i].Lacks[k]; l.Count > 0 && l.VMs[v.vm] {
+				l.Count--
+				return i
+			}
+		}
+	}
+	return -1
+}
+
 // planMovesFor moves idle VMs to pools that are smaller than they need to be, and updates the numbers of servers and the
 // set of moved VMs.
 func planMovesFor(pools []Pool, n need, have []int, moved map[string]bool) []Move {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -101,6 +101,35 @@
 	assert.DeepEqual(t, moves, []schedule.Move{{VM: "s", To: "press"}})
 }
 
+// Guards against a pool that lacks VMs with a label, and grows by others or takes VMs that their pool needs.
+func TestPlanMovesBringsVMsThatPoolLacks(t *testing.T) {
+	idle := func(names ...string) []schedule.PoolServer {
+		var servers []schedule.PoolServer
+		for _, name := range names {
+			servers = append(servers, schedule.PoolServer{VM: name, Idle: true, IdleFor: 500 * time.Millisecond})
+		}
+		return servers
+	}
+	pools := func(lacked ...string) []schedule.Pool {
+		l := schedule.Lack{VMs: make(map[string]bool), Count: 1}
+		for _, name := range lacked {
+			l.VMs[name] = true
+		}
+		return []schedule.Pool{
+			{Name: "large", Servers: idle("l1", "l2", "l3", "l4")},
+			{Name: "press", Servers: idle("p1", "p2", "p3"), Lacks: []schedule.Lack{l}},
+			{Name: "small", Servers: idle("s1", "s2", "s3")},
+			{Name: "spare", Spare: true, Servers: idle("spare1", "spare2")},
+		}
+	}
+	for lacked, want := range map[string][]schedule.Move{
+		"spare2": {{VM: "spare2", To: "press"}}, "l2": {{VM: "l2", To: "press"}}, "s1": nil, "p1": nil, "other": nil,
+	} {
+		assert.DeepEqual(t, schedule.PlanMoves(pools(lacked)), want)
+	}
+	assert.Equal(t, len(schedule.PlanMoves(pools("l1", "l2", "spare1", "spare2"))), 1)
+}
+
 // Guards against late jobs that are never served because there are always other jobs that can meet their objective, and
 // against late jobs that take all the capacity from those.
 func TestSortCandidatesStartsExpiringJobsFirstWithinShare(t *testing.T) {
