Reserve servers for isolated runs only where these may run

What callers would see: up to half of a pool stays idle while other jobs wait, as tasks that have to be isolated require a label that none of its servers has.

Change: servers are reserved for isolated runs only if they satisfy what a waiting task requires, and a task waits for one only if the pool has such a server.

Measured: TestNoServersAreReservedForIsolatedRunsThatTheyMayNotRun starts 3 of 5 tasks with the change taken out, 5 with it.

--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -22,8 +22,8 @@
 // of their job only.
 type isolation struct {
 	servers map[*job][]*server
-	count   int           // of servers
-	waiting map[*job]bool // jobs that found no server
+	count   int            // of servers
+	waiting map[*job]*step // jobs that found no server, with the step of the task that waits
 	// reserved holds the free resources of servers on which only isolated runs are placed, by their index in the pool.
 	reserved map[int]workload.Resources
 	// unlimited lets isolated runs use all servers, once the jobs without isolated runs are placed.
@@ -32,20 +32,21 @@
 
 func newIsolation() isolation {
 	return isolation{
-		servers: make(map[*job][]*server), waiting: make(map[*job]bool), reserved: make(map[int]workload.Resources),
+		servers: make(map[*job][]*server), waiting: make(map[*job]*step), reserved: make(map[int]workload.Resources),
 	}
 }
 
-// reserveServers reserves up to n servers for isolated runs, those with the fewest runs. Without it other jobs would fill each
-// server that becomes free, while jobs that may crash servers wait for one without starting runs.
-func (p *placementPool) reserveServers(n int) {
+// reserveServers reserves up to n servers for isolated runs of tasks with the given requirements, those with the fewest runs. Without it
+// other jobs would fill each server that becomes free, while jobs that may crash servers wait for one without starting runs.
+func (p *placementPool) reserveServers(n int, needs []requirement) {
 	n = min(n, len(p.servers)/2)
 	if n <= 0 {
 		return
 	}
 	byRuns := make([]int, 0, len(p.servers))
 	for i, v := range p.servers {
-		if !v.hasLongRunning() {
+		satisfies := func(r requirement) bool { return r.satisfiedBy(v.reg.Kind, v.reg.Rack, v.reg.Capacity) }
+		if !v.hasLongRunning() && slices.ContainsFunc(needs, satisfies) {
 			byRuns = append(byRuns, i)
 		}
 	}
@@ -56,6 +57,13 @@
 	}
 }
 
+// awaitIsolation notes that a job waits for a server for an isolated run, if one of the pool may run it.
+func (p *placementPool) awaitIsolation(st *step) {
+	if st.spec.Label() == "" || p.hasServerFor(st.spec) {
+		p.isolation.waiting[st.tasks[0].job] = st
+	}
+}
+
 // isolationView returns the view of server i for an isolated run.
 func (p *placementPool) isolationView(i int) schedule.Server {
 	view := p.views[i]
@@ -75,6 +83,17 @@
 	return max(1, int(isolationShare*float64(len(p.servers)+p.isolation.count)))
 }
 
+// isolationNeeds returns what the tasks that wait for isolated runs require.
+func (p *placementPool) isolationNeeds() []requirement {
+	var needs []requirement
+	for _, st := range p.isolation.waiting {
+		if r := st.requirement(); !slices.Contains(needs, r) {
+			needs = append(needs, r)
+		}
+	}
+	return needs
+}
+
 // isolatedServers returns the number of servers that isolated runs have or need.
 func (p *placementPool) isolatedServers() int {
 	return min(p.isolation.count+len(p.isolation.waiting), max(p.isolation.count, p.maxIsolated()))
@@ -97,7 +116,7 @@
 		s.assignIsolated(t, p.servers[i], t.record.LastRun+1, now)
 		return true
 	}
-	p.isolation.waiting[j] = true
+	p.awaitIsolation(t.step)
 	return false
 }
 
@@ -107,7 +126,7 @@
 	placed := 0
 	p.isolation.unlimited = true
 	for i := range candidates {
-		if j := s.jobs[candidates[i].ID]; p.isolation.waiting[j] {
+		if j := s.jobs[candidates[i].ID]; p.isolation.waiting[j] != nil {
 			delete(p.isolation.waiting, j)
 			placed += s.placeJob(j, p, now)
 		}
--- a/fleet/lacks_test.go
+++ b/fleet/lacks_test.go
@@ -64,3 +64,51 @@
 func TestPoolDoesNotGrowForTasksThatNoVMMayRun(t *testing.T) {
 	assert.Equal(t, len(movedTo(t, workload.StepOptions{Count: 4, LongRunning: true}, "a", "a", "a", "a", "a")), 0)
 }
+
+// Guards against servers that are kept free for isolated runs that none of them may run: the only server with their label is lost, after it
+// crashed under them.
+func TestNoServersAreReservedForIsolatedRunsThatTheyMayNotRun(t *testing.T) {
+	r := newRig(t)
+	r.registerKind("i-b", "b", 8000)
+	others := []string{"i-0", "i-1", "i-2", "i-3"}
+	for _, id := range others {
+		r.registerKind(id, "a", 8000)
+	}
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	for n := range 4 {
+		r.handle(fleet.JobArrived{Job: r.job(1+n, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 60_000, Label: "b"})})
+	}
+	for range 3 {
+		var running []backend.Run
+		for range 30 {
+			for _, start := range r.starts() {
+				r.acceptStart(start)
+				running = append(running, start.Request.Run)
+			}
+			r.advance(100 * time.Millisecond)
+			for id := range r.openPolls {
+				if id == "i-b" {
+					r.report(id, running)
+					continue
+				}
+				r.report(id, nil)
+			}
+		}
+		r.bootTimes["i-b"] = r.now
+		r.registerAs("i-b", "b", 8000)
+		r.failPoll("i-b")
+	}
+	r.comeBack("i-b") // as one of another kind
+	for range 20 {
+		r.advance(100 * time.Millisecond)
+		for id := range r.openPolls {
+			r.report(id, nil)
+		}
+	}
+	r.takeEffects()
+	for n := range 5 {
+		r.handle(fleet.JobArrived{Job: r.job(11+n, workload.StepOptions{Count: 1, MilliCores: 8000, DeclaredDurationMS: 60_000})})
+	}
+	assert.Equal(t, len(r.starts()), 5)
+}
