Count maintenance requests of earlier leaders until they are over

Cause: the row of requests for VMs kept the next leader from the VM for the pause between two leaders' requests (3 s) only, while a request without an outcome may be carried out for 15 s.

Change: the row says which maintenance requests are pending, and of which wave. The next leader goes on with them as with its own: the VM counts as down, gets no runs, and the request is repeated with the higher token after the pause.

--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -272,7 +272,7 @@
 }
 
 func (s *State) moveEnded(e VMMoveEnded, now time.Time) {
-	s.vmRequestEnded(e.VM, now)
+	s.vmRequestEnded(e.VM, e.Outcome, now)
 	m, known := s.moves[e.VM]
 	if !known || !m.inFlight {
 		return
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -130,6 +130,9 @@
 
 // acceptsPlacement reports whether new runs may be placed on a server.
 func (s *State) acceptsPlacement(v *server, now time.Time) bool {
+	if _, inherited := s.inheritedRequests[v.reg.VM]; inherited {
+		return false // the request would end what is placed there
+	}
 	return v.usable(now) && !v.leavesStartsUnanswered(now) && !v.cordoned && !v.releasing && !s.evacuatedZones[v.reg.Zone]
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -99,6 +99,7 @@
 	// vmRequestsStored is true if the row with the recent requests for VMs may hold some.
 	vmRequestsStored      bool
 	vmRequestsStoredAt    time.Time                      // when the row was last written
+	inheritedRequests     map[string]inheritedRequest    // by VM
 	requestedBefore       map[string]bool                // VMs for which earlier controllers sent a request shortly before the term
 	longRunningShortage   map[string]int                 // additional servers that long-running tasks need, by pool
 	lacks                 map[string]map[requirement]int // servers that tasks with a label lack, by pool
@@ -195,6 +196,7 @@
 	s.arrivals, s.departures = make(workRates), make(workRates)
 	s.recentVMRequests = make(map[string]recentVMRequest)
 	s.requestedBefore = make(map[string]bool)
+	s.inheritedRequests = make(map[string]inheritedRequest)
 	s.pending, s.rejections = newPendingJobs(), newRejections()
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
 	s.committed = s.Term.Version()
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -201,6 +201,7 @@
 	if len(s.vms) == 0 {
 		return
 	}
+	s.dropInheritedRequests(now)
 	s.maintenanceDue = make(map[string]bool)
 	for _, v := range s.allServers() {
 		v.maintenanceDue = false
@@ -247,6 +248,7 @@
 	down := 0
 	var open []schedule.MaintenanceVM
 	for _, name := range w.spec.VMs {
+		s.adoptInheritedRequest(w, name, now)
 		vm, exists := s.vms[name]
 		begun, isBegun := w.begunAt[name]
 		_, moving := s.moves[name]
@@ -264,7 +266,8 @@
 		default:
 			_, draining := w.drainingSince[name]
 			_, abandoned := s.abandoned[name]
-			if vm.State == backend.VMMaintenance || s.mayBeRequestedBefore(name) || abandoned {
+			_, inherited := s.inheritedRequests[name]
+			if vm.State == backend.VMMaintenance || s.mayBeRequestedBefore(name) || abandoned || inherited {
 				down++ // by a request of the previous controller whose outcome isn't stored, or one that was abandoned
 			}
 			blocked := moving || vm.State != backend.VMUp || s.requestedForOther(w, name)
@@ -324,7 +327,7 @@
 
 func (s *State) retryMaintenance(w *wave, now time.Time) {
 	for name, sent := range w.requestedAt {
-		if w.inFlight[name] || now.Sub(sent) < maintenanceRetryDelay {
+		if w.inFlight[name] || now.Sub(sent) < maintenanceRetryDelay || s.mayBeRequestedBefore(name) {
 			continue
 		}
 		// If the last request was carried out without a response, a new server may already have runs.
@@ -377,7 +380,7 @@
 }
 
 func (s *State) maintenanceEnded(e MaintenanceEnded, now time.Time) {
-	s.vmRequestEnded(e.VM, now)
+	s.vmRequestEnded(e.VM, e.Outcome, now)
 	s.abandonedRequestEnded(e, now)
 	for _, w := range s.waves {
 		if w.spec.Number == e.Wave && w.inFlight[e.VM] {
