--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -197,11 +197,11 @@
 // advanceWaves publishes the status of waves and advances those that aren't complete.
 func (s *State) advanceWaves(now time.Time) {
 	s.releaseAbandoned(now)
+	s.dropInheritedRequests(now)
 	s.publishWaves()
 	if len(s.vms) == 0 {
 		return
 	}
-	s.dropInheritedRequests(now)
 	s.maintenanceDue = make(map[string]bool)
 	for _, v := range s.allServers() {
 		v.maintenanceDue = false
