Keep servers reserved for isolated runs when none waits yet

Since a server was reserved only for what a task that waits requires. When the server of an isolated run is lost, none waits in the pass before, and no server was kept free for its next run, as there was before. Without a waiting task any server is reserved again.

--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -36,8 +36,9 @@
 	}
 }
 
-// reserveServers reserves up to n servers for isolated runs of tasks with the given requirements, those with the fewest runs. Without it
-// other jobs would fill each server that becomes free, while jobs that may crash servers wait for one without starting runs.
+// reserveServers reserves up to n servers for isolated runs, those with the fewest runs. Without it other jobs would fill each server that
+// becomes free, while jobs that may crash servers wait for one without starting runs. If tasks wait already, their requirements are given,
+// and the servers satisfy one of them.
 func (p *placementPool) reserveServers(n int, needs []requirement) {
 	n = min(n, len(p.servers)/2)
 	if n <= 0 {
@@ -46,7 +47,7 @@
 	byRuns := make([]int, 0, len(p.servers))
 	for i, v := range p.servers {
 		satisfies := func(r requirement) bool { return r.satisfiedBy(v.reg.Kind, v.reg.Rack, v.reg.Capacity) }
-		if !v.hasLongRunning() && slices.ContainsFunc(needs, satisfies) {
+		if !v.hasLongRunning() && (len(needs) == 0 || slices.ContainsFunc(needs, satisfies)) {
 			byRuns = append(byRuns, i)
 		}
 	}
