--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -144,20 +144,6 @@
 	s.removeAttempt(a)
 }
 
-// startRefusedByToken handles the refusal of a start request because the server has seen a higher fencing token: that of another
-// controller, or of a later request of this one. The request is then sent again with the later token.
-func (s *State) startRefusedByToken(v *server, a *attempt) {
-	if a.startToken == v.token {
-		s.depose("server-knows-newer-token")
-		return
-	}
-	klog.InfoS("Start request was overtaken by one with a higher token", "run", a.id(), "server", v.id, "token", a.startToken, "later", v.token)
-	if a.phase == requested && !a.stopRequested {
-		a.startSentAt = time.Time{}
-	}
-	a.startAccountedFor()
-}
-
 // startWasInvalid delays the next run of a task whose start request a server refused as invalid, and prefers other servers. That
 // counts as no attempt, as the server has run nothing: it may be another release that refuses, or something else at its address.
 func (t *task) startWasInvalid(v *server, now time.Time) {
