Log what the wait of a task for a late start depends on, and measure it

The log of a lost run said start-answered=true for each run that was restored from the store, as no request was sent in this term; so it couldn't tell an answer that only the earlier leader knew from a request without a response. The lines now say whether the answer is stored, when the request was sent, which VM the server ran on, what the latest list shows of it, and until when the request and a lease by it may last. VMs that aren't listed any more or are listed as down are logged once, and two metrics count the tasks that wait for a late start and the longest of these waits. No decision changes.

--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -72,8 +72,10 @@
 	if crashed {
 		s.noteServerCrash(v)
 	}
+	kept := 0
 	for _, a := range v.attempts {
 		if a.phase != running || a.onNextIncarnation {
+			kept++
 			continue
 		}
 		if crashed {
@@ -81,7 +83,32 @@
 		}
 		s.loseRun(a, "vm-"+string(state), s.now)
 	}
+	if kept > 0 {
+		klog.InfoS("Runs wait for the lease of a server that is down", "server", v.id, "vm", v.reg.VM, "runs", kept,
+			"lease-left", v.expiresAt.Sub(s.now))
+	}
 	if crashed {
 		s.serverCrashed(v.id, maxIncarnation, "vm-"+string(state))
 	}
 }
+
+// listedState returns the state of a VM in the latest list, or "not-listed".
+func (s *State) listedState(name string) string {
+	if vm, listed := s.vms[name]; listed {
+		return string(vm.State)
+	}
+	return "not-listed"
+}
+
+// logListedVMs logs which VMs a list doesn't show any more, and which it shows as down, unlike the one before it.
+func (s *State) logListedVMs(vms map[string]backend.VM) {
+	for name, vm := range s.vms {
+		now, listed := vms[name]
+		switch {
+		case !listed:
+			klog.InfoS("VM isn't listed any more", "vm", name, "vm-state", vm.State, "server", vm.Server)
+		case now.State == backend.VMDown && vm.State != backend.VMDown:
+			klog.InfoS("VM is listed as down", "vm", name, "vm-state", vm.State, "server", vm.Server)
+		}
+	}
+}
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -23,6 +23,7 @@
 	final    bool      // the run isn't started on the server again: it was stopped there, or the server crashed under it
 	until    time.Time // when it can't be carried out any more
 	endsBy   time.Time // when a run that it started has ended
+	heldFrom time.Time // when its task began to wait for it in this term
 }
 
 // lateStarts holds the late starts of a server.
@@ -99,11 +100,13 @@
 	}
 	s.addLateStart(l)
 	klog.InfoS("Start request may still be carried out", "run", l.run, "server", l.server, "incarnation", a.incarnation,
-		"requests", a.startRequests, "left", l.until.Sub(s.now))
+		"requests", a.startRequests, "left", l.until.Sub(s.now), "lease-left", l.endsBy.Sub(s.now),
+		"vm", l.vm, "vm-state", s.listedState(l.vm))
 }
 
 func (s *State) addLateStart(l *lateStart) {
 	t := l.task
+	l.heldFrom = s.now
 	s.lateStartsOf(l.server)[l.run] = l
 	t.lateStarts = append(t.lateStarts, l)
 	t.job.lateStarts++
@@ -120,7 +123,8 @@
 
 // endLateStart releases the task of a late start, as the given evidence shows that it can't be carried out any more.
 func (s *State) endLateStart(l *lateStart, evidence string) {
-	klog.InfoS("Start request can't be carried out any more", "run", l.run, "server", l.server, "evidence", evidence)
+	klog.InfoS("Start request can't be carried out any more", "run", l.run, "server", l.server, "evidence", evidence,
+		"held", s.now.Sub(l.heldFrom), "left", l.until.Sub(s.now))
 	t := l.task
 	delete(s.lateStarts[l.server], l.run)
 	for i, other := range t.lateStarts {
@@ -193,6 +197,20 @@
 	return schedule.Fits(t.step.spec, &view)
 }
 
+// measureLateStarts updates the metrics of the tasks that wait for late starts.
+func (s *State) measureLateStarts(now time.Time) {
+	var count int
+	var longest time.Duration
+	for _, starts := range s.lateStarts {
+		for _, l := range starts {
+			count++
+			longest = max(longest, now.Sub(l.heldFrom))
+		}
+	}
+	s.counters.lateStarts.Update(float64(count))
+	s.counters.longestLateStart.Update(longest.Seconds())
+}
+
 // endLateStarts releases the tasks whose late starts can't be carried out any more, and whose server doesn't run them.
 func (s *State) endLateStarts(now time.Time) {
 	for id, starts := range s.lateStarts {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -152,13 +152,18 @@
 	t.invalidStarts++
 }
 
-// logLostRun logs why a run is given up, and whether its server is known to have started it.
+// logLostRun logs why a run is given up, whether its server is known to have started it, and what is known of the server.
 func (s *State) logLostRun(a *attempt, reason string, now time.Time) {
 	v := a.server
+	startAge := time.Duration(-1) // not sent in this term
+	if !a.startSentAt.IsZero() {
+		startAge = now.Sub(a.startSentAt)
+	}
 	klog.InfoS("Run lost", "run", a.id(), "server", v.id, "reason", reason, "incarnation", a.incarnation,
-		"server-incarnation", v.incarnation, "token", v.token, "start-answered", !a.startUnanswered(),
-		"stop-reason", a.stopReason, "stop-accepted", a.stopAccepted, "restored", a.phase == restored,
-		"report-age", now.Sub(v.clockAt), "lease-left", v.expiresAt.Sub(now))
+		"server-incarnation", v.incarnation, "token", v.token, "start-answered", a.accepted || a.reported || a.answerStored,
+		"answer-stored", a.answerStored, "start-age", startAge, "repeated", a.repeated,
+		"stop-reason", a.stopReason, "stop-accepted", a.stopAccepted, "restored", a.phase == restored, "registered", v.registered,
+		"vm", v.reg.VM, "vm-state", s.listedState(v.reg.VM), "report-age", now.Sub(v.clockAt), "lease-left", v.expiresAt.Sub(now))
 }
 
 // startUnanswered reports whether a start request was sent, and neither a response nor a report tells what became of it.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -305,6 +305,7 @@
 	}
 	s.expireSpeeds(now)
 	s.endLateStarts(now)
+	s.measureLateStarts(now)
 	for id, former := range s.formerServers {
 		if now.Sub(former.droppedAt) >= maxCallDelay {
 			delete(s.formerServers, id)
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -219,14 +219,16 @@
 		return
 	}
 	s.vmsListedAt = e.RequestedAt
-	s.vms = make(map[string]backend.VM, len(e.VMs))
+	vms := make(map[string]backend.VM, len(e.VMs))
 	s.vmNames = s.vmNames[:0]
 	listedServers := make(map[string]bool, len(e.VMs))
 	for _, vm := range e.VMs {
 		listedServers[vm.Server] = true
-		s.vms[vm.Name] = vm
+		vms[vm.Name] = vm
 		s.vmNames = append(s.vmNames, vm.Name)
 	}
+	s.logListedVMs(vms)
+	s.vms = vms
 	slices.Sort(s.vmNames)
 	s.resolveByVMs(e.VMs, e.RequestedAt)
 	s.detectDownServers(e.RequestedAt)
