End the waits of tasks for servers whose VMs are removed

Callers saw accepted jobs with nothing running at the end. A task whose run was on a server that is lost for good waited 15 s for its start request, counted from the beginning of the term, and then for the longest lease by it, 25 s in all, also if the earlier leader had got the answer.

Class of fault: a wait that evidence could end goes on to its bound, and the evidence isn't kept over a change of leaders.

A VM that two lists in a row lack, both from a time when it existed, is removed; runs and late starts of its server end then, unless the server responds. A listed VM that is down may still return its server, so those waits stay. The record of a run names the VM. This is safe, as a removed VM runs no incarnation, and all lists that count are from after the server started (maxListLag).

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -343,7 +343,7 @@
 	for _, a := range t.attempts {
 		a.answerStored = a.startAnswered()
 		r.Assignments = append(r.Assignments, workload.Assignment{
-			Server: a.server.id, Incarnation: a.incarnation, Run: a.runNumber,
+			Server: a.server.id, VM: a.server.reg.VM, Incarnation: a.incarnation, Run: a.runNumber,
 			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: a.answerStored,
 			Repeated: a.repeated && !a.answerStored,
 		})
--- a/fleet/jobrow.go
+++ b/fleet/jobrow.go
@@ -19,10 +19,10 @@
 	// knownTaskShare is the share up to which tasks with a record are started.
 	knownTaskShare = 0.95
 
-	// runRecordBytes bounds the record of a task with one run without the names of servers, in each state that it can reach, and
-	// runServerNames the names of servers in it: in the assignment, the loss and what may still start late.
+	// runRecordBytes bounds the record of a task with one run without the names of servers and VMs, in each state that it can reach, and
+	// runServerNames these names in it: in the assignment, the loss and what may still start late.
 	runRecordBytes = 900
-	runServerNames = 5
+	runServerNames = 6
 	// minMeasuredRuns is how many further runs a row is measured with at least, if there are as many tasks.
 	minMeasuredRuns = 100
 	// checkpointBytes is kept for the next checkpoint of a run.
@@ -140,7 +140,7 @@
 		}
 		r.LastRun++
 		r.Assignments = append(r.Assignments, workload.Assignment{
-			Server: servers[n%len(servers)].id, Incarnation: now.UnixMilli(), Run: r.LastRun,
+			Server: servers[n%len(servers)].id, VM: servers[n%len(servers)].reg.VM, Incarnation: now.UnixMilli(), Run: r.LastRun,
 		})
 		p.Tasks[t.localName] = r
 	}
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -24,6 +24,8 @@
 	until    time.Time // when it can't be carried out any more
 	endsBy   time.Time // when a run that it started has ended
 	heldFrom time.Time // when its task began to wait for it in this term
+	// knownSince is when the controller learned of the server's incarnation.
+	knownSince time.Time
 }
 
 // lateStarts holds the late starts of a server.
@@ -93,9 +95,9 @@
 	l := &lateStart{
 		task: a.task, run: a.id(), server: v.id, vm: v.reg.VM, born: a.incarnation, repeated: a.repeated,
 		requests: a.startRequests, final: a.stopRequested || a.lossRecorded || a.endedThere,
-		until: a.startableUntil, endsBy: a.startableUntil.Add(onSlowestClock(s.MaxLease) + leaseMargin),
+		knownSince: v.knownSince, until: a.startableUntil, endsBy: a.startableUntil.Add(onSlowestClock(s.MaxLease) + leaseMargin),
 	}
-	if l.isReplacedBy(s.latestOnVM[l.vm]) {
+	if v.vmRemoved || l.isReplacedBy(s.latestOnVM[l.vm]) {
 		return
 	}
 	s.addLateStart(l)
@@ -364,7 +366,7 @@
 		s.addLateStart(&lateStart{
 			task: t, run: backend.Run{Task: t.id, Number: l.Run}, server: l.Server, vm: l.VM, born: l.Incarnation,
 			repeated: true, final: true, // as far as is known
-			until: until, endsBy: until.Add(onSlowestClock(s.MaxLease) + leaseMargin),
+			knownSince: s.now, until: until, endsBy: until.Add(onSlowestClock(s.MaxLease) + leaseMargin),
 		})
 	}
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -40,7 +40,7 @@
 	}
 	klog.InfoS("Backend server registered", "server", r.ID, "pool", r.Pool, "zone", r.Zone, "rack", r.Rack,
 		"draining", r.Draining, "incarnation", r.Incarnation)
-	v.idleSince, v.aliveAt, v.down = now, now, false
+	v.idleSince, v.aliveAt, v.down, v.vmRemoved = now, now, false, false
 	v.cordoned = v.cordoned || s.hasOpenRequest(r)
 	s.pollAt(v, now)
 	s.placeAll = true
@@ -283,7 +283,7 @@
 	if len(s.losses[v.id]) > 0 {
 		s.serverSurvived(v.id, v.incarnation, "report")
 	}
-	v.failedPolls, v.confirmed, v.down, v.aliveAt = 0, true, false, now
+	v.failedPolls, v.confirmed, v.down, v.vmRemoved, v.aliveAt = 0, true, false, false, now
 	v.clock, v.clockAt, v.clockAfter, v.hasClock = r.Clock, now, v.pollSentAt, true
 	if first && (v.returned || now.Before(s.began.Add(maxCallDelay)) && v.mayBeYoungerThan(s.began.Add(-maxCallDelay))) {
 		v.expectRequestsToEarlierIncarnation(s.MaxLease)
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -83,6 +83,7 @@
 			if v.incarnation == 0 || stored.Incarnation < v.incarnation {
 				v.setIncarnation(stored.Incarnation, now) // runs of a later incarnation survive the restart that is then noticed
 			}
+			s.restoreVM(v, stored.VM)
 			a := &attempt{
 				runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now,
 				isolated: stored.Isolated, lossRecorded: stored.LossRecorded,
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -57,6 +57,7 @@
 	retired             bool      // the platform ends this incarnation, or has ended it
 	retiredAt           time.Time // when the platform accepted a request for its VM, until it reports again
 	down                bool      // its VM doesn't run it any more; until it registers with a new incarnation or reports
+	vmRemoved           bool      // the platform has removed its VM, so that it doesn't return; until it registers or reports
 	aliveAt             time.Time // last sign that the server was running: a report, a response or a new registration
 	releasing           bool      // gets no new runs, as another pool needs its VM
 	maintenanceDue      bool      // its maintenance is due, so it gets only runs that fit on no other server
@@ -115,8 +116,10 @@
 }
 
 // mayBeYoungerThan reports whether the server's incarnation may have started after the given time, by the time of day of the server.
-func (v *server) mayBeYoungerThan(t time.Time) bool {
-	return v.incarnation > t.Add(-maxTimeOfDaySkew).UnixMilli()
+func (v *server) mayBeYoungerThan(t time.Time) bool { return mayHaveStartedAfter(v.incarnation, t) }
+
+func mayHaveStartedAfter(incarnation int64, t time.Time) bool {
+	return incarnation > t.Add(-maxTimeOfDaySkew).UnixMilli()
 }
 
 // setIncarnation records the server's present incarnation.
--- a/fleet/servercrashes.go
+++ b/fleet/servercrashes.go
@@ -108,9 +108,10 @@
 	return max(crashes, 0) / max(r.seconds, float64(servers)*minRateTime.Seconds(), 1)
 }
 
-// noteServerCrash records that a server crashed, unless a run may have been starting there or its end was planned.
+// noteServerCrash records that a server crashed, unless a run may have been starting there or its end was planned. The pool of a
+// server without a registration in this term isn't known.
 func (s *State) noteServerCrash(v *server) {
-	if v.retired || v.reg.Draining || v.startsRun(s.now) {
+	if v.reg.Pool == "" || v.retired || v.reg.Draining || v.startsRun(s.now) {
 		return
 	}
 	h := &s.crashHistory
--- a/fleet/vmservers.go
+++ b/fleet/vmservers.go
@@ -14,11 +14,20 @@
 		delete(s.serversByVM, previous)
 	}
 	if vm != "" {
+		s.longestServerName = max(s.longestServerName, encodedName(vm))
 		s.serversByVM[vm] = append(s.serversByVM[vm], v)
 		v.maintenanceDue = s.maintenanceDue[vm]
 	}
 }
 
+// restoreVM records the stored VM of a server. Its registration may have lapsed before the term.
+func (s *State) restoreVM(v *server, vm string) {
+	if v.reg.VM == "" && vm != "" {
+		s.setRegisteredVM(v, vm)
+		v.reg.VM = vm
+	}
+}
+
 // runsOn returns the number of runs that may exist on a VM, on its listed server and on those that have registered there.
 func (s *State) runsOn(vm string) int {
 	n := 0
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -218,6 +218,7 @@
 	if e.VMs == nil {
 		return
 	}
+	previous := vmList{vms: s.vms, requestedAt: s.vmsListedAt}
 	s.vmsListedAt = e.RequestedAt
 	vms := make(map[string]backend.VM, len(e.VMs))
 	s.vmNames = s.vmNames[:0]
@@ -232,6 +233,7 @@
 	slices.Sort(s.vmNames)
 	s.resolveByVMs(e.VMs, e.RequestedAt)
 	s.detectDownServers(e.RequestedAt)
+	s.detectRemovedVMs(previous)
 	for id, at := range s.droppedAt {
 		if s.vmsListedAt.After(at) && !listedServers[id] {
 			delete(s.droppedAt, id)
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -23,8 +23,10 @@
 
 // Assignment is a run of a task that may exist on a backend server.
 type Assignment struct {
-	// Server and Incarnation identify the backend server and its incarnation.
+	// Server and Incarnation identify the backend server and its incarnation. VM is the name of the VM that ran it, or "" in rows of
+	// earlier releases.
 	Server      string `json:"server"`
+	VM          string `json:"vm,omitempty"`
 	Incarnation int64  `json:"incarnation"`
 	Run         int    `json:"run"`
 	// Isolated says that the server started no runs of other jobs. LossRecorded says that the loss of the server is recorded
