Store the answers of all start requests, and use them when a VM is down

Callers saw jobs with nothing running after the leader was lost shortly before or after servers. An answer was stored at once for runs of 2 s or more only, and others with the next change of their job.

The answers of short runs now go along with the next commit of other changes, with the next renewal of the term (250 ms), and with the last commit of a leader that stops; they cause no commit. A restored run whose answer is stored ends when a list shows that its VM is down, like a run of this term.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -166,6 +169,7 @@
 	s.addVMRequests(c, now)
 	allWaves = s.addWaves(c)
 	s.addPendingJobs(c, now)
+	s.addAnswers(c, now)
 	return allJobs, allWaves
 }
 
@@ -231,57 +235,75 @@
 
 // addJobs adds the changed jobs to a commit, and reports whether it holds all of them.
 func (s *State) addJobs(c *commit, now time.Time) (all bool) {
-	if len(s.changedJobs) == 0 {
-		return true
-	}
-	changed := make([]*job, 0, len(s.changedJobs))
-	for j := range s.changedJobs {
-		changed = append(changed, j)
-	}
-	sort.Slice(changed, func(a, b int) bool {
-		if x, y := changed[a].commitPriority(), changed[b].commitPriority(); x != y {
-			return x < y
-		}
-		return changed[a].spec.ID() < changed[b].spec.ID()
-	})
 	all = true
-	for _, j := range changed {
-		if s.rejections.excludes(ProgressPrefix+j.spec.ID(), c.suspectsOnly, len(c.parts)) {
-			all = false
-			continue
-		}
-		if j.state == workload.JobQueued && j.started {
-			j.state = workload.JobRunning
-		}
-		p := j.progress(now)
-		row, fits := encodeProgress(p)
-		if !fits && !bytes.Equal(row, j.rejectedRow) {
-			s.holdJob(j, row, now)
-		}
-		if bytes.Equal(row, j.rejectedRow) {
+	for _, j := range inCommitOrder(s.changedJobs) {
+		switch s.addProgress(c, j, now) {
+		case jobLeftOut:
 			all = false
-			continue // its ends of runs stay unstored
-		}
-		part := jobPart{job: j, intents: j.intents(), copied: !p.Settled() && !j.copyStored}
-		if j.repeats > 0 {
-			part.repeats = j.unstoredRepeats()
-		}
-		writes := []provider.Write{provider.NewPut(ProgressPrefix+j.spec.ID(), row)}
-		switch {
-		case p.Settled() && j.copyStored:
-			writes = append(writes, provider.NewDelete(JobsPrefix+j.spec.ID()))
-		case part.copied:
-			writes = append(writes, provider.NewPut(JobsPrefix+j.spec.ID(), j.spec.Encode()))
-		}
-		if !s.add(c, part, writes...) {
+		case commitFull:
 			return false
+		case jobAdded:
 		}
-		j.changed = false
-		delete(s.changedJobs, j)
 	}
 	return all
 }
 
+// inCommitOrder returns the jobs in the order in which a commit takes them.
+func inCommitOrder(jobs map[*job]bool) []*job {
+	if len(jobs) == 0 {
+		return nil
+	}
+	ordered := slices.Collect(maps.Keys(jobs))
+	slices.SortFunc(ordered, func(a, b *job) int {
+		return cmp.Or(a.commitPriority()-b.commitPriority(), strings.Compare(a.spec.ID(), b.spec.ID()))
+	})
+	return ordered
+}
+
+// jobAddition says whether a commit holds the progress of a job.
+type jobAddition uint8
+
+const (
+	jobAdded jobAddition = iota
+	jobLeftOut
+	commitFull
+)
+
+// addProgress adds the progress of a job to a commit.
+func (s *State) addProgress(c *commit, j *job, now time.Time) jobAddition {
+	if s.rejections.excludes(ProgressPrefix+j.spec.ID(), c.suspectsOnly, len(c.parts)) {
+		return jobLeftOut
+	}
+	if j.state == workload.JobQueued && j.started {
+		j.state = workload.JobRunning
+	}
+	p := j.progress(now)
+	row, fits := encodeProgress(p)
+	if !fits && !bytes.Equal(row, j.rejectedRow) {
+		s.holdJob(j, row, now)
+	}
+	if bytes.Equal(row, j.rejectedRow) {
+		return jobLeftOut // its ends of runs stay unstored
+	}
+	part := jobPart{job: j, intents: j.intents(), copied: !p.Settled() && !j.copyStored}
+	if j.repeats > 0 {
+		part.repeats = j.unstoredRepeats()
+	}
+	writes := []provider.Write{provider.NewPut(ProgressPrefix+j.spec.ID(), row)}
+	switch {
+	case p.Settled() && j.copyStored:
+		writes = append(writes, provider.NewDelete(JobsPrefix+j.spec.ID()))
+	case part.copied:
+		writes = append(writes, provider.NewPut(JobsPrefix+j.spec.ID(), j.spec.Encode()))
+	}
+	if !s.add(c, part, writes...) {
+		return commitFull
+	}
+	j.changed = false
+	delete(s.changedJobs, j)
+	return jobAdded
+}
+
 func (s *State) commitEnded(outcome provider.CommitOutcome, now time.Time) {
 	c := s.commit
 	s.commit = nil
--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -61,6 +61,13 @@
 	return vm.State, v.failedPolls > 0 || !v.reg.Draining // a draining server may still work on a VM that is leaving
 }
 
+// endedWithServer reports whether a run has ended with the incarnation of its server that is known: that one has started it, and no
+// later one has.
+func (a *attempt) endedWithServer() bool {
+	started := a.phase == running || a.phase == restored && a.answerStored && a.incarnation <= a.server.incarnation
+	return started && !a.onNextIncarnation
+}
+
 // serverDown gives up the runs that a server had when it ended. A run that isn't known to have started is kept until the lease
 // expires: its start request may still arrive at the next incarnation. One that has started there goes on.
 func (s *State) serverDown(v *server, state backend.VMState) {
@@ -74,7 +81,7 @@
 	}
 	kept := 0
 	for _, a := range v.attempts {
-		if a.phase != running || a.onNextIncarnation {
+		if !a.endedWithServer() {
 			kept++
 			continue
 		}
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -67,16 +67,6 @@
 	return (a.accepted || a.reported || a.answerStored) && !a.startOutlastsReports()
 }
 
-// storeAnswer stores that the server has started a run that lasts. The next controller waits for other runs if their server is gone,
-// but those that end soon have their row written anyway.
-func (s *State) storeAnswer(a *attempt, now time.Time) {
-	lasts := a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
-		now.Sub(a.startedAt) >= lastingRunTime
-	if lasts && !a.answerStored && a.startAnswered() && !a.task.job.startsInFlight() {
-		s.markChanged(a.task.job)
-	}
-}
-
 // startsInFlight reports whether the outcome of a start request of the job is outstanding.
 func (j *job) startsInFlight() bool {
 	for _, t := range j.tasks {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -122,6 +122,7 @@
 	longestServerName     int           // encoded length of the longest id of a server so far
 	sortedServers         []*server     // all servers by id, or nil if it has to be rebuilt
 	changedJobs           map[*job]bool // jobs whose progress has to be stored
+	unstoredAnswers       map[*job]bool // jobs with runs that have started, which their stored progress doesn't say
 	stopping              bool
 	successor             string // the entry VM in whose favor this one resigns, or ""
 	resigned              bool
@@ -177,7 +178,7 @@
 	s.dirtyPools = make(map[string]bool)
 	s.unstoredEnds = make(map[*server]bool)
 	s.droppedAt, s.moveGivenUpAt = make(map[string]time.Time), make(map[string]time.Time)
-	s.changedJobs = make(map[*job]bool)
+	s.changedJobs, s.unstoredAnswers = make(map[*job]bool), make(map[*job]bool)
 	s.customerUsage = make(map[string]workload.Resources)
 	s.entitlements = make(map[string]*entitlement)
 	s.poolCapacity = make(map[string]workload.Resources)
--- /dev/null
+++ b/fleet/storedanswers_test.go
@@ -0,0 +1,111 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pistachiolead/pistachiolead/backend"
+	"github.com/pistachiolead/pistachiolead/fleet"
+	"github.com/pistachiolead/pistachiolead/provider"
+	"github.com/pistachiolead/pistachiolead/workload"
+)
+
+// storedRun returns the only run in the stored progress of the job.
+func (r *heldStartRig) storedRun() workload.Assignment {
+	r.t.Helper()
+	p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+r.job.ID()])
+	assert.NilError(r.t, err)
+	for _, record := range p.Tasks {
+		assert.Equal(r.t, len(record.Assignments), 1)
+		return record.Assignments[0]
+	}
+	r.t.Fatal("no run is stored")
+	return workload.Assignment{}
+}
+
+// commits returns the number of commits since the last call of takeEffects.
+func (r *rig) commits() int {
+	n := 0
+	for _, e := range r.takeEffects() {
+		if _, ok := e.(fleet.Commit); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against tasks that wait for a start request after a change of leaders, although its answer had been received long before.
+func TestAnswerOfShortRunIsStoredWithRenewal(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.acceptStart(r.start)
+	assert.Assert(t, !r.storedRun().Answered, "a write of its own")
+	r.takeEffects()
+	r.advance(time.Second)
+	assert.Assert(t, r.storedRun().Answered, "the answer isn't stored after a second")
+	r.advance(2 * time.Second)
+	withAnswer := r.commits()
+	r.advance(3 * time.Second)
+	assert.Equal(t, withAnswer, r.commits(), "the answer took a commit of its own")
+}
+
+// Guards against the same if the leader is lost before it renews the term: other jobs are stored meanwhile.
+func TestAnswerOfShortRunIsStoredWithOtherChanges(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.acceptStart(r.start)
+	r.handle(fleet.JobArrived{Job: r.rig.job(2, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})})
+	assert.Assert(t, r.storedRun().Answered, "the commit of another job doesn't hold the answer")
+}
+
+// Guards against the same after a planned stop, in the last commit of the leader.
+func TestAnswerOfShortRunIsStoredByPlannedStop(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.acceptStart(r.start)
+	r.handle(fleet.Stopping{})
+	assert.Assert(t, r.storedRun().Answered, "the leader has resigned without the answer")
+}
+
+// Guards against the same if the row changes between the answer and the renewal, or the commit isn't carried out.
+func TestAnswerIsStoredAfterFailedCommit(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.holdCommits = true
+	r.acceptStart(r.start)
+	r.advance(500 * time.Millisecond)
+	r.holdCommits = false
+	r.handle(fleet.CommitEnded{Outcome: provider.NewUnavailable("timeout")})
+	r.advance(time.Second)
+	assert.Assert(t, r.storedRun().Answered, "the answer isn't stored after a commit that wasn't carried out")
+}
+
+// Guards against tasks that wait for the lease after a change of leaders, although their server's VM is listed as down.
+func TestRestoredRunOnDownVMStartsElsewhereAtOnce(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.acceptStart(r.start)
+	r.advance(time.Second)
+	r.states[r.removed] = backend.VMDown
+	r.takeOverWithoutServer()
+	r.assertStartedElsewhere(maxRemovalDelay)
+}
+
+// Guards against a task that runs twice: its run is on an incarnation that started after the list was made.
+func TestRestoredRunOfLaterIncarnationOutlastsOldList(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	server := r.removed
+	r.comeBack(server)
+	r.report(server, nil)
+	r.handle(fleet.StartEnded{
+		Server: server, Incarnation: r.start.Target.Incarnation, Run: r.start.Request.Run, Outcome: backend.OutcomeUnknown{Reason: "timeout"},
+	})
+	for range 10 {
+		r.advance(100 * time.Millisecond)
+		if _, open := r.openPolls[server]; open {
+			r.report(server, []backend.Run{r.start.Request.Run})
+		}
+	}
+	assert.Assert(t, r.storedRun().Answered)
+	r.states[server] = backend.VMDown
+	r.takeOverWithoutServer()
+	after := r.run(3*time.Second, false)
+	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may run it")
+}
