Count restored late starts from the beginning of the term

For a late start that is read from the store the time from which its server is known was that of the last event, which is none yet while the state is restored. Each list then counted as young enough, so that the task of a server on a VM that is younger than the lists could run twice.

The new test failed: the task started elsewhere after 0.5 s instead of 10 s. The server counts as known from the beginning of the term, and the time of the restore is that of the state.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -356,7 +356,7 @@
 		s.addLateStart(&lateStart{
 			task: t, run: backend.Run{Task: t.id, Number: l.Run}, server: l.Server, vm: l.VM, born: l.Incarnation,
 			repeated: true, final: true, // as far as is known
-			knownSince: s.now, until: until, endsBy: until.Add(onSlowestClock(s.MaxLease) + leaseMargin),
+			knownSince: s.began, until: until, endsBy: until.Add(onSlowestClock(s.MaxLease) + leaseMargin),
 		})
 	}
 }
--- a/fleet/removedvms_test.go
+++ b/fleet/removedvms_test.go
@@ -180,3 +180,27 @@
 	after := r.run(14*time.Second, true)
 	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server responds")
 }
+
+// Guards against a task that runs twice after a change of leaders: the lists are older than the VM of a late start's server, which is
+// cut off.
+func TestRestoredLateStartOnVMYoungerThanListsIsKept(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	bornAt := r.now
+	late := workload.LateStart{
+		VM: "m-3", Server: "i-3", Incarnation: bornAt.UnixMilli(), Run: 1, UntilMS: bornAt.Add(maxRequestDelay).UnixMilli(),
+	}
+	p := workload.Progress{State: workload.JobRunning, Tasks: map[string]workload.TaskRecord{
+		"0.0.0": {LastRun: 1, LateStarts: []workload.LateStart{late}},
+	}}
+	r.rows[fleet.ProgressPrefix+r.job.ID()] = p.Encode()
+	r.restart(r.job)
+	clear(r.openPolls)
+	r.removed = "i-3"
+	for id := range r.states {
+		r.register(id, "press")
+	}
+	r.takeEffects()
+	after := r.run(40*time.Second, false)
+	assert.Assert(t, after > 10*time.Second, "started elsewhere %s after its VM began to exist", after)
+	assert.Assert(t, after < 13*time.Second, "started elsewhere only %s after its VM was removed", after)
+}
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -24,6 +24,7 @@
 // Restore loads what was stored before the term, then handles the events that were held back. It returns the number of
 // jobs that aren't finished.
 func (s *State) Restore(stored Stored, now time.Time) int {
+	s.now = now
 	progress := stored.Progress
 	for _, spec := range stored.Jobs {
 		p, known := progress[spec.ID()]
