Keep runs of unknown incarnations when a list of VMs shows them as down

A task could run on two servers at once after a change of leaders: the next incarnation of a server accepted its start request and hadn't registered yet, so the row named the incarnation before it, with the answer. The next leader took the run for one that had ended with that incarnation, as a list from before the restart showed the VM as down, and started it elsewhere after 0.1 s.

The answer of an incarnation that isn't known doesn't count as stored. The next leader then waits as for a request without an answer.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -62,9 +62,10 @@
 	return false
 }
 
-// startAnswered reports whether the server has started the run, and its reports show what became of all requests to start it.
+// startAnswered reports whether the known incarnation of the server has started the run, and its reports show what became of all requests
+// to start it.
 func (a *attempt) startAnswered() bool {
-	return (a.accepted || a.reported || a.answerStored) && !a.startOutlastsReports()
+	return (a.accepted || a.reported || a.answerStored) && !a.onNextIncarnation && !a.startOutlastsReports()
 }
 
 // startsInFlight reports whether the outcome of a start request of the job is outstanding.
--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -109,3 +109,18 @@
 	after := r.run(3*time.Second, false)
 	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may run it")
 }
+
+// Guards against a task that runs twice: the next incarnation of its server accepted the start request and isn't registered yet, and the
+// list shows the VM as it was before that.
+func TestRestoredRunOfUnknownIncarnationOutlastsOldList(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.handle(fleet.StartEnded{
+		Server: r.removed, Incarnation: r.start.Target.Incarnation, Run: r.start.Request.Run,
+		Outcome: backend.Accepted{Clock: time.Millisecond}, // the clock of the earlier incarnation shows a minute
+	})
+	r.advance(2 * time.Second)
+	r.states[r.removed] = backend.VMDown
+	r.takeOverWithoutServer()
+	after := r.run(5*time.Second, false)
+	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may run it")
+}
