Store answers to start requests that didn't fit into a commit

After a change of leaders tasks waited for start requests whose answers the earlier leader knew: encoding a row noted its answers as stored, although the row then didn't fit into the commit, or was encoded only to measure its size.

Answers are noted once the row is in a commit. A commit that isn't applied has its jobs stored again.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -301,6 +301,7 @@
 	}
 	j.changed = false
 	delete(s.changedJobs, j)
+	j.answersAdded()
 	return jobAdded
 }
 
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -341,11 +341,11 @@
 	r := t.record
 	r.Assignments = nil
 	for _, a := range t.attempts {
-		a.answerStored = a.startAnswered()
+		answered := a.startAnswered()
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, VM: a.server.reg.VM, Incarnation: a.incarnation, Run: a.runNumber,
-			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: a.answerStored,
-			Repeated: a.repeated && !a.answerStored,
+			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: answered,
+			Repeated: a.repeated && !answered,
 		})
 	}
 	r.LateStarts = t.storedLateStarts()
--- a/fleet/storedanswers.go
+++ b/fleet/storedanswers.go
@@ -49,3 +49,12 @@
 	}
 	return false
 }
+
+// answersAdded records that a commit holds the progress of the job. If that isn't applied, the job is stored again.
+func (j *job) answersAdded() {
+	for _, t := range j.tasks {
+		for _, a := range t.attempts {
+			a.answerStored = a.startAnswered()
+		}
+	}
+}
--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -124,3 +124,56 @@
 	after := r.run(5*time.Second, false)
 	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may run it")
 }
+
+// manyAnswersRig has jobs with accepted runs whose answers aren't stored. They don't fit into one commit.
+type manyAnswersRig struct {
+	*rig
+	jobs []*workload.Job
+}
+
+func newManyAnswersRig(t *testing.T) *manyAnswersRig {
+	t.Helper()
+	r := &manyAnswersRig{rig: newRig(t)}
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	var starts []fleet.Start
+	for n := range 300 {
+		j := r.job(n+1, workload.StepOptions{Count: 1, MilliCores: 10, DeclaredDurationMS: 1000})
+		r.jobs = append(r.jobs, j)
+		r.handle(fleet.JobArrived{Job: j})
+		starts = append(starts, r.starts()...)
+	}
+	assert.Equal(t, len(starts), len(r.jobs))
+	r.holdCommits = true
+	r.advance(100 * time.Millisecond)
+	for _, s := range starts {
+		r.acceptStart(s)
+	}
+	r.holdCommits = false
+	r.handle(fleet.CommitEnded{Outcome: provider.NewUnavailable("timeout")})
+	return r
+}
+
+func (r *manyAnswersRig) assertAnswersStored() {
+	r.t.Helper()
+	unstored := 0
+	for _, j := range r.jobs {
+		p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+j.ID()])
+		assert.NilError(r.t, err)
+		for _, record := range p.Tasks {
+			if !record.Assignments[0].Answered {
+				unstored++
+			}
+		}
+	}
+	assert.Equal(r.t, unstored, 0, "answers aren't stored")
+}
+
+// Guards against tasks that wait for a start request after a change of leaders: the answers to many don't fit into one commit.
+func TestAnswersThatExceedOneCommitAreStored(t *testing.T) {
+	r := newManyAnswersRig(t)
+	r.advance(1900 * time.Millisecond)
+	r.assertAnswersStored()
+}
