Resign once the answers to all start requests are stored

A planned stop left tasks that wait for start requests: the leader resigned with the commit that took the first answers, and the others didn't fit into it.

TestAnswersThatExceedOneCommitAreStoredByPlannedStop failed before: 148 of 300 answers weren't stored.

--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -139,13 +139,13 @@
 func (s *State) gatherChanges(now time.Time) (c *commit, all bool) {
 	searching := len(s.rejections.suspects) > 0
 	c = &commit{sentAt: now, suspectsOnly: searching && !s.rejections.last}
-	allJobs, allWaves := s.addChanges(c, now)
+	allJobs, allOthers := s.addChanges(c, now)
 	for tries := 0; searching && len(c.parts) == 0 && tries < 2; tries++ {
 		if c.suspectsOnly {
 			clear(s.rejections.suspects) // their changes are gone
 		}
 		c = &commit{sentAt: now, suspectsOnly: !c.suspectsOnly}
-		allJobs, allWaves = s.addChanges(c, now)
+		allJobs, allOthers = s.addChanges(c, now)
 	}
 	c.ends = make(map[string]endNumber)
 	if allJobs {
@@ -159,18 +159,19 @@
 			delete(s.unstoredEnds, v)
 		}
 	}
-	return c, allJobs && allWaves
+	return c, allJobs && allOthers
 }
 
-// addChanges adds the changes to a commit, the most important first. It reports whether it holds all changes of jobs and waves.
-func (s *State) addChanges(c *commit, now time.Time) (allJobs, allWaves bool) {
+// addChanges adds the changes to a commit, the most important first. It reports whether it holds all changes of jobs, and all of
+// waves and answers to start requests.
+func (s *State) addChanges(c *commit, now time.Time) (allJobs, allOthers bool) {
 	c.size = s.termSize(now)
 	allJobs = s.addJobs(c, now)
 	s.addVMRequests(c, now)
-	allWaves = s.addWaves(c)
+	allWaves := s.addWaves(c)
 	s.addPendingJobs(c, now)
-	s.addAnswers(c, now)
-	return allJobs, allWaves
+	allAnswers := s.addAnswers(c, now)
+	return allJobs, allWaves && allAnswers
 }
 
 // termSize returns the size of what each commit holds: the condition on the term row, the committer's own row and the term row.
--- a/fleet/storedanswers.go
+++ b/fleet/storedanswers.go
@@ -17,12 +17,13 @@
 	s.unstoredAnswers[a.task.job] = true
 }
 
-// addAnswers adds the progress of jobs with answers to start requests that aren't stored to a commit, as far as it fits. They cause no commit
-// of their own, and a job whose other answers are outstanding waits for the next renewal of the term, as its row may be long. The last commit of a leader that stops holds all answers.
-func (s *State) addAnswers(c *commit, now time.Time) {
+// addAnswers adds the progress of jobs with answers to start requests that aren't stored to a commit, and reports whether no further
+// ones have to follow it at once. They cause no commit of their own, and a job whose other answers are outstanding waits for the next
+// renewal of the term, as its row may be long. A leader that stops resigns once all answers are stored.
+func (s *State) addAnswers(c *commit, now time.Time) (all bool) {
 	renews := s.stopping || now.Sub(s.renewedAt) >= renewInterval
 	if len(s.unstoredAnswers) == 0 || len(c.parts) == 0 && !renews {
-		return
+		return true
 	}
 	for _, j := range inCommitOrder(s.unstoredAnswers) {
 		if s.jobs[j.spec.ID()] != j || !j.hasUnstoredAnswers() {
@@ -33,9 +34,10 @@
 			continue
 		}
 		if !j.changed && s.addProgress(c, j, now) == commitFull {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // hasUnstoredAnswers reports whether the stored progress doesn't say that a run of the job has started.
--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -177,3 +177,11 @@
 	r.advance(1900 * time.Millisecond)
 	r.assertAnswersStored()
 }
+
+// Guards against the same after a planned stop: the leader resigned with the first commit.
+func TestAnswersThatExceedOneCommitAreStoredByPlannedStop(t *testing.T) {
+	r := newManyAnswersRig(t)
+	r.handle(fleet.Stopping{})
+	r.advance(500 * time.Millisecond)
+	r.assertAnswersStored()
+}
