Remember over a change of leaders that start requests hold tickets

After a change of leaders tasks of queues with a recommendation service ran nowhere for 25 s if their server was down and its start request had no answer yet: the next leader waited until the next incarnation of the server couldn't carry out the request any more, and then for its longest lease. The ticket of the request is refused by every other incarnation, which the leader before knew.

The record of the run says so now. A request whose ticket has lapsed before it was sent isn't sent, as the record would be wrong.

TestStartWithTicketDoesNotHoldTaskAfterTakeover failed before: started elsewhere only after 25.404s.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -109,6 +109,7 @@
 	repeated          bool          // the start request may have been sent more than once
 	endedThere        bool          // the server has ended or stopped the run
 	repeatUnstored    bool          // the start request is repeated once the record says so
+	ticketed          bool          // the start request holds a ticket, which the next incarnation refuses
 	answerStored      bool          // the stored record says that the server has started the run
 	startableUntil    time.Time     // when no start request can be carried out any more, or zero if none is outstanding
 	earliestClock     time.Duration // the least that the server's clock shows at the start, unless the server has restarted
@@ -345,7 +346,7 @@
 		r.Assignments = append(r.Assignments, workload.Assignment{
 			Server: a.server.id, VM: a.server.reg.VM, Incarnation: a.incarnation, Run: a.runNumber,
 			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: answered,
-			Repeated: a.repeated && !answered,
+			Repeated: a.repeated && !answered, Ticketed: a.ticketed,
 		})
 	}
 	r.LateStarts = t.storedLateStarts()
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -369,6 +369,7 @@
 		runNumber: run, phase: storing, incarnation: v.incarnation, checkpoint: t.record.Checkpoint, startedAt: now,
 	}
 	s.addAttempt(t, v, a)
+	a.ticketed = a.ticketFor() != ""
 	t.job.row.bytes += s.runBytes()
 	t.job.started = true
 	s.markChanged(t.job)
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -87,10 +87,13 @@
 			a := &attempt{
 				runNumber: stored.Run, phase: restored, incarnation: stored.Incarnation, startedAt: now,
 				isolated: stored.Isolated, lossRecorded: stored.LossRecorded,
-				answerStored: stored.Answered, endsBy: earlier(time.UnixMilli(stored.EndsByMS).Add(maxTimeOfDaySkew), s.lateStartExpiry(s.began)),
+				answerStored: stored.Answered, ticketed: stored.Ticketed, endsBy: earlier(time.UnixMilli(stored.EndsByMS).Add(maxTimeOfDaySkew), s.lateStartExpiry(s.began)),
 			}
 			if !stored.Answered {
-				a.startRequests, a.repeated, a.startableUntil = 1, stored.Repeated, s.began.Add(maxCallDelay)
+				a.startRequests, a.repeated = 1, stored.Repeated
+			}
+			if !stored.Answered && !stored.Ticketed {
+				a.startableUntil = s.began.Add(maxCallDelay)
 			}
 			s.addAttempt(t, v, a)
 			if t.step.spec.BestEffort() {
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -29,6 +29,10 @@
 		s.requestStop(a, "server-has-shrunk")
 		return
 	}
+	if a.ticketed && a.ticketFor() == "" {
+		s.removeAttempt(a) // the ticket has lapsed, and the record says that the request holds one
+		return
+	}
 	if !now.Before(s.termEndsAt) || !v.hasClock || !v.confirmed || !s.raiseTokenForStart(v) {
 		return
 	}
@@ -37,7 +41,7 @@
 	v.extendExpiry()
 	a.inFlight, a.startSentAt, a.startToken = true, now, s.tokenFor(v)
 	a.startRequests++
-	if a.ticketFor() == "" { // the next incarnation refuses the ticket
+	if !a.ticketed {
 		a.startableUntil = now.Add(maxCallDelay)
 	}
 	a.earliestClock = v.clock + time.Duration(minClockRate*float64(now.Sub(v.clockAt))) - clockRounding
--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -185,3 +185,32 @@
 	r.advance(500 * time.Millisecond)
 	r.assertAnswersStored()
 }
+
+// Guards against tasks that wait for a start request after a change of leaders, although no other incarnation than the one it was sent to
+// accepts its ticket.
+func TestStartWithTicketDoesNotHoldTaskAfterTakeover(t *testing.T) {
+	r := newRecommendationRig(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	j := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	r.handle(fleet.JobArrived{Job: j})
+	first := r.nextStart(time.Second)
+	lost := first.Target.ID
+	assert.Assert(t, first.Request.Ticket != "")
+	r.restart(j)
+	clear(r.openPolls)
+	for _, id := range []string{"i-1", "i-2"} {
+		if id != lost {
+			r.register(id, "press")
+		}
+	}
+	began := r.now
+	second := r.nextStart(40 * time.Second)
+	assert.Assert(t, second.Target.ID != lost)
+	after := r.now.Sub(began)
+	assert.Assert(t, after < maxRequestDelay, "started elsewhere only after %s", after)
+}
--- a/fleet/usableservers_test.go
+++ b/fleet/usableservers_test.go
@@ -74,6 +74,34 @@
 	return r
 }
 
+// nextStart answers calls of the recommendation service and lets the servers report that they have no runs, until a start request is sent.
+func (r *recommendationRig) nextStart(limit time.Duration) fleet.Start {
+	r.t.Helper()
+	for until := r.now.Add(limit); r.now.Before(until); r.advance(100 * time.Millisecond) {
+		for id := range r.openPolls {
+			r.report(id, nil)
+		}
+		for _, e := range r.takeEffects() {
+			switch e := e.(type) {
+			case fleet.RequestRecommendation:
+				r.recommendAll(e)
+			case fleet.Start:
+				return e
+			}
+		}
+	}
+	r.t.Fatal("no start request was sent")
+	return fleet.Start{}
+}
+
+func (r *recommendationRig) recommendAll(e fleet.RequestRecommendation) {
+	tickets := make(map[string]string)
+	for _, id := range e.Servers {
+		tickets[id] = "t"
+	}
+	r.handle(fleet.RecommendationEnded{Step: e.Step, Tickets: tickets, RequestedAt: r.now})
+}
+
 // run answers calls of the recommendation service, accepts starts and lets the servers report for some time.
 func (r *recommendationRig) run(d time.Duration) {
 	r.t.Helper()
@@ -81,11 +109,7 @@
 		for _, e := range r.takeEffects() {
 			switch e := e.(type) {
 			case fleet.RequestRecommendation:
-				tickets := make(map[string]string)
-				for _, id := range e.Servers {
-					tickets[id] = "t"
-				}
-				r.handle(fleet.RecommendationEnded{Step: e.Step, Tickets: tickets, RequestedAt: r.now})
+				r.recommendAll(e)
 			case fleet.Start:
 				r.running[e.Target.ID] = append(r.running[e.Target.ID], e.Request.Run)
 				r.acceptStart(e)
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -40,6 +40,8 @@
 	Answered bool `json:"answered,omitempty"`
 	// Repeated says that the request to start the run may have been sent more than once.
 	Repeated bool `json:"repeated,omitempty"`
+	// Ticketed says that the request to start the run holds a ticket, which other incarnations of the server refuse.
+	Ticketed bool `json:"ticketed,omitempty"`
 }
 
 // LateStart is a request to start a run that its backend server doesn't have, but may still start after a restart.
