Keep late starts of servers that have started again on another VM

A task could run on two servers at once: its server had started again under its id on another VM and was cut off, and the removal of the earlier VM ended the wait for a start request that the next incarnation may carry out.

TestLateStartOutlastsRemovedVMOfServerOnAnotherVM failed before: 513ms != 0s.

--- a/fleet/removedvms.go
+++ b/fleet/removedvms.go
@@ -45,11 +45,13 @@
 		}
 	}
 	for id, starts := range s.lateStarts {
-		if v, known := s.servers[id]; known && v.mayRespond() {
+		v, known := s.servers[id]
+		if known && v.mayRespond() {
 			continue
 		}
 		for _, l := range starts {
-			if r.lacks(l.vm) && l.serverRanAt(r.existedAt) {
+			isElsewhere := known && v.reg.VM != "" && v.reg.VM != l.vm
+			if r.lacks(l.vm) && l.serverRanAt(r.existedAt) && !isElsewhere {
 				s.endLateStart(l, "vm-removed")
 			}
 		}
--- a/fleet/removedvms_test.go
+++ b/fleet/removedvms_test.go
@@ -180,3 +180,18 @@
 	after := r.run(14*time.Second, true)
 	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server responds")
 }
+
+// Guards against a task that runs twice: its server has started again under its id on another VM, and is cut off.
+func TestLateStartOutlastsRemovedVMOfServerOnAnotherVM(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.loseStartResponse(r.start)
+	r.states[r.removed] = backend.VMDown
+	assert.Equal(t, r.run(8*time.Second, false), time.Duration(0))
+	r.handle(fleet.ServerRegistered{Registration: backend.Registration{
+		ID: r.removed, VM: "m-3", Pool: "press", Address: "10.0.0.1:1", Zone: "z", Rack: "r-" + r.removed,
+		Incarnation: r.now.UnixMilli(), Capacity: workload.NewResources(8000, 8000, 0),
+	}})
+	delete(r.states, r.removed)
+	after := r.run(9*time.Second, false) // the lists may be older than its VM
+	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may carry out the request")
+}
