--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -109,3 +109,108 @@
 	after := r.run(3*time.Second, false)
 	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may run it")
 }
+
+// Guards against a task that runs twice: the next incarnation of its server accepted the start request and isn't registered yet, and the
+// list shows the VM as it was before that.
+func TestRestoredRunOfUnknownIncarnationOutlastsOldList(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.handle(fleet.StartEnded{
+		Server: r.removed, Incarnation: r.start.Target.Incarnation, Run: r.start.Request.Run,
+		Outcome: backend.Accepted{Clock: time.Millisecond}, // the clock of the earlier incarnation shows a minute
+	})
+	r.advance(2 * time.Second)
+	r.states[r.removed] = backend.VMDown
+	r.takeOverWithoutServer()
+	after := r.run(5*time.Second, false)
+	assert.Equal(t, after, time.Duration(0), "started elsewhere while its server may run it")
+}
+
+// manyAnswersRig has jobs with accepted runs whose answers aren't stored. They don't fit into one commit.
+type manyAnswersRig struct {
+	*rig
+	jobs []*workload.Job
+}
+
+func newManyAnswersRig(t *testing.T) *manyAnswersRig {
+	t.Helper()
+	r := &manyAnswersRig{rig: newRig(t)}
+	r.register("i-1", "press")
+	r.report("i-1", nil)
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	var starts []fleet.Start
+	for n := range 300 {
+		j := r.job(n+1, workload.StepOptions{Count: 1, MilliCores: 10, DeclaredDurationMS: 1000})
+		r.jobs = append(r.jobs, j)
+		r.handle(fleet.JobArrived{Job: j})
+		starts = append(starts, r.starts()...)
+	}
+	assert.Equal(t, len(starts), len(r.jobs))
+	r.holdCommits = true
+	r.advance(100 * time.Millisecond)
+	for _, s := range starts {
+		r.acceptStart(s)
+	}
+	r.holdCommits = false
+	r.handle(fleet.CommitEnded{Outcome: provider.NewUnavailable("timeout")})
+	return r
+}
+
+func (r *manyAnswersRig) assertAnswersStored() {
+	r.t.Helper()
+	unstored := 0
+	for _, j := range r.jobs {
+		p, err := workload.DecodeProgress(r.rows[fleet.ProgressPrefix+j.ID()])
+		assert.NilError(r.t, err)
+		for _, record := range p.Tasks {
+			if !record.Assignments[0].Answered {
+				unstored++
+			}
+		}
+	}
+	assert.Equal(r.t, unstored, 0, "answers aren't stored")
+}
+
+// Guards against tasks that wait for a start request after a change of leaders: the answers to many don't fit into one commit.
+func TestAnswersThatExceedOneCommitAreStored(t *testing.T) {
+	r := newManyAnswersRig(t)
+	r.advance(1900 * time.Millisecond)
+	r.assertAnswersStored()
+}
+
+// Guards against the same after a planned stop: the leader resigned with the first commit.
+func TestAnswersThatExceedOneCommitAreStoredByPlannedStop(t *testing.T) {
+	r := newManyAnswersRig(t)
+	r.handle(fleet.Stopping{})
+	r.advance(500 * time.Millisecond)
+	r.assertAnswersStored()
+}
+
+// Guards against tasks that wait for a start request after a change of leaders, although no other incarnation than the one it was sent to
+// accepts its ticket.
+func TestStartWithTicketDoesNotHoldTaskAfterTakeover(t *testing.T) {
+	r := newRecommendationRig(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		r.register(id, "press")
+		r.report(id, nil)
+	}
+	r.advance(20 * time.Second)
+	r.takeEffects()
+	j := r.job(1, workload.StepOptions{Count: 1, MilliCores: 1000, DeclaredDurationMS: 1000})
+	r.handle(fleet.JobArrived{Job: j})
+	first := r.nextStart(time.Second)
+	lost := first.Target.ID
+	assert.Assert(t, first.Request.Ticket != "")
+	r.restart(j)
+	clear(r.openPolls)
+	for _, id := range []string{"i-1", "i-2"} {
+		if id != lost {
+			r.register(id, "press")
+		}
+	}
+	began := r.now
+	second := r.nextStart(40 * time.Second)
+	assert.Assert(t, second.Target.ID != lost)
+	after := r.now.Sub(began)
+	assert.Assert(t, after < maxRequestDelay, "started elsewhere only after %s", after)
+}
