Lose servers for good in the model of the fleet

The model now removes VMs with their servers: at once, between a start request and its response, or while no controller is there, with new VMs in their place, beside kills and planned stops of controllers, servers that return or are cut off, held start requests, and lists that are up to 3 s old. By the users' rule, 14 to 17 s after all faults no task whose last server was lost may be without a run if it could run and under half of the capacity is in use; no task runs twice.

Two mutations show that the check detects what it is for: removed VMs stay in the list as down, and VMs of partitioned servers aren't listed.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -47,6 +47,7 @@
 	duplicates int  // starts of tasks that ran on another server
 
 	longRunning *longRunningModel // of a job of long-running tasks, or nil
+	losses      *lossModel        // of VMs, or nil
 
 	slowStore bool
 
@@ -71,6 +72,8 @@
 	ignoreLongestLease    // that a server may hold by requests to its earlier incarnation
 	forbidDuplicates      // no task may run twice
 	listsCountAsNewer     // lists of VMs seem to have been requested later than they were
+	listRemovedAsDown     // VMs that are lost for good stay in the list as down
+	unlistPartitioned     // VMs of partitioned servers aren't listed
 )
 
 // modelMaxLease is the longest lease that a server accepts.
@@ -143,13 +146,7 @@
 	}
 	m.logf("%s crashes", s.id)
 	s.down = true
-	for run := range s.running {
-		m.crashes[run.Task]++
-		m.lostWith[run.Task]++
-	}
-	for _, end := range s.ends {
-		m.lostWith[end.Run.Task]++
-	}
+	m.noteLostRuns(s)
 	clear(s.running)
 	m.after(200*time.Millisecond+m.delay(600), func() {
 		if s.gone {
@@ -161,6 +158,17 @@
 	})
 }
 
+// noteLostRuns counts the tasks that lose a run or the report of its end with a server.
+func (m *model) noteLostRuns(s *modelServer) {
+	for run := range s.running {
+		m.crashes[run.Task]++
+		m.lostWith[run.Task]++
+	}
+	for _, end := range s.ends {
+		m.lostWith[end.Run.Task]++
+	}
+}
+
 func (m *model) after(d time.Duration, run func()) { heap.Push(&m.events, dueEvent{m.now.Add(d), run}) }
 
 func (m *model) advance(d time.Duration) {
@@ -322,7 +330,8 @@
 	case fleet.Commit:
 		m.after(m.delay(15), func() { m.commit(c, e) })
 	case fleet.Start:
-		m.deliver(c, e.Target, func(s *modelServer) backend.Outcome { return m.start(s, e.Request) },
+		m.losses.requestsStart(e)
+		m.deliver(c, e.Target, func(s *modelServer) backend.Outcome { return m.losses.start(m, s, e.Request) },
 			func(o backend.Outcome) fleet.Event {
 				return fleet.StartEnded{
 					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Request.Run, Outcome: o,
@@ -346,7 +355,7 @@
 			requestedAt = requestedAt.Add(12 * time.Second)
 		}
 		m.after(m.delay(4), func() {
-			list := m.listVMs()
+			list := m.losses.list(m, m.listVMs())
 			m.after(m.delay(400), func() { m.handle(c, fleet.VMsListed{RequestedAt: requestedAt, VMs: list}) })
 		})
 	}
@@ -468,7 +477,7 @@
 		return backend.Accepted{Clock: clock}
 	}
 	longestMS, longPercent := 3000, 20
-	if m.mutation == ignoreLeases || m.returns {
+	if m.mutation == ignoreLeases || m.returns || m.losses.readsPages() {
 		longPercent = 80 // only runs longer than a lease reveal the mutation
 	}
 	if m.chance(longPercent, "outlasts a lease") {
--- a/fleet/modelfaults_test.go
+++ b/fleet/modelfaults_test.go
@@ -12,6 +12,10 @@
 
 // injectFault injects one random fault.
 func (m *model) injectFault(step int) {
+	if m.losses != nil {
+		m.losses.inject(m)
+		return
+	}
 	n := rapid.IntRange(0, 3).Draw(m.t, "server")
 	s, up := m.servers[m.vms[fmt.Sprintf("m-%d", n)].server]
 	if !up {
@@ -28,7 +32,7 @@
 		fault = 3
 	case listPartitionedAsDown:
 		fault = 2
-	case noMutation, serversIgnoreTokens, storeIgnoresTerms:
+	case noMutation, serversIgnoreTokens, storeIgnoresTerms, listRemovedAsDown, unlistPartitioned:
 	}
 	switch fault {
 	case 0: // the controller pauses, another takes over after the term, and the first resumes later
@@ -81,12 +85,16 @@
 	}
 }
 
-// recoverAndCheck ends all faults, advances the time and checks that all jobs have completed, or failed if they may.
-func (m *model) recoverAndCheck(after time.Duration) {
+func (m *model) endFaults() {
 	m.lateRequests, m.lostResponses, m.slowStore = 0, 0, false
 	for _, s := range m.servers {
 		s.partitioned, s.reachableBy = false, nil
 	}
+}
+
+// recoverAndCheck ends all faults, advances the time and checks that all jobs have completed, or failed if they may.
+func (m *model) recoverAndCheck(after time.Duration) {
+	m.endFaults()
 	m.advance(after)
 	for _, j := range m.jobs {
 		p, err := workload.DecodeProgress(m.rows[fleet.ProgressPrefix+j.ID()])
--- a/fleet/mutations_test.go
+++ b/fleet/mutations_test.go
@@ -16,7 +16,8 @@
 		"servers ignore tokens": serversIgnoreTokens, "the store ignores terms": storeIgnoresTerms,
 		"earlier leases are ignored": ignoreLeases, "partitioned servers are listed as down": listPartitionedAsDown,
 		"the longest lease is ignored": ignoreLongestLease, "lists of VMs seem newer than they are": listsCountAsNewer,
-		"no task may run twice": forbidDuplicates,
+		"no task may run twice": forbidDuplicates, "removed VMs are listed as down": listRemovedAsDown,
+		"VMs of partitioned servers aren't listed": unlistPartitioned,
 	} {
 		detected := false
 		for range mutationRounds {
@@ -33,8 +34,12 @@
 				if mutated == listsCountAsNewer {
 					m.lateLists = 50
 				}
-				m.playFaults()
-				m.recoverAndCheck(40 * time.Second)
+				if mutated == listRemovedAsDown || mutated == unlistPartitioned {
+					m.playLosses(false)
+				} else {
+					m.playFaults()
+					m.recoverAndCheck(40 * time.Second)
+				}
 				detected = m.violation != ""
 			})
 		}
