Give runs up by removed VMs only if two lists lack them

A task could run twice: a list of VMs that is read in pages while another VM is removed may lack one that exists. If that VM's server was cut off, its reported runs were given up by this one list. detectRemovedVMs, which wants two lists, decides for all runs now.

Found by the model of lost servers. TestReportedRunOnVMThatOneListLacksIsKept failed before, started elsewhere after 103 ms, and TestRunsAreSafeWhileListLacksVM in 3 of 3 runs of 100 plays; both pass.

--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -54,7 +54,7 @@
 	vm, listed := s.vms[v.reg.VM]
 	switch {
 	case !listed:
-		return backend.VMDown, v.failedPolls > 0
+		return backend.VMDown, false // detectRemovedVMs decides
 	case vm.State == backend.VMUp && vm.Server == v.id:
 		return backend.VMUp, false
 	}
