Store until when start requests may be carried out

After a change of leaders tasks ran nowhere for 16 s although no start request of theirs could be carried out any more: a request that was sent twice leaves its run without a stored answer for 15 s, and if the store was unavailable when these were over, the next leader counted them once more, from its own beginning.

The record of the run says now until when a request may be carried out, with the next commit of other changes or renewal. A further request is sent only after the record doesn't say so any more, also one that resumes a late start.

TestRepeatedStartDoesNotHoldTaskAfterLateTakeover failed before: 5 repeats in 5 s and no start. TestStartIsRepeatedOnlyOnceItsEndIsNotStored fails if the record isn't stored again before a repeat: 1 != 0.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -112,6 +112,7 @@
 	ticketed          bool          // the start request holds a ticket, which the next incarnation refuses
 	answerStored      bool          // the stored record says that the server has started the run
 	startableUntil    time.Time     // when no start request can be carried out any more, or zero if none is outstanding
+	untilStored       bool          // the stored record says that, so it has to be stored again before a further request
 	earliestClock     time.Duration // the least that the server's clock shows at the start, unless the server has restarted
 	onNextIncarnation bool          // the server had restarted before the start, and its new incarnation isn't known yet
 	inFlight          bool          // a start request has no outcome yet
@@ -347,6 +348,7 @@
 			Server: a.server.id, VM: a.server.reg.VM, Incarnation: a.incarnation, Run: a.runNumber,
 			Isolated: a.isolated, LossRecorded: a.lossRecorded, EndsByMS: a.unusualEnd(now), Answered: answered,
 			Repeated: a.repeated && !answered, Ticketed: a.ticketed,
+			StartableUntilMS: a.storedUntil(),
 		})
 	}
 	r.LateStarts = t.storedLateStarts()
--- a/fleet/jobrow.go
+++ b/fleet/jobrow.go
@@ -171,6 +171,7 @@
 	assignments, losses := make([]workload.Assignment, 0, len(r.Assignments)), append([]workload.Loss(nil), r.Losses...)
 	for _, a := range r.Assignments {
 		a.Isolated, a.LossRecorded, a.EndsByMS = true, true, now.UnixMilli()+int64(xxhash.Sum64String(local)%1e6)
+		a.Repeated, a.Ticketed, a.StartableUntilMS = true, true, now.UnixMilli()+int64(xxhash.Sum64String("startable "+local)%1e6)
 		assignments = append(assignments, a)
 		for range 1 + maxLateEntries {
 			losses = append(losses, workload.Loss{
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -257,7 +257,7 @@
 func (s *State) adopt(l *lateStart, v *server, now time.Time) *attempt {
 	a := &attempt{
 		runNumber: l.run.Number, phase: restored, incarnation: v.incarnation, checkpoint: l.task.record.Checkpoint, startedAt: now,
-		startRequests: 1, repeated: l.repeated, startableUntil: l.until,
+		startRequests: 1, repeated: l.repeated, startableUntil: l.until, untilStored: true,
 	}
 	s.addAttempt(l.task, v, a)
 	s.markChanged(l.task.job)
@@ -282,7 +282,7 @@
 	}
 	a.phase, a.incarnation = requested, v.incarnation
 	a.awaitsReport, a.stopReason, a.awaitsSince = true, stopUnanswered, now
-	if a.repeated {
+	if a.repeated && !a.untilStored {
 		s.sendRepeat(a, now)
 		return true
 	}
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -94,6 +94,9 @@
 			}
 			if !stored.Answered && !stored.Ticketed {
 				a.startableUntil = s.began.Add(maxCallDelay)
+				if a.untilStored = stored.StartableUntilMS != 0; a.untilStored {
+					a.startableUntil = earlier(time.UnixMilli(stored.StartableUntilMS).Add(maxTimeOfDaySkew), a.startableUntil)
+				}
 			}
 			s.addAttempt(t, v, a)
 			if t.step.spec.BestEffort() {
--- a/fleet/storedanswers.go
+++ b/fleet/storedanswers.go
@@ -5,11 +5,11 @@
 // storeAnswer stores that the server has started a run, as the next controller waits for other runs if their server is gone: at once for
 // runs that last, else with the next commit of other changes.
 func (s *State) storeAnswer(a *attempt, now time.Time) {
-	if a.answerStored || !a.startAnswered() {
+	if !a.hasUnstoredAnswer() {
 		return
 	}
-	lasts := a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
-		now.Sub(a.startedAt) >= lastingRunTime
+	lasts := a.startAnswered() && (a.task.step.spec.LongRunning() || a.task.step.spec.DeclaredDuration() >= lastingRunTime ||
+		now.Sub(a.startedAt) >= lastingRunTime)
 	if lasts && !a.task.job.startsInFlight() {
 		s.markChanged(a.task.job)
 		return
@@ -40,11 +40,25 @@
 	return true
 }
 
+// hasUnstoredAnswer reports whether the stored record doesn't say that the run has started, or until when it may be.
+func (a *attempt) hasUnstoredAnswer() bool {
+	return !a.answerStored && a.startAnswered() || !a.untilStored && a.storedUntil() != 0
+}
+
+// storedUntil returns until when a request to start the run may be carried out, in Unix milliseconds, or 0 if another one may be sent
+// without a change of the record.
+func (a *attempt) storedUntil() int64 {
+	if a.startableUntil.IsZero() || a.repeatUnstored || a.startAnswered() {
+		return 0
+	}
+	return a.startableUntil.UnixMilli()
+}
+
 // hasUnstoredAnswers reports whether the stored progress doesn't say that a run of the job has started.
 func (j *job) hasUnstoredAnswers() bool {
 	for _, t := range j.tasks {
 		for _, a := range t.attempts {
-			if !a.answerStored && a.startAnswered() {
+			if a.hasUnstoredAnswer() {
 				return true
 			}
 		}
@@ -56,7 +70,7 @@
 func (j *job) answersAdded() {
 	for _, t := range j.tasks {
 		for _, a := range t.attempts {
-			a.answerStored = a.startAnswered()
+			a.answerStored, a.untilStored = a.startAnswered(), a.storedUntil() != 0
 		}
 	}
 }
--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -214,3 +214,53 @@
 	after := r.now.Sub(began)
 	assert.Assert(t, after < maxRequestDelay, "started elsewhere only after %s", after)
 }
+
+// Guards against tasks that run nowhere for long after a change of leaders: their start requests were repeated long before, and the store
+// was unavailable when no request could be carried out any more.
+func TestRepeatedStartDoesNotHoldTaskAfterLateTakeover(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{LongRunning: true})
+	lastRequestAt := r.acceptRepeat()
+	server, run := r.start.Target.ID, r.start.Request.Run
+	for r.now.Before(lastRequestAt.Add(maxRequestDelay + 3*time.Second)) { // as the time of day may differ
+		r.holdCommits = r.now.After(lastRequestAt.Add(maxRequestDelay - 2*time.Second))
+		r.advance(100 * time.Millisecond)
+		for id := range r.openPolls {
+			if id == server {
+				r.report(id, []backend.Run{run})
+				continue
+			}
+			r.report(id, nil)
+		}
+	}
+	r.holdCommits = false
+	r.takeEffects()
+	r.takeOver()
+	took := r.now
+	repeated, after := r.run(5 * time.Second)
+	assert.Equal(t, repeated, 0)
+	assert.Assert(t, after > 0, "the task isn't started again %s after the takeover", r.now.Sub(took))
+}
+
+// Guards against a task that runs twice: the request was sent once more after its record said until when it may be carried out.
+func TestStartIsRepeatedOnlyOnceItsEndIsNotStored(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	r.loseStartResponse(r.start)
+	report := func(d time.Duration) (starts []fleet.Start) {
+		for until := r.now.Add(d); r.now.Before(until); r.advance(100 * time.Millisecond) {
+			for id := range r.openPolls {
+				r.report(id, nil)
+			}
+			starts = append(starts, r.starts()...)
+		}
+		return starts
+	}
+	repeats := report(1500 * time.Millisecond) // without an outcome
+	assert.Equal(t, len(repeats), 1)
+	assert.Assert(t, r.storedRun().StartableUntilMS > r.sentAt.Add(maxRequestDelay).UnixMilli())
+	r.holdCommits = true
+	r.loseStartResponse(repeats[0])
+	assert.Equal(t, len(report(time.Second)), 0, "the request was repeated before that was stored")
+	r.holdCommits = false
+	r.handle(fleet.CommitEnded{Outcome: provider.NewUnavailable("timeout")})
+	assert.Equal(t, len(report(500*time.Millisecond)), 1)
+}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -40,6 +40,9 @@
 	Answered bool `json:"answered,omitempty"`
 	// Repeated says that the request to start the run may have been sent more than once.
 	Repeated bool `json:"repeated,omitempty"`
+	// StartableUntilMS is until when a request to start the run may be carried out, in Unix milliseconds by the clock of the entry VM that
+	// stored this, or 0 if a request may be sent after this was stored, or none can be carried out.
+	StartableUntilMS int64 `json:"startable-until-ms,omitempty"`
 	// Ticketed says that the request to start the run holds a ticket, which other incarnations of the server refuse.
 	Ticketed bool `json:"ticketed,omitempty"`
 }
