Start tasks that may have several runs while an earlier request may be carried out

A late start held its task for 15 s and the longest lease also if its runs may exist at the same time (AllowDuplicates). Such a task starts elsewhere now, as long as its row has room for the late starts; the earlier requests still count in the limit of the customer and in the capacity of their server.

TestLateStartDoesNotHoldDuplicableTask failed before: not started in 20 s.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -373,7 +373,16 @@
 
 // needsRun reports whether the task can be assigned to a server now.
 func (t *task) needsRun(now time.Time) bool {
-	return t.isWanted() && len(t.attempts) == 0 && len(t.lateStarts) == 0 && !t.retryAt.After(now) && !t.awaitsCause(now)
+	return t.isWanted() && len(t.attempts) == 0 && !t.awaitsLateStart() && !t.retryAt.After(now) && !t.awaitsCause(now)
+}
+
+// awaitsLateStart reports whether the task isn't started as earlier requests may still be carried out. Those of a task that may have
+// several runs only take room in its row.
+func (t *task) awaitsLateStart() bool {
+	if t.step.spec.Duplicable() && !t.step.spec.Gang() {
+		return len(t.lateStarts) >= maxLateEntries
+	}
+	return len(t.lateStarts) > 0
 }
 
 // avoid makes the task prefer other servers than one on which it failed, or that crashed under it.
--- a/fleet/latestarts_test.go
+++ b/fleet/latestarts_test.go
@@ -233,3 +233,13 @@
 	}
 	assert.Equal(t, len(r.starts()), 1)
 }
+
+// Guards against a task that runs nowhere while its start request may still be carried out, although its runs may exist at the same time.
+func TestLateStartDoesNotHoldDuplicableTask(t *testing.T) {
+	r := newRemovedRig(t, workload.StepOptions{DeclaredDurationMS: 1000, Duplicable: true})
+	r.states[r.removed] = backend.VMDown
+	r.loseStartResponse(r.start)
+	after := r.run(20*time.Second, false)
+	assert.Assert(t, after > 0, "the task wasn't started elsewhere")
+	assert.Assert(t, after < 7*time.Second, "started elsewhere only %s after the request", after)
+}
