Don't store the end of start requests that may be sent again with a higher token

A request that is overtaken by one with a higher token is refused and sent again, without a change of the record. The next leader would have counted from the first one, up to a second too short, and a task could have run twice.

TestStartIsRepeatedOnlyOnceItsEndIsNotStored covers it and failed before: != 0, while the request may be sent again.

--- a/fleet/storedanswers.go
+++ b/fleet/storedanswers.go
@@ -48,7 +48,7 @@
 // storedUntil returns until when a request to start the run may be carried out, in Unix milliseconds, or 0 if another one may be sent
 // without a change of the record.
 func (a *attempt) storedUntil() int64 {
-	if a.startableUntil.IsZero() || a.repeatUnstored || a.startAnswered() {
+	if a.startableUntil.IsZero() || a.inFlight || a.repeatUnstored || a.startAnswered() {
 		return 0
 	}
 	return a.startableUntil.UnixMilli()
--- a/fleet/storedanswers_test.go
+++ b/fleet/storedanswers_test.go
@@ -244,23 +244,28 @@
 // Guards against a task that runs twice: the request was sent once more after its record said until when it may be carried out.
 func TestStartIsRepeatedOnlyOnceItsEndIsNotStored(t *testing.T) {
 	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
-	r.loseStartResponse(r.start)
-	report := func(d time.Duration) (starts []fleet.Start) {
+	report := func(d time.Duration, reports bool) (starts []fleet.Start) {
 		for until := r.now.Add(d); r.now.Before(until); r.advance(100 * time.Millisecond) {
 			for id := range r.openPolls {
-				r.report(id, nil)
+				if reports {
+					r.report(id, nil)
+				}
 			}
 			starts = append(starts, r.starts()...)
 		}
 		return starts
 	}
-	repeats := report(1500 * time.Millisecond) // without an outcome
+	r.loseStartResponse(r.start)
+	repeats := report(300*time.Millisecond, true)
 	assert.Equal(t, len(repeats), 1)
+	assert.Equal(t, len(report(time.Second, true)), 0)
+	assert.Equal(t, r.storedRun().StartableUntilMS, int64(0), "while the request may be sent again, with a higher token")
+	r.loseStartResponse(repeats[0])
+	assert.Equal(t, len(report(time.Second, false)), 0)
 	assert.Assert(t, r.storedRun().StartableUntilMS > r.sentAt.Add(maxRequestDelay).UnixMilli())
 	r.holdCommits = true
-	r.loseStartResponse(repeats[0])
-	assert.Equal(t, len(report(time.Second)), 0, "the request was repeated before that was stored")
+	assert.Equal(t, len(report(time.Second, true)), 0, "the request was repeated before that was stored")
 	r.holdCommits = false
 	r.handle(fleet.CommitEnded{Outcome: provider.NewUnavailable("timeout")})
-	assert.Equal(t, len(report(500*time.Millisecond)), 1)
+	assert.Equal(t, len(report(500*time.Millisecond, true)), 1)
 }
