End runs by lists of VMs only by the bound of their lag

A server with a new id that a list of VMs had shown was taken for ended by the next list that showed its VM in maintenance or on the move. That list may be older than the one before, and than the server, whose runs went on and were started elsewhere. What an earlier list has shown is no evidence any more: the incarnation has to be known, or old, for the longest lag of a list.

TestListEndsRunsOfNewServerOnceListed held just the assumption that fell. Its replacement asks for no ends by a list that may be older, listed before or not, and for ends by one that isn't. It failed first: "assertion failed: true (len(d.starts()) > 0 bool) != false: {listed:true age:0}".

--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -69,8 +69,6 @@
 	// leaseMargin covers the rounding of times to milliseconds.
 	leaseMargin = 100 * time.Millisecond
 
-	// registrationLoadTime is the time from the start of a term in which the controller learns of the registered servers.
-	registrationLoadTime = 5 * time.Second
 	// maxListLag is the longest time by which the platform's list of VMs may be older than the request for it.
 	maxListLag = 10 * time.Second
 
--- a/fleet/downservers.go
+++ b/fleet/downservers.go
@@ -13,17 +13,16 @@
 // time. Their runs have ended, so their tasks needn't wait for the lease to expire. A server that is only partitioned is listed
 // as before, and keeps its runs.
 //
-// A list shows the VMs as they were up to maxListLag before the request. That the VM was down then says nothing about a
-// server that has started since, unless the server has a new id and an earlier list has shown it.
+// A list shows the VMs as they were up to maxListLag before the request, also if an earlier one showed a later state. That the VM was
+// down then says nothing about a server that may have started since.
 func (s *State) detectDownServers(requestedAt time.Time) {
 	for _, v := range s.allServers() {
 		if v.reg.VM == "" || !requestedAt.After(v.aliveAt) {
 			continue
 		}
 		state, down := s.hostState(v)
-		v.listed = v.listed || s.vms[v.reg.VM].Server == v.id
 		switch {
-		case down && !v.down && (v.ranAt(requestedAt.Add(-maxListLag)) || v.newID && v.listed):
+		case down && !v.down && v.ranAt(requestedAt.Add(-maxListLag)):
 			v.down = true
 			s.serverDown(v, state)
 		case !down && v.retired && requestedAt.After(v.retiredAt):
--- a/fleet/downservers_test.go
+++ b/fleet/downservers_test.go
@@ -114,30 +114,34 @@
 	}
 }
 
-// Guards against a list that is older than a server with a new id, and against tasks of such a server that wait for its lease although
-// a list shows that it has ended: an earlier one has shown it.
-func TestListEndsRunsOfNewServerOnceListed(t *testing.T) {
-	for _, listed := range []bool{false, true} {
+// Guards against a list that is older than a server with a new id, also if an earlier list has shown the server, and against tasks of
+// such a server that wait for its lease although a list shows that it has ended.
+func TestListEndsRunsOfNewServerOnlyIfNotOlder(t *testing.T) {
+	for _, test := range []struct {
+		listed bool
+		age    time.Duration // of the server when the list is requested
+	}{{}, {listed: true}, {true, 9 * time.Second}, {age: 11 * time.Second}, {true, 11 * time.Second}} {
 		d := newDownRig(t)
 		d.acceptStart(d.start)
 		d.advance(6 * time.Second) // the servers of the beginning of a term may be known to earlier controllers
 		d.handle(fleet.ServerUnregistered{ID: "i-1"}, fleet.ServerUnregistered{ID: "i-2"})
 		d.registerOn("m-3", "i-3", "press")
 		d.report("i-3", nil)
+		d.now = d.now.Add(test.age)
 		d.placeTask()
 		assert.Equal(t, d.start.Target.ID, "i-3")
 		d.acceptStart(d.start)
 		d.registerOn("m-4", "i-4", "press")
 		d.report("i-4", nil)
 		vm := backend.VM{Name: "m-3", Pool: "press", State: backend.VMUp, Server: "i-3"}
-		if listed {
+		if test.listed {
 			d.handle(fleet.VMsListed{RequestedAt: d.now, VMs: []backend.VM{vm}})
 		}
 		d.takeEffects()
 		d.advance(100 * time.Millisecond)
 		vm.State, vm.Server = backend.VMMoving, ""
 		d.handle(fleet.VMsListed{RequestedAt: d.now, VMs: []backend.VM{vm}})
-		assert.Equal(t, len(d.starts()) > 0, listed)
+		assert.Equal(t, len(d.starts()) > 0, test.age > 10*time.Second, "%+v", test)
 	}
 }
 
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -27,7 +27,6 @@
 	}
 	if v.incarnation == 0 {
 		v.setIncarnation(r.Incarnation, now)
-		v.newID = !v.returned && now.Sub(s.began) > registrationLoadTime
 	}
 	s.setRegisteredVM(v, r.VM)
 	s.endReplacedLateStarts(r)
@@ -72,7 +71,7 @@
 		"token", v.token, "running", len(v.attempts), "unanswered-starts", v.unansweredStarts())
 	v.setIncarnation(incarnation, now)
 	v.lastEndReceived, v.lastEndStored, v.hasClock, v.confirmed = 0, 0, false, false
-	v.leaseUntil, v.consecutiveFailures, v.returned, v.newID, v.awaitedRuns = 0, 0, true, false, nil
+	v.leaseUntil, v.consecutiveFailures, v.returned, v.awaitedRuns = 0, 0, true, nil
 	v.retired, v.retiredAt = false, time.Time{}
 	v.needsToken = v.token != 0
 	s.forgetSpeed(v)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -16,8 +16,6 @@
 	registered  bool
 	incarnation int64
 	knownSince  time.Time // when the controller learned of the incarnation
-	newID       bool      // it has registered for the first time in this term, and not at its beginning
-	listed      bool      // a list of VMs has shown it
 	token       uint64    // fencing token of the latest requests, or 0 if none was sent in this term
 	needsToken  bool      // requests need a higher token, as those to an earlier incarnation may still be carried out
 	ackToken    uint64    // token of the latest poll in this term that acknowledged ends of runs, or 0 if none did
