Keep a term in force in the model until it hasn't been renewed for its duration

The model let the next controller take over after the duration that the term row had when a fault began. A renewal on the way was stored meanwhile, with 3.5 s instead of 1 s while the store is slow, so that two controllers were leaders at once: the first one sent starts and requests for VMs within its term. TermWatch excludes that, as it counts from the last change of the row.

The model allows no more than before in plays in which one controller leads at a time.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -215,9 +215,13 @@
 	return term
 }
 
-// outlastTerm advances the time until another controller may take over.
+// outlastTerm advances the time until another controller may take over: once the term hasn't been renewed for its duration. A renewal
+// that the previous controller has sent may still be stored.
 func (m *model) outlastTerm() {
-	m.advance(max(m.storedTerm().Duration(), fleet.ShortTerm) + 700*time.Millisecond)
+	for watched := uint64(0); watched != m.term; {
+		watched = m.term
+		m.advance(max(m.storedTerm().Duration(), fleet.ShortTerm) + 700*time.Millisecond)
+	}
 }
 
 // takeOver starts a new controller, which restores the stored state.
