Start occurrences behind one that can't end

A repeating job was given occurrences up to a fixed number behind the first one that isn't done, as the names of the done steps behind it have to fit into the job's row. One occurrence that couldn't end, as of a step whose label is lost, stopped its job after 1,500 tasks, and steps that were done counted by all their tasks.

The tasks of a done occurrence are removed behind an open one as well, and stored as a range once there are more than earlier releases open. Just open occurrences count, with one for a step that is done, as in the row; 15,000 tasks of a job are in memory at most. A row with ranges is packed under a state that earlier releases don't know, so that they leave out the job rather than run its occurrences again.

A job none of whose occurrences can end still stops, later.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -33,7 +33,7 @@
 		return 0, 0
 	}
 	elapsed = math.MaxInt64
-	for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+	for _, occurrence := range j.open {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			if st.remaining == 0 || !j.dependenciesDone(occurrence, st) {
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -253,6 +253,7 @@
 		if j.state == workload.JobQueued && j.started {
 			j.state = workload.JobRunning
 		}
+		j.removeDoneOccurrences()
 		p := j.progress(now)
 		row, fits := encodeProgress(p)
 		if !fits && !bytes.Equal(row, j.rejectedRow) {
--- a/fleet/constants.go
+++ b/fleet/constants.go
@@ -108,9 +108,11 @@
 	// maxActiveRuns bounds the runs of a job at a time, as its progress row must stay below the 64 KB that the store
 	// accepts: the record of a task with a run has some 110 bytes.
 	maxActiveRuns = 400
-	// maxOpenTasks bounds the tasks of the occurrences of a job from the first one that isn't done, unless a single one has more. The
-	// name of a done step has some 10 bytes in the progress row, beside the records of maxActiveRuns.
+	// maxOpenTasks bounds the tasks of a job's occurrences that aren't done, unless a single one has more. All tasks of a step that is done
+	// count as one: the name of a done step or a range of done occurrences has some 10 bytes in the progress row, beside the records
+	// of maxActiveRuns. maxKeptTasks bounds the tasks in memory.
 	maxOpenTasks = 1500
+	maxKeptTasks = 10 * maxOpenTasks
 	// MaxGangTasks bounds the tasks of a gang, as they run at the same time.
 	MaxGangTasks = maxActiveRuns
 
--- a/fleet/copies.go
+++ b/fleet/copies.go
@@ -84,7 +84,7 @@
 // hasPending reports whether a task of the pool waits for a server.
 func (p *placementPool) hasPending(now time.Time) bool {
 	for _, j := range p.jobs {
-		for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+		for _, occurrence := range j.open {
 			for number := range j.spec.Steps() {
 				st := j.steps[[2]int{occurrence, number}]
 				if st.unassigned == 0 || !j.dependenciesDone(occurrence, st) {
--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -223,7 +223,7 @@
 // declared durations, without steps that other jobs don't wait for, as these need certain servers or fit on none.
 func (j *job) workAhead(r resource, largest workload.Resources, now time.Time) float64 {
 	total := 0.0
-	for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+	for _, occurrence := range j.open {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			if st.remaining == 0 || st.spec.Constrained() || st.spec.BestEffort() || !st.spec.Reserves().FitsIn(largest) {
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -17,9 +16,9 @@
 	// steps holds the steps by occurrence and step number.
 	steps       map[[2]int]*step
 	occurrences int // number of occurrences whose tasks are created
-	// doneOccurrences is the number of the first occurrences that are done. Their tasks and steps are removed.
-	doneOccurrences int
-	changed         bool
+	// open holds the numbers of those whose tasks and steps are kept, in order. The others are done.
+	open    []int
+	changed bool
 	// estimate caches the remaining work. It is reset when a task is done and when an occurrence is due.
 	estimate *estimate
 	// submitted is the start of the objective, by the clock of the entry VM that accepted the job.
@@ -149,82 +148,6 @@
 	}
 }
 
-// createDueOccurrences creates the tasks of the occurrences that are due. While an early one isn't done, the steps of the later
-// ones are stored by their names, so that their number is limited.
-func (j *job) createDueOccurrences(now time.Time) {
-	open := max(2, maxOpenTasks/j.spec.TaskCount()) // the last one isn't removed before there is another
-	for j.occurrences < min(j.spec.Occurrences(), j.doneOccurrences+open) && !j.spec.DueTime(j.occurrences).After(now) {
-		j.createOccurrence(j.occurrences)
-		j.occurrences++
-	}
-}
-
-// createStoredOccurrences creates the tasks of all occurrences in the stored progress. These may not be due yet by this
-// entry VM's clock.
-func (j *job) createStoredOccurrences(p workload.Progress) {
-	last := p.DoneOccurrences - 1
-	for local := range p.Tasks {
-		if id, err := workload.ParseTaskID(j.spec.ID() + "." + local); err == nil {
-			last = max(last, id.Occurrence)
-		}
-	}
-	steps := slices.Collect(maps.Keys(p.DoneTasks))
-	for _, name := range append(steps, p.DoneSteps...) {
-		if id, err := workload.ParseStepID(name); err == nil {
-			last = max(last, id.Occurrence)
-		}
-	}
-	for j.occurrences <= min(last, j.spec.Occurrences()-1) {
-		j.createOccurrence(j.occurrences)
-		j.occurrences++
-	}
-	for j.doneOccurrences < min(p.DoneOccurrences, j.occurrences) {
-		j.removeFirstOccurrence()
-	}
-}
-
-// removeDoneOccurrences removes the first occurrences whose tasks are done, so that a job that repeats for long costs no more
-// than the occurrences that overlap. The last one stays.
-func (j *job) removeDoneOccurrences() {
-	for j.doneOccurrences < j.occurrences-1 && j.occurrenceDone(j.doneOccurrences) {
-		j.removeFirstOccurrence()
-	}
-}
-
-func (j *job) occurrenceDone(occurrence int) bool {
-	for number := range j.spec.Steps() {
-		if st := j.steps[[2]int{occurrence, number}]; st.remaining > 0 || st.activeRuns() > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-func (j *job) removeFirstOccurrence() {
-	for number := range j.spec.Steps() {
-		key := [2]int{j.doneOccurrences, number}
-		for _, t := range j.steps[key].tasks {
-			delete(j.tasks, t.localName)
-		}
-		delete(j.steps, key)
-	}
-	j.doneOccurrences++
-}
-
-func (j *job) createOccurrence(occurrence int) {
-	j.estimate = nil
-	for number, spec := range j.spec.Steps() {
-		s := &step{spec: spec, remaining: spec.Count(), unassigned: spec.Count(), number: number}
-		for index := range spec.Count() {
-			id := workload.TaskID{Job: j.spec.ID(), Occurrence: occurrence, Step: number, Index: index}
-			t := &task{id: id, localName: id.LocalName(), job: j, step: s}
-			s.tasks = append(s.tasks, t)
-			j.tasks[t.localName] = t
-		}
-		j.steps[[2]int{occurrence, number}] = s
-	}
-}
-
 // dependenciesDone reports whether all steps that a step depends on are done.
 func (j *job) dependenciesDone(occurrence int, s *step) bool {
 	for _, after := range s.spec.After() {
@@ -248,10 +171,10 @@
 	return true
 }
 
-// progress returns the progress of the job as it is to be stored, and removes what needn't be kept.
+// progress returns the progress of the job as it is to be stored.
 func (j *job) progress(now time.Time) workload.Progress {
-	j.removeDoneOccurrences()
-	p := workload.Progress{State: j.state, Failed: j.failed, DoneOccurrences: j.doneOccurrences}
+	p := workload.Progress{State: j.state, Failed: j.failed}
+	j.storeDoneOccurrences(&p)
 	for _, st := range j.steps {
 		st.store(&p, now)
 	}
--- a/fleet/jobrow.go
+++ b/fleet/jobrow.go
@@ -101,7 +101,7 @@
 // restoredRowBytes bounds the size that a row can reach that an earlier controller stored.
 func (s *State) restoredRowBytes(p workload.Progress) int {
 	const doneBytes = 32 // of the name of a step or the index of a task
-	size := emptyRowBytes + doneBytes*len(p.DoneSteps)
+	size := emptyRowBytes + doneBytes*(len(p.DoneSteps)+len(p.DoneRanges))
 	for _, indexes := range p.DoneTasks {
 		size += doneBytes * (1 + len(indexes))
 	}
--- a/fleet/lacks.go
+++ b/fleet/lacks.go
@@ -95,7 +95,7 @@
 // or their zones are evacuated. A pool doesn't grow for them. The known answers by requirement are kept in satisfied.
 func (s *State) loadWithoutVM(j *job, capacity workload.Resources, satisfied map[requirement]bool) float64 {
 	total := 0.0
-	for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+	for _, occurrence := range j.open {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			if st.spec.Label() == "" || st.unassigned <= st.givenUp || !j.dependenciesDone(occurrence, st) {
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -245,7 +245,7 @@
 // load returns the resources that the running and pending tasks of a job need, in servers of the given capacity.
 func (j *job) load(capacity workload.Resources) float64 {
 	total := 0.0
-	for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+	for _, occurrence := range j.open {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			if st.remaining > 0 && j.dependenciesDone(occurrence, st) {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -152,7 +152,7 @@
 // placeJob assigns the tasks of a job that may start to servers, and returns their number.
 func (s *State) placeJob(j *job, p *placementPool, now time.Time) int {
 	placed := 0
-	for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+	for _, occurrence := range j.open {
 		if j.spec.Scheduled() && j.spec.DueTime(occurrence).After(now) {
 			continue // its tasks were restored from a controller whose clock was ahead
 		}
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -78,7 +78,7 @@
 // remainingWork returns the declared work that is left of a job, in server-seconds for servers of the given capacity.
 func (j *job) remainingWork(capacity workload.Resources) float64 {
 	total := 0.0
-	for occurrence := j.doneOccurrences; occurrence < j.occurrences; occurrence++ {
+	for _, occurrence := range j.open {
 		for number := range j.spec.Steps() {
 			st := j.steps[[2]int{occurrence, number}]
 			total += float64(st.remaining) * st.taskWork(capacity)
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -59,7 +59,7 @@
 	j.started, j.failed = p.State != workload.JobQueued, p.Failed
 	j.createStoredOccurrences(p)
 	s.restoreDone(j, p)
-	j.begun = p.DoneOccurrences > 0 || len(p.DoneSteps) > 0 || len(p.DoneTasks) > 0
+	j.begun = p.DoneOccurrences > 0 || len(p.DoneRanges) > 0 || len(p.DoneSteps) > 0 || len(p.DoneTasks) > 0
 	for local, record := range p.Tasks {
 		t, made := j.tasks[local]
 		if !made {
--- a/workload/packed.go
+++ b/workload/packed.go
@@ -15,6 +15,8 @@
 	// jobPacked is the state in the outer form of packed progress. Earlier releases know no such state, and leave out the job
 	// rather than read it as one without runs.
 	jobPacked JobState = "packed"
+	// jobSparse is that of packed progress with DoneRanges, which earlier releases would leave out.
+	jobSparse JobState = "sparse"
 	// maxUnpackedBytes bounds the progress that is unpacked from a row.
 	maxUnpackedBytes = 64 << 20
 	// maxBitIndex bounds the indexes of done tasks that are stored as bits.
@@ -67,7 +69,11 @@
 	if err := w.Close(); err != nil {
 		panic(err) // impossible, likewise
 	}
-	data, err := json.Marshal(packedRow{State: jobPacked, Data: packed.Bytes()})
+	state := jobPacked
+	if len(p.DoneRanges) > 0 {
+		state = jobSparse
+	}
+	data, err := json.Marshal(packedRow{State: state, Data: packed.Bytes()})
 	if err != nil {
 		panic(err) // impossible: a string and bytes
 	}
--- a/workload/packed_test.go
+++ b/workload/packed_test.go
@@ -53,6 +53,18 @@
 	assert.Equal(t, string(p.Encode()), string(plain))
 }
 
+// Guards against an earlier release that runs occurrences again whose ranges it doesn't know.
+func TestEarlierReleasesLeaveOutProgressWithRanges(t *testing.T) {
+	p := workload.Progress{State: workload.JobRunning, DoneRanges: []workload.OccurrenceRange{{First: 1, Last: 9}, {First: 11, Last: 99}}}
+	row := p.Encode()
+	var outer struct{ State workload.JobState }
+	assert.NilError(t, json.Unmarshal(row, &outer))
+	assert.Equal(t, outer.State, workload.JobState("sparse"))
+	decoded, err := workload.DecodeProgress(row)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, p)
+}
+
 // Guards against the largest job that is stopped because the numbers of its done tasks outgrow a row.
 func TestDoneTasksOfLargestJobFitRow(t *testing.T) {
 	p := workload.Progress{State: workload.JobRunning, DoneTasks: make(map[string][]int)}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -98,6 +98,12 @@
 	return r.Done || r.EndedRun > 0 || r.Failures > 0 || r.CertainCrashes > 0
 }
 
+// OccurrenceRange is a range of occurrences of a job, by the numbers of the first and the last one.
+type OccurrenceRange struct {
+	First int `json:"first"`
+	Last  int `json:"last"`
+}
+
 // Progress is the stored state of a job.
 type Progress struct {
 	State JobState `json:"state"`
@@ -113,6 +119,8 @@
 	// would have more records than fit into a row of the store.
 	DoneSteps []string         `json:"done-steps,omitempty"`
 	DoneTasks map[string][]int `json:"done-tasks,omitempty"`
+	// DoneRanges are the occurrences of which all tasks are done behind one that isn't, in order, if there are many.
+	DoneRanges []OccurrenceRange `json:"done-ranges,omitempty"`
 	// Job is the stored form of the job in rows of earlier releases. It now has a row of its own.
 	Job json.RawMessage `json:"job,omitempty"`
 }
@@ -128,13 +136,13 @@
 // Settled reports whether the job has ended and none of its runs may exist any more.
 func (p Progress) Settled() bool { return p.State.Final() && len(p.Tasks) == 0 }
 
-// Encode returns the stored form of the progress. It is packed if it would be longer than MaxProgressBytes otherwise.
+// Encode returns the stored form of the progress. It is packed if it would be longer than MaxProgressBytes otherwise, or has DoneRanges.
 func (p Progress) Encode() []byte {
 	data, err := json.Marshal(p)
 	if err != nil {
 		panic(err) // impossible: all fields are strings, numbers, booleans and the JSON of a valid job
 	}
-	if len(data) > MaxProgressBytes {
+	if len(data) > MaxProgressBytes || len(p.DoneRanges) > 0 {
 		return p.pack()
 	}
 	return data
@@ -146,7 +154,7 @@
 	if err := json.Unmarshal(data, &p); err != nil {
 		return Progress{}, errors.Wrap(err, "decode progress")
 	}
-	if p.State == jobPacked {
+	if p.State == jobPacked || p.State == jobSparse {
 		var err error
 		if p, err = unpackProgress(data); err != nil {
 			return Progress{}, err
