--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -278,6 +278,7 @@
 	if j.state == workload.JobQueued && j.started {
 		j.state = workload.JobRunning
 	}
+	j.removeDoneOccurrences()
 	p := j.progress(now)
 	row, fits := encodeProgress(p)
 	if !fits && !bytes.Equal(row, j.rejectedRow) {
