Separate the choice of a server and admission to the queue from their effects

Placer.Assess and Queue.Admission decide as SelectServer and Push do and change nothing, so that a request can be explained without being submitted. SelectServer and Push now call the same functions.

The model tests compare both with SelectServer and Push. With Assess deciding as for urgent work, TestPlacerAgreesWithModel fails.

--- a/placement/placer.go
+++ b/placement/placer.go
@@ -126,27 +126,54 @@
 	if p.neverFits(pool, shape) {
 		return "", NeverFits{}
 	}
+	st, c := p.choose(pool, entry, shape, class, now)
+	switch c {
+	case chosenProbe:
+		st.lastProbe = now
+		return st.server.id, Selected{server: st.server.id}
+	case chosenBestFit:
+		p.clearStarved(pool, shape)
+		return st.server.id, Selected{server: st.server.id}
+	case onlyUrgentReserve:
+		return "", NoCapacity{}
+	default:
+		p.recordNoCapacity(pool, shape, now)
+		return "", NoCapacity{}
+	}
+}
+
+// choice says which server was chosen for a task, or why none was.
+type choice uint8
+
+const (
+	chosenProbe       choice = iota + 1 // a server out of rotation
+	chosenBestFit                       // a server in rotation
+	onlyUrgentReserve                   // none, because all free slots are reserved for urgent work
+	nothingFree                         // none, because no server has enough free capacity
+)
+
+// choose selects a server for a task. It changes nothing.
+func (p *Placer) choose(
+	pool, entry string, shape provider.Shape, class queue.Class, now time.Time,
+) (*serverState, choice) {
 	needsReserve := class != queue.ClassUrgent && p.FreeSlots(pool)-shape.Slots() < p.urgentReserve(pool)
 	if class != queue.ClassUrgent && !needsReserve {
 		if st := p.probeCandidate(pool, entry, shape, now); st != nil {
-			st.lastProbe = now
-			return st.server.id, Selected{server: st.server.id}
+			return st, chosenProbe
 		}
 	}
-
 	best := p.bestFit(pool, shape, class, shape.Accelerators() > 0)
 	if best == nil && shape.Accelerators() == 0 {
 		best = p.bestFit(pool, shape, class, true)
 	}
-	if best == nil {
-		p.recordNoCapacity(pool, shape, now)
-		return "", NoCapacity{}
-	}
-	if needsReserve { // only slots of the urgent reserve are free
-		return "", NoCapacity{}
+	switch {
+	case best == nil:
+		return nil, nothingFree
+	case needsReserve:
+		return nil, onlyUrgentReserve
+	default:
+		return best, chosenBestFit
 	}
-	p.clearStarved(pool, shape)
-	return best.server.id, Selected{server: best.server.id}
 }
 
 // FreeSlots returns the free slots of the schedulable servers of a pool that are in rotation, including the slots
@@ -224,10 +251,7 @@
 
 	var best *serverState
 	for _, st := range p.pools[pool] {
-		if !p.inRotation(st) || !shape.FitsIn(st.free()) || (!withAccelerators && st.server.shape.Accelerators() > 0) {
-			continue
-		}
-		if class != queue.ClassUrgent && p.heldForOtherShape(st, shape) {
+		if p.exclusion(st, shape, class) != ExclusionNone || (!withAccelerators && st.server.shape.Accelerators() > 0) {
 			continue
 		}
 		if best == nil || preferServer(st, best, racks) {
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -110,7 +110,10 @@
 	}
 	out := m.placer.OutOfRotation(pool)
 
+	assessment := m.placer.Assess(pool, entry, shape, class, m.now)
 	id, outcome := m.placer.SelectServer(pool, entry, shape, class, m.now)
+	assert.Equal(r, assessment.Outcome(), outcome)
+	m.exclusions(r, assessment, pool, shape)
 	switch outcome.(type) {
 	case placement.NeverFits:
 		for _, s := range m.servers {
@@ -129,6 +132,22 @@
 	}
 }
 
+// exclusions checks the reasons of an assessment against the servers and tasks of the model.
+func (m *model) exclusions(r *rapid.T, a placement.Assessment, pool string, shape provider.Shape) {
+	for id, e := range a.Exclusions() {
+		s := m.servers[id]
+		assert.Equal(r, s.Pool(), pool)
+		assert.Equal(r, e == placement.ExclusionNotSchedulable, !s.Schedulable() || s.Zone() != "z1")
+		if slices.Contains(m.candidates(pool), id) {
+			assert.Equal(r, e == placement.ExclusionTooSmall, !shape.FitsIn(s.Shape()))
+			assert.Equal(r, e == placement.ExclusionTooSmall || e == placement.ExclusionNoFreeCapacity, !shape.FitsIn(m.free(id)))
+		}
+	}
+	if o, ok := a.Outcome().(placement.Selected); ok {
+		assert.Equal(r, a.Exclusions()[o.Server()] == placement.ExclusionNone, !a.Probe())
+	}
+}
+
 // avoidsAccelerators checks that a server with accelerators is chosen for a shape without accelerators only if no other
 // server has enough free capacity.
 func (m *model) avoidsAccelerators(r *rapid.T, chosen string, shape provider.Shape, probe bool) {
@@ -220,8 +239,8 @@
 }
 
 // Guards against servers chosen beyond their capacity or outside of the requested pool and zone, non-urgent work in the
-// slots reserved for urgent work, preemption that isn't allowed or not needed, and more than a quarter of a pool out of
-// rotation.
+// slots reserved for urgent work, preemption that isn't allowed or not needed, more than a quarter of a pool out of
+// rotation, and an assessment that differs from what SelectServer does.
 func TestPlacerAgreesWithModel(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		m := &model{servers: make(map[string]placement.Server), tasks: make(map[string]task), now: start}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,6 +42,18 @@
 // the bound of the class or the time left until the deadline.
 func (q *Queue) Push(r Request, now time.Time) PushOutcome {
 	q.expire(now)
+	if p, ok := q.pools[r.pool]; ok {
+		p.rate.advance(now, p.waiting > 0)
+	}
+	o := q.Admission(r, now)
+	if _, admitted := o.(Queued); admitted {
+		q.add(r, now)
+	}
+	return o
+}
+
+// Admission returns the outcome that Push would have. It doesn't add the request.
+func (q *Queue) Admission(r Request, now time.Time) PushOutcome {
 	if r.expired(now) {
 		return Refused{code: CodeDeadlinePassed}
 	}
@@ -50,7 +62,7 @@
 	}
 
 	wait := q.ExpectedWait(r, now)
-	if q.backlog[r.team] >= q.bound() {
+	if q.backlog[r.team] >= q.TeamBound() {
 		return Refused{code: CodeQueueFull, retryAfter: clampRetryAfter(wait / 2)}
 	}
 	if bound := r.class.WaitBound(); bound > 0 && wait > bound {
@@ -59,7 +71,6 @@
 	if !r.deadline.IsZero() && wait > r.deadline.Sub(now) {
 		return Refused{code: CodeTooBusy, retryAfter: clampRetryAfter(wait - r.deadline.Sub(now))}
 	}
-	q.add(r, now)
 	return Queued{}
 }
 
@@ -127,8 +138,9 @@
 	if !ok {
 		return 0
 	}
-	p.rate.advance(now, p.waiting > 0)
-	return p.rate.expectedWait(q.requestsAhead(p, r))
+	rate := p.rate
+	rate.advance(now, p.waiting > 0)
+	return rate.expectedWait(q.requestsAhead(p, r))
 }
 
 // requestsAhead returns how many requests are expected to start before r: all of more urgent classes, and of r's class
@@ -186,7 +198,8 @@
 	return waiting
 }
 
-func (q *Queue) bound() int {
+// TeamBound returns the maximum number of waiting requests of each team.
+func (q *Queue) TeamBound() int {
 	if q.Bound > 0 {
 		return q.Bound
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -78,7 +78,10 @@
 	m.expire(r)
 	n := m.request(r)
 	code := m.expectedCode(n)
-	switch o := m.queue.Push(n, m.now).(type) {
+	admission := m.queue.Admission(n, m.now)
+	outcome := m.queue.Push(n, m.now)
+	assert.Equal(r, admission, outcome)
+	switch o := outcome.(type) {
 	case queue.Queued:
 		assert.Equal(r, code, "")
 		m.waiting[n.ID()] = n
@@ -166,8 +169,8 @@
 	return false
 }
 
-// Guards against requests that are lost, or tried twice, out of order, or after they were cancelled or expired, and
-// against requests queued beyond the bounds.
+// Guards against requests that are lost, or tried twice, out of order, or after they were cancelled or expired, against
+// requests queued beyond the bounds, and against an admission that differs from what Push does.
 func TestQueueAgreesWithModel(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		m := &model{waiting: make(map[string]queue.Request), now: start}
--- a/queue/startrate.go
+++ b/queue/startrate.go
@@ -34,9 +34,12 @@
 	}
 }
 
+// known reports whether requests have waited for long enough to know the rate.
+func (s *startRate) known() bool { return s.busySeconds >= minStartRateTime.Seconds() }
+
 // expectedWait returns how long it takes to start n requests, 0 as long as the rate is unknown.
 func (s *startRate) expectedWait(n int) time.Duration {
-	if s.busySeconds < minStartRateTime.Seconds() || n <= 0 {
+	if !s.known() || n <= 0 {
 		return 0
 	}
 	seconds := float64(n) * s.busySeconds / max(s.starts, 1)
