Separate the routes of requests from carrying them out

What becomes of a request that is to be queued (queue, forward, wait for an owner, refuse) is decided by route, localRoute and drainRoute, which change nothing, and carried out by follow. No decision changes.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -51,16 +51,25 @@
 		s.releaseJob(w)
 		return
 	}
+	switch r := s.drainRoute(w).(type) {
+	case forwardTo:
+		s.forward(w, r.peer)
+	case refuseRoute:
+		w.phase = phaseFinishing
+		s.refuse(w, r.refusal)
+	}
+}
+
+// drainRoute returns the route of a call that hasn't started during a planned stop.
+func (s *State) drainRoute(w *workItem) route {
 	to := s.peerWithFreeSlots(w.pool)
 	if to == "" {
 		to = s.ownerOfPool(w.pool, w.id())
 	}
 	if to != "" && w.request.hops == 0 {
-		s.forward(w, to)
-		return
+		return forwardTo{peer: to}
 	}
-	w.phase = phaseFinishing
-	s.refuse(w, NewNotRun(CodeDraining, "this entry VM is stopping", retryAfterBusy))
+	return refuseRoute{refusal: NewNotRun(CodeDraining, "this entry VM is stopping", retryAfterBusy)}
 }
 
 // releaseJob clears the holder of a job, so that another entry VM adopts it at once. It is repeated until the row is
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -7,18 +7,12 @@
 	return s.mayStartHere() && s.Placer.FreeSlots(pool) > 0 && !s.Queue.HasWaiting(pool)
 }
 
-// forwardIfBetter forwards a call if this entry VM has no free slots in its pool and another has. It reports whether it
-// did.
-func (s *State) forwardIfBetter(w *workItem) bool {
-	if s.hasFreeSlotsHere(w.pool) {
-		return false
+// betterPeer returns the entry VM with the most free slots in a pool, empty if this one has free slots or none has.
+func (s *State) betterPeer(pool string) string {
+	if s.hasFreeSlotsHere(pool) {
+		return ""
 	}
-	to := s.peerWithFreeSlots(w.pool)
-	if to == "" {
-		return false
-	}
-	s.forward(w, to)
-	return true
+	return s.peerWithFreeSlots(pool)
 }
 
 func (s *State) forward(w *workItem, to string) {
--- a/dispatch/ownerwait.go
+++ b/dispatch/ownerwait.go
@@ -2,25 +2,26 @@
 
 import "github.com/pistachiolead/pistachiolead/peer"
 
-// awaitOwner delays a call whose pool has backend servers in service but no known owner, as is the case while they
-// change owner. It returns false if the call must be refused: it was forwarded here, this entry VM is stopping,
+// mayAwaitOwner reports whether a call may be delayed because its pool has backend servers in service but no known
+// owner, as is the case while they change owner. It must be refused if it was forwarded here, this entry VM is stopping,
 // maxAwaitingOwner calls wait already, no backend server of the pool is in service, or the call has waited for
 // ownerWaitTimeout.
-func (s *State) awaitOwner(w *workItem) bool {
+func (s *State) mayAwaitOwner(w *workItem) bool {
 	if w.request.hops > 0 || s.drain.started || len(s.awaitingOwner) >= maxAwaitingOwner || !s.poolInService(w.pool) {
 		return false
 	}
+	return w.ownerAwaitedSince.IsZero() || s.now.Sub(w.ownerAwaitedSince) < ownerWaitTimeout
+}
+
+// awaitOwner delays a call until the next check for an owner of its pool.
+func (s *State) awaitOwner(w *workItem) {
 	if w.ownerAwaitedSince.IsZero() {
 		w.ownerAwaitedSince = s.now
 	}
-	if s.now.Sub(w.ownerAwaitedSince) >= ownerWaitTimeout {
-		return false
-	}
 	s.awaitingOwner[w.id()] = w
 	w.phase = phaseBackingOff
 	w.wakeAt = s.now.Add(ownerWaitInterval)
 	s.scheduleCheck(w.id(), w.wakeAt)
-	return true
 }
 
 // endBackOff queues work whose delay has ended.
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -135,43 +135,11 @@
 		s.handOverWork(w)
 		return
 	}
-	if w.isCall() && w.request.hops == 0 && s.forwardIfBetter(w) {
-		return
-	}
-	s.enqueueLocally(w)
+	s.follow(w, s.route(w))
 }
 
 // enqueueLocally queues work at this entry VM. A call that can't be queued is forwarded, delayed or refused.
-func (s *State) enqueueLocally(w *workItem) {
-	q := s.queueRequest(w)
-	w.phase = phaseQueued
-	hasCapacity := s.Placer.Capacity(w.pool).Slots() > 0
-	if !w.isCall() || w.attempt > 1 && (w.started || hasCapacity) {
-		s.Queue.Requeue(q, s.now)
-		return
-	}
-	if !hasCapacity {
-		if to := s.ownerOfPool(w.pool, w.id()); to != "" && w.request.hops == 0 {
-			s.forward(w, to)
-			return
-		}
-		if !s.awaitOwner(w) {
-			s.refuse(w, NewNotRun(CodeNoCapacity,
-				"this entry VM owns no backend server of the pool and knows no other owner", retryAfterBusy))
-		}
-		return
-	}
-	if s.canPreemptFor(w) {
-		s.Queue.Requeue(q, s.now)
-		return
-	}
-	switch o := s.Queue.Push(q, s.now).(type) {
-	case queue.Queued:
-	case queue.Refused:
-		s.count("refused_" + metricName(o.Code()))
-		s.refuse(w, NewNotRun(o.Code(), "the queue of the pool rejected the request", o.RetryAfter()))
-	}
-}
+func (s *State) enqueueLocally(w *workItem) { s.follow(w, s.localRoute(w)) }
 
 func (s *State) queueRequest(w *workItem) queue.Request {
 	deadline := time.Time{}
