Explain what would become of a request

The event ExplanationQueried is answered with the decision on a request, its place in the queue, its team's use of its limit, the backend servers grouped by what excludes them, and the expected start. It calls the functions that decide on submissions.

--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -8,7 +8,7 @@
 	"github.com/pistachiolead/pistachiolead/provider"
 )
 
-// Event is an input of State.Handle: one of the types in this file, or StatusQueried.
+// Event is an input of State.Handle: one of the types in this file, StatusQueried or ExplanationQueried.
 type Event interface{ event() }
 
 // Submitted is a request from a caller, or one that another entry VM forwarded.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Outcome is the reply to an event with a ticket: Answered, NotRun, OutcomeUnknown, Accepted, ChangeStatus, Rejected or
-// Status.
+// Outcome is the reply to an event with a ticket: Answered, NotRun, OutcomeUnknown, Accepted, ChangeStatus, Rejected,
+// Status or Explanation.
 type Outcome interface{ outcome() }
 
 // Answered is the complete answer of the request's task.
--- a/dispatch/servers.go
+++ b/dispatch/servers.go
@@ -228,10 +228,26 @@
 
 // usable reports whether new work may start on a backend server: it is listed, owned by this entry VM, and isn't being
 // removed, out of service or handed over.
-func (s *State) usable(server string) bool {
+func (s *State) usable(server string) bool { return s.exclusion(server) == ExclusionNone }
+
+// exclusion returns why no new work may start on a backend server, ExclusionNone if it may.
+func (s *State) exclusion(server string) Exclusion {
 	v, listed := s.vms[server]
 	_, held := s.Ownership.Epoch(server)
-	return listed && held && !v.Leaving() && !s.config.VM(server).OutOfService() && !s.Ownership.HandingOver(server)
+	switch {
+	case !listed:
+		return ExclusionUnlisted
+	case v.Leaving():
+		return ExclusionLeaving
+	case s.config.VM(server).OutOfService():
+		return ExclusionVMOut
+	case !held:
+		return ExclusionNotOwned
+	case s.Ownership.HandingOver(server):
+		return ExclusionHandingOver
+	default:
+		return ExclusionNone
+	}
 }
 
 // refreshServers updates all backend servers in the placement state, which needs them for the size of each pool. Those
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -173,6 +173,8 @@
 		s.tick()
 	case StatusQueried:
 		s.reply(e.ticket, s.status())
+	case ExplanationQueried:
+		s.reply(e.ticket, s.explain(e.request))
 	case DrainRequested:
 		s.startDrain()
 	}
