--- a/api/client.go
+++ b/api/client.go
@@ -73,12 +73,20 @@
 }
 
 func (w Work) body() ([]byte, error) {
+	r, err := w.request()
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(r)
+}
+
+func (w Work) request() (workRequest, error) {
 	if len(w.Payload) > 0 && !json.Valid(w.Payload) {
-		return nil, errors.New("the payload isn't valid JSON")
+		return workRequest{}, errors.New("the payload isn't valid JSON")
 	}
-	return json.Marshal(workRequest{
+	return workRequest{
 		Entry: w.Entry, RequestID: w.RequestID, DeadlineMS: w.Deadline.Milliseconds(), Payload: w.Payload,
-	})
+	}, nil
 }
 
 // Call submits a call and returns its whole output. After an error that isn't an *Error, the call may have run.
@@ -290,6 +298,34 @@
 	return st, errors.Wrap(json.Unmarshal(data, &st.info), "decode the response")
 }
 
+// ExplainCall returns what would become of a call. Nothing is submitted. The team is that of the key if it is empty;
+// another one needs an administrator's key.
+func (c *Client) ExplainCall(w Work, team string) (Explanation, error) {
+	return c.explain(kindCall, w, team)
+}
+
+// ExplainJob returns what would become of a job, like ExplainCall.
+func (c *Client) ExplainJob(w Work, team string) (Explanation, error) {
+	return c.explain(kindJob, w, team)
+}
+
+func (c *Client) explain(kind string, w Work, team string) (Explanation, error) {
+	r, err := w.request()
+	if err != nil {
+		return Explanation{}, err
+	}
+	body, err := json.Marshal(explanationRequest{Kind: kind, Team: team, workRequest: r})
+	if err != nil {
+		return Explanation{}, errors.Wrap(err, "encode the request")
+	}
+	data, err := c.do("POST", "/v1/explanations", body, c.timeout())
+	if err != nil {
+		return Explanation{}, err
+	}
+	e := Explanation{text: data}
+	return e, errors.Wrap(json.Unmarshal(data, &e.info), "decode the response")
+}
+
 func (c *Client) change(method, path string, body any) (ChangeStatus, error) {
 	data, err := encodeBody(body)
 	if err != nil {
--- a/api/constants.go
+++ b/api/constants.go
@@ -33,6 +33,8 @@
 	maxIDLength = 64
 	// maxKeyLifetime is the longest time until a key expires. A key may also have no expiry time.
 	maxKeyLifetime = 10 * 365 * 24 * time.Hour
+	// maxExamples is how many backend servers of a group an explanation names.
+	maxExamples = 3
 	// shutdownTimeout limits how long a planned stop waits for requests in progress.
 	shutdownTimeout = 5 * time.Second
 )
--- a/api/server.go
+++ b/api/server.go
@@ -45,6 +45,8 @@
 	ChangeStatus(ctx context.Context, version uint64) dispatch.Outcome
 	// Status returns the status of the entry VM and its view of the fleet.
 	Status(ctx context.Context) dispatch.Outcome
+	// Explain returns what would become of a request that was submitted now. Nothing is submitted or stored.
+	Explain(ctx context.Context, r dispatch.Request) dispatch.Outcome
 }
 
 // Server serves callers and operators. Its exported fields are set before Run.
@@ -155,6 +157,7 @@
 	r := router.New()
 	r.POST("/v1/calls", s.call)
 	r.POST("/v1/jobs", s.submitJob)
+	r.POST("/v1/explanations", s.explain)
 	r.GET("/v1/jobs/{id}", s.getJob)
 	r.GET("/v1/requests/{id}", s.getRequest)
 	r.DELETE("/v1/requests/{id}", s.cancel)
--- a/api/work.go
+++ b/api/work.go
@@ -113,25 +113,37 @@
 func (s *Server) request(
 	c *fasthttp.RequestCtx, kind dispatch.Kind, body workRequest, a catalogue.Allowed, now time.Time,
 ) (dispatch.Request, caller, bool) {
-	if len(body.Payload) > a.Entry().MaxPayload() {
-		writeProblem(c, problem{
-			Code: codeBodyTooLarge, Outcome: outcomeNotRun,
-			Message: fmt.Sprintf("the payload has %d bytes; the entry allows %d", len(body.Payload), a.Entry().MaxPayload()),
-		})
+	who := caller{team: a.Key().Team(), key: a.Key()}
+	r, p := body.request(kind, a.Entry(), who, now)
+	if p != nil {
+		writeProblem(c, *p)
 		return dispatch.Request{}, caller{}, false
 	}
-	deadline, message := body.deadline(kind, a.Entry(), now)
+	return r, who, true
+}
+
+// request checks a body against its catalogue entry and returns the request, or the problem if the check fails.
+func (w workRequest) request(
+	kind dispatch.Kind, e catalogue.Entry, who caller, now time.Time,
+) (dispatch.Request, *problem) {
+	if len(w.Payload) > e.MaxPayload() {
+		return dispatch.Request{}, &problem{
+			Code: codeBodyTooLarge, Outcome: outcomeNotRun,
+			Message: fmt.Sprintf("the payload has %d bytes; the entry allows %d", len(w.Payload), e.MaxPayload()),
+		}
+	}
+	deadline, message := w.deadline(kind, e, now)
 	if message != "" {
-		writeInvalid(c, message)
-		return dispatch.Request{}, caller{}, false
+		return dispatch.Request{}, &problem{Code: codeInvalidRequest, Message: message, Outcome: outcomeNotRun}
 	}
-	who := caller{team: a.Key().Team(), key: a.Key()}
-	id, callerChoseID := body.RequestID, body.RequestID != ""
+	id, callerChoseID := w.RequestID, w.RequestID != ""
 	if !callerChoseID {
 		id = uuid.NewString()
 	}
-	payload := bytes.Clone(body.Payload)
-	return dispatch.NewRequest(who.global(id), kind, body.Entry, who.team, a.Key().ID(), payload, deadline, 0, callerChoseID), who, true
+	payload := bytes.Clone(w.Payload)
+	return dispatch.NewRequest(
+		who.global(id), kind, w.Entry, who.team, who.key.ID(), payload, deadline, 0, callerChoseID,
+	), nil
 }
 
 // check returns what is wrong with the body, empty if nothing is.
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -10,6 +10,9 @@
 	"github.com/pistachiolead/pistachiolead/placement"
 )
 
+// basisLimitReached is the basis of an expected start that depends on the team's own tasks.
+const basisLimitReached = "the team has as many tasks running as its limit allows; one of them has to end"
+
 // ExplanationQueried queries what would become of a request that was submitted now. Nothing is submitted or stored.
 type ExplanationQueried struct {
 	ticket  uint64
@@ -62,6 +65,9 @@
 	e.servers = s.groupServers(w, e.assessment)
 	for _, id := range s.Membership.Live() {
 		if p, ok := s.peers[id]; ok && id != s.EntryVM {
+			if s.now.Sub(p.receivedAt) <= digestLifetime {
+				e.team.elsewhere += p.digest.Running(team).Slots()
+			}
 			e.peers = append(e.peers, PeerPlace{
 				id: id, freeSlots: max(p.freeSlots(w.pool, s.now), 0), age: s.now.Sub(p.receivedAt),
 			})
@@ -130,6 +136,9 @@
 	case DecisionPreempt:
 		return ExpectedStart{confidence: ConfidenceMedium, basis: "less urgent work is preempted, which takes a moment"}
 	case DecisionForward:
+		if e.team.limitReached() {
+			return ExpectedStart{basis: basisLimitReached}
+		}
 		if p, ok := s.peers[e.peer]; ok && p.freeSlots(w.pool, s.now) > 0 {
 			return ExpectedStart{confidence: ConfidenceMedium, basis: fmt.Sprintf("%s had %d free slots in the pool %s ago",
 				e.peer, p.freeSlots(w.pool, s.now), s.now.Sub(p.receivedAt).Round(time.Millisecond))}
@@ -145,6 +154,8 @@
 		return ExpectedStart{basis: "the availability zone of this entry VM is out of service"}
 	case s.Placer.Capacity(w.pool).Slots() == 0:
 		return ExpectedStart{basis: "this entry VM has no backend server of the pool in service"}
+	case e.team.limitReached():
+		return ExpectedStart{basis: basisLimitReached}
 	case e.team.allowed <= 0:
 		return ExpectedStart{basis: "the team has no free slot here; one is freed by the end of a task or moves from another entry VM"}
 	case !e.position.RateKnown():
--- a/dispatch/explanation.go
+++ b/dispatch/explanation.go
@@ -128,14 +128,17 @@
 
 // TeamPlace is what an entry VM has running and waiting for a team.
 type TeamPlace struct {
-	running, allowed, limit int
-	queued, bound           int
-	weight, share           float64
+	running, elsewhere, allowed, limit int
+	queued, bound                      int
+	weight, share                      float64
 }
 
 // Running returns the number of the team's tasks that the entry VM counts as running.
 func (t TeamPlace) Running() int { return t.running }
 
+// RunningElsewhere returns the number of the team's tasks that other entry VMs last told to be running.
+func (t TeamPlace) RunningElsewhere() int { return t.elsewhere }
+
 // AllowedStarts returns how many tasks of the team may start at the entry VM now.
 func (t TeamPlace) AllowedStarts() int { return t.allowed }
 
@@ -154,6 +157,9 @@
 // Share returns the team's dominant share of the fleet, divided by its weight.
 func (t TeamPlace) Share() float64 { return t.share }
 
+// limitReached reports whether the team has as many tasks running as its limit allows, as far as is known here.
+func (t TeamPlace) limitReached() bool { return t.running+t.elsewhere >= t.limit }
+
 // ServerGroup is the backend servers with the same exclusion.
 type ServerGroup struct {
 	exclusion Exclusion
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -55,6 +55,11 @@
 	return v.query(ctx, dispatch.NewStatusQueriedEvent)
 }
 
+// Explain returns what would become of a request that was submitted now, as a dispatch.Explanation.
+func (v *VM) Explain(ctx context.Context, r dispatch.Request) dispatch.Outcome {
+	return v.query(ctx, func(ticket uint64) dispatch.Event { return dispatch.NewExplanationQueried(ticket, r) })
+}
+
 // query posts an event and waits for its outcome, which is Rejected if ctx ends first.
 func (v *VM) query(ctx context.Context, event func(ticket uint64) dispatch.Event) dispatch.Outcome {
 	if o := v.await(ctx, event); o != nil {
