Add the command explain

It takes an entry or a job file, and shows as text or JSON what would become of the call or job. The input test checks that nothing is known or stored after it, and its refusals.

--- a/command/command.go
+++ b/command/command.go
@@ -55,7 +55,7 @@
 		Commands: []*cli.Command{
 			newLocal(), newServe(), newEntry(), newPlatform(), newInit(), newCheck(),
 			newApply(), newGet(), newDiff(), newKey(), newZone(), newVM(), newChange(),
-			newCall(), newSubmit(), newWait(), newCancel(), newStatus(),
+			newCall(), newSubmit(), newExplain(), newWait(), newCancel(), newStatus(),
 		},
 	}
 	setUsageErrors(root)
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -21,7 +21,7 @@
 // Guards against a command whose help has no example, or the example of another command.
 func TestHelpHasExamples(t *testing.T) {
 	for _, name := range []string{
-		"local", "serve", "platform", "init", "check", "apply", "get", "diff", "change", "call", "submit", "wait", "cancel", "status",
+		"local", "serve", "platform", "init", "check", "apply", "get", "diff", "change", "call", "submit", "explain", "wait", "cancel", "status",
 		"key", "key grant", "key revoke", "key list", "zone", "zone out", "zone back", "vm", "vm out", "vm back", "vm move",
 	} {
 		var out bytes.Buffer
--- a/command/input_test.go
+++ b/command/input_test.go
@@ -79,6 +79,7 @@
 	f.step("an unknown zone is refused", func(t *testing.T) {
 		f.expectRefusals(t, f.admin, []refusedRequest{{"PUT", "/v1/zones/nowhere", `{"state":"out"}`, 422, "invalid", "not-run"}})
 	})
+	f.step("explanations store nothing", func(t *testing.T) { f.explainOnly(t, secret) })
 	f.step("invalid HTTP", f.sendInvalidHTTP)
 	f.step("commands", func(t *testing.T) { f.checkInvalidCommands(t, secret) })
 	f.step("all entry VMs still serve", func(*testing.T) {
@@ -112,6 +113,15 @@
 		cases = append(cases, refusedRequest{"POST", "/v1/calls", body, 400, "invalid-request", "not-run"})
 		cases = append(cases, refusedRequest{"POST", "/v1/jobs", body, 400, "invalid-request", "not-run"})
 	}
+	for _, body := range []string{
+		`{"entry":"proof"}`, `{"kind":"task","entry":"proof"}`, `{"kind":"call"}`, `{"kind":"call","entry":"proof","colour":"red"}`,
+		`{"kind":"call","entry":"proof","deadline-ms":-1}`, `{"kind":"call","entry":"proof","deadline-ms":86400001}`,
+	} {
+		cases = append(cases, refusedRequest{"POST", "/v1/explanations", body, 400, "invalid-request", "not-run"})
+	}
+	cases = append(cases,
+		refusedRequest{"POST", "/v1/explanations", `{"kind":"job","entry":"nothing"}`, 404, "unknown-entry", "not-run"},
+		refusedRequest{"POST", "/v1/explanations", `{"kind":"job","entry":"proof","team":"press"}`, 403, "role-not-allowed", "not-run"})
 	for _, wait := range []string{"-1", "x", "1.5", "60001", "99999999999999999999"} {
 		cases = append(cases, refusedRequest{"GET", "/v1/jobs/nothing?wait-ms=" + wait, "", 400, "invalid-request", "not-run"})
 	}
@@ -213,6 +223,22 @@
 	}
 }
 
+// explainOnly explains a call and a job, and checks that neither is known or stored after that.
+func (f *testFleet) explainOnly(t *testing.T, secret string) {
+	job := f.file("job.json", `{"entry":"plate","request-id":"explained","payload":1}`)
+	for _, args := range [][]string{
+		{"explain", "plate", "--request-id", "explained"}, {"explain", "--job", job}, {"explain", "--job", job, "-o", "json"},
+	} {
+		o := f.runAt(f.addresses(), secret, args...)
+		assert.Check(t, o.code == command.ExitOK && strings.Contains(o.out, "accepted"), "%v: %+v", args, o)
+	}
+	assert.Check(t, strings.Contains(f.run(command.ExitOK, f.admin, "explain", "--job", job, "--team", "studio").out, "team studio"))
+	f.expectRefusals(t, secret, []refusedRequest{
+		{"GET", "/v1/requests/explained", "", 404, "unknown-request", "unknown"},
+		{"GET", "/v1/jobs/explained", "", 404, "unknown-request", "unknown"},
+	})
+}
+
 // sendInvalidHTTP sends bytes that aren't a valid HTTP request to every listener, and bodies that aren't valid JSON to
 // the platform.
 func (f *testFleet) sendInvalidHTTP(t *testing.T) {
@@ -269,6 +295,12 @@
 		{"vm", "move", "backend-a-1"},
 		{"call", "proof", "--payload", "{"},
 		{"call", "proof", "--deadline", "5"},
+		{"explain"},
+		{"explain", "proof", "--payload", "{"},
+		{"explain", "--job", "missing.json"},
+		{"explain", "--job", f.file("text.json", `{"entry":"proof","deadline-ms":"5s"}`)},
+		{"explain", "--job", f.file("field.json", `{"entry":"proof","colour":"red"}`)},
+		{"explain", "--job", f.file("good.json", `{"entry":"proof"}`), "proof"},
 		{"status", "-o", "xml"},
 		{"init", "--table", f.platform, "--catalogue", bad},
 		{"local", "--zones", "-1"},
