Explain to the leader of the platform's fleet what would become of a job

The event ExplanationRequested is answered by the effect Explained: the jobs of the pool that go first, for each step the servers grouped by what excludes them and how many tasks fit now, and when the first task is expected to start. It calls the functions that place jobs, for a job that isn't added. schedule.Fits and MayRun are now derived from ObstacleOf, which names what is missing.

--- a/fleet/effect.go
+++ b/fleet/effect.go
@@ -89,6 +89,12 @@
 // Deposed says that this entry VM is no longer the leader, and why. The state must not be used any more.
 type Deposed struct{ Reason string }
 
+// Explained answers the ExplanationRequested with the ticket.
+type Explained struct {
+	Ticket      uint64
+	Explanation Explanation
+}
+
 func (Commit) effect()                {}
 func (Poll) effect()                  {}
 func (Start) effect()                 {}
@@ -101,3 +107,4 @@
 func (PublishWaveStatus) effect()     {}
 func (JobsSettled) effect()           {}
 func (Deposed) effect()               {}
+func (Explained) effect()             {}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -122,6 +122,12 @@
 	Version uint64
 }
 
+// ExplanationRequested requests what would become of a job that arrived now. The job isn't added. Explained is the answer.
+type ExplanationRequested struct {
+	Ticket uint64
+	Job    *workload.Job
+}
+
 func (Tick) event()                {}
 func (JobArrived) event()          {}
 func (JobsRead) event()            {}
@@ -143,3 +149,5 @@
 func (WaveStatusPublished) event() {}
 func (Stopping) event()            {}
 func (TermClaimed) event()         {}
+
+func (ExplanationRequested) event() {}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -49,7 +49,7 @@
 func (s *State) place(now time.Time) {
 	pools := s.poolsInService(now)
 	for _, j := range s.jobs {
-		if j.state.Final() || now.Before(j.heldUntil) || s.awaitsCancels(j) {
+		if !s.mayPlace(j, now) {
 			continue
 		}
 		if p, ok := pools[s.poolOf(j)]; ok {
@@ -77,6 +77,11 @@
 	}
 }
 
+// mayPlace reports whether tasks of a job may be placed, if there are servers for them.
+func (s *State) mayPlace(j *job, now time.Time) bool {
+	return !j.state.Final() && !now.Before(j.heldUntil) && !s.awaitsCancels(j)
+}
+
 // workRate returns the work of jobs that the pool does in one second, in server-seconds. Long-running tasks take part of
 // its capacity, and tasks don't fill a server exactly.
 func (p *placementPool) workRate() float64 {
@@ -119,15 +124,20 @@
 			p = &placementPool{isolation: newIsolation()}
 			pools[v.reg.Pool] = p
 		}
-		if j := v.isolatedJob(); j != nil {
-			p.isolation.add(j, v)
-			continue
-		}
-		p.add(v)
+		p.addInService(v)
 	}
 	return pools
 }
 
+// addInService adds a server that accepts placement. One with isolated runs starts runs of their job only.
+func (p *placementPool) addInService(v *server) {
+	if j := v.isolatedJob(); j != nil {
+		p.isolation.add(j, v)
+		return
+	}
+	p.add(v)
+}
+
 // acceptsPlacement reports whether new runs may be placed on a server.
 func (s *State) acceptsPlacement(v *server, now time.Time) bool {
 	if _, inherited := s.inheritedRequests[v.reg.VM]; inherited {
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -261,6 +261,8 @@
 		s.stopping = true
 	case TermClaimed:
 		s.termClaimed(e)
+	case ExplanationRequested:
+		s.emit(Explained{Ticket: e.Ticket, Explanation: s.explain(e.Job, now)})
 	}
 }
 
--- a/fleet/weights.go
+++ b/fleet/weights.go
@@ -31,19 +31,27 @@
 	return true
 }
 
-// exceedsWeight reports whether a new job is beyond its customer's weight. Jobs of customers without a weight, long-running and
-// scheduled jobs aren't, and neither are jobs that were accepted before the term.
-func (s *State) exceedsWeight(j *job, now time.Time) bool {
+// entitlementFor returns the bucket that a new job takes from, nil if it takes from none: jobs of customers without a weight,
+// long-running and scheduled jobs, and those that were accepted before the term.
+func (s *State) entitlementFor(j *job, now time.Time) *entitlement {
 	weight := s.weightOf(j)
 	if weight <= 0 || j.longRunning || j.spec.Scheduled() || j.spec.Accepted().Before(s.began) {
-		return false
+		return nil
 	}
-	customer := j.spec.Customer()
-	e := s.entitlements[customer]
+	if e := s.entitlements[j.spec.Customer()]; e != nil {
+		return e
+	}
+	return &entitlement{jobs: weight * weightBurst.Seconds(), at: now}
+}
+
+// exceedsWeight takes a new job from its customer's bucket, and reports whether it is beyond its customer's weight.
+func (s *State) exceedsWeight(j *job, now time.Time) bool {
+	e := s.entitlementFor(j, now)
 	if e == nil {
-		e = &entitlement{jobs: weight * weightBurst.Seconds(), at: now}
-		s.entitlements[customer] = e
+		return false
 	}
+	weight, customer := s.weightOf(j), j.spec.Customer()
+	s.entitlements[customer] = e
 	if e.take(weight, now) {
 		return false
 	}
--- a/schedule/placement.go
+++ b/schedule/placement.go
@@ -71,21 +71,44 @@
 	return c.utilization
 }
 
-// Fits reports whether the server can start a task of the step now: it may run the task, and has the free capacity.
-func Fits(step workload.Step, s *Server) bool {
-	return MayRun(step, s) && step.Reserves().FitsIn(s.Free)
+// Obstacle is why a server can't start a task of a step now.
+type Obstacle int
+
+// Obstacles, in the order in which they are checked.
+const (
+	NoObstacle  Obstacle = iota
+	Excluded             // for another reason than the following, see Server
+	TooSmall             // the server's capacity is too small
+	TooManyRuns          // the server has as many runs of the step as it may have
+	WrongLabel           // the server lacks the label that the step requires
+	NotFree              // the free capacity is too small; it suffices once other runs have ended
+)
+
+// ObstacleOf returns why the server can't start a task of the step now, beside the runs of the step that it has.
+func ObstacleOf(step workload.Step, s *Server) Obstacle {
+	switch {
+	case s.Excluded:
+		return Excluded
+	case !step.Reserves().FitsIn(s.Capacity):
+		return TooSmall
+	case step.MaxPerServer() > 0 && s.SameStepRuns >= step.MaxPerServer():
+		return TooManyRuns
+	case !HasLabel(step, s.Kind, s.Rack):
+		return WrongLabel
+	case !step.Reserves().FitsIn(s.Free):
+		return NotFree
+	}
+	return NoObstacle
 }
 
+// Fits reports whether the server can start a task of the step now: it may run the task, and has the free capacity.
+func Fits(step workload.Step, s *Server) bool { return ObstacleOf(step, s) == NoObstacle }
+
 // MayRun reports whether the server may run a task of the step beside the runs of the step that it has, now or once other runs have
 // ended there.
 func MayRun(step workload.Step, s *Server) bool {
-	if s.Excluded || !step.Reserves().FitsIn(s.Capacity) {
-		return false
-	}
-	if step.MaxPerServer() > 0 && s.SameStepRuns >= step.MaxPerServer() {
-		return false
-	}
-	return HasLabel(step, s.Kind, s.Rack)
+	o := ObstacleOf(step, s)
+	return o == NoObstacle || o == NotFree
 }
 
 // HasLabel reports whether a server of the given kind and rack has the label that a step requires.
