Let the command explain ask the leader on the users' platform

Entry VMs serve POST /explain beside their metrics. The refusal is decided by the same functions as a submission's; the leader's control state explains the rest. TestLeaderExplainsJobs runs the command against two entry VMs, and checks bad input and that nothing is stored.

--- a/command/explain.go
+++ b/command/explain.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/pistachiolead/pistachiolead/api"
+	"github.com/pistachiolead/pistachiolead/platform"
 )
 
 func newExplain() *cli.Command {
@@ -16,12 +17,20 @@
 		ArgsUsage: "ENTRY",
 		Description: "A job file is a JSON document with the fields entry, request-id, deadline-ms and payload.\n\n" +
 			"Example: pistachiolead explain quick-proof --payload '{\"run-ms\": 20}'\n" +
-			"Example: pistachiolead explain --job sleeve.json --team label",
+			"Example: pistachiolead explain --job sleeve.json --team label\n\n" +
+			"With --leader, the leader on the users' platform is asked, and the job file is the body of a submission there.\n\n" +
+			"Example: pistachiolead explain --leader 10.0.0.1:7300 --queue plates --customer label --job press.json",
 		Flags: append(workFlags(),
 			&cli.StringFlag{Name: "job", Usage: "the `FILE` of a job (- for standard input), instead of a call"},
+			&cli.StringSliceFlag{Name: "leader", Usage: "`HOST:PORT` of the metrics of an entry VM on the users' platform; give all of them to find the leader"},
+			&cli.StringFlag{Name: "queue", Usage: "with --leader, the `QUEUE`"},
+			&cli.StringFlag{Name: "customer", Usage: "with --leader, the `CUSTOMER`; none for a queue without keys"},
 			&cli.StringFlag{Name: "team", Usage: "the `TEAM` that submits, by default that of the key; another one needs an administrator's key"},
 		),
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.IsSet("leader") {
+				return explainByLeader(c)
+			}
 			e, err := explain(c)
 			if err != nil {
 				return err
@@ -61,3 +70,27 @@
 	}
 	return client.ExplainJob(w, team)
 }
+
+// explainByLeader prints the explanation of a job file by the leader on the users' platform.
+func explainByLeader(c *cli.Command) error {
+	if c.Args().Present() || !c.IsSet("job") || !c.IsSet("queue") {
+		return usageError{errors.New("--leader needs --queue and --job, and takes no ENTRY")}
+	}
+	document, err := readDocument(c.String("job"))
+	if err != nil {
+		return err
+	}
+	var response []byte
+	for _, address := range c.StringSlice("leader") {
+		if response, err = platform.RequestExplanation(address, c.String("queue"), c.String("customer"), document); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if wantsJSON(c) {
+		return printJSON(c.Root().Writer, response)
+	}
+	return platform.WriteExplanation(c.Root().Writer, response)
+}
--- a/command/input_test.go
+++ b/command/input_test.go
@@ -301,6 +301,8 @@
 		{"explain", "--job", f.file("text.json", `{"entry":"proof","deadline-ms":"5s"}`)},
 		{"explain", "--job", f.file("field.json", `{"entry":"proof","colour":"red"}`)},
 		{"explain", "--job", f.file("good.json", `{"entry":"proof"}`), "proof"},
+		{"explain", "--leader", f.platform, "proof"},
+		{"explain", "--leader", f.platform, "--job", f.file("good.json", "{}")},
 		{"status", "-o", "xml"},
 		{"init", "--table", f.platform, "--catalogue", bad},
 		{"local", "--zones", "-1"},
--- a/deployment/controller.go
+++ b/deployment/controller.go
@@ -36,16 +36,17 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu          sync.Mutex // guards events, eventsSince and seenJobs
+	mu          sync.Mutex // guards events, eventsSince, seenJobs and explanations
 	events      []fleet.Event
 	eventsSince time.Time // when the first of events was posted
 	eventsReady chan struct{}
 	requests    chan fleet.Effect // to senders that are idle
 	// seenJobs holds the jobs that were read, so that none is posted twice: the versions of their rows by id, or 0 for a job
 	// whose row wasn't read.
-	seenJobs  map[string]uint64
-	ended     endedJobs
-	endedRead chan struct{} // closed once ended holds all jobs that ended before the term
+	seenJobs     map[string]uint64
+	explanations explanations
+	ended        endedJobs
+	endedRead    chan struct{} // closed once ended holds all jobs that ended before the term
 }
 
 // start starts the controller in goroutines of the entry VM.
@@ -356,6 +357,9 @@
 			c.ended.add(endedJob{id: id, version: e.Version, since: now})
 		}
 		return
+	case fleet.Explained:
+		c.explained(e)
+		return
 	}
 	if !c.relays.Send(e) {
 		c.sendDirectly(e)
@@ -423,7 +427,7 @@
 		return c.recommend(e, t.Now())
 	case fleet.ListVMs:
 		return c.listVMs(t.Now())
-	case fleet.Commit, fleet.JobsSettled, fleet.Deposed:
+	case fleet.Commit, fleet.JobsSettled, fleet.Deposed, fleet.Explained:
 	}
 	panic("send: the effect has no request")
 }
--- a/deployment/vm.go
+++ b/deployment/vm.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
-	metricsServer := &platform.ProbeServer{Listener: metrics, Ready: v.Ready, Bodies: v.bodies, WriteMetrics: v.WriteMetrics}
+	metricsServer := &platform.ProbeServer{Listener: metrics, Ready: v.Ready, Bodies: v.bodies, WriteMetrics: v.WriteMetrics, Explain: v.Explain}
 	v.goroutines.Go(func() error { return metricsServer.Run(ctx) })
 	return nil
 }
--- a/intake/admission.go
+++ b/intake/admission.go
@@ -52,12 +52,17 @@
 	}, late
 }
 
-// refuseLate returns nil unless the job certainly ends after its hard deadline.
-func (h *Handler) refuseLate(c Call, j *workload.Job) Outcome {
+// endsTooLate is EndsTooLate by the last known forecast.
+func (h *Handler) endsTooLate(j *workload.Job) (Lateness, bool) {
 	if h.Forecast == nil {
-		return nil
+		return Lateness{}, false
 	}
-	lateness, late := EndsTooLate(j, h.Forecast(), h.Clock.Now())
+	return EndsTooLate(j, h.Forecast(), h.Clock.Now())
+}
+
+// refuseLate returns nil unless the job certainly ends after its hard deadline.
+func (h *Handler) refuseLate(c Call, j *workload.Job) Outcome {
+	lateness, late := h.endsTooLate(j)
 	if !late {
 		return nil
 	}
@@ -73,10 +78,7 @@
 
 // refuseWhileFull returns nil if the leader has room for new jobs. A job that is stored already stays accepted.
 func (h *Handler) refuseWhileFull(c Call, id string) Outcome {
-	if h.FullFor == nil {
-		return nil
-	}
-	fullFor := h.FullFor()
+	fullFor := h.fullFor()
 	if fullFor == 0 {
 		return nil
 	}
@@ -88,6 +90,14 @@
 	})
 }
 
+// fullFor returns after which time new jobs are expected to be accepted again, or 0 if they are accepted.
+func (h *Handler) fullFor() time.Duration {
+	if h.FullFor == nil {
+		return 0
+	}
+	return h.FullFor()
+}
+
 // refuseAgain refuses a job because it was refused when this call may already have arrived: the caller may have been told that no
 // earlier call has an effect.
 func (h *Handler) refuseAgain(c Call, id string) Outcome {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -188,16 +188,10 @@
 // may have missed the first response. The outcome is Accepted, Refused, Full, OutcomeUnknown or Invalid.
 func (h *Handler) Submit(c Call, a Admission, o workload.JobOptions) Outcome {
 	now := h.Clock.Now()
-	o.Queue, o.Customer, o.AcceptedMS = a.queue.Name, a.customer, now.UnixMilli()
-	o.Pool, o.MaxAttempts, o.Priority = a.queue.Pool, a.queue.MaxAttempts, a.queue.Priority
-	o.Stretch, o.SlackMS = a.queue.Stretch, a.queue.Slack.Milliseconds()
-	job, err := workload.NewJob(o)
+	job, err := newJob(a, o, now)
 	if err != nil {
 		return Invalid{Reason: err.Error()}
 	}
-	if err := fleet.CheckLimits(job); err != nil {
-		return Invalid{Reason: err.Error()}
-	}
 	if limit := now.Add(MaxSubmitTime); c.Deadline.After(limit) {
 		c.Deadline = limit
 	}
@@ -211,7 +205,7 @@
 	h.Scope.Histogram("accept-latency", latencyBuckets).RecordDuration(h.Clock.Now().Sub(now))
 	switch out := stored.(type) {
 	case provider.Committed:
-		klog.InfoS("Job accepted", "call", c.ID, "job", o.ID, "queue", o.Queue, "customer", o.Customer,
+		klog.InfoS("Job accepted", "call", c.ID, "job", o.ID, "queue", job.Queue(), "customer", job.Customer(),
 			"version", out.Version(), "took", h.Clock.Now().Sub(now))
 		return Accepted{}
 	case provider.Conflict:
@@ -236,6 +230,34 @@
 	return OutcomeUnknown{Reason: "unexpected outcome"}
 }
 
+// newJob returns the job of a submission that is accepted at the given time.
+func newJob(a Admission, o workload.JobOptions, now time.Time) (*workload.Job, error) {
+	o.Queue, o.Customer, o.AcceptedMS = a.queue.Name, a.customer, now.UnixMilli()
+	o.Pool, o.MaxAttempts, o.Priority = a.queue.Pool, a.queue.MaxAttempts, a.queue.Priority
+	o.Stretch, o.SlackMS = a.queue.Stretch, a.queue.Slack.Milliseconds()
+	job, err := workload.NewJob(o)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // shown to the caller
+	}
+	return job, fleet.CheckLimits(job)
+}
+
+// Explain returns the job that a submission to a queue would store now, and its outcome if nothing goes wrong: Accepted, Full with
+// the least time to retry, or Invalid without a job. Nothing is stored.
+func (h *Handler) Explain(q directory.Queue, customer string, o workload.JobOptions) (*workload.Job, Outcome) {
+	job, err := newJob(Admission{queue: q, customer: customer}, o, h.Clock.Now())
+	if err != nil {
+		return nil, Invalid{Reason: err.Error()}
+	}
+	if fullFor := h.fullFor(); fullFor > 0 {
+		return job, Full{RetryAfter: fullFor}
+	}
+	if lateness, late := h.endsTooLate(job); late {
+		return job, Full{RetryAfter: lateness.By()}
+	}
+	return job, Accepted{}
+}
+
 // commit commits an idempotent transaction, such as the first write of a row, and retries it with exponential backoff.
 // While no attempt can have been applied it stops after maxRefusalDelay. After an attempt with an unknown outcome it
 // retries until shortly before the deadline, because only a later attempt can show whether the transaction was applied.
