--- a/api/explanation.go
+++ b/api/explanation.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/dispatch"
+	"github.com/pistachiolead/pistachiolead/explanation"
 )
 
 // explanationRequest is the JSON body of a request for an explanation: that of a submission, its kind, and the team, by
@@ -215,15 +216,14 @@
 		p := problemOf("", e.Refusal())
 		info.Problem = &p
 	}
-	if e.Start().Confidence() != dispatch.ConfidenceNone {
+	if e.Start().Confidence() != explanation.ConfidenceNone {
 		ms := e.Start().After().Milliseconds()
 		info.Start.AfterMS = &ms
 	}
 	for _, g := range e.Servers() {
-		ids := g.Servers()
 		info.Servers = append(info.Servers, serverGroup{
-			MayStart: g.Exclusion() == dispatch.ExclusionNone, Kind: g.Exclusion().Kind(), Reason: string(g.Exclusion()),
-			Count: len(ids), Examples: ids[:min(len(ids), maxExamples)],
+			MayStart: g.MayStart(), Kind: dispatch.Exclusion(g.Reason()).Kind(), Reason: g.Reason(),
+			Count: len(g.Servers()), Examples: g.Examples(maxExamples),
 		})
 	}
 	for _, o := range e.Peers() {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/pistachiolead/pistachiolead/explanation"
 	"github.com/pistachiolead/pistachiolead/placement"
 )
 
@@ -132,15 +132,15 @@
 	case DecisionRefuse:
 		return ExpectedStart{basis: "the request is refused"}
 	case DecisionStart:
-		return ExpectedStart{confidence: ConfidenceHigh, basis: "a backend server and a slot of the team are free now"}
+		return ExpectedStart{confidence: explanation.ConfidenceHigh, basis: "a backend server and a slot of the team are free now"}
 	case DecisionPreempt:
-		return ExpectedStart{confidence: ConfidenceMedium, basis: "less urgent work is preempted, which takes a moment"}
+		return ExpectedStart{confidence: explanation.ConfidenceMedium, basis: "less urgent work is preempted, which takes a moment"}
 	case DecisionForward:
 		if e.team.limitReached() {
 			return ExpectedStart{basis: basisLimitReached}
 		}
 		if p, ok := s.peers[e.peer]; ok && p.freeSlots(w.pool, s.now) > 0 {
-			return ExpectedStart{confidence: ConfidenceMedium, basis: fmt.Sprintf("%s had %d free slots in the pool %s ago",
+			return ExpectedStart{confidence: explanation.ConfidenceMedium, basis: fmt.Sprintf("%s had %d free slots in the pool %s ago",
 				e.peer, p.freeSlots(w.pool, s.now), s.now.Sub(p.receivedAt).Round(time.Millisecond))}
 		}
 		return ExpectedStart{basis: fmt.Sprintf("%s owns backend servers of the pool; ask it", e.peer)}
@@ -161,34 +161,20 @@
 	case !e.position.RateKnown():
 		return ExpectedStart{basis: "requests haven't waited for long enough to know the start rate of the pool"}
 	case selected:
-		return ExpectedStart{after: e.position.Start(), confidence: ConfidenceMedium, basis: "requests ahead and the start rate of the pool"}
+		return ExpectedStart{after: e.position.Start(), confidence: explanation.ConfidenceMedium, basis: "requests ahead and the start rate of the pool"}
 	default:
-		return ExpectedStart{after: e.position.Start(), confidence: ConfidenceLow, basis: "the start rate of the pool; no backend server has room for the task now"}
+		return ExpectedStart{after: e.position.Start(), confidence: explanation.ConfidenceLow, basis: "the start rate of the pool; no backend server has room for the task now"}
 	}
 }
 
-// groupServers groups the listed backend servers by why they are excluded, the largest group first, after those that
-// may run the task.
-func (s *State) groupServers(w *workItem, a placement.Assessment) []ServerGroup {
-	groups := make(map[Exclusion][]string)
+// groupServers groups the listed backend servers by why they don't start a task now.
+func (s *State) groupServers(w *workItem, a placement.Assessment) []explanation.Group {
+	byReason := make(map[string][]string)
 	for _, id := range slices.Sorted(maps.Keys(s.vms)) {
-		e := s.exclusionFrom(id, w, a)
-		groups[e] = append(groups[e], id)
+		reason := string(s.exclusionFrom(id, w, a))
+		byReason[reason] = append(byReason[reason], id)
 	}
-	sorted := make([]ServerGroup, 0, len(groups))
-	for e, ids := range groups {
-		sorted = append(sorted, ServerGroup{exclusion: e, servers: ids})
-	}
-	slices.SortFunc(sorted, func(a, b ServerGroup) int {
-		if (a.exclusion == ExclusionNone) != (b.exclusion == ExclusionNone) {
-			if a.exclusion == ExclusionNone {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(len(b.servers), len(a.servers)), cmp.Compare(a.exclusion, b.exclusion))
-	})
-	return sorted
+	return explanation.Groups(byReason)
 }
 
 // exclusionFrom returns why a listed backend server doesn't start a task now, ExclusionNone if it may.
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pistachiolead/pistachiolead/dispatch"
+	"github.com/pistachiolead/pistachiolead/explanation"
 	"github.com/pistachiolead/pistachiolead/provider"
 )
 
@@ -114,8 +115,8 @@
 	for _, v := range listed.VMs() {
 		assert.Equal(r, slices.Contains(servers, v.ID()), v.Role() == provider.RoleBackendServer, v.ID())
 	}
-	assert.Equal(r, e.Decision() == dispatch.DecisionStart, e.Start().Confidence() == dispatch.ConfidenceHigh)
+	assert.Equal(r, e.Decision() == dispatch.DecisionStart, e.Start().Confidence() == explanation.ConfidenceHigh)
 	if e.Decision() == dispatch.DecisionStart {
-		assert.Equal(r, e.Servers()[0].Exclusion(), dispatch.ExclusionNone)
+		assert.Assert(r, e.Servers()[0].MayStart())
 	}
 }
--- a/dispatch/explanation.go
+++ b/dispatch/explanation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pistachiolead/pistachiolead/explanation"
 	"github.com/pistachiolead/pistachiolead/placement"
 	"github.com/pistachiolead/pistachiolead/queue"
 )
@@ -58,17 +59,6 @@
 	}
 }
 
-// Confidence says how sure an expected start is.
-type Confidence string
-
-// Confidences. With ConfidenceNone, no start is expected.
-const (
-	ConfidenceNone   Confidence = "none"
-	ConfidenceLow    Confidence = "low"
-	ConfidenceMedium Confidence = "medium"
-	ConfidenceHigh   Confidence = "high"
-)
-
 // Explanation says what would become of a request that was submitted now, and why.
 type Explanation struct {
 	entryVM, zone string
@@ -80,7 +70,7 @@
 	position      queue.Position
 	team          TeamPlace
 	assessment    placement.Assessment
-	servers       []ServerGroup
+	servers       []explanation.Group
 	peers         []PeerPlace
 	start         ExpectedStart
 }
@@ -118,7 +108,7 @@
 func (e Explanation) Team() TeamPlace { return e.team }
 
 // Servers returns the listed backend servers, grouped by why they don't start the task. Those that may are first.
-func (e Explanation) Servers() []ServerGroup { return e.servers }
+func (e Explanation) Servers() []explanation.Group { return e.servers }
 
 // Peers returns the other live entry VMs, sorted by id.
 func (e Explanation) Peers() []PeerPlace { return e.peers }
@@ -160,18 +150,6 @@
 // limitReached reports whether the team has as many tasks running as its limit allows, as far as is known here.
 func (t TeamPlace) limitReached() bool { return t.running+t.elsewhere >= t.limit }
 
-// ServerGroup is the backend servers with the same exclusion.
-type ServerGroup struct {
-	exclusion Exclusion
-	servers   []string
-}
-
-// Exclusion returns why the servers don't start the task, ExclusionNone if they may.
-func (g ServerGroup) Exclusion() Exclusion { return g.exclusion }
-
-// Servers returns the ids, sorted.
-func (g ServerGroup) Servers() []string { return g.servers }
-
 // PeerPlace is what another entry VM last told of the pool.
 type PeerPlace struct {
 	id        string
@@ -191,7 +169,7 @@
 // ExpectedStart is when a request is expected to start.
 type ExpectedStart struct {
 	after      time.Duration
-	confidence Confidence
+	confidence explanation.Confidence
 	basis      string
 }
 
@@ -199,9 +177,9 @@
 func (s ExpectedStart) After() time.Duration { return s.after }
 
 // Confidence returns how sure the start is.
-func (s ExpectedStart) Confidence() Confidence {
+func (s ExpectedStart) Confidence() explanation.Confidence {
 	if s.confidence == "" {
-		return ConfidenceNone
+		return explanation.ConfidenceNone
 	}
 	return s.confidence
 }
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -1,10 +1,10 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/pistachiolead/pistachiolead/explanation"
 	"github.com/pistachiolead/pistachiolead/schedule"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
@@ -50,24 +50,9 @@
 	Steps []StepExplanation
 	// StartsAfter is the expected time until the first task starts, Confidence how sure that is.
 	StartsAfter time.Duration
-	Confidence  Confidence
+	Confidence  explanation.Confidence
 }
 
-// Confidence says how sure an expected start is.
-type Confidence string
-
-// Confidences.
-const (
-	// ConfidenceNone is for a job of which no task fits on a server now, while no wait is forecast.
-	ConfidenceNone Confidence = "none"
-	// ConfidenceLow is for the least wait by the forecast.
-	ConfidenceLow Confidence = "low"
-	// ConfidenceMedium is for a task that fits on a server now, while other jobs go first.
-	ConfidenceMedium Confidence = "medium"
-	// ConfidenceHigh is for a task that starts now.
-	ConfidenceHigh Confidence = "high"
-)
-
 // StepExplanation is what would become of a step of a job.
 type StepExplanation struct {
 	Step, Tasks int
@@ -76,13 +61,7 @@
 	// NeedsTicket says that a server needs a ticket of the recommendation service, which is called once the job has arrived.
 	NeedsTicket bool
 	// Servers are all known servers, grouped by why they don't start a task now, those that may start one first.
-	Servers []ServerGroup
-}
-
-// ServerGroup is the servers with the same exclusion, by their ids.
-type ServerGroup struct {
-	Exclusion Exclusion
-	Servers   []string
+	Servers []explanation.Group
 }
 
 // explain returns what would become of a job that arrived now. It calls the functions that decide, for a job that isn't added.
@@ -122,16 +101,16 @@
 // expectStart sets when the first task is expected to start.
 func (s *State) expectStart(e *Explanation, j *job, now time.Time) {
 	if slices.ContainsFunc(e.Steps, func(st StepExplanation) bool { return st.Startable > 0 }) {
-		e.Confidence = ConfidenceHigh
+		e.Confidence = explanation.ConfidenceHigh
 		if e.Ahead > 0 {
-			e.Confidence = ConfidenceMedium
+			e.Confidence = explanation.ConfidenceMedium
 		}
 		return
 	}
-	e.Confidence = ConfidenceNone
+	e.Confidence = explanation.ConfidenceNone
 	if w, known := s.waits[e.Pool]; known {
 		if wait, _ := w.For(j.spec, now.Sub(s.forecastAt)); wait > 0 {
-			e.StartsAfter, e.Confidence = wait, ConfidenceLow
+			e.StartsAfter, e.Confidence = wait, explanation.ConfidenceLow
 		}
 	}
 }
@@ -190,7 +169,7 @@
 	for i, v := range p.servers {
 		index[v] = i
 	}
-	groups := make(map[Exclusion][]string)
+	byReason := make(map[string][]string)
 	for _, v := range s.allServers() {
 		x := s.exclusionOf(v, pool, now)
 		if i, inService := index[v]; inService {
@@ -199,9 +178,9 @@
 		if x == ExclusionNone && !s.withinLimit(st.tasks[0], 1) {
 			x = ExclusionLimit
 		}
-		groups[x] = append(groups[x], v.id)
+		byReason[string(x)] = append(byReason[string(x)], v.id)
 	}
-	e.Servers = sortGroups(groups)
+	e.Servers = explanation.Groups(byReason)
 	for i := range p.views {
 		p.views[i].Excluded = false // tickets are requested once the job has arrived
 	}
@@ -275,21 +254,3 @@
 	}
 	return ExclusionUnresponsive
 }
-
-// sortGroups returns the groups, the largest first after the servers that may start a task.
-func sortGroups(groups map[Exclusion][]string) []ServerGroup {
-	var sorted []ServerGroup
-	for x, servers := range groups {
-		sorted = append(sorted, ServerGroup{Exclusion: x, Servers: servers})
-	}
-	slices.SortFunc(sorted, func(a, b ServerGroup) int {
-		if first := a.Exclusion == ExclusionNone; first != (b.Exclusion == ExclusionNone) {
-			if first {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(len(b.Servers)-len(a.Servers), cmp.Compare(a.Exclusion, b.Exclusion))
-	})
-	return sorted
-}
--- a/fleet/explain_test.go
+++ b/fleet/explain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/directory"
+	"github.com/pistachiolead/pistachiolead/explanation"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/workload"
 )
@@ -60,19 +61,19 @@
 		}
 		job := r.job(99, step, workload.StepOptions{Count: 1, MilliCores: 100, DeclaredDurationMS: 1000, After: []int{0}})
 		e := r.explain(job)
-		assert.DeepEqual(t, r.explain(job), e)
+		assert.Equal(t, fmt.Sprint(r.explain(job)), fmt.Sprint(e))
 		r.handle(fleet.JobArrived{Job: job})
 		starts := r.starts()
 		assert.Assert(t, len(e.Steps) == 1 && e.Pool == "press", "%d: %+v", seed, e)
 		if e.Ahead == 0 {
 			assert.Equal(t, e.Steps[0].Startable, len(starts), "%d: %+v", seed, e)
 		}
-		assert.Equal(t, e.Confidence != fleet.ConfidenceNone, e.Steps[0].Startable > 0)
+		assert.Equal(t, e.Confidence != explanation.ConfidenceNone, e.Steps[0].Startable > 0)
 		var listed, mayStart []string
 		for _, g := range e.Steps[0].Servers {
-			listed = append(listed, g.Servers...)
-			if g.Exclusion == fleet.ExclusionNone {
-				mayStart = g.Servers
+			listed = append(listed, g.Servers()...)
+			if g.MayStart() {
+				mayStart = g.Servers()
 			}
 		}
 		assert.Equal(t, len(listed), servers)
@@ -119,6 +120,8 @@
 		st := step
 		change(r, &st)
 		groups := r.explain(r.job(99, st)).Steps[0].Servers
-		assert.DeepEqual(t, groups, []fleet.ServerGroup{{Exclusion: want, Servers: []string{"i-1"}}})
+		assert.Equal(t, len(groups), 1)
+		assert.Equal(t, groups[0].Reason(), string(want))
+		assert.DeepEqual(t, groups[0].Servers(), []string{"i-1"})
 	}
 }
