Lower the confidence of a start on the last free slots of another entry VM

These may be reserved for urgent work. Seen by hand with pistachiolead local: a job was told to start at once at an entry VM whose only free slot was reserved.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiolead/pistachiolead/catalogue"
 	"github.com/pistachiolead/pistachiolead/explanation"
 	"github.com/pistachiolead/pistachiolead/placement"
 )
@@ -139,9 +140,16 @@
 		if e.team.limitReached() {
 			return ExpectedStart{basis: basisLimitReached}
 		}
-		if p, ok := s.peers[e.peer]; ok && p.freeSlots(w.pool, s.now) > 0 {
-			return ExpectedStart{confidence: explanation.ConfidenceMedium, basis: fmt.Sprintf("%s had %d free slots in the pool %s ago",
+		p, ok := s.peers[e.peer]
+		if ok && p.freeSlots(w.pool, s.now) > 0 {
+			start := ExpectedStart{confidence: explanation.ConfidenceMedium, basis: fmt.Sprintf(
+				"%s had %d free slots in the pool %s ago",
 				e.peer, p.freeSlots(w.pool, s.now), s.now.Sub(p.receivedAt).Round(time.Millisecond))}
+			if w.class != catalogue.ClassUrgent && p.freeSlots(w.pool, s.now) <= max(w.shape.Slots(), 1) {
+				start.confidence = explanation.ConfidenceLow
+				start.basis += ", which may be reserved for urgent work"
+			}
+			return start
 		}
 		return ExpectedStart{basis: fmt.Sprintf("%s owns backend servers of the pool; ask it", e.peer)}
 	case DecisionAwaitOwner:
