Count the leases of earlier controllers in the term row

While the store is slow, leases are long. A leader that took over then named in its first renewal only the leases that it granted itself. If it was killed within a second, the next one didn't wait for a long lease that the first one had granted to a server that only it reached, and started the server's tasks before the lease ended. What earlier controllers granted now counts as granted when the term begins.

TestRunOutlastsLeaseOfControllerBeforePrevious failed first with "started on i-2 291.224489ms before the lease ended". It passes, as do the tests of fleet on leases, terms, takeovers, returned and restored servers.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -203,7 +203,7 @@
 	return LongLease
 }
 
-// leaseBound returns an upper bound of the remaining time of all leases granted so far.
+// leaseBound returns an upper bound of the remaining time of all leases granted so far, by earlier controllers as well.
 func (s *State) leaseBound(now time.Time) time.Duration {
 	if now.Sub(s.longLeaseGrantedAt) > LongLease-ShortLease {
 		return ShortLease
--- a/fleet/rig_test.go
+++ b/fleet/rig_test.go
@@ -34,6 +34,8 @@
 	scope        tally.Scope           // receives the metrics; may be nil
 	measurements map[backend.Run]int64 // reported tail latencies in milliseconds
 
+	previousLease time.Duration // fleet.State.PreviousLease
+
 	recommendation *backend.Recommendation // of the queue
 	copyPercent    int                     // fleet.State.CopyPercent
 }
@@ -67,7 +69,7 @@
 		EntryVM: r.entryVM, Token: token, Scope: r.scope, TermRequestedAt: r.now,
 		Term:          fleet.Term{Holder: r.entryVM, DurationMS: 2500}.WithVersion(token),
 		HandoverPause: 3 * time.Second, MaintenanceTime: 2 * time.Second, MoveTime: time.Second,
-		CopyPercent: r.copyPercent,
+		CopyPercent: r.copyPercent, PreviousLease: r.previousLease,
 	}
 	r.state.Begin(r.now)
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -166,6 +166,9 @@
 		s.MaxLease = defaultMaxLease
 	}
 	s.began, s.restored = now, !s.AwaitRestore
+	if s.PreviousLease > ShortLease {
+		s.longLeaseGrantedAt = now // the next controller doesn't read the previous one's row
+	}
 	s.evacuatedZones = make(map[string]bool)
 	s.jobs = make(map[string]*job)
 	s.earlyCancels = make(map[string]bool)
