Reserve one server for each step that waits for an isolated run

Five tasks that may run on one server with their label, and one that any server may run, still took up to half of a pool from other jobs, for as long as the one waited. Now each waiting step gets a server that may run it, by its label, its size and its number of tasks per server. What was reserved for isolated runs that have ended since the pass before stays.

TestOneServerIsReservedForEachIsolatedRunThatMayUseIt failed first with "4 (int) != 7 (int)". It passes, as do TestNoServersAreReservedForIsolatedRunsThatTheyMayNotRun and the tests of fleet on isolation, crashes, lacks and labels (20 plays of each model).

--- a/fleet/isolation.go
+++ b/fleet/isolation.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -37,24 +39,41 @@
 }
 
 // reserveServers reserves up to n servers for isolated runs, those with the fewest runs. Without it other jobs would fill each server that
-// becomes free, while jobs that may crash servers wait for one without starting runs. If tasks wait already, their requirements are given,
-// and the servers satisfy one of them.
-func (p *placementPool) reserveServers(n int, needs []requirement) {
+// becomes free, while jobs that may crash servers wait for one without starting runs. If tasks wait already, their steps are given, and each
+// gets a server that may run it. The rest is for runs that were isolated in the pass before and have ended since.
+func (p *placementPool) reserveServers(n int, waiting []*step) {
+	ended := n - len(waiting)
 	n = min(n, len(p.servers)/2)
 	if n <= 0 {
 		return
 	}
 	byRuns := make([]int, 0, len(p.servers))
 	for i, v := range p.servers {
-		satisfies := func(r requirement) bool { return r.satisfiedBy(v.reg.Kind, v.reg.Rack, v.reg.Capacity) }
-		if !v.hasLongRunning() && (len(needs) == 0 || slices.ContainsFunc(needs, satisfies)) {
+		if !v.hasLongRunning() {
 			byRuns = append(byRuns, i)
 		}
 	}
 	slices.SortStableFunc(byRuns, func(a, b int) int { return len(p.servers[a].attempts) - len(p.servers[b].attempts) })
-	for _, i := range byRuns[:min(n, len(byRuns))] {
-		p.isolation.reserved[i] = p.views[i].Free
-		p.views[i].Free = workload.Resources{}
+	reserve := func(mayRun func(i int) bool) {
+		if n == len(p.isolation.reserved) {
+			return
+		}
+		if k := slices.IndexFunc(byRuns, mayRun); k >= 0 {
+			i := byRuns[k]
+			byRuns = slices.Delete(byRuns, k, k+1)
+			p.isolation.reserved[i] = p.views[i].Free
+			p.views[i].Free = workload.Resources{}
+		}
+	}
+	for _, st := range waiting {
+		reserve(func(i int) bool {
+			view := p.views[i]
+			view.SameStepRuns = p.servers[i].runsOf(st)
+			return schedule.MayRun(st.spec, &view)
+		})
+	}
+	for range ended {
+		reserve(func(int) bool { return true })
 	}
 }
 
@@ -84,15 +103,11 @@
 	return max(1, int(isolationShare*float64(len(p.servers)+p.isolation.count)))
 }
 
-// isolationNeeds returns what the tasks that wait for isolated runs require.
-func (p *placementPool) isolationNeeds() []requirement {
-	var needs []requirement
-	for _, st := range p.isolation.waiting {
-		if r := st.requirement(); !slices.Contains(needs, r) {
-			needs = append(needs, r)
-		}
-	}
-	return needs
+// waitingSteps returns the steps of the tasks that wait for isolated runs, in the order of their jobs' ids.
+func (p *placementPool) waitingSteps() []*step {
+	return slices.SortedFunc(maps.Values(p.isolation.waiting), func(a, b *step) int {
+		return strings.Compare(a.tasks[0].job.spec.ID(), b.tasks[0].job.spec.ID())
+	})
 }
 
 // isolatedServers returns the number of servers that isolated runs have or need.
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -59,7 +59,7 @@
 	budget := maxIntentsPerPass
 	for name, p := range pools {
 		s.overLimit[name], s.longRunningShortage[name], s.lacks[name] = 0, 0, nil
-		p.reserveServers(s.isolatedServers[name]-p.isolation.count, s.isolationNeeds[name])
+		p.reserveServers(s.isolatedServers[name]-p.isolation.count, s.isolationWaiting[name])
 		candidates := make([]schedule.Candidate, 0, len(p.jobs))
 		for _, j := range p.jobs {
 			candidates = append(candidates, s.candidate(j, s.serverCapacity(name), now))
@@ -73,7 +73,7 @@
 		}
 		budget -= s.placeRemainingIsolated(candidates, p, now)
 		s.placeCopies(p, name, now)
-		s.isolatedServers[name], s.isolationNeeds[name] = p.isolatedServers(), p.isolationNeeds()
+		s.isolatedServers[name], s.isolationWaiting[name] = p.isolatedServers(), p.waitingSteps()
 	}
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -84,8 +84,8 @@
 	losses           losses
 	crashHistory     crashHistory
 	crashAlertUntil  time.Time
-	isolatedServers  map[string]int           // servers that isolated runs have or need, by pool
-	isolationNeeds   map[string][]requirement // of tasks that wait for isolated runs, by pool
+	isolatedServers  map[string]int     // servers that isolated runs have or need, by pool
+	isolationWaiting map[string][]*step // steps of tasks that wait for isolated runs, by pool
 	waves            map[string]*wave
 	abandoned        map[string]abandonedRequest // by VM
 	maintenanceDue   map[string]bool             // VMs of a wave whose maintenance hasn't begun
@@ -184,7 +184,7 @@
 	s.customerUsage = make(map[string]workload.Resources)
 	s.entitlements = make(map[string]*entitlement)
 	s.poolCapacity = make(map[string]workload.Resources)
-	s.losses, s.isolatedServers, s.isolationNeeds = make(losses), make(map[string]int), make(map[string][]requirement)
+	s.losses, s.isolatedServers, s.isolationWaiting = make(losses), make(map[string]int), make(map[string][]*step)
 	s.formerServers, s.lateStarts = make(map[string]formerServer), make(map[string]lateStarts)
 	s.latestOnVM = make(map[string]backend.Registration)
 	s.crashHistory = crashHistory{unrest: make(map[string]time.Time), rates: make(map[string]*crashRate)}
