--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -16,8 +16,13 @@
 func (b *testbed) check() {
 	timer.Wait(b.ctx, clock, 4*time.Second) // requests time out, and processes that received SIGTERM end
 	b.resume()
-	b.eventually("all accepted jobs have ended, or run for long", jobEndTimeout, func() bool { return len(b.unfinishedJobs()) == 0 })
-	b.t.Logf("seed %d: %d jobs submitted, %d stored, %d with progress", b.seed, len(b.jobs), b.store.Count("jobs"), b.store.Count("progress"))
+	b.losses.calmSince, b.losses.waitingSince = clock.Now(), make(map[string]time.Time)
+	b.eventually("all accepted jobs have ended, or run for long", jobEndTimeout, func() bool {
+		b.checkWaits()
+		return len(b.unfinishedJobs()) == 0
+	})
+	b.t.Logf("seed %d: %d jobs submitted, %d stored, %d with progress, %d servers lost, %d leaders signalled",
+		b.seed, len(b.jobs), b.store.Count("jobs"), b.store.Count("progress"), len(b.losses.servers), b.losses.signals)
 	b.cancelLongRunningJobs()
 	b.mu.Lock()
 	for id, result := range b.jobs {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,7 +79,7 @@
 			if len(all) > 1 {
 				t.Parallel()
 			}
-			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3)), returns: rand.New(rand.NewPCG(s, 4)), stalls: rand.New(rand.NewPCG(s, 5))}).run()
+			(&testbed{t: t, binary: binary, seed: s, random: rand.New(rand.NewPCG(s, 1)), sizes: rand.New(rand.NewPCG(s, 2)), operations: rand.New(rand.NewPCG(s, 3)), returns: rand.New(rand.NewPCG(s, 4)), stalls: rand.New(rand.NewPCG(s, 5)), losses: losses{random: rand.New(rand.NewPCG(s, 6))}}).run()
 		})
 	}
 }
@@ -94,6 +94,7 @@
 	returns       *rand.Rand // of the servers that return under their ids
 	operations    *rand.Rand // of the requests of operators
 	stalls        *rand.Rand // of the connections that fall silent in mid-message
+	losses        losses     // of servers
 	store         *emulator.Store
 	platform      *emulator.Platform
 	observer      *emulator.Observer
@@ -154,6 +155,7 @@
 		if n%4 == 0 {
 			b.injectFault()
 		}
+		b.injectPlanned()
 		timer.Wait(b.ctx, clock, time.Duration(20+b.random.IntN(80))*time.Millisecond)
 	}
 	b.clearFaults()
@@ -352,6 +354,7 @@
 	b.restartFaultyServer()
 	b.returnAndCutOff()
 	b.stallConnections(v)
+	b.loseServer()
 	switch b.random.IntN(11) {
 	case 0:
 		b.kill(v)
