--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -87,7 +87,7 @@
 			p.addInService(v)
 		}
 	}
-	p.reserveServers(s.isolatedServers[name]-p.isolation.count, s.isolationNeeds[name])
+	p.reserveServers(s.isolatedServers[name]-p.isolation.count, s.isolationWaiting[name])
 	s.countAhead(&e, j, p, now)
 	for number := range spec.Steps() {
 		if st := j.steps[[2]int{0, number}]; j.dependenciesDone(0, st) {
