Refuse jobs that are too late behind their own customer's excess, also after a hand-over

Cause: the forecast left out all jobs beyond their customer's weight, so that a customer's excess was accepted though it surely ended too late.

Change: jobs beyond a weight count for new jobs of the same customer only, behind what all submit within their weight. What is left of each weight, how many open jobs are beyond it, and what tasks of a pool have taken of their declared durations are stored in the term row, from which the next leader goes on; runs of an earlier leader count by the progress in their reports. The forecast rests on durations that tasks had: it refuses nothing in a pool in which fewer than 20 have ended. Jobs beyond a weight that can't meet their hard deadline go last; before, they went first among their kind (TestExpiredExcessGoesLast on: "01234 != 34012").

TestForecastIsBounded and TestForecastLeavesOutWorkThatDelaysNoOther first let some jobs end, as there is no forecast before; their checks are the same, and the second would hold for no reason otherwise.

--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -20,6 +20,8 @@
 	// maxForecastPools bounds the pools in the term row, which all entry VMs read several times a second. A pool takes at most
 	// 24 steps of some 20 bytes.
 	maxForecastPools = 64
+	// maxExcessForecasts bounds the customers in the term row whose jobs beyond their weight wait.
+	maxExcessForecasts = 32
 )
 
 // Wait is the least time that new jobs of a pool wait, as the term row holds it. Each step gives the latest start in
@@ -31,42 +33,76 @@
 	Priority int `json:"priority,omitempty"`
 	// Customers are those whose jobs wait, or nil if those of all do.
 	Customers []string   `json:"customers,omitempty"`
-	OnTime    [][3]int64 `json:"on-time"`
-	Late      [][3]int64 `json:"late"`
+	OnTime    [][3]int64 `json:"on-time,omitempty"`
+	Late      [][3]int64 `json:"late,omitempty"`
+	// Excess holds the waits of new jobs that are beyond the weight of their customer, by customer.
+	Excess map[string]ExcessWait `json:"excess,omitempty"`
 }
 
-func newWait(f schedule.Forecast, r resource) Wait {
-	w := Wait{Memory: r == memory, Priority: f.Priority, Customers: f.Customers}
-	for _, s := range f.OnTime {
-		w.OnTime = append(w.OnTime, encodeWaitStep(s))
+// ExcessWait is the least time that new jobs of a customer wait while it has used up its weight.
+type ExcessWait struct {
+	Priority int `json:"priority,omitempty"`
+	// NextMS is after how many milliseconds the customer may submit a job within its weight again.
+	NextMS int64      `json:"next-ms"`
+	Late   [][3]int64 `json:"late"`
+}
+
+func (s *State) newWait(f schedule.Forecast, r resource) Wait {
+	w := Wait{
+		Memory: r == memory, Priority: f.Priority, Customers: f.Customers, OnTime: encodeWaitSteps(f.OnTime), Late: encodeWaitSteps(f.Late),
 	}
-	for _, s := range f.Late {
-		w.Late = append(w.Late, encodeWaitStep(s))
+	for _, e := range f.Excess {
+		weight, entitled := s.customerWeight(e.Customer), s.entitlements[e.Customer]
+		if weight <= 0 || entitled == nil || entitled.jobs >= 1 {
+			continue
+		}
+		if w.Excess == nil {
+			w.Excess = make(map[string]ExcessWait)
+		}
+		w.Excess[e.Customer] = ExcessWait{
+			Priority: e.Priority, NextMS: entitled.untilNext(weight).Milliseconds(), Late: encodeWaitSteps(e.Late),
+		}
 	}
 	return w
 }
 
+func encodeWaitSteps(steps []schedule.WaitStep) [][3]int64 {
+	var encoded [][3]int64
+	for _, s := range steps {
+		encoded = append(encoded, encodeWaitStep(s))
+	}
+	return encoded
+}
+
 // encodeWaitStep rounds a step so that it holds for no more jobs, and tells no longer wait.
 func encodeWaitStep(s schedule.WaitStep) [3]int64 {
 	return [3]int64{(s.LatestStart + time.Millisecond - 1).Milliseconds(), int64(s.Work) + 1, s.Wait.Milliseconds()}
 }
 
-// For returns the least time that a new job waits, age after the forecast, and whether it would then end after its hard deadline. The
-// servers with a label that it requires may be idle while those of its pool are busy.
-func (w Wait) For(j *workload.Job, age time.Duration) (wait time.Duration, late bool) {
-	if j.Scheduled() || j.LongRunning() || j.RequiresLabel() || j.Objective() <= 0 || j.Priority() < w.Priority ||
-		(len(w.Customers) > 0 && !slices.Contains(w.Customers, j.Customer())) {
+// For returns the least time that a new job waits, age after the forecast was read and at most age and lag after it was made, and
+// whether it would then end after its hard deadline. The servers with a label that it requires may be idle while those of its pool
+// are busy.
+func (w Wait) For(j *workload.Job, age, lag time.Duration) (wait time.Duration, late bool) {
+	if j.Scheduled() || j.LongRunning() || j.RequiresLabel() || j.Objective() <= 0 {
 		return 0, false
 	}
 	r := processor
 	if w.Memory {
 		r = memory
 	}
-	work := r.workOf(j)
-	if _, late := leastWait(w.OnTime, j.Objective()-j.CriticalPath(), work, age); !late {
-		return 0, false
+	work, latestStart := r.workOf(j), schedule.HardDeadline(j.Objective())-j.CriticalPath()
+	if j.Priority() >= w.Priority && (len(w.Customers) == 0 || slices.Contains(w.Customers, j.Customer())) {
+		if _, late := leastWait(w.OnTime, j.Objective()-j.CriticalPath(), work, age+lag); late {
+			if wait, late := leastWait(w.Late, latestStart, work, age+lag); late {
+				return wait, true
+			}
+		}
+	}
+	// The lag isn't added to the age here: what the customer may submit during it is taken by others of its jobs.
+	if e, exceeded := w.Excess[j.Customer()]; exceeded && j.Priority() >= e.Priority && age.Milliseconds() < e.NextMS {
+		return leastWait(e.Late, latestStart, work, age+lag)
 	}
-	return leastWait(w.Late, schedule.HardDeadline(j.Objective())-j.CriticalPath(), work, age)
+	return 0, false
 }
 
 // leastWait returns the longest wait by the steps that hold for a job, and whether it is longer than until the latest start.
@@ -114,6 +150,11 @@
 		return
 	}
 	s.forecastAt = now
+	for customer, e := range s.entitlements {
+		if weight := s.customerWeight(customer); weight > 0 {
+			e.fill(weight, now)
+		}
+	}
 	before := s.waits
 	s.waits = nil
 	if s.jobsRead && len(s.unreadCancels) == 0 && hasPendingWork(pools) {
@@ -146,8 +187,9 @@
 	waits := make(map[string]Wait)
 	for _, r := range []resource{processor, memory} {
 		for _, f := range schedule.ForecastWaits(s.backlogs(pools, r, now), now) {
-			if wait := f.LongestWait(); wait > longest[f.Pool] {
-				longest[f.Pool], waits[f.Pool] = wait, newWait(f, r)
+			wait := f.LongestWait()
+			if w := s.newWait(f, r); wait > longest[f.Pool] || (longest[f.Pool] == 0 && len(w.Excess) > len(waits[f.Pool].Excess)) {
+				longest[f.Pool], waits[f.Pool] = wait, w
 			}
 		}
 	}
@@ -157,6 +199,14 @@
 	for _, name := range names[min(maxForecastPools, len(names)):] {
 		delete(waits, name)
 	}
+	excess := 0
+	for _, name := range names[:min(maxForecastPools, len(names))] {
+		w := waits[name]
+		if excess += len(w.Excess); excess > maxExcessForecasts {
+			w.Excess = nil
+			waits[name] = w
+		}
+	}
 	return waits
 }
 
@@ -188,11 +238,11 @@
 	usage := make(customerWork)
 	for _, j := range s.jobsByDeadline() {
 		b, known := byName[s.poolOf(j)]
-		if !known || s.recommendation(j) != nil || now.Before(j.heldUntil) || j.beyondWeight {
+		if !known || s.recommendation(j) != nil || now.Before(j.heldUntil) {
 			continue
 		}
 		c := s.candidate(j, s.serverCapacity(b.Pool), now)
-		c.Work = j.workAhead(r, largest, now)
+		c.Work = s.durations[b.Pool].share() * j.workAhead(r, largest, now)
 		if c.Work > 0 && s.withinCustomerLimit(j, c.Work, r, usage, now) {
 			b.Jobs = append(b.Jobs, c)
 		}
@@ -219,7 +269,7 @@
 
 func (j *job) hardDeadline() time.Time { return j.submitted.Add(schedule.HardDeadline(j.objective)) }
 
-// workAhead returns the work of a job that new jobs certainly wait behind: what is left of its runs and pending tasks by their
+// workAhead returns the work of a job that new jobs wait behind: what is left of its runs and pending tasks by their
 // declared durations, without steps that other jobs don't wait for, as these need certain servers or fit on none.
 func (j *job) workAhead(r resource, largest workload.Resources, now time.Time) float64 {
 	total := 0.0
@@ -234,7 +284,11 @@
 			if st.unassigned < st.remaining {
 				for _, t := range st.tasks {
 					if len(t.attempts) > 0 && !t.record.Done {
-						left -= min(max(now.Sub(t.attempts[0].startedAt), 0), declared)
+						done := declared // unless its server has told otherwise
+						if a := t.attempts[0]; a.phase != restored {
+							done = min(a.ran(now), declared)
+						}
+						left -= done
 					}
 				}
 			}
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -40,8 +40,12 @@
 }
 
 func newAdmission(refuses bool) *admission {
+	return newAdmissionOf(admissionServers, admissionPools, refuses)
+}
+
+func newAdmissionOf(servers, pools int, refuses bool) *admission {
 	a := &admission{
-		simulation: newSimulation(admissionServers, admissionPools), refuses: refuses,
+		simulation: newSimulation(servers, pools), refuses: refuses,
 		objectives: make(map[string]time.Duration), refused: make(map[string]bool), refusedBySingleWait: make(map[string]bool),
 	}
 	a.onStore = func(key string, value []byte) {
@@ -121,6 +125,15 @@
 	return fmt.Sprintf("%d within the objective, %d late, %d after the hard deadline", e.inTime, e.late, e.tooLate)
 }
 
+func (e ends) plus(o ends) ends {
+	return ends{e.inTime + o.inTime, e.late + o.late, e.tooLate + o.tooLate}
+}
+
+// deadlineShare returns the share of the jobs that ended by their hard deadline.
+func (e ends) deadlineShare() float64 {
+	return float64(e.inTime+e.late) / float64(e.inTime+e.late+e.tooLate)
+}
+
 // ends returns when the accepted jobs that match ended. A nil function matches all.
 func (a *admission) ends(match map[string]bool) ends {
 	var e ends
@@ -208,6 +221,10 @@
 	} {
 		a := newAdmission(false)
 		a.state.Handle(fleet.JobsRead{}, a.now)
+		for n := range 3 { // whose durations confirm the declared ones
+			a.submit(10_000+n, 0)
+		}
+		a.advance(5 * time.Second)
 		for n := range 2000 {
 			a.submitJob(n+1, 0, "", steps)
 		}
@@ -229,6 +246,10 @@
 		}
 	}
 	sm.advance(3 * time.Second)
+	for n := range pools * 2 { // whose durations confirm the declared ones
+		sm.submit(10_000+n, n%pools)
+	}
+	sm.advance(6 * time.Second)
 	for n := range pools * 60 {
 		sm.submit(n+1, n%pools)
 	}
--- a/fleet/weights_test.go
+++ b/fleet/weights_test.go
@@ -24,14 +24,11 @@
 func runHotCustomer(factor float64, ignoreWeights bool) (inTime, jobs int) {
 	sm := newSimulation(12, 1)
 	sm.state.IgnoreWeights = ignoreWeights
-	var customers []directory.Customer
-	for n := range weightedCustomers {
-		customers = append(customers, directory.Customer{Name: fmt.Sprint("customer-", n), Weight: usualRate * 1.5})
+	customers := make([]directory.Customer, weightedCustomers)
+	for n := range customers {
+		customers[n] = directory.Customer{Name: fmt.Sprint("customer-", n), Weight: usualRate * 1.5}
 	}
-	sm.state.Handle(fleet.OperationArrived{Operation: directory.ConfigurationPublished{Snapshot: directory.NewSnapshot(
-		2, []directory.Queue{{Name: "pool-0", Pool: "pool-0", MaxAttempts: 3}}, customers,
-		[]directory.Pool{{Name: "pool-0"}, {Name: sparePool, Spare: true}}, 0,
-	)}}, sm.now)
+	sm.state.Handle(fleet.OperationArrived{Operation: configurationWith(customers)}, sm.now)
 	sm.advance(time.Second)
 	const tick = 20 * time.Millisecond
 	began, due, number := sm.now, make([]float64, weightedCustomers), 0
@@ -62,6 +59,14 @@
 	return inTime, len(objectives)
 }
 
+// configurationWith returns a configuration of one queue with the given customers.
+func configurationWith(customers []directory.Customer) directory.Operation {
+	return directory.ConfigurationPublished{Snapshot: directory.NewSnapshot(
+		2, []directory.Queue{{Name: "pool-0", Pool: "pool-0", MaxAttempts: 3}}, customers,
+		[]directory.Pool{{Name: "pool-0"}, {Name: sparePool, Spare: true}}, 0,
+	)}
+}
+
 // submitFor submits a job of a customer, and returns its objective.
 func (sm *simulation) submitFor(customer string, n int) time.Duration {
 	job, err := workload.NewJob(workload.JobOptions{
@@ -74,7 +79,10 @@
 	if err != nil {
 		panic(err)
 	}
-	sm.submittedAt[job.ID()] = sm.now
+	if sm.admits != nil && !sm.admits(job) {
+		return job.Objective()
+	}
+	sm.jobs[job.ID()], sm.submittedAt[job.ID()] = job, sm.now
 	sm.state.Handle(fleet.JobArrived{Job: job}, sm.now)
 	return job.Objective()
 }
