--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -258,3 +258,36 @@
 	assert.Equal(t, len(stored.Waits), 64)
 	assert.Assert(t, size <= 64<<10)
 }
+
+// Guards against refusals by what a customer submitted beyond its weight: of other customers' jobs, of more urgent or smaller ones, and of
+// those that may come within the weight.
+func TestExcessWaitHoldsForJobsBeyondTheWeightOnly(t *testing.T) {
+	const lag = 500 * time.Millisecond
+	w := fleet.Wait{Excess: map[string]fleet.ExcessWait{
+		"hot": {Priority: 1, NextMS: 800, Late: [][3]int64{{5000, 2000, 60_000}}},
+	}}
+	for name, c := range map[string]struct {
+		customer   string
+		priority   int
+		milliCores int64
+		age        time.Duration
+		late       bool
+	}{
+		"beyond the weight":       {"hot", 1, 3000, 100 * time.Millisecond, true},
+		"within the weight again": {"hot", 1, 3000, 800 * time.Millisecond, false},
+		"other customer":          {"other", 1, 3000, 100 * time.Millisecond, false},
+		"more urgent":             {"hot", 0, 3000, 100 * time.Millisecond, false},
+		"small":                   {"hot", 1, 1000, 100 * time.Millisecond, false},
+	} {
+		job, err := workload.NewJob(workload.JobOptions{
+			ID: "0000000000000001", Queue: "q", Pool: "p", Customer: c.customer, Priority: c.priority, MaxAttempts: 3, Stretch: 2, SlackMS: 600,
+			Steps: []workload.StepOptions{{Count: 1, MilliCores: c.milliCores, MemoryMB: 100, DeclaredDurationMS: 1000}},
+		})
+		assert.NilError(t, err)
+		wait, late := w.For(job, c.age, lag)
+		assert.Equal(t, late, c.late, name)
+		if late {
+			assert.Equal(t, wait, time.Minute-c.age-lag, name)
+		}
+	}
+}
