Draw the share of a customer's jobs that is within its weight, and refuse while its excess is full

Cause: with a weight of 54 a second a place within it is free each 19 ms, and the jobs of all were accepted then; and steps by the latest start hold for narrow ranges of jobs only.

Change: the leader measures which share of a customer's jobs is within its weight, and stores it with the excess; entry VMs draw it by the ids of the jobs. While jobs of a customer's excess are dropped as they don't fit before their hard deadlines, a new one that isn't small is refused.

--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -42,9 +45,19 @@
 // ExcessWait is the least time that new jobs of a customer wait while it has used up its weight.
 type ExcessWait struct {
 	Priority int `json:"priority,omitempty"`
-	// NextMS is after how many milliseconds the customer may submit a job within its weight again.
-	NextMS int64      `json:"next-ms"`
-	Late   [][3]int64 `json:"late"`
+	// Permille is the share of the customer's jobs, in thousandths, that fits within its weight. The jobs of this share are drawn by
+	// their ids, anew when TurnMS changes, so that all entry VMs decide alike.
+	Permille int64      `json:"permille"`
+	TurnMS   int64      `json:"turn-ms"`
+	Late     [][3]int64 `json:"late"`
+}
+
+// beyondWeight reports whether a job isn't of the share that fits within the weight.
+func (e ExcessWait) beyondWeight(job string) bool {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(job))
+	_, _ = h.Write(strconv.AppendInt(nil, e.TurnMS, 10))
+	return int64(h.Sum64()>>32%1000) >= e.Permille
 }
 
 func (s *State) newWait(f schedule.Forecast, r resource) Wait {
@@ -53,14 +66,15 @@
 	}
 	for _, e := range f.Excess {
 		weight, entitled := s.customerWeight(e.Customer), s.entitlements[e.Customer]
-		if weight <= 0 || entitled == nil || entitled.jobs >= 1 {
+		if weight <= 0 || entitled == nil || entitled.unused(weight) {
 			continue
 		}
 		if w.Excess == nil {
 			w.Excess = make(map[string]ExcessWait)
 		}
 		w.Excess[e.Customer] = ExcessWait{
-			Priority: e.Priority, NextMS: entitled.untilNext(weight).Milliseconds(), Late: encodeWaitSteps(e.Late),
+			Priority: e.Priority, Permille: int64(math.Ceil(entitled.share * 1000)), TurnMS: entitled.shareAt.UnixMilli(),
+			Late: encodeWaitSteps(e.Late),
 		}
 	}
 	return w
@@ -79,10 +93,9 @@
 	return [3]int64{(s.LatestStart + time.Millisecond - 1).Milliseconds(), int64(s.Work) + 1, s.Wait.Milliseconds()}
 }
 
-// For returns the least time that a new job waits, age after the forecast was read and at most age and lag after it was made, and
-// whether it would then end after its hard deadline. The servers with a label that it requires may be idle while those of its pool
-// are busy.
-func (w Wait) For(j *workload.Job, age, lag time.Duration) (wait time.Duration, late bool) {
+// For returns the least time that a new job waits, age after the forecast, and whether it would then end after its hard deadline. The
+// servers with a label that it requires may be idle while those of its pool are busy.
+func (w Wait) For(j *workload.Job, age time.Duration) (wait time.Duration, late bool) {
 	if j.Scheduled() || j.LongRunning() || j.RequiresLabel() || j.Objective() <= 0 {
 		return 0, false
 	}
@@ -92,15 +105,14 @@
 	}
 	work, latestStart := r.workOf(j), schedule.HardDeadline(j.Objective())-j.CriticalPath()
 	if j.Priority() >= w.Priority && (len(w.Customers) == 0 || slices.Contains(w.Customers, j.Customer())) {
-		if _, late := leastWait(w.OnTime, j.Objective()-j.CriticalPath(), work, age+lag); late {
-			if wait, late := leastWait(w.Late, latestStart, work, age+lag); late {
+		if _, late := leastWait(w.OnTime, j.Objective()-j.CriticalPath(), work, age); late {
+			if wait, late := leastWait(w.Late, latestStart, work, age); late {
 				return wait, true
 			}
 		}
 	}
-	// The lag isn't added to the age here: what the customer may submit during it is taken by others of its jobs.
-	if e, exceeded := w.Excess[j.Customer()]; exceeded && j.Priority() >= e.Priority && age.Milliseconds() < e.NextMS {
-		return leastWait(e.Late, latestStart, work, age+lag)
+	if e, exceeded := w.Excess[j.Customer()]; exceeded && j.Priority() >= e.Priority && e.beyondWeight(j.ID()) {
+		return leastWait(e.Late, latestStart, work, age)
 	}
 	return 0, false
 }
@@ -153,6 +165,7 @@
 	for customer, e := range s.entitlements {
 		if weight := s.customerWeight(customer); weight > 0 {
 			e.fill(weight, now)
+			e.adjustShare(now)
 		}
 	}
 	before := s.waits
@@ -160,9 +173,22 @@
 	if s.jobsRead && len(s.unreadCancels) == 0 && hasPendingWork(pools) {
 		s.waits = s.forecast(pools, now)
 	}
+	for customer, e := range s.entitlements {
+		e.refuses = s.refusesExcess(customer)
+	}
 	s.logWaits(before)
 }
 
+// refusesExcess reports whether entry VMs refuse jobs of a customer that are beyond its weight.
+func (s *State) refusesExcess(customer string) bool {
+	for _, w := range s.waits {
+		if _, refuses := w.Excess[customer]; refuses {
+			return true
+		}
+	}
+	return false
+}
+
 // hasPendingWork reports whether a pool has more work in time than servers. Otherwise no job waits.
 func hasPendingWork(pools []schedule.Pool) bool {
 	return slices.ContainsFunc(pools, func(p schedule.Pool) bool { return p.Load+p.LateLoad > float64(len(p.Servers)) })
--- a/fleet/weights.go
+++ b/fleet/weights.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,13 @@
 	weightBurst = 5 * time.Second
 	// maxStoredEntitlements bounds the entitlements in the term row.
 	maxStoredEntitlements = 64
+	// The share of a customer's jobs that fits within its weight is measured for shareWindow, from shareDelay after its last change on:
+	// entry VMs know it by then.
+	shareDelay  = 900 * time.Millisecond
+	shareWindow = 600 * time.Millisecond
+	// minShare is the least share, and shareGrowth the factor by which it grows while the customer doesn't use its weight.
+	minShare    = 0.02
+	shareGrowth = 2
 )
 
 // Entitlement is how much of its weight a customer has left, as the term row holds it.
@@ -25,6 +33,8 @@
 	// Beyond is the number of its open jobs beyond its weight, and SinceMS when the first of them was accepted.
 	Beyond  int   `json:"beyond,omitempty"`
 	SinceMS int64 `json:"since-ms,omitempty"`
+	// Permille is the share of its jobs that fits within its weight, in thousandths.
+	Permille int64 `json:"permille,omitempty"`
 }
 
 // entitlement is a token bucket with the jobs that a customer may still submit within its weight, which is a rate in jobs a
@@ -34,6 +44,11 @@
 	at       time.Time
 	exceeded int // jobs beyond the weight since loggedAt
 	loggedAt time.Time
+
+	share             float64 // of the customer's jobs that fits within the weight, if entry VMs refuse the others
+	shareAt           time.Time
+	refuses           bool // entry VMs know the share and refuse the other jobs
+	submitted, beyond int  // jobs since shareAt and shareDelay, and those beyond the weight
 }
 
 func maxEntitled(weight float64) float64 { return max(weight*weightBurst.Seconds(), 1) }
@@ -55,9 +70,35 @@
 	return true
 }
 
-// untilNext returns the time until the customer may submit a job within its weight.
-func (e *entitlement) untilNext(weight float64) time.Duration {
-	return max(time.Duration((1-e.jobs)/weight*float64(time.Second)), 0)
+// unused reports whether the customer uses too little of its weight for any of its jobs to be beyond it.
+func (e *entitlement) unused(weight float64) bool { return e.jobs >= max(maxEntitled(weight)/2, 1) }
+
+// count counts a new job for the share.
+func (e *entitlement) count(beyond bool, now time.Time) {
+	if now.Sub(e.shareAt) < shareDelay {
+		return
+	}
+	e.submitted++
+	if beyond {
+		e.beyond++
+	}
+}
+
+// adjustShare adapts the share of the customer's jobs that fits within its weight. The jobs that entry VMs refuse don't arrive.
+func (e *entitlement) adjustShare(now time.Time) {
+	if now.Sub(e.shareAt) < shareDelay+shareWindow {
+		return
+	}
+	within := float64(e.submitted-e.beyond) / float64(max(e.submitted, 1))
+	switch {
+	case e.submitted == 0 || e.beyond == 0:
+		e.share = min(e.share*shareGrowth, 1)
+	case e.refuses:
+		e.share = max(e.share*within, minShare)
+	default:
+		e.share = max(within, minShare)
+	}
+	e.shareAt, e.submitted, e.beyond = now, 0, 0
 }
 
 // admit decides whether a new job is beyond its customer's weight. For jobs that were accepted before the term that is decided once
@@ -80,10 +121,12 @@
 	customer := j.spec.Customer()
 	e := s.entitlements[customer]
 	if e == nil {
-		e = &entitlement{jobs: maxEntitled(weight), at: at}
+		e = &entitlement{jobs: maxEntitled(weight), at: at, share: 1, shareAt: at}
 		s.entitlements[customer] = e
 	}
-	if e.take(weight, at) {
+	within := e.take(weight, at)
+	e.count(!within, at)
+	if within {
 		return false
 	}
 	s.counters.beyondWeight.Inc(1)
@@ -113,6 +156,7 @@
 	for customer, stored := range s.Term.Entitlements {
 		s.entitlements[customer] = &entitlement{
 			jobs: float64(stored.MilliJobs) / 1000, at: earlier(time.UnixMilli(stored.AtMS), now),
+			share: float64(stored.Permille) / 1000, shareAt: now,
 		}
 	}
 }
@@ -176,7 +220,9 @@
 			continue
 		}
 		e.fill(weight, now)
-		stored[customer] = Entitlement{MilliJobs: int64(e.jobs * 1000), AtMS: now.UnixMilli()}
+		stored[customer] = Entitlement{
+			MilliJobs: int64(e.jobs * 1000), AtMS: now.UnixMilli(), Permille: int64(math.Ceil(e.share * 1000)),
+		}
 		used[customer] = 1 - e.jobs/maxEntitled(weight)
 	}
 	for _, j := range s.jobs {
--- a/intake/admission.go
+++ b/intake/admission.go
@@ -46,7 +46,7 @@
 	if !waits || age > maxForecastAge {
 		return Lateness{}, false
 	}
-	wait, late := w.For(j, age, forecastLag)
+	wait, late := w.For(j, age+forecastLag)
 	return Lateness{
 		Wait: wait, Path: j.CriticalPath(), HardDeadline: schedule.HardDeadline(j.Objective()), Age: age,
 	}, late
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -162,6 +162,12 @@
 	for customer, excess := range byCustomer {
 		selected := selectJobs(excess, classBeyondWeight, hardDeadlineFactor, used, s, now)
 		f := ExcessForecast{Customer: customer, Late: waitSteps(selected, hardDeadlineFactor, used, s, now)}
+		if len(selected) > 0 && slices.ContainsFunc(excess, func(c Candidate) bool { return wasDropped(&c, now) }) {
+			// Any other job that isn't small would make one of the selected ones too late, or be too late itself.
+			step := stepsOfPrefix(selected, workOf(selected), used, s)[1]
+			step.Wait = s.timeFor(used + workOf(selected))
+			f.Late = append(slices.DeleteFunc(f.Late, func(o WaitStep) bool { return o.isCoveredBy(step) }), step)
+		}
 		for _, c := range selected {
 			f.Priority = max(f.Priority, c.Priority)
 		}
@@ -207,6 +213,11 @@
 	return slices.DeleteFunc(feasible, func(c *Candidate) bool { return c.class != to })
 }
 
+// wasDropped reports whether a job could meet the deadline that it was last selected for, but not together with those selected.
+func wasDropped(c *Candidate, now time.Time) bool {
+	return c.class == classUnselected && !now.After(c.latestStart)
+}
+
 // heaviestCustomers returns the customers with the most selected work for their weight, whose new jobs are dropped before those of
 // the others, or nil if the jobs have no weights.
 func heaviestCustomers(selected []*Candidate) []string {
