Poll a server as soon as its late starts can't be carried out any more

A late start ends by a report to a poll that was sent after its bound.

TestReportEndsLateStartAtOnce failed before: started again only 16.491s after the last request.

--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -204,6 +204,16 @@
 	s.counters.longestLateStart.Update(longest.Seconds())
 }
 
+// lateStartsLeft returns the time until the next report may end a late start of the server: 0 if one can't be carried out any more and
+// awaits just that report, or pollWait if there is none.
+func (v *server) lateStartsLeft(now time.Time) time.Duration {
+	left := pollWait
+	for _, l := range v.lateStarts {
+		left = min(left, max(l.until.Sub(now), 0))
+	}
+	return left
+}
+
 // endLateStarts releases the tasks whose late starts can't be carried out any more, and whose server doesn't run them.
 func (s *State) endLateStarts(now time.Time) {
 	for id, starts := range s.lateStarts {
--- a/fleet/latestarts_test.go
+++ b/fleet/latestarts_test.go
@@ -243,3 +243,42 @@
 	assert.Assert(t, after > 0, "the task wasn't started elsewhere")
 	assert.Assert(t, after < 7*time.Second, "started elsewhere only %s after the request", after)
 }
+
+// Guards against a task that waits for another poll of its server after its start request can't be carried out any more.
+func TestReportEndsLateStartAtOnce(t *testing.T) {
+	r := newHeldStartRig(t, workload.StepOptions{DeclaredDurationMS: 1000})
+	server := r.start.Target.ID
+	r.comeBack(server)
+	lastRequestAt := r.sentAt
+	answerAt := make(map[string]time.Time) // when a server responds to its poll
+	for r.now.Before(lastRequestAt.Add(maxRequestDelay + 3*time.Second)) {
+		r.advance(100 * time.Millisecond)
+		for id, poll := range r.openPolls {
+			if answerAt[id].IsZero() {
+				answerAt[id] = r.now.Add(poll.Request.MaxWait)
+			}
+			if !r.now.Before(answerAt[id]) {
+				delete(answerAt, id)
+				r.report(id, nil)
+			}
+		}
+		for _, e := range r.takeEffects() {
+			switch e := e.(type) {
+			case fleet.Stop:
+				r.handle(fleet.StopEnded{
+					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
+				})
+			case fleet.Start:
+				if e.Request.Run != r.start.Request.Run {
+					after := r.now.Sub(lastRequestAt)
+					assert.Assert(t, after > maxRequestDelay-200*time.Millisecond, "started again %s after the last request", after)
+					assert.Assert(t, after < maxRequestDelay+500*time.Millisecond, "started again only %s after the last request", after)
+					return
+				}
+				lastRequestAt = r.now
+				r.loseStartResponse(e)
+			}
+		}
+	}
+	t.Fatal("the task wasn't started again")
+}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -179,6 +179,7 @@
 		if v.failedPolls > 0 || v.startsOutlastRestart(now) {
 			request.AcknowledgedEnd = 0 // the server may have restarted, and its end numbers with it
 		}
+		request.MaxWait = min(request.MaxWait, v.lateStartsLeft(now))
 		v.pollToken = request.Token
 		if request.AcknowledgedEnd > 0 {
 			v.ackToken = request.Token
