Don't hold tasks for start requests that had a response

A repeated start held its task until 15 s after the latest request, also if that one was answered and only an earlier one may still be carried out.

TestAnsweredRepeatDoesNotHoldTask failed before: started again only 17.366s after the request without a response. TestRepeatedStartOutlastsLeaseOfItsServer counted the same bound from the answered request; it counts from the one without a response now, as strictly.

--- a/fleet/job.go
+++ b/fleet/job.go
@@ -111,6 +111,7 @@
 	ticketed          bool          // the start request holds a ticket, which the next incarnation refuses
 	answerStored      bool          // the stored record says that the server has started the run
 	startableUntil    time.Time     // when no start request can be carried out any more, or zero if none is outstanding
+	unansweredUntil   time.Time     // the same for the requests before the latest one
 	untilStored       bool          // the stored record says that, so it has to be stored again before a further request
 	earliestClock     time.Duration // the least that the server's clock shows at the start, unless the server has restarted
 	onNextIncarnation bool          // the server had restarted before the start, and its new incarnation isn't known yet
--- a/fleet/latestarts.go
+++ b/fleet/latestarts.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// startResponded records that the latest start request had a response, so that it isn't carried out any more. Earlier ones may be.
+func (a *attempt) startResponded() {
+	if a.repeated {
+		a.startableUntil = a.unansweredUntil
+	}
+	a.startAccountedFor()
+}
+
 // startOutlastsReports reports whether a request to start the run may have been carried out since the server's last report, by an
 // incarnation that isn't known yet, or may still be.
 func (a *attempt) startOutlastsReports() bool { return a.startableUntil.After(a.server.clockAfter) }
--- a/fleet/runs.go
+++ b/fleet/runs.go
@@ -41,6 +41,7 @@
 	v.extendExpiry()
 	a.inFlight, a.startSentAt, a.startToken = true, now, s.tokenFor(v)
 	a.startRequests++
+	a.unansweredUntil = a.startableUntil
 	if !a.ticketed {
 		a.startableUntil = now.Add(maxCallDelay)
 	}
@@ -98,7 +99,7 @@
 	switch o := e.Outcome.(type) {
 	case backend.Accepted:
 		a.accepted, a.task.job.begun = true, true
-		a.startAccountedFor()
+		a.startResponded()
 		if o.Clock > 0 && (o.Clock < a.earliestClock || o.Clock > v.latestClock(now)) {
 			a.onNextIncarnation, a.endsBy = true, s.lateStartExpiry(now)
 			s.markChanged(a.task.job)
@@ -144,7 +145,7 @@
 		a.endedThere = true
 	case backend.RefusedStaleToken, backend.RefusedOther:
 	}
-	a.startAccountedFor()
+	a.startResponded()
 	s.removeAttempt(a)
 }
 
