--- a/fleet/heldstarts_test.go
+++ b/fleet/heldstarts_test.go
@@ -234,9 +234,7 @@
 		for _, e := range r.takeEffects() {
 			switch e := e.(type) {
 			case fleet.Stop:
-				r.handle(fleet.StopEnded{
-					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
-				})
+				r.acceptStop(e)
 			case fleet.Start:
 				assert.Equal(t, e.Target.ID, server, "started elsewhere %s after the request", r.now.Sub(sentAt))
 				sentAt = r.now
@@ -265,9 +263,7 @@
 		for _, e := range r.takeEffects() {
 			switch e := e.(type) {
 			case fleet.Stop:
-				r.handle(fleet.StopEnded{
-					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
-				})
+				r.acceptStop(e)
 			case fleet.Start:
 				t.Fatalf("%v is requested %s after a held request for another task of the step", e.Request.Run, r.now.Sub(sentAt))
 			}
--- a/fleet/latestarts_test.go
+++ b/fleet/latestarts_test.go
@@ -52,9 +52,7 @@
 		for _, e := range r.takeEffects() {
 			switch e := e.(type) {
 			case fleet.Stop:
-				r.handle(fleet.StopEnded{
-					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
-				})
+				r.acceptStop(e)
 			case fleet.Start:
 				if e.Request.Run != r.start.Request.Run {
 					return repeated, r.now.Sub(r.sentAt)
@@ -68,6 +66,10 @@
 	return repeated, 0
 }
 
+func (r *rig) acceptStop(e fleet.Stop) {
+	r.handle(fleet.StopEnded{Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{}})
+}
+
 // takeOver starts a new term with both servers registered.
 func (r *heldStartRig) takeOver() {
 	r.t.Helper()
@@ -265,9 +267,7 @@
 		for _, e := range r.takeEffects() {
 			switch e := e.(type) {
 			case fleet.Stop:
-				r.handle(fleet.StopEnded{
-					Server: e.Target.ID, Incarnation: e.Target.Incarnation, Run: e.Run, Outcome: backend.Accepted{},
-				})
+				r.acceptStop(e)
 			case fleet.Start:
 				if e.Request.Run != r.start.Request.Run {
 					after := r.now.Sub(lastRequestAt)
