--- a/deployment/election.go
+++ b/deployment/election.go
@@ -123,8 +123,11 @@
 // entry VM was faster or the outcome of the write is unknown. If the row was written nevertheless, its term expires
 // because nobody renews it.
 func (v *VM) acquireTerm(ctx context.Context, previous fleet.Term, now time.Time) *controller {
-	term := previous.Next(v.Settings.Name(), v.processID)
-	term.Processors = v.Settings.Processors()
+	term := fleet.Term{
+		Holder: v.Settings.Name(), Process: v.processID, Renewals: previous.Renewals + 1,
+		DurationMS: fleet.LongTerm.Milliseconds(), LeaseMS: fleet.LongLease.Milliseconds(),
+		Processors: v.Settings.Processors(),
+	}
 	tx := provider.NewTransaction(
 		[]provider.Condition{provider.NewCondition(fleet.TermKey, previous.Version())},
 		[]provider.Write{provider.NewPut(fleet.TermKey, term.Encode())})
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -48,7 +48,7 @@
 				if t.record.Done || len(t.attempts) == 0 {
 					continue
 				}
-				ran := min(t.attempts[0].ran(now), longest)
+				ran := min(now.Sub(t.attempts[0].startedAt), longest)
 				elapsed = min(elapsed, ran)
 				work += ran.Seconds() * share
 			}
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -126,7 +126,6 @@
 	if now.Sub(s.forecastAt) <= maxForecastDelay {
 		term.Waits = s.waits
 	}
-	term.Entitlements, term.Durations = s.storedEntitlements(now), s.storedDurations()
 	term.DurationMS = s.termDuration().Milliseconds()
 	term.LeaseMS = s.leaseBound(now).Milliseconds()
 	if term.Duration() > ShortTerm {
--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
-	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,8 +20,6 @@
 	// maxForecastPools bounds the pools in the term row, which all entry VMs read several times a second. A pool takes at most
 	// 24 steps of some 20 bytes.
 	maxForecastPools = 64
-	// maxExcessForecasts bounds the customers in the term row whose jobs beyond their weight wait.
-	maxExcessForecasts = 32
 )
 
 // Wait is the least time that new jobs of a pool wait, as the term row holds it. Each step gives the latest start in
@@ -36,58 +31,21 @@
 	Priority int `json:"priority,omitempty"`
 	// Customers are those whose jobs wait, or nil if those of all do.
 	Customers []string   `json:"customers,omitempty"`
-	OnTime    [][3]int64 `json:"on-time,omitempty"`
-	Late      [][3]int64 `json:"late,omitempty"`
-	// Excess holds the waits of new jobs that are beyond the weight of their customer, by customer.
-	Excess map[string]ExcessWait `json:"excess,omitempty"`
+	OnTime    [][3]int64 `json:"on-time"`
+	Late      [][3]int64 `json:"late"`
 }
 
-// ExcessWait is the least time that new jobs of a customer wait while it has used up its weight.
-type ExcessWait struct {
-	Priority int `json:"priority,omitempty"`
-	// Permille is the share of the customer's jobs, in thousandths, that fits within its weight. The jobs of this share are drawn by
-	// their ids, anew when TurnMS changes, so that all entry VMs decide alike.
-	Permille int64      `json:"permille"`
-	TurnMS   int64      `json:"turn-ms"`
-	Late     [][3]int64 `json:"late"`
-}
-
-// beyondWeight reports whether a job isn't of the share that fits within the weight.
-func (e ExcessWait) beyondWeight(job string) bool {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(job))
-	_, _ = h.Write(strconv.AppendInt(nil, e.TurnMS, 10))
-	return int64(h.Sum64()>>32%1000) >= e.Permille
-}
-
-func (s *State) newWait(f schedule.Forecast, r resource) Wait {
-	w := Wait{
-		Memory: r == memory, Priority: f.Priority, Customers: f.Customers, OnTime: encodeWaitSteps(f.OnTime), Late: encodeWaitSteps(f.Late),
+func newWait(f schedule.Forecast, r resource) Wait {
+	w := Wait{Memory: r == memory, Priority: f.Priority, Customers: f.Customers}
+	for _, s := range f.OnTime {
+		w.OnTime = append(w.OnTime, encodeWaitStep(s))
 	}
-	for _, e := range f.Excess {
-		weight, entitled := s.customerWeight(e.Customer), s.entitlements[e.Customer]
-		if weight <= 0 || entitled == nil || entitled.unused(weight) {
-			continue
-		}
-		if w.Excess == nil {
-			w.Excess = make(map[string]ExcessWait)
-		}
-		w.Excess[e.Customer] = ExcessWait{
-			Priority: e.Priority, Permille: int64(math.Ceil(entitled.share * 1000)), TurnMS: entitled.shareAt.UnixMilli(),
-			Late: encodeWaitSteps(e.Late),
-		}
+	for _, s := range f.Late {
+		w.Late = append(w.Late, encodeWaitStep(s))
 	}
 	return w
 }
 
-func encodeWaitSteps(steps []schedule.WaitStep) [][3]int64 {
-	var encoded [][3]int64
-	for _, s := range steps {
-		encoded = append(encoded, encodeWaitStep(s))
-	}
-	return encoded
-}
-
 // encodeWaitStep rounds a step so that it holds for no more jobs, and tells no longer wait.
 func encodeWaitStep(s schedule.WaitStep) [3]int64 {
 	return [3]int64{(s.LatestStart + time.Millisecond - 1).Milliseconds(), int64(s.Work) + 1, s.Wait.Milliseconds()}
@@ -96,25 +54,19 @@
 // For returns the least time that a new job waits, age after the forecast, and whether it would then end after its hard deadline. The
 // servers with a label that it requires may be idle while those of its pool are busy.
 func (w Wait) For(j *workload.Job, age time.Duration) (wait time.Duration, late bool) {
-	if j.Scheduled() || j.LongRunning() || j.RequiresLabel() || j.Objective() <= 0 {
+	if j.Scheduled() || j.LongRunning() || j.RequiresLabel() || j.Objective() <= 0 || j.Priority() < w.Priority ||
+		(len(w.Customers) > 0 && !slices.Contains(w.Customers, j.Customer())) {
 		return 0, false
 	}
 	r := processor
 	if w.Memory {
 		r = memory
 	}
-	work, latestStart := r.workOf(j), schedule.HardDeadline(j.Objective())-j.CriticalPath()
-	if j.Priority() >= w.Priority && (len(w.Customers) == 0 || slices.Contains(w.Customers, j.Customer())) {
-		if _, late := leastWait(w.OnTime, j.Objective()-j.CriticalPath(), work, age); late {
-			if wait, late := leastWait(w.Late, latestStart, work, age); late {
-				return wait, true
-			}
-		}
-	}
-	if e, exceeded := w.Excess[j.Customer()]; exceeded && j.Priority() >= e.Priority && e.beyondWeight(j.ID()) {
-		return leastWait(e.Late, latestStart, work, age)
+	work := r.workOf(j)
+	if _, late := leastWait(w.OnTime, j.Objective()-j.CriticalPath(), work, age); !late {
+		return 0, false
 	}
-	return 0, false
+	return leastWait(w.Late, schedule.HardDeadline(j.Objective())-j.CriticalPath(), work, age)
 }
 
 // leastWait returns the longest wait by the steps that hold for a job, and whether it is longer than until the latest start.
@@ -162,33 +114,14 @@
 		return
 	}
 	s.forecastAt = now
-	for customer, e := range s.entitlements {
-		if weight := s.customerWeight(customer); weight > 0 {
-			e.fill(weight, now)
-			e.adjustShare(now)
-		}
-	}
 	before := s.waits
 	s.waits = nil
 	if s.jobsRead && len(s.unreadCancels) == 0 && hasPendingWork(pools) {
 		s.waits = s.forecast(pools, now)
 	}
-	for customer, e := range s.entitlements {
-		e.refuses = s.refusesExcess(customer)
-	}
 	s.logWaits(before)
 }
 
-// refusesExcess reports whether entry VMs refuse jobs of a customer that are beyond its weight.
-func (s *State) refusesExcess(customer string) bool {
-	for _, w := range s.waits {
-		if _, refuses := w.Excess[customer]; refuses {
-			return true
-		}
-	}
-	return false
-}
-
 // hasPendingWork reports whether a pool has more work in time than servers. Otherwise no job waits.
 func hasPendingWork(pools []schedule.Pool) bool {
 	return slices.ContainsFunc(pools, func(p schedule.Pool) bool { return p.Load+p.LateLoad > float64(len(p.Servers)) })
@@ -213,9 +146,8 @@
 	waits := make(map[string]Wait)
 	for _, r := range []resource{processor, memory} {
 		for _, f := range schedule.ForecastWaits(s.backlogs(pools, r, now), now) {
-			wait := f.LongestWait()
-			if w := s.newWait(f, r); wait > longest[f.Pool] || (longest[f.Pool] == 0 && len(w.Excess) > len(waits[f.Pool].Excess)) {
-				longest[f.Pool], waits[f.Pool] = wait, w
+			if wait := f.LongestWait(); wait > longest[f.Pool] {
+				longest[f.Pool], waits[f.Pool] = wait, newWait(f, r)
 			}
 		}
 	}
@@ -225,14 +157,6 @@
 	for _, name := range names[min(maxForecastPools, len(names)):] {
 		delete(waits, name)
 	}
-	excess := 0
-	for _, name := range names[:min(maxForecastPools, len(names))] {
-		w := waits[name]
-		if excess += len(w.Excess); excess > maxExcessForecasts {
-			w.Excess = nil
-			waits[name] = w
-		}
-	}
 	return waits
 }
 
@@ -264,11 +188,11 @@
 	usage := make(customerWork)
 	for _, j := range s.jobsByDeadline() {
 		b, known := byName[s.poolOf(j)]
-		if !known || s.recommendation(j) != nil || now.Before(j.heldUntil) {
+		if !known || s.recommendation(j) != nil || now.Before(j.heldUntil) || j.beyondWeight {
 			continue
 		}
 		c := s.candidate(j, s.serverCapacity(b.Pool), now)
-		c.Work = s.durations[b.Pool].share() * j.workAhead(r, largest, now)
+		c.Work = j.workAhead(r, largest, now)
 		if c.Work > 0 && s.withinCustomerLimit(j, c.Work, r, usage, now) {
 			b.Jobs = append(b.Jobs, c)
 		}
@@ -295,7 +219,7 @@
 
 func (j *job) hardDeadline() time.Time { return j.submitted.Add(schedule.HardDeadline(j.objective)) }
 
-// workAhead returns the work of a job that new jobs wait behind: what is left of its runs and pending tasks by their
+// workAhead returns the work of a job that new jobs certainly wait behind: what is left of its runs and pending tasks by their
 // declared durations, without steps that other jobs don't wait for, as these need certain servers or fit on none.
 func (j *job) workAhead(r resource, largest workload.Resources, now time.Time) float64 {
 	total := 0.0
@@ -310,11 +234,7 @@
 			if st.unassigned < st.remaining {
 				for _, t := range st.tasks {
 					if len(t.attempts) > 0 && !t.record.Done {
-						done := declared // unless its server has told otherwise
-						if a := t.attempts[0]; a.phase != restored {
-							done = min(a.ran(now), declared)
-						}
-						left -= done
+						left -= min(max(now.Sub(t.attempts[0].startedAt), 0), declared)
 					}
 				}
 			}
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"math"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/provider"
@@ -40,12 +37,8 @@
 }
 
 func newAdmission(refuses bool) *admission {
-	return newAdmissionOf(admissionServers, admissionPools, refuses)
-}
-
-func newAdmissionOf(servers, pools int, refuses bool) *admission {
 	a := &admission{
-		simulation: newSimulation(servers, pools), refuses: refuses,
+		simulation: newSimulation(admissionServers, admissionPools), refuses: refuses,
 		objectives: make(map[string]time.Duration), refused: make(map[string]bool), refusedBySingleWait: make(map[string]bool),
 	}
 	a.onStore = func(key string, value []byte) {
@@ -60,22 +53,10 @@
 		}
 	})
 	a.admits = a.admit
-	a.play(1)
 	a.advance(3 * time.Second)
 	return a
 }
 
-// play seeds the load and the durations of runs, so that two simulations with the same seed get the same jobs, and a run takes the same
-// time in both.
-func (a *admission) play(seed uint64) {
-	a.random = rand.New(rand.NewPCG(seed, 2))
-	a.duration = func(run backend.Run) time.Duration {
-		h := fnv.New64a()
-		_, _ = fmt.Fprint(h, run)
-		return 500*time.Millisecond + time.Duration(rand.New(rand.NewPCG(seed, h.Sum64())).IntN(1000))*time.Millisecond
-	}
-}
-
 func decodeTerm(value []byte, version uint64) fleet.Term {
 	term, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, value, version))
 	if err != nil {
@@ -125,15 +106,6 @@
 	return fmt.Sprintf("%d within the objective, %d late, %d after the hard deadline", e.inTime, e.late, e.tooLate)
 }
 
-func (e ends) plus(o ends) ends {
-	return ends{e.inTime + o.inTime, e.late + o.late, e.tooLate + o.tooLate}
-}
-
-// deadlineShare returns the share of the jobs that ended by their hard deadline.
-func (e ends) deadlineShare() float64 {
-	return float64(e.inTime+e.late) / float64(e.inTime+e.late+e.tooLate)
-}
-
 // ends returns when the accepted jobs that match ended. A nil function matches all.
 func (a *admission) ends(match map[string]bool) ends {
 	var e ends
@@ -221,10 +193,6 @@
 	} {
 		a := newAdmission(false)
 		a.state.Handle(fleet.JobsRead{}, a.now)
-		for n := range 3 { // whose durations confirm the declared ones
-			a.submit(10_000+n, 0)
-		}
-		a.advance(5 * time.Second)
 		for n := range 2000 {
 			a.submitJob(n+1, 0, "", steps)
 		}
@@ -246,10 +214,6 @@
 		}
 	}
 	sm.advance(3 * time.Second)
-	for n := range pools * 2 { // whose durations confirm the declared ones
-		sm.submit(10_000+n, n%pools)
-	}
-	sm.advance(6 * time.Second)
 	for n := range pools * 60 {
 		sm.submit(n+1, n%pools)
 	}
@@ -258,41 +222,3 @@
 	assert.Equal(t, len(stored.Waits), 64)
 	assert.Assert(t, size <= 64<<10)
 }
-
-// Guards against refusals by what a customer submitted beyond its weight: of other customers' jobs, of more urgent or smaller ones, and of
-// those that may come within the weight.
-func TestExcessWaitHoldsForJobsBeyondTheWeightOnly(t *testing.T) {
-	const age = 500 * time.Millisecond
-	for name, c := range map[string]struct {
-		customer   string
-		priority   int
-		milliCores int64
-		permille   int64
-		late       int // of 1000 jobs
-	}{
-		"beyond the weight": {"hot", 1, 3000, 0, 1000},
-		"a fifth within it": {"hot", 1, 3000, 200, 800},
-		"all within it":     {"hot", 1, 3000, 1000, 0},
-		"other customer":    {"other", 1, 3000, 0, 0},
-		"more urgent":       {"hot", 0, 3000, 0, 0},
-		"small":             {"hot", 1, 1000, 0, 0},
-	} {
-		w := fleet.Wait{Excess: map[string]fleet.ExcessWait{
-			"hot": {Priority: 1, Permille: c.permille, Late: [][3]int64{{5000, 2000, 60_000}}},
-		}}
-		refused := 0
-		for n := range 1000 {
-			job, err := workload.NewJob(workload.JobOptions{
-				ID: fmt.Sprintf("%016x", n), Queue: "q", Pool: "p", Customer: c.customer, Priority: c.priority, MaxAttempts: 3, Stretch: 2,
-				SlackMS: 600,
-				Steps:   []workload.StepOptions{{Count: 1, MilliCores: c.milliCores, MemoryMB: 100, DeclaredDurationMS: 1000}},
-			})
-			assert.NilError(t, err)
-			if wait, late := w.For(job, age); late {
-				assert.Equal(t, wait, time.Minute-age, name)
-				refused++
-			}
-		}
-		assert.Assert(t, math.Abs(float64(refused-c.late)) <= 50 && (c.late > 0 || refused == 0), "%s: %d refused", name, refused)
-	}
-}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -123,7 +123,6 @@
 	startedAt         time.Time     // when the run was assigned, or confirmed by its server
 	percent           int           // progress of the run, or for a long-running task its speed
 	percentChangedAt  time.Time
-	ranBefore         time.Duration // of a run of an earlier controller: declared time of what it had done when first reported
 	mark              progressMark
 	rate, usualRate   float64 // its progress a second, and that of such a run elsewhere; 0 if they aren't known
 	measurement       int64   // last reported, in milliseconds of tail latency for a latency-sensitive task
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -14,7 +14,7 @@
 	}
 	j := newJob(spec)
 	j.createDueOccurrences(now)
-	s.admit(j, now)
+	j.beyondWeight = s.exceedsWeight(j, now)
 	s.jobs[spec.ID()] = j
 	s.dirtyPools[s.poolOf(j)] = true
 	s.recordArrival(j, now)
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -354,7 +354,6 @@
 
 func (s *State) updateAttempt(a *attempt, r backend.ActiveRun, now time.Time) {
 	if a.phase != running {
-		a.inherit(r.Percent)
 		a.phase, a.startedAt, a.percentChangedAt = running, now, now
 		a.confirmedAt = now
 		a.markProgress(a.server.clock, r.Percent)
@@ -416,7 +415,6 @@
 	case workload.EndDone:
 		v.consecutiveFailures = 0
 		t.step.longestRun = max(t.step.longestRun, now.Sub(a.startedAt))
-		s.recordDuration(a, now)
 		s.runDone(t, now)
 		s.awaitOtherRuns(v, t)
 	case workload.EndFailed:
--- a/fleet/restore.go
+++ b/fleet/restore.go
@@ -35,7 +35,6 @@
 		j.createDueOccurrences(now)
 		j.copyStored = stored.Copied[spec.ID()]
 		s.jobs[spec.ID()] = j
-		s.admit(j, now)
 		if known {
 			s.restoreJob(j, p, now)
 		}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -426,11 +426,11 @@
 		if sm.isLongRunning(e.Request.Run) && e.Request.Run.Task.Step == 0 {
 			return
 		}
-		duration := sm.duration
-		if duration == nil {
-			duration = func(backend.Run) time.Duration { return sm.runTime() }
+		total := sm.runTime()
+		if sm.duration != nil {
+			total = sm.duration(e.Request.Run)
 		}
-		sm.work(e.Target.ID, e.Request, duration(e.Request.Run))
+		sm.work(e.Target.ID, e.Request, total)
 	})
 }
 
--- a/fleet/simulationfaults_test.go
+++ b/fleet/simulationfaults_test.go
@@ -120,11 +120,9 @@
 		sm.faults.leaderless = false
 		previous := sm.state
 		sm.version++
-		term := decodeTerm(sm.rows[fleet.TermKey], sm.version).Next("x", 0)
-		term.DurationMS = 1500
 		sm.state = &fleet.State{
 			EntryVM: previous.EntryVM + "x", Token: previous.Token + 1000, TermRequestedAt: sm.now,
-			Term:            term.WithVersion(previous.Token + 1000),
+			Term:            fleet.Term{Holder: "x", DurationMS: 1500}.WithVersion(previous.Token + 1000),
 			MaintenanceTime: previous.MaintenanceTime, MoveTime: previous.MoveTime,
 			HandoverPause: 3 * time.Second, StopTime: 900 * time.Millisecond,
 		}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -78,9 +78,6 @@
 	formerServers    map[string]formerServer         // dropped servers to which requests may be on the way, by id
 	poolCapacity     map[string]workload.Resources   // capacity of a server, by pool
 	entitlements     map[string]*entitlement         // by customer
-	storedBefore     map[string]Entitlement          // that the previous leader stored, by customer
-	inheritedJobs    []*job                          // jobs that were accepted before the term, until all of them are known
-	durations        map[string]*Durations           // by pool
 	customerUsage    map[string]workload.Resources   // requested resources of the active runs, by customer
 	lateStarts       map[string]lateStarts           // by server id
 	latestOnVM       map[string]backend.Registration // of the youngest server that has registered on a VM, by VM
@@ -186,6 +183,7 @@
 	s.droppedAt, s.moveGivenUpAt = make(map[string]time.Time), make(map[string]time.Time)
 	s.changedJobs, s.unstoredAnswers = make(map[*job]bool), make(map[*job]bool)
 	s.customerUsage = make(map[string]workload.Resources)
+	s.entitlements = make(map[string]*entitlement)
 	s.poolCapacity = make(map[string]workload.Resources)
 	s.losses, s.isolatedServers, s.isolationWaiting = make(losses), make(map[string]int), make(map[string][]*step)
 	s.formerServers, s.lateStarts = make(map[string]formerServer), make(map[string]lateStarts)
@@ -207,8 +205,6 @@
 	s.termEndsAt = s.TermRequestedAt.Add(s.Term.Duration())
 	s.committed = s.Term.Version()
 	s.renewedAt = s.TermRequestedAt
-	s.restoreEntitlements(now)
-	s.restoreDurations()
 }
 
 // Handle applies an event. The effects are collected and returned by TakeEffects. After the loss of leadership events
@@ -231,7 +227,6 @@
 		s.addJob(e.Job, now)
 	case JobsRead:
 		s.jobsRead = true
-		s.markInheritedJobs(now)
 	case CancelRequested:
 		s.cancel(e.ID, now)
 	case CancelsRead:
--- a/fleet/term.go
+++ b/fleet/term.go
@@ -34,22 +34,10 @@
 	FullForMS int64 `json:"full-for-ms,omitempty"`
 	// Waits are the least times that new jobs wait, by pool.
 	Waits map[string]Wait `json:"waits-ms,omitempty"`
-	// Entitlements are those of customers that have used much of their weight, by customer, and Durations what the tasks of each
-	// pool have taken. The next leader goes on from them.
-	Entitlements map[string]Entitlement `json:"entitlements,omitempty"`
-	Durations    map[string]Durations   `json:"durations,omitempty"`
 
 	version uint64
 }
 
-// Next returns the first term of a new leader, which goes on from what the previous one knew about new jobs.
-func (t Term) Next(holder string, process int64) Term {
-	return Term{
-		Holder: holder, Process: process, Renewals: t.Renewals + 1, DurationMS: LongTerm.Milliseconds(),
-		LeaseMS: LongLease.Milliseconds(), Entitlements: t.Entitlements, Durations: t.Durations,
-	}
-}
-
 // Encode returns the value of the term row.
 func (t Term) Encode() []byte {
 	data, err := json.Marshal(t)
--- a/fleet/weights_test.go
+++ b/fleet/weights_test.go
@@ -24,11 +24,14 @@
 func runHotCustomer(factor float64, ignoreWeights bool) (inTime, jobs int) {
 	sm := newSimulation(12, 1)
 	sm.state.IgnoreWeights = ignoreWeights
-	customers := make([]directory.Customer, weightedCustomers)
-	for n := range customers {
-		customers[n] = directory.Customer{Name: fmt.Sprint("customer-", n), Weight: usualRate * 1.5}
+	var customers []directory.Customer
+	for n := range weightedCustomers {
+		customers = append(customers, directory.Customer{Name: fmt.Sprint("customer-", n), Weight: usualRate * 1.5})
 	}
-	sm.state.Handle(fleet.OperationArrived{Operation: configurationWith(customers)}, sm.now)
+	sm.state.Handle(fleet.OperationArrived{Operation: directory.ConfigurationPublished{Snapshot: directory.NewSnapshot(
+		2, []directory.Queue{{Name: "pool-0", Pool: "pool-0", MaxAttempts: 3}}, customers,
+		[]directory.Pool{{Name: "pool-0"}, {Name: sparePool, Spare: true}}, 0,
+	)}}, sm.now)
 	sm.advance(time.Second)
 	const tick = 20 * time.Millisecond
 	began, due, number := sm.now, make([]float64, weightedCustomers), 0
@@ -59,14 +62,6 @@
 	return inTime, len(objectives)
 }
 
-// configurationWith returns a configuration of one queue with the given customers.
-func configurationWith(customers []directory.Customer) directory.Operation {
-	return directory.ConfigurationPublished{Snapshot: directory.NewSnapshot(
-		2, []directory.Queue{{Name: "pool-0", Pool: "pool-0", MaxAttempts: 3}}, customers,
-		[]directory.Pool{{Name: "pool-0"}, {Name: sparePool, Spare: true}}, 0,
-	)}
-}
-
 // submitFor submits a job of a customer, and returns its objective.
 func (sm *simulation) submitFor(customer string, n int) time.Duration {
 	job, err := workload.NewJob(workload.JobOptions{
@@ -79,10 +74,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if sm.admits != nil && !sm.admits(job) {
-		return job.Objective()
-	}
-	sm.jobs[job.ID()], sm.submittedAt[job.ID()] = job, sm.now
+	sm.submittedAt[job.ID()] = sm.now
 	sm.state.Handle(fleet.JobArrived{Job: job}, sm.now)
 	return job.Objective()
 }
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -52,16 +52,6 @@
 	// OnTime are the steps for jobs that are to meet their objective, Late those for jobs that are to meet their hard deadline. A
 	// job can be useful unless both keep it from starting in time.
 	OnTime, Late []WaitStep
-	// Excess holds what is known of new jobs that are beyond the weight of their customer, of the customers with the longest waits.
-	Excess []ExcessForecast
-}
-
-// ExcessForecast is the least time that a new job waits that is beyond the weight of its customer: behind the customer's other jobs
-// beyond it, and those that all customers submitted within theirs.
-type ExcessForecast struct {
-	Customer string
-	Priority int // as in Forecast
-	Late     []WaitStep
 }
 
 // WaitStep says that a job with at least so much work, and which may start LatestStart after the forecast or later, starts no
@@ -77,15 +67,10 @@
 	return o.LatestStart <= w.LatestStart && o.Work <= w.Work && o.Wait >= w.Wait
 }
 
-// LongestWait returns the longest wait of any job within the weight of its customer.
-func (f *Forecast) LongestWait() time.Duration { return longestWait(f.Late) }
-
-// LongestWait returns the longest wait of any job of the customer.
-func (f *ExcessForecast) LongestWait() time.Duration { return longestWait(f.Late) }
-
-func longestWait(steps []WaitStep) time.Duration {
+// LongestWait returns the longest wait of any job.
+func (f *Forecast) LongestWait() time.Duration {
 	longest := time.Duration(0)
-	for _, s := range steps {
+	for _, s := range f.Late {
 		longest = max(longest, s.Wait)
 	}
 	return longest
@@ -105,7 +90,7 @@
 	onTimeWork := make([]float64, len(pools))
 	for i := range pools {
 		for j := range pools[i].Jobs {
-			if c := &pools[i].Jobs[j]; !c.BeyondWeight && Outlook(c.Submitted, c.Objective, c.Remaining, now) == OnTime {
+			if c := &pools[i].Jobs[j]; Outlook(c.Submitted, c.Objective, c.Remaining, now) == OnTime {
 				onTimeWork[i] += c.Work
 			}
 		}
@@ -113,7 +98,7 @@
 	var forecasts []Forecast
 	for i := range pools {
 		s := newSupply(pools, i, onTimeWork)
-		if f := forecastPool(&pools[i], s, now); len(f.Late) > 0 || len(f.Excess) > 0 {
+		if f := forecastPool(&pools[i], s, now); len(f.OnTime) > 0 && len(f.Late) > 0 && f.LongestWait() >= minForecastWait {
 			forecasts = append(forecasts, f)
 		}
 	}
@@ -142,45 +127,9 @@
 	f.Customers = heaviestCustomers(append(slices.Clone(onTime), late...))
 	f.OnTime = waitSteps(onTime, 1, 0, s, now)
 	f.Late = waitSteps(late, hardDeadlineFactor, workOf(onTime), s, now)
-	if len(f.OnTime) == 0 || f.LongestWait() < minForecastWait {
-		f.OnTime, f.Late = nil, nil
-	}
-	f.Excess = forecastExcess(jobs, workOf(onTime)+workOf(late), s, now)
 	return f
 }
 
-// forecastExcess returns the forecasts of new jobs beyond the weight of their customer. Used is the work of the jobs that go before
-// them. What other customers submitted beyond their weight isn't taken into account.
-func forecastExcess(jobs []Candidate, used float64, s supply, now time.Time) []ExcessForecast {
-	byCustomer := make(map[string][]Candidate)
-	for _, c := range jobs {
-		if c.BeyondWeight {
-			byCustomer[c.Customer] = append(byCustomer[c.Customer], c)
-		}
-	}
-	var forecasts []ExcessForecast
-	for customer, excess := range byCustomer {
-		selected := selectJobs(excess, classBeyondWeight, hardDeadlineFactor, used, s, now)
-		f := ExcessForecast{Customer: customer, Late: waitSteps(selected, hardDeadlineFactor, used, s, now)}
-		if len(selected) > 0 && slices.ContainsFunc(excess, func(c Candidate) bool { return wasDropped(&c, now) }) {
-			// Any other job that isn't small would make one of the selected ones too late, or be too late itself.
-			step := stepsOfPrefix(selected, workOf(selected), used, s)[1]
-			step.Wait = s.timeFor(used + workOf(selected))
-			f.Late = append(slices.DeleteFunc(f.Late, func(o WaitStep) bool { return o.isCoveredBy(step) }), step)
-		}
-		for _, c := range selected {
-			f.Priority = max(f.Priority, c.Priority)
-		}
-		if f.LongestWait() >= minForecastWait {
-			forecasts = append(forecasts, f)
-		}
-	}
-	slices.SortFunc(forecasts, func(a, b ExcessForecast) int {
-		return cmp.Or(cmp.Compare(b.LongestWait(), a.LongestWait()), cmp.Compare(a.Customer, b.Customer))
-	})
-	return forecasts[:min(len(forecasts), maxHeaviestCustomers)]
-}
-
 // selectJobs selects as many unselected jobs as can end together within factor times their objective, like selectFeasible, but by
 // the supply. Used is the work that goes before them.
 func selectJobs(jobs []Candidate, to priorityClass, factor int, used float64, s supply, now time.Time) []*Candidate {
@@ -188,7 +137,7 @@
 	for i := range jobs {
 		c := &jobs[i]
 		c.latestStart = c.Submitted.Add(time.Duration(factor)*c.Objective - c.Remaining)
-		if c.class == classUnselected && c.BeyondWeight == (to == classBeyondWeight) && !now.After(c.latestStart) {
+		if c.class == classUnselected && !now.After(c.latestStart) {
 			feasible = append(feasible, c)
 		}
 	}
@@ -213,11 +162,6 @@
 	return slices.DeleteFunc(feasible, func(c *Candidate) bool { return c.class != to })
 }
 
-// wasDropped reports whether a job could meet the deadline that it was last selected for, but not together with those selected.
-func wasDropped(c *Candidate, now time.Time) bool {
-	return c.class == classUnselected && !now.After(c.latestStart)
-}
-
 // heaviestCustomers returns the customers with the most selected work for their weight, whose new jobs are dropped before those of
 // the others, or nil if the jobs have no weights.
 func heaviestCustomers(selected []*Candidate) []string {
--- a/schedule/forecast_test.go
+++ b/schedule/forecast_test.go
@@ -78,44 +78,6 @@
 	assert.Equal(t, f.Late[0].LatestStart, 10*time.Second)
 }
 
-// Guards against refusals of other customers' jobs for what one customer submits beyond its weight, and against a forecast that leaves
-// out what its own jobs wait for.
-func TestForecastOfExcessHoldsForItsCustomerOnly(t *testing.T) {
-	now := time.Unix(1000, 0)
-	jobs := equalJobs(100, 10, now)
-	for i := range jobs {
-		jobs[i].Customer, jobs[i].Weight, jobs[i].BeyondWeight = "hot", 1, i >= 2
-	}
-	forecasts := schedule.ForecastWaits([]schedule.Backlog{{Pool: "a", Capacity: 10, Jobs: jobs}}, now)
-	assert.Equal(t, len(forecasts), 1)
-	f := forecasts[0]
-	assert.Equal(t, len(f.OnTime)+len(f.Late), 0, "jobs within a weight don't wait")
-	assert.Equal(t, len(f.Excess), 1)
-	assert.Equal(t, f.Excess[0].Customer, "hot")
-	wait := f.Excess[0].LongestWait() // 12 s are left until the hard deadline, for the two jobs within the weight as well
-	assert.Assert(t, wait > 11*time.Second && wait <= 12*time.Second, "%s", wait)
-	for i := range jobs {
-		jobs[i].Customer = fmt.Sprint("customer-", i%20)
-	}
-	forecasts = schedule.ForecastWaits([]schedule.Backlog{{Pool: "a", Capacity: 10, Jobs: jobs}}, now)
-	assert.Equal(t, len(forecasts), 0, "each customer has too few jobs")
-}
-
-// Guards against jobs beyond a weight that take turns at being too late: those that can't meet their hard deadline go last.
-func TestExpiredExcessGoesLast(t *testing.T) {
-	now := time.Unix(1000, 0)
-	jobs := append(equalJobs(3, 10, now.Add(-15*time.Second)), equalJobs(2, 10, now)...)
-	for i := range jobs {
-		jobs[i].ID, jobs[i].Customer, jobs[i].Weight, jobs[i].BeyondWeight = fmt.Sprint(i), "hot", 1, true
-	}
-	schedule.SortCandidates(jobs, schedule.Capacity{Servers: 10}, now)
-	order := ""
-	for _, j := range jobs {
-		order += j.ID
-	}
-	assert.Equal(t, order, "34012")
-}
-
 // Load pattern: the pending jobs of a burst. Guards against a forecast that takes the processor time that scheduling needs.
 func BenchmarkForecastWaits(b *testing.B) {
 	now := time.Unix(1000, 0)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -109,7 +109,7 @@
 	classExpiring                   // late, and about to miss the hard deadline
 	classOnTime                     // selected to meet its objective
 	classLate                       // selected to meet its hard deadline
-	classBeyondWeight               // submitted beyond the weight of its customer, and selected to meet its hard deadline
+	classBeyondWeight               // submitted beyond the weight of its customer
 	classUnselected                 // can't meet its hard deadline, or the pool lacks the capacity
 )
 
@@ -120,7 +120,7 @@
 // selects the largest set of jobs that can meet their objective together (the Moore-Hodgson algorithm): it adds jobs by
 // latest start, and whenever one would miss its deadline it drops a selected job that hasn't started: the one with the most work
 // of the customer that then still has the most selected work for its weight. It then selects from the rest those that can meet
-// their hard deadline, and at last from the jobs beyond their customer's weight those that can meet theirs.
+// their hard deadline.
 //
 // Jobs that have started aren't dropped: at four times the capacity more than half of the jobs that had started in time were
 // overtaken between two of their tasks, and two thirds of the capacity went to jobs that ended late.
@@ -135,14 +135,16 @@
 	used, unused := selectFeasible(candidates, classOnTime, 1, used, capacity, now)
 	expiring := max(min(unused, expiringShare*capacity.Servers), costlyShare*capacity.Servers)
 	used += selectExpiring(candidates, expiring, now)
-	used, _ = selectFeasible(candidates, classLate, hardDeadlineFactor, used, capacity, now)
-	_, _ = selectFeasible(candidates, classBeyondWeight, hardDeadlineFactor, used, capacity, now)
+	_, _ = selectFeasible(candidates, classLate, hardDeadlineFactor, used, capacity, now)
 	slices.SortFunc(candidates, func(a, b Candidate) int { return compare(&a, &b) })
 }
 
 func initialClass(c *Candidate) priorityClass {
-	if c.LongRunning {
+	switch {
+	case c.LongRunning:
 		return classLongRunning
+	case c.BeyondWeight:
+		return classBeyondWeight
 	}
 	return classUnselected
 }
@@ -176,7 +178,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		hardDeadline := c.Submitted.Add(hardDeadlineFactor * c.Objective)
-		if c.class == classUnselected && !c.BeyondWeight && Outlook(c.Submitted, c.Objective, c.Remaining, now) == Late &&
+		if c.class == classUnselected && Outlook(c.Submitted, c.Objective, c.Remaining, now) == Late &&
 			now.Add(c.Remaining+expiringLead).After(hardDeadline) {
 			expiring = append(expiring, c)
 		}
@@ -194,7 +196,7 @@
 }
 
 // selectFeasible selects unselected candidates that can end together within factor times their objective, and gives
-// them a class: jobs beyond their customer's weight for classBeyondWeight, and others for other classes. Used is the work, in server-seconds, that is selected before them. It returns the work selected afterwards, and how
+// them a class. Used is the work, in server-seconds, that is selected before them. It returns the work selected afterwards, and how
 // much more work can go first without making one of them miss its deadline.
 //
 // Jobs that can all run at once are feasible. Otherwise the last jobs to end before a deadline share the capacity with jobs that
@@ -207,7 +209,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		c.latestStart = c.Submitted.Add(time.Duration(factor*float64(c.Objective)) - c.Remaining - c.startMargin())
-		if c.class == classUnselected && c.BeyondWeight == (to == classBeyondWeight) && !now.After(c.latestStart) {
+		if c.class == classUnselected && !now.After(c.latestStart) {
 			feasible = append(feasible, c)
 		}
 	}
