Play the overload of the forecast's test from one seed

The test compares the jobs that end too late in two plays, one that refuses and one that doesn't. Both plays now get the same jobs, and a run takes the same time in both. What still differs between runs is the order in which maps are read.

--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pistachiolead/pistachiolead/backend"
 	"github.com/pistachiolead/pistachiolead/fleet"
 	"github.com/pistachiolead/pistachiolead/intake"
 	"github.com/pistachiolead/pistachiolead/provider"
@@ -53,10 +56,22 @@
 		}
 	})
 	a.admits = a.admit
+	a.play(1)
 	a.advance(3 * time.Second)
 	return a
 }
 
+// play seeds the load and the durations of runs, so that two simulations with the same seed get the same jobs, and a run takes the same
+// time in both.
+func (a *admission) play(seed uint64) {
+	a.random = rand.New(rand.NewPCG(seed, 2))
+	a.duration = func(run backend.Run) time.Duration {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, run)
+		return 500*time.Millisecond + time.Duration(rand.New(rand.NewPCG(seed, h.Sum64())).IntN(1000))*time.Millisecond
+	}
+}
+
 func decodeTerm(value []byte, version uint64) fleet.Term {
 	term, err := fleet.DecodeTerm(provider.NewRow(fleet.TermKey, value, version))
 	if err != nil {
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -426,11 +426,11 @@
 		if sm.isLongRunning(e.Request.Run) && e.Request.Run.Task.Step == 0 {
 			return
 		}
-		total := sm.runTime()
-		if sm.duration != nil {
-			total = sm.duration(e.Request.Run)
+		duration := sm.duration
+		if duration == nil {
+			duration = func(backend.Run) time.Duration { return sm.runTime() }
 		}
-		sm.work(e.Target.ID, e.Request, total)
+		sm.work(e.Target.ID, e.Request, duration(e.Request.Run))
 	})
 }
 
